--- a/src/change_log.rs
+++ b/src/change_log.rs
@@ -108,7 +108,9 @@
         match create_settled(self.store, &store_key, &value).await {
             Ok(WriteOutcome::Written) => Ok(()),
             Ok(WriteOutcome::Conflict(found)) => Err(came_between(entry.generation, found)),
-            Err(StoreError::Unreachable(reason)) => Err(Error::Unreachable(reason)),
+            Err(StoreError::Unreachable(reason) | StoreError::Refused(reason)) => {
+                Err(Error::Unreachable(reason))
+            }
             Err(StoreError::AnswerLost(reason)) => Err(Error::OutcomeUnknown(format!(
                 "entry {} may or may not have been written: {reason}",
                 entry.generation
@@ -133,7 +135,9 @@
     pub async fn store_bundle(&self, digest: &str, text: &str) -> Result<()> {
         match create_settled(self.store, &bundle_key(digest), text.as_bytes()).await {
             Ok(_) => Ok(()),
-            Err(StoreError::Unreachable(reason)) => Err(Error::Unreachable(reason)),
+            Err(StoreError::Unreachable(reason) | StoreError::Refused(reason)) => {
+                Err(Error::Unreachable(reason))
+            }
             Err(StoreError::AnswerLost(reason)) => Err(Error::Unreachable(format!(
                 "the bundle's text may not be stored: {reason}"
             ))),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -139,3 +139,18 @@
     socket.listen(BACKLOG).map_err(error)?;
     Ok(socket.into())
 }
+
+/// Starts logging JSON lines to standard output without ever waiting for its reader.
+///
+/// See [`crate::log_output`] for what happens to lines that nobody takes.
+pub fn start_box_logs() -> Result<LoggerHandle> {
+    let text = std::env::var(LOG_VARIABLE).unwrap_or_else(|_| "info".to_owned());
+    let spec = LogSpecification::parse(&text)
+        .map_err(|err| Error::Usage(format!("{LOG_VARIABLE} is `{text}`: {err}")))?;
+    let output = crate::log_output::BoundedOutput::start()
+        .map_err(|err| Error::Usage(format!("logs cannot be started: {err}")))?;
+    Logger::with(spec)
+        .log_to_writer(Box::new(output))
+        .start()
+        .map_err(|err| Error::Usage(format!("logs cannot be started: {err}")))
+}
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,325 @@
+//! The data path for routes by host and path, in one process a box.
+//!
+//! It serves callers over HTTP/1.1, follows the operators' configuration in the
+//! platform's store, and keeps nothing that has to last. All names of the deployment
+//! come from an adapter: [`protocol::Headers`] and [`control::ControlStore`]. See
+//! `docs/design/platform.md`.
+
+pub mod caller_stream;
+pub mod connect;
+pub mod control;
+pub mod events;
+pub mod exchange;
+pub mod follow;
+pub mod job;
+pub mod knowledge;
+pub mod listen;
+pub mod membership;
+pub mod models;
+pub mod peers;
+pub mod place;
+pub mod plain;
+pub mod protocol;
+pub mod refusal;
+pub mod relay;
+pub mod retries;
+pub mod rollout;
+pub mod routes;
+pub mod serve;
+pub mod sessions;
+pub mod settings;
+pub mod stream;
+pub mod telemetry;
+pub mod upstream;
+
+use crate::clock::Now;
+use crate::error::Result;
+use crate::metrics::Metrics;
+use crate::name::VersionName;
+use crate::store::StoreError;
+use connect::Connections;
+use control::ControlStore;
+use job::Job;
+use knowledge::Knowledge;
+use protocol::Headers;
+use retries::RetryWindow;
+use rollout::{Quality, VersionQuery, VersionRule, VersionWatch, version_rule};
+use sessions::Sessions;
+use settings::GatewaySettings;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use telemetry::Telemetry;
+use upstream::Upstream;
+
+/// How long after the signal to stop streams are still taken: those that begin later
+/// would not end within the grace.
+const LONG_REQUESTS_AFTER_STOP: Duration = Duration::from_millis(500);
+/// How old knowledge may be for the box to count as ready: older means that the store
+/// cannot be reached, and callers fare better elsewhere.
+const READY_AGE: Duration = Duration::from_millis(3500);
+
+/// Everything that the requests of a box share.
+#[derive(Debug)]
+pub struct Gateway {
+    settings: RefCell<Rc<GatewaySettings>>,
+    /// The names of the deployment's headers.
+    pub headers: Headers,
+    /// What the box knows.
+    pub knowledge: RefCell<Knowledge>,
+    /// Resting connections to upstreams.
+    pub connections: Connections,
+    /// The budgets of repeats by service.
+    pub retries: RefCell<HashMap<String, RetryWindow>>,
+    /// The versions of sessions.
+    pub sessions: RefCell<Sessions>,
+    /// What was seen of versions under roll-out.
+    pub versions: RefCell<VersionWatch>,
+    /// Log lines and metrics.
+    pub telemetry: Telemetry,
+    /// The name of this life of the box.
+    pub life: String,
+    /// The lease under which the box is registered.
+    pub lease: Cell<Option<u64>>,
+    stopping_since: Cell<Option<Duration>>,
+    in_flight: Rc<Cell<u32>>,
+    store_lost: Cell<Option<Duration>>,
+}
+
+impl Gateway {
+    /// Makes a box that knows nothing yet.
+    pub fn new(
+        settings: GatewaySettings,
+        headers: Headers,
+        metrics: &Metrics,
+        now: Now,
+    ) -> Rc<Self> {
+        let life = format!("{}.{}", settings.name, now.wall.0);
+        Rc::new(Self {
+            sessions: RefCell::new(Sessions::new(settings.bounds.session)),
+            versions: RefCell::new(VersionWatch::new(&life)),
+            settings: RefCell::new(Rc::new(settings)),
+            headers,
+            knowledge: RefCell::default(),
+            connections: Connections::default(),
+            retries: RefCell::default(),
+            telemetry: Telemetry::new(metrics),
+            life,
+            lease: Cell::new(None),
+            stopping_since: Cell::new(None),
+            in_flight: Rc::default(),
+            store_lost: Cell::new(None),
+        })
+    }
+
+    /// Returns the settings in force.
+    pub fn settings(&self) -> Rc<GatewaySettings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Takes changed settings; addresses stay as they are until the next start.
+    pub fn reload(&self, settings: GatewaySettings) {
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
+    /// Returns the upstreams of a service that may serve a session's request.
+    pub fn candidates(&self, service: &str, session: &str, now: Now) -> Vec<Rc<Upstream>> {
+        let knowledge = self.knowledge.borrow();
+        let mut open = knowledge.open_upstreams(service);
+        let rollout = knowledge.rollout(service);
+        if rollout.is_none() {
+            return open;
+        }
+        let sessions = self.sessions.borrow();
+        let condemned = rollout
+            .and_then(|rollout| rollout.order.as_ref())
+            .is_some_and(|(order, _)| self.is_condemned(order));
+        let query = VersionQuery {
+            session,
+            pinned: sessions.version(session, now),
+            condemned,
+        };
+        let rule = version_rule(rollout, query, now);
+        let allowed: Vec<Rc<Upstream>> = open
+            .iter()
+            .filter(|upstream| upstream.with_listed(|listed| rule.allows(&listed.version)))
+            .cloned()
+            .collect();
+        match rule {
+            VersionRule::Prefer(_) if allowed.is_empty() => {
+                open.retain(|upstream| {
+                    let rejected = VersionRule::AnyBut(rejected_versions(rollout));
+                    upstream.with_listed(|listed| rejected.allows(&listed.version))
+                });
+                open
+            }
+            VersionRule::Prefer(_) | VersionRule::AnyBut(_) => allowed,
+        }
+    }
+
+    fn is_condemned(&self, order: &control::RolloutOrder) -> bool {
+        let target = membership::target_name(order);
+        self.versions.borrow_mut().is_condemned(&target)
+    }
+
+    /// Records when the first event of an answer came.
+    pub fn first_event(&self, job: &Job, upstream: &Upstream, took: Duration, model: &str) {
+        let now = Now::read();
+        let listed = upstream.listed();
+        self.sessions
+            .borrow_mut()
+            .served(&job.session, &listed.version, now);
+        let kind = format!("{} {model}", job.route.name);
+        let mut versions = self.versions.borrow_mut();
+        if !self.is_under_rollout(&listed) {
+            versions.learn_usual(&kind, took);
+        } else if versions.is_slow(&kind, took) {
+            versions.count(&version_of(&listed), &job.route.name, Quality::Slow);
+        } else {
+            versions.count(&version_of(&listed), &job.route.name, Quality::Whole);
+        }
+    }
+
+    /// Counts an upstream's own failure against its version.
+    pub fn count_failure(&self, job: &Job, upstream: &Upstream) {
+        let listed = upstream.listed();
+        if self.is_under_rollout(&listed) {
+            let mut versions = self.versions.borrow_mut();
+            versions.count(&version_of(&listed), &job.route.name, Quality::Failed);
+        }
+    }
+
+    fn is_under_rollout(&self, listed: &control::ListedUpstream) -> bool {
+        let knowledge = self.knowledge.borrow();
+        knowledge
+            .rollout(&listed.service)
+            .and_then(|rollout| rollout.order.as_ref())
+            .is_some_and(|(order, _)| order.target == listed.version)
+    }
+
+    /// Tells whether keys may be served by what is known.
+    pub fn keys_are_fresh(&self, now: Now) -> bool {
+        let lifetime = self.settings().bounds.key_lifetime();
+        self.knowledge
+            .borrow()
+            .age(now)
+            .is_some_and(|age| age < lifetime)
+    }
+
+    /// Tells whether the balancer should send new connections.
+    pub fn is_ready(&self, now: Now) -> bool {
+        let knowledge = self.knowledge.borrow();
+        let fresh = knowledge.age(now).is_some_and(|age| age < READY_AGE);
+        !self.is_stopping() && fresh && knowledge.routes().is_some()
+    }
+
+    /// Records a call that the store answered.
+    pub fn store_answered(&self, now: Now) {
+        if let Some(since) = self.store_lost.take() {
+            let lost = now.monotonic.saturating_sub(since);
+            log::info!(lost_ms = lost.as_millis() as u64; "the store answers again");
+            self.knowledge.borrow_mut().unsettle_store(now);
+        }
+    }
+
+    /// Records a call that the store did not answer.
+    pub fn store_failed(&self, err: &StoreError, now: Now) {
+        self.knowledge.borrow_mut().unsettle_store(now);
+        let is_first = self.store_lost.get().is_none();
+        if is_first {
+            self.store_lost.set(Some(now.monotonic));
+        }
+        match is_first {
+            true => log::warn!("the store is lost: {err}"),
+            false => log::debug!("the store is still away: {err}"),
+        }
+    }
+
+    /// Counts a request in until the guard is dropped.
+    pub fn count_in(&self) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight(self.in_flight.clone())
+    }
+
+    /// Returns the requests under way.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Begins to stop.
+    pub fn stop(&self, now: Now) {
+        self.stopping_since.set(Some(now.monotonic));
+    }
+
+    /// Tells whether the process is about to end.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping_since.get().is_some()
+    }
+
+    /// Tells whether a request that may take long would outlast the process.
+    pub fn refuses_long(&self, now: Now) -> bool {
+        self.stopping_since
+            .get()
+            .is_some_and(|since| now.monotonic.saturating_sub(since) > LONG_REQUESTS_AFTER_STOP)
+    }
+}
+
+fn rejected_versions(rollout: Option<&knowledge::Rollout>) -> Vec<String> {
+    rollout
+        .and_then(|rollout| rollout.record.as_ref())
+        .map_or_else(Vec::new, |known| known.record.rejected.clone())
+}
+
+fn version_of(listed: &control::ListedUpstream) -> VersionName {
+    VersionName {
+        model: listed.service.clone(),
+        version: listed.version.clone(),
+    }
+}
+
+/// Counts a request out when it ends, however it ends.
+#[derive(Debug)]
+pub struct InFlight(Rc<Cell<u32>>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Runs a box until it is asked to stop and has finished what it had.
+///
+/// `reload` reads the settings again when the operators ask for it.
+pub async fn run(
+    settings: GatewaySettings,
+    headers: Headers,
+    store: Rc<dyn ControlStore>,
+    reload: impl Fn() -> Result<GatewaySettings> + 'static,
+) -> Result<()> {
+    let metrics = Metrics::new()?;
+    let gw = Gateway::new(settings, headers, &metrics, Now::read());
+    let stopping = listen::Stopping::catch()?;
+    listen::serve_callers(&gw)?;
+    listen::serve_readiness(&gw, &metrics)?;
+    actix_rt::spawn(follow::follow(gw.clone(), store.clone()));
+    actix_rt::spawn(membership::stay_registered(gw.clone(), store.clone()));
+    actix_rt::spawn(membership::lead(gw.clone(), store.clone()));
+    let peers = gw.clone();
+    actix_rt::spawn(async move {
+        if let Err(err) = peers::exchange(peers).await {
+            log::error!("counts are not exchanged with other boxes: {err}");
+        }
+    });
+    let settings = gw.settings();
+    log::info!(
+        box_name = gw.life.as_str(),
+        hall = settings.hall.as_str(),
+        callers = settings.callers.to_string().as_str();
+        "started"
+    );
+    listen::reload_on_request(gw.clone(), reload)?;
+    stopping.wait().await;
+    listen::drain(&gw, &*store).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/gateway/connect.rs
@@ -0,0 +1,152 @@
+//! Connections to upstreams, each with its own state.
+//!
+//! The house's client keeps its connections to itself, and the rules here need to know
+//! one connection: whether a byte was written, whether the answer was whole, whether
+//! more came behind it. So this uses `hyper`'s connection-level client, the nearest kin.
+//! See `docs/design/platform.md`.
+
+use super::upstream::Upstream;
+use crate::clock::Now;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// The longest wait for a connection. The way there and back takes a few milliseconds;
+/// a lost opening packet is sent again only after a second, when another upstream has
+/// long answered.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long written bytes may stay unacknowledged before the connection counts as dead.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a connection may rest and still be used again. Upstreams drop resting
+/// connections early at times; a second is well below the seconds that they announce.
+const IDLE_LIFETIME: Duration = Duration::from_secs(1);
+/// Resting connections kept for one upstream.
+const IDLE_PER_UPSTREAM: usize = 4;
+
+/// One open connection to an upstream.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    rested_since: Duration,
+    reused: bool,
+}
+
+impl Connection {
+    /// Tells whether an earlier request went over this connection.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        req: http1_types::Request<Full<Bytes>>,
+    ) -> hyper::Result<http1_types::Response<hyper::body::Incoming>> {
+        self.sender.send_request(req).await
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        // The upstream stops working on a request when its connection closes, so the
+        // connection has to close now and not when its task gets round to it.
+        self.driver.abort();
+    }
+}
+
+/// The types of the newer `http` crate, which `hyper` speaks; the house's server speaks
+/// the older one.
+pub mod http1_types {
+    pub use hyper::http::{HeaderMap, Method, Request, Response};
+}
+
+/// The resting connections of a box, by instance and never by address alone, since an
+/// address may pass on to another service.
+#[derive(Debug, Default)]
+pub struct Connections {
+    idle: RefCell<HashMap<String, Vec<Connection>>>,
+}
+
+impl Connections {
+    /// Returns a connection that has rested for a short while, if there is one.
+    pub fn take_idle(&self, instance: &str, now: Now) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let resting = idle.get_mut(instance)?;
+        while let Some(mut connection) = resting.pop() {
+            let rested = now.monotonic.saturating_sub(connection.rested_since);
+            if rested < IDLE_LIFETIME && connection.sender.is_ready() {
+                connection.reused = true;
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Opens a connection.
+    pub async fn open(&self, upstream: &Upstream, now: Now) -> io::Result<Connection> {
+        let address = upstream.with_listed(|listed| listed.address);
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+        prepare(&stream, address);
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        let driver = actix_rt::spawn(async move {
+            if let Err(err) = connection.await {
+                log::trace!("connection to {address} ended: {err}");
+            }
+        });
+        Ok(Connection {
+            sender,
+            driver,
+            rested_since: now.monotonic,
+            reused: false,
+        })
+    }
+
+    /// Keeps a connection whose answer was whole, for the next request.
+    pub fn rest(&self, instance: &str, mut connection: Connection, now: Now) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        connection.rested_since = now.monotonic;
+        let mut idle = self.idle.borrow_mut();
+        let resting = idle.entry(instance.to_owned()).or_default();
+        if resting.len() < IDLE_PER_UPSTREAM {
+            resting.push(connection);
+        }
+    }
+
+    /// Closes connections that have rested too long.
+    pub fn close_stale(&self, now: Now) {
+        let mut idle = self.idle.borrow_mut();
+        for resting in idle.values_mut() {
+            resting.retain(|connection| {
+                now.monotonic.saturating_sub(connection.rested_since) < IDLE_LIFETIME
+            });
+        }
+        idle.retain(|_, resting| !resting.is_empty());
+    }
+}
+
+fn prepare(stream: &TcpStream, address: SocketAddr) {
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!("small packets to {address} may wait for others: {err}");
+    }
+    let socket = socket2::SockRef::from(stream);
+    if let Err(err) = socket.set_tcp_user_timeout(Some(USER_TIMEOUT)) {
+        log::debug!("a dead connection to {address} may be noticed late: {err}");
+    }
+}
--- /dev/null
+++ b/src/gateway/job.rs
@@ -0,0 +1,283 @@
+//! One request on its way through the box.
+
+use super::Gateway;
+use super::connect::http1_types;
+use super::exchange::{Failure, NotRun, Outgoing, Tried, TryLimits, try_upstream};
+use super::place::{Wish, choose, draw};
+use super::protocol::{ANY_MODEL, parse_prompt_parts, urgency};
+use super::refusal::{Ran, Why};
+use super::retries::Repeat;
+use super::routes::{Organisation, Route};
+use super::upstream::Upstream;
+use crate::clock::Now;
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What callers are told of the time: an upstream should end a little before the router
+/// gives up, so that its own last word still gets through.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+
+/// A request that was admitted, and what has come of it so far.
+#[derive(Debug)]
+pub struct Job {
+    /// The caller's id of this attempt.
+    pub request_id: String,
+    /// The route.
+    pub route: Arc<Route>,
+    /// The version of the configuration that led to the route.
+    pub config_version: u64,
+    /// The service that the route led to.
+    pub service: String,
+    /// Who sent it, where keys are asked for.
+    pub organisation: Option<Organisation>,
+    /// The method.
+    pub method: http1_types::Method,
+    /// The path with its query.
+    pub target: String,
+    /// The caller's headers that pass on.
+    pub headers: http1_types::HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// When the head had come.
+    pub received: Duration,
+    /// When the caller or the operators want an end.
+    pub deadline: Duration,
+    /// The last part of the prompt that other requests share.
+    pub affinity: Option<String>,
+    /// What requests of one session have in common.
+    pub session: String,
+    /// Whether the router chooses the model.
+    pub chooses_model: bool,
+    /// What the tries so far prove.
+    pub tries: Tries,
+}
+
+/// The tries of a request.
+#[derive(Debug, Default)]
+pub struct Tries {
+    instances: RefCell<Vec<String>>,
+    runs: Cell<u32>,
+    may_have_run: Cell<bool>,
+    refused: Cell<bool>,
+    sent: Cell<u32>,
+}
+
+impl Tries {
+    /// Tells what may be said of the request.
+    pub fn ran(&self) -> Ran {
+        match self.may_have_run.get() {
+            true => Ran::Perhaps,
+            false => Ran::Nowhere,
+        }
+    }
+
+    /// Returns why no upstream is left: they refused, or there was none.
+    pub fn exhausted(&self) -> Why {
+        match (self.ran(), self.refused.get()) {
+            (Ran::Perhaps, _) => Why::UpstreamFailed,
+            (Ran::Nowhere, true) => Why::Full,
+            (Ran::Nowhere, false) => Why::NoUpstream,
+        }
+    }
+
+    /// Returns the number of tries that reached an upstream.
+    pub fn sent(&self) -> u32 {
+        self.sent.get()
+    }
+
+    /// Forgets which upstreams were tried, so that all may be asked again.
+    pub fn allow_all(&self) {
+        self.instances.borrow_mut().clear();
+    }
+
+    /// Records that the try's answer was dropped though it ran.
+    pub fn exclude(&self, upstream: &Upstream) {
+        let instance = upstream.with_listed(|listed| listed.instance.clone());
+        self.instances.borrow_mut().push(instance);
+    }
+}
+
+/// What one try asks for beyond the request itself.
+#[derive(Debug, Clone, Copy)]
+pub struct TryPlan<'a> {
+    /// The model to name, where the router chooses.
+    pub model: Option<&'a str>,
+    /// The last event that the caller has, where a stream goes on.
+    pub resume_after: Option<&'a str>,
+    /// How long to wait for the head.
+    pub head: Duration,
+    /// What lets this try be a second one.
+    pub repeat: Repeat,
+}
+
+/// Why no try was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoTry {
+    /// No upstream is left to ask.
+    NoUpstream,
+    /// The request may not be sent once more.
+    OutOfBudget,
+    /// The time is over.
+    OutOfTime,
+}
+
+impl Job {
+    /// Returns the time that is left.
+    pub fn left(&self, now: Now) -> Duration {
+        self.deadline.saturating_sub(now.monotonic)
+    }
+
+    /// Tells whether one more run is allowed by the route and by what already ran.
+    pub fn may_run_again(&self) -> bool {
+        let repeatable = self.route.kind.is_repeatable() || self.tries.ran() == Ran::Nowhere;
+        repeatable && self.tries.runs.get() < self.route.attempts.max(1)
+    }
+
+    /// Chooses an upstream and makes one try there.
+    ///
+    /// A try that reached an upstream before makes this one a repeat, which the budget
+    /// has to allow.
+    pub async fn try_once(&self, gw: &Gateway, plan: TryPlan<'_>) -> Result<Tried, NoTry> {
+        let now = Now::read();
+        let left = self.left(now);
+        if left <= ANSWER_MARGIN {
+            return Err(NoTry::OutOfTime);
+        }
+        let upstream = self.place(gw, plan.model, now).ok_or(NoTry::NoUpstream)?;
+        if !self.pay(gw, plan.repeat, now) {
+            return Err(NoTry::OutOfBudget);
+        }
+        self.tries.exclude(&upstream);
+        let instance = upstream.with_listed(|listed| listed.instance.clone());
+        let limits = TryLimits {
+            head: plan.head.min(left),
+            may_reuse: self.route.kind.is_repeatable(),
+        };
+        let out = self.outgoing(gw, &instance, plan, now);
+        let tried = try_upstream(&gw.connections, &gw.headers, &upstream, out, limits).await;
+        self.record(gw, &upstream, &tried, plan);
+        Ok(tried)
+    }
+
+    fn place(&self, gw: &Gateway, model: Option<&str>, now: Now) -> Option<Rc<Upstream>> {
+        let candidates = gw.candidates(&self.service, &self.session, now);
+        let tried = self.tries.instances.borrow().clone();
+        // Engines keep what they have read by model.
+        let affinity = self
+            .affinity
+            .as_ref()
+            .map(|affinity| format!("{affinity} {}", model.unwrap_or_default()));
+        let wish = Wish {
+            hall: &gw.settings().hall,
+            affinity: affinity.as_deref(),
+            tried: &tried,
+            draw: draw(&self.request_id),
+        };
+        choose(&candidates, wish, now)
+    }
+
+    fn pay(&self, gw: &Gateway, repeat: Repeat, now: Now) -> bool {
+        let mut windows = gw.retries.borrow_mut();
+        let window = windows
+            .entry(self.service.clone())
+            .or_insert_with(|| gw.settings().bounds.retry_window());
+        if self.tries.sent.get() == 0 {
+            window.first(now);
+            return true;
+        }
+        window.take(repeat, now)
+    }
+
+    fn record(&self, gw: &Gateway, upstream: &Upstream, tried: &Tried, plan: TryPlan<'_>) {
+        let reached = !matches!(tried, Tried::NotRun(NotRun::NoConnection(_)));
+        if reached {
+            self.tries.sent.set(self.tries.sent.get() + 1);
+        }
+        match tried {
+            Tried::NotRun(NotRun::Refused(_)) => self.tries.refused.set(true),
+            Tried::NotRun(NotRun::OtherInstance) => {
+                let instance = upstream.with_listed(|listed| listed.instance.clone());
+                gw.knowledge.borrow_mut().forget_upstream(&instance);
+            }
+            Tried::NotRun(NotRun::NoConnection(_)) => {}
+            Tried::Answered(_) | Tried::Unknown(_) => {
+                self.tries.runs.set(self.tries.runs.get() + 1);
+                self.tries.may_have_run.set(true);
+            }
+        }
+        gw.telemetry.tried(self, upstream, tried, plan);
+    }
+
+    fn outgoing(&self, gw: &Gateway, instance: &str, plan: TryPlan<'_>, now: Now) -> Outgoing {
+        let names = &gw.headers;
+        let mut headers = self.headers.clone();
+        let mut set = |name: &http::HeaderName, value: &str| {
+            let name = hyper::header::HeaderName::from_bytes(name.as_str().as_bytes());
+            let value = hyper::header::HeaderValue::from_str(value);
+            match (name, value) {
+                (Ok(name), Ok(value)) => {
+                    headers.insert(name, value);
+                }
+                _ => log::error!(request = self.request_id.as_str(); "a header cannot be set"),
+            }
+        };
+        let left = self.left(now).saturating_sub(ANSWER_MARGIN);
+        set(&names.deadline, &left.as_millis().to_string());
+        set(&names.expect_instance, instance);
+        if let Some(organisation) = &self.organisation {
+            set(&names.organisation, &organisation.name);
+        }
+        if self.route.kind.stream_gap().is_some() {
+            let rank = self.organisation.as_ref().map_or(0, |found| found.priority);
+            set(
+                &names.urgency,
+                &urgency(rank, self.route.priority).to_string(),
+            );
+        }
+        if let Some(model) = plan.model {
+            set(&names.model, model);
+        }
+        if let Some(event) = plan.resume_after {
+            set(&names.last_event_id, event);
+        }
+        Outgoing {
+            method: self.method.clone(),
+            target: self.target.clone(),
+            headers,
+            body: self.body.clone(),
+            request_id: self.request_id.clone(),
+        }
+    }
+}
+
+/// What the prompt's parts say for placement: the last shared part, and the session.
+pub fn read_prompt(parts: Option<&str>, request_id: &str) -> (Option<String>, String) {
+    let parts = parse_prompt_parts(parts.unwrap_or_default());
+    let mut ids = parts.into_iter().rev().map(|part| part.id);
+    let session = ids.next().unwrap_or_else(|| request_id.to_owned());
+    (ids.next(), session)
+}
+
+/// Tells whether a model header leaves the choice to the router.
+pub fn leaves_choice(model: Option<&str>) -> bool {
+    model == Some(ANY_MODEL)
+}
+
+impl Tried {
+    /// Describes the outcome for the log.
+    pub fn describe(&self) -> String {
+        match self {
+            Self::Answered(answer) => format!("answered {}", answer.status),
+            Self::NotRun(reason) => reason.to_string(),
+            Self::Unknown(failure) => failure.to_string(),
+        }
+    }
+
+    /// Tells whether the upstream fell silent or broke off, which asks for another one.
+    pub fn is_unknown(&self) -> bool {
+        matches!(self, Self::Unknown(Failure::Broken(_) | Failure::Silent))
+    }
+}
--- /dev/null
+++ b/src/gateway/knowledge.rs
@@ -0,0 +1,332 @@
+//! What a box knows of the operators' wishes, the upstreams and the other boxes.
+//!
+//! One rule holds for every source: only a higher version or revision replaces what is
+//! known, so nothing ever goes back within a life. See `docs/design/platform.md`.
+
+use super::control::{BoxEntry, ListedUpstream, RolloutOrder, RolloutRecord, Update};
+use super::routes::RouteTable;
+use super::upstream::Upstream;
+use crate::clock::Now;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long an upstream whose entry lapsed with the store's outage is still used. The
+/// users say that entries of live upstreams are back within about two seconds.
+const LAPSE_GRACE: Duration = Duration::from_millis(2300);
+
+/// What a box knows.
+#[derive(Debug, Default)]
+pub struct Knowledge {
+    routes: Option<Arc<RouteTable>>,
+    upstreams: HashMap<String, Rc<Upstream>>,
+    rollouts: HashMap<String, Rollout>,
+    boxes: BTreeMap<String, BoxEntry>,
+    revision: u64,
+    confirmed: Option<Duration>,
+    store_unsettled_until: Option<Duration>,
+}
+
+/// An order and how far it was taken.
+#[derive(Debug, Clone, Default)]
+pub struct Rollout {
+    /// The newest order, and when this box learned of it.
+    pub order: Option<(RolloutOrder, Duration)>,
+    /// The newest record.
+    pub record: Option<SeenRecord>,
+}
+
+/// A roll-out's record, and when this box learned of it.
+#[derive(Debug, Clone)]
+pub struct SeenRecord {
+    /// The record.
+    pub record: RolloutRecord,
+    /// Its revision in the store.
+    pub revision: u64,
+    /// When this box learned of it.
+    pub seen: Duration,
+}
+
+impl Rollout {
+    /// Returns the time since the order, as far as this box or a leading one knows.
+    pub fn elapsed(&self, now: Now) -> Option<Duration> {
+        let (order, seen) = self.order.as_ref()?;
+        let own = now.monotonic.saturating_sub(*seen);
+        let recorded = self
+            .record
+            .as_ref()
+            .filter(|known| known.record.order_revision == order.revision)
+            .map(|known| {
+                let then = Duration::from_millis(known.record.elapsed_ms);
+                then + now.monotonic.saturating_sub(known.seen)
+            });
+        Some(recorded.map_or(own, |recorded| recorded.max(own)))
+    }
+}
+
+/// What an update changed, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing: it was known or older.
+    Nothing,
+    /// The routes are now of this version.
+    Routes(u64),
+    /// An upstream is new.
+    UpstreamAdded(String),
+    /// An upstream is leaving or came back.
+    UpstreamChanged(String),
+    /// An upstream is gone.
+    UpstreamRemoved(String),
+    /// An upstream's entry is missing while the store is unsettled.
+    UpstreamLapsed(String),
+    /// A roll-out of this service was ordered, taken on or cancelled.
+    Rollout(String),
+    /// The set of boxes changed.
+    Boxes,
+    /// An item could not be read.
+    Faulty {
+        /// The item's key in the store.
+        item: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+impl Knowledge {
+    /// Takes one update.
+    pub fn apply(&mut self, update: Update, now: Now) -> Change {
+        match update {
+            Update::Routes(routes) => self.take_routes(routes),
+            Update::Upstream(listed) => self.take_upstream(*listed),
+            Update::UpstreamGone(instance) => self.drop_upstream(&instance, now),
+            Update::RolloutOrdered(order) => self.take_order(order, now),
+            Update::RolloutCancelled(service) => {
+                self.rollouts.entry(service.clone()).or_default().order = None;
+                Change::Rollout(service)
+            }
+            Update::RolloutStage(record, revision) => self.take_record(record, revision, now),
+            Update::Box(entry) => self.take_box(entry),
+            Update::BoxGone(name) => match self.boxes.remove(&name) {
+                Some(_) => Change::Boxes,
+                None => Change::Nothing,
+            },
+            Update::Faulty { item, reason } => Change::Faulty { item, reason },
+        }
+    }
+
+    /// Takes everything that the store held; what it did not hold is gone.
+    pub fn apply_all(&mut self, updates: Vec<Update>, revision: u64, now: Now) -> Vec<Change> {
+        let listed: Vec<String> = updates.iter().filter_map(instance_of).collect();
+        let present: Vec<String> = updates.iter().filter_map(box_of).collect();
+        let mut changes: Vec<Change> = updates
+            .into_iter()
+            .map(|update| self.apply(update, now))
+            .collect();
+        let missing: Vec<String> = self
+            .upstreams
+            .keys()
+            .filter(|instance| !listed.contains(instance))
+            .cloned()
+            .collect();
+        for instance in missing {
+            changes.push(self.drop_upstream(&instance, now));
+        }
+        self.boxes.retain(|name, _| present.contains(name));
+        self.revision = self.revision.max(revision);
+        changes
+    }
+
+    fn take_routes(&mut self, routes: Arc<RouteTable>) -> Change {
+        let known = self.routes.as_ref().map_or(0, |known| known.version);
+        if self.routes.is_some() && routes.version <= known {
+            return Change::Nothing;
+        }
+        let version = routes.version;
+        self.routes = Some(routes);
+        Change::Routes(version)
+    }
+
+    fn take_upstream(&mut self, listed: ListedUpstream) -> Change {
+        let instance = listed.instance.clone();
+        match self.upstreams.get(&instance) {
+            Some(known) if known.lapsed_at().is_none() && known.listed() == listed => {
+                Change::Nothing
+            }
+            Some(known) => {
+                known.relist(listed);
+                Change::UpstreamChanged(instance)
+            }
+            None => {
+                self.upstreams
+                    .insert(instance.clone(), Upstream::new(listed));
+                Change::UpstreamAdded(instance)
+            }
+        }
+    }
+
+    fn drop_upstream(&mut self, instance: &str, now: Now) -> Change {
+        let Some(known) = self.upstreams.get(instance) else {
+            return Change::Nothing;
+        };
+        let draining = known.with_listed(|listed| listed.draining);
+        if self.store_is_unsettled(now) && !draining {
+            let is_new = known.lapsed_at().is_none();
+            known.lapse(now);
+            return match is_new {
+                true => Change::UpstreamLapsed(instance.to_owned()),
+                false => Change::Nothing,
+            };
+        }
+        self.upstreams.remove(instance);
+        Change::UpstreamRemoved(instance.to_owned())
+    }
+
+    fn take_order(&mut self, order: RolloutOrder, now: Now) -> Change {
+        let service = order.service.clone();
+        let rollout = self.rollouts.entry(service.clone()).or_default();
+        let known = rollout
+            .order
+            .as_ref()
+            .map_or(0, |(known, _)| known.revision);
+        if order.revision <= known {
+            return Change::Nothing;
+        }
+        rollout.order = Some((order, now.monotonic));
+        Change::Rollout(service)
+    }
+
+    fn take_record(&mut self, record: RolloutRecord, revision: u64, now: Now) -> Change {
+        let service = record.service.clone();
+        let rollout = self.rollouts.entry(service.clone()).or_default();
+        let known = rollout.record.as_ref().map_or(0, |known| known.revision);
+        if revision <= known {
+            return Change::Nothing;
+        }
+        rollout.record = Some(SeenRecord {
+            record,
+            revision,
+            seen: now.monotonic,
+        });
+        Change::Rollout(service)
+    }
+
+    fn take_box(&mut self, entry: BoxEntry) -> Change {
+        match self.boxes.insert(entry.name.clone(), entry.clone()) {
+            Some(known) if known == entry => Change::Nothing,
+            _ => Change::Boxes,
+        }
+    }
+
+    /// Records that changes up to a revision were applied.
+    pub fn reached(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Returns the revision up to which changes were applied.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Records that everything acknowledged before `sent` is known: a linearizable call
+    /// sent then was answered, and its revision has been reached.
+    pub fn confirm(&mut self, sent: Duration) {
+        self.confirmed = Some(self.confirmed.map_or(sent, |known| known.max(sent)));
+    }
+
+    /// Returns how old the last proof is that nothing newer exists; none if there never
+    /// was one.
+    pub fn age(&self, now: Now) -> Option<Duration> {
+        self.confirmed.map(|at| now.monotonic.saturating_sub(at))
+    }
+
+    /// Records that a call to the store failed or has just succeeded again, so that
+    /// entries which vanish now may belong to live upstreams.
+    pub fn unsettle_store(&mut self, now: Now) {
+        self.store_unsettled_until = Some(now.monotonic + LAPSE_GRACE);
+    }
+
+    fn store_is_unsettled(&self, now: Now) -> bool {
+        self.store_unsettled_until
+            .is_some_and(|until| now.monotonic < until)
+    }
+
+    /// Removes upstreams whose entries stayed away after the store had settled.
+    pub fn drop_lapsed(&mut self, now: Now) -> Vec<Change> {
+        if self.store_is_unsettled(now) {
+            return Vec::new();
+        }
+        let gone: Vec<String> = self
+            .upstreams
+            .iter()
+            .filter(|(_, upstream)| upstream.lapsed_at().is_some())
+            .map(|(instance, _)| instance.clone())
+            .collect();
+        for instance in &gone {
+            self.upstreams.remove(instance);
+        }
+        gone.into_iter().map(Change::UpstreamRemoved).collect()
+    }
+
+    /// Returns the routes in force.
+    pub fn routes(&self) -> Option<&Arc<RouteTable>> {
+        self.routes.as_ref()
+    }
+
+    /// Returns the upstreams of a service that take new work.
+    pub fn open_upstreams(&self, service: &str) -> Vec<Rc<Upstream>> {
+        let is_open = |upstream: &&Rc<Upstream>| {
+            upstream.with_listed(|listed| listed.service == service && !listed.draining)
+        };
+        let mut open: Vec<Rc<Upstream>> =
+            self.upstreams.values().filter(is_open).cloned().collect();
+        open.sort_by_cached_key(|upstream| upstream.with_listed(|listed| listed.instance.clone()));
+        open
+    }
+
+    /// Tells whether an instance is still listed and takes new work.
+    pub fn is_open(&self, instance: &str) -> bool {
+        self.upstreams
+            .get(instance)
+            .is_some_and(|upstream| upstream.with_listed(|listed| !listed.draining))
+    }
+
+    /// Removes an upstream whose address answered for another instance.
+    pub fn forget_upstream(&mut self, instance: &str) {
+        self.upstreams.remove(instance);
+    }
+
+    /// Returns the roll-out of a service.
+    pub fn rollout(&self, service: &str) -> Option<&Rollout> {
+        self.rollouts.get(service)
+    }
+
+    /// Returns the roll-outs by service.
+    pub fn rollouts(&self) -> &HashMap<String, Rollout> {
+        &self.rollouts
+    }
+
+    /// Returns the registered boxes.
+    pub fn boxes(&self) -> impl Iterator<Item = &BoxEntry> {
+        self.boxes.values()
+    }
+
+    /// Returns the box that leads: the one registered longest.
+    pub fn leader(&self) -> Option<&BoxEntry> {
+        self.boxes.values().min_by_key(|entry| entry.registered)
+    }
+}
+
+fn instance_of(update: &Update) -> Option<String> {
+    match update {
+        Update::Upstream(listed) => Some(listed.instance.clone()),
+        _ => None,
+    }
+}
+
+fn box_of(update: &Update) -> Option<String> {
+    match update {
+        Update::Box(entry) => Some(entry.name.clone()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/gateway/membership.rs
@@ -0,0 +1,151 @@
+//! Registers the box with the others, and lets the one registered longest lead.
+//!
+//! A box is a member as long as its lease in the store lives. Leading means only to take
+//! roll-outs through their stages; every step is a conditional write, so that a box which
+//! wrongly believes that it leads does no harm. See `docs/design/platform.md`.
+
+use super::Gateway;
+use super::control::{BoxEntry, ControlStore, RecordWritten, RolloutOrder, Update};
+use super::rollout::{Progress, next_record};
+use crate::clock::Now;
+use crate::name::VersionName;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How long a box stays a member without a sign of life: long enough to bear two lost
+/// renewals, short enough that a roll-out is not without a leading box for long.
+const LEASE: Duration = Duration::from_secs(6);
+/// The time between two renewals.
+const RENEWAL: Duration = Duration::from_secs(2);
+/// The time between two looks at the roll-outs.
+const LEAD_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Keeps the box registered for as long as the process lives.
+pub async fn stay_registered(gw: Rc<Gateway>, store: Rc<dyn ControlStore>) {
+    let entry = BoxEntry {
+        name: gw.life.clone(),
+        hall: gw.settings().hall.clone(),
+        address: gw.settings().peers,
+        registered: 0,
+    };
+    loop {
+        gw.telemetry.store_called("register");
+        match store.register(&entry, LEASE).await {
+            Ok(lease) => {
+                log::info!(lease, box_name = entry.name.as_str(); "registered");
+                gw.lease.set(Some(lease));
+                keep_lease(&gw, &*store, lease).await;
+                gw.lease.set(None);
+                log::warn!(lease; "the lease is over, registering anew");
+            }
+            Err(err) => {
+                gw.store_failed(&err, Now::read());
+                sleep(RENEWAL).await;
+            }
+        }
+    }
+}
+
+/// Renews a lease until the store says that it is over.
+async fn keep_lease(gw: &Gateway, store: &dyn ControlStore, lease: u64) {
+    loop {
+        sleep(RENEWAL).await;
+        gw.telemetry.store_called("renew");
+        match store.renew(lease).await {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(err) => gw.store_failed(&err, Now::read()),
+        }
+    }
+}
+
+/// Takes roll-outs through their stages while this box leads.
+pub async fn lead(gw: Rc<Gateway>, store: Rc<dyn ControlStore>) {
+    loop {
+        sleep(LEAD_INTERVAL).await;
+        let leads = gw
+            .knowledge
+            .borrow()
+            .leader()
+            .is_some_and(|leader| leader.name == gw.life);
+        if leads && gw.lease.get().is_some() {
+            for service in services_under_rollout(&gw) {
+                advance(&gw, &*store, &service).await;
+            }
+        }
+    }
+}
+
+fn services_under_rollout(gw: &Gateway) -> Vec<String> {
+    let knowledge = gw.knowledge.borrow();
+    let has_order = |(_, rollout): &(&String, &super::knowledge::Rollout)| rollout.order.is_some();
+    knowledge
+        .rollouts()
+        .iter()
+        .filter(has_order)
+        .map(|(service, _)| service.clone())
+        .collect()
+}
+
+/// Writes the next record of a roll-out if it has to change.
+async fn advance(gw: &Gateway, store: &dyn ControlStore, service: &str) {
+    let now = Now::read();
+    let Some((order, known, elapsed)) = standing(gw, service, now) else {
+        return;
+    };
+    let target = target_name(&order);
+    let mut watch = gw.versions.borrow_mut();
+    let progress = Progress {
+        elapsed,
+        condemned: watch.is_condemned(&target),
+        answers: watch.answers(&target),
+    };
+    drop(watch);
+    let (record, expected) = match &known {
+        Some(known) => (Some(&known.record), known.revision),
+        None => (None, 0),
+    };
+    let Some(next) = next_record(&order, record, progress) else {
+        return;
+    };
+    gw.telemetry.store_called("write");
+    match store.write_rollout(&next, expected).await {
+        Ok(RecordWritten::At(revision)) => {
+            log::info!(
+                service,
+                version = next.target.as_str(),
+                permille = next.permille,
+                elapsed_ms = next.elapsed_ms,
+                answers = progress.answers,
+                condemned = progress.condemned;
+                "roll-out taken on: {:?}", next.state
+            );
+            let update = Update::RolloutStage(next, revision);
+            gw.knowledge.borrow_mut().apply(update, Now::read());
+        }
+        Ok(RecordWritten::Conflict) => {
+            log::info!(service, expected; "another box took the roll-out on");
+        }
+        // The watch will tell whether the write took effect.
+        Err(err) => gw.store_failed(&err, Now::read()),
+    }
+}
+
+type Standing = (RolloutOrder, Option<super::knowledge::SeenRecord>, Duration);
+
+fn standing(gw: &Gateway, service: &str, now: Now) -> Option<Standing> {
+    let knowledge = gw.knowledge.borrow();
+    let rollout = knowledge.rollout(service)?;
+    let (order, _) = rollout.order.as_ref()?;
+    let elapsed = rollout.elapsed(now)?;
+    Some((order.clone(), rollout.record.clone(), elapsed))
+}
+
+/// Returns the name under which a roll-out's target is watched.
+pub fn target_name(order: &RolloutOrder) -> VersionName {
+    VersionName {
+        model: order.service.clone(),
+        version: order.target.clone(),
+    }
+}
--- /dev/null
+++ b/src/gateway/plain.rs
@@ -0,0 +1,122 @@
+//! Requests whose answer is passed on whole.
+
+use super::Gateway;
+use super::connect::http1_types;
+use super::exchange::{Answer, Tried};
+use super::job::{Job, NoTry, TryPlan};
+use super::refusal::Why;
+use super::retries::Repeat;
+use super::routes::RouteKind;
+use crate::clock::Now;
+use bytes::Bytes;
+use std::time::Duration;
+
+/// The largest answer that is kept in memory to be passed on whole; the users' answers
+/// take some kilobytes.
+const ANSWER_BYTES_LIMIT: usize = 8 * 1024 * 1024;
+/// How many times a request's objective one upstream may take before another is asked,
+/// where the request may run twice: an answer later than this is rarely in time any more,
+/// while a healthy upstream rarely takes as long.
+const PATIENCE: u32 = 3;
+/// How long a request waits for an upstream to appear or to take it again.
+const RETRY_PAUSE: Duration = Duration::from_millis(15);
+
+/// An upstream's whole answer.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: http1_types::HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Serves a request by as many tries as its route, the budget and its time allow.
+pub async fn serve(gw: &Gateway, job: &Job) -> Result<WholeAnswer, Why> {
+    let mut failed_answer = None;
+    loop {
+        let plan = TryPlan {
+            model: None,
+            resume_after: None,
+            head: patience(job),
+            repeat: Repeat::Failure,
+        };
+        match job.try_once(gw, plan).await {
+            Ok(Tried::Answered(answer)) => match take_whole(gw, job, *answer).await {
+                Some(whole) if whole.status < 500 => return Ok(whole),
+                Some(whole) => failed_answer = Some(whole),
+                None => {}
+            },
+            Ok(Tried::NotRun(_) | Tried::Unknown(_)) => {}
+            Err(NoTry::NoUpstream) if should_wait(gw, job) => {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                job.tries.allow_all();
+            }
+            Err(no_try) => return failed_answer.ok_or_else(|| why(no_try, job)),
+        }
+        if !job.may_run_again() {
+            return failed_answer.ok_or_else(|| job.tries.exhausted());
+        }
+    }
+}
+
+/// Returns how long to wait for one upstream.
+fn patience(job: &Job) -> Duration {
+    match job.route.kind {
+        RouteKind::Idempotent => job.route.objective * PATIENCE,
+        // A request that runs at most once has nowhere else to go.
+        RouteKind::NonIdempotent | RouteKind::Stream { .. } => Duration::MAX,
+    }
+}
+
+/// Tells whether a request that ran nowhere should be offered once more within the box:
+/// for a quarter of its objective, after which a refusal is better than a wait.
+fn should_wait(gw: &Gateway, job: &Job) -> bool {
+    let waited = Now::read().monotonic.saturating_sub(job.received);
+    job.may_run_again()
+        && waited + RETRY_PAUSE < job.route.objective / 4
+        && !gw
+            .candidates(&job.service, &job.session, Now::read())
+            .is_empty()
+}
+
+async fn take_whole(gw: &Gateway, job: &Job, mut answer: Answer) -> Option<WholeAnswer> {
+    let left = job.left(Now::read());
+    let read = tokio::time::timeout(left, answer.read_whole(ANSWER_BYTES_LIMIT)).await;
+    let now = Now::read();
+    match read {
+        Ok(Ok(body)) => {
+            let whole = WholeAnswer {
+                status: answer.status,
+                headers: answer.headers.clone(),
+                body,
+            };
+            if whole.status < 500 {
+                answer.finish(&gw.connections, now);
+            } else {
+                answer.upstream().failed(now);
+            }
+            Some(whole)
+        }
+        Ok(Err(reason)) => {
+            gw.telemetry.broke_off(job, answer.upstream(), &reason);
+            answer.upstream().failed(now);
+            None
+        }
+        Err(_elapsed) => {
+            gw.telemetry
+                .broke_off(job, answer.upstream(), "out of time");
+            answer.upstream().failed(now);
+            None
+        }
+    }
+}
+
+/// Returns the reason to give when no further try was made.
+pub fn why(no_try: NoTry, job: &Job) -> Why {
+    match no_try {
+        NoTry::OutOfTime => Why::Deadline,
+        NoTry::NoUpstream | NoTry::OutOfBudget => job.tries.exhausted(),
+    }
+}
--- /dev/null
+++ b/src/gateway/protocol.rs
@@ -0,0 +1,101 @@
+//! The headers that callers, upstreams and the router exchange.
+//!
+//! The names differ from deployment to deployment, so an adapter gives them; the rest
+//! of the gateway speaks of meanings only. See `docs/design/platform.md`.
+
+use http::HeaderName;
+
+/// The name of each header that the gateway reads or sets.
+#[derive(Debug, Clone)]
+pub struct Headers {
+    /// The caller's id of one attempt; upstreams echo it.
+    pub request_id: HeaderName,
+    /// The milliseconds that the sender will still wait.
+    pub deadline: HeaderName,
+    /// The caller's key.
+    pub key: HeaderName,
+    /// The organisation, as the router tells it to upstreams.
+    pub organisation: HeaderName,
+    /// The instance that a request is meant for.
+    pub expect_instance: HeaderName,
+    /// The upstream's statement that it did not run the request.
+    pub not_executed: HeaderName,
+    /// The upstream's signature of an answer.
+    pub signature: HeaderName,
+    /// The upstream's running and waiting requests and its slots.
+    pub load: HeaderName,
+    /// The model that is to answer.
+    pub model: HeaderName,
+    /// The tokens of the prompt and the most that may come out.
+    pub token_counts: HeaderName,
+    /// The parts of the prompt, in order.
+    pub prompt_parts: HeaderName,
+    /// The urgency for the engine's queue.
+    pub urgency: HeaderName,
+    /// The engine's own opinion of its answer, from 0 to 100.
+    pub confidence: HeaderName,
+    /// The last event that the receiver of a stream has.
+    pub last_event_id: HeaderName,
+    /// Headers that only the router may set; what callers sent in them is dropped.
+    pub reserved: Vec<HeaderName>,
+}
+
+/// The value of the model header by which callers leave the choice to the router.
+pub const ANY_MODEL: &str = "*";
+
+/// The least urgent value of the urgency header.
+const LEAST_URGENT: u8 = 9;
+/// How many ranks of routes lie between two ranks of organisations.
+const RANKS_PER_ORGANISATION: u8 = 3;
+
+/// Returns the urgency of a request, 0 the highest: the organisation's rank goes first.
+pub fn urgency(organisation: u8, route: u8) -> u8 {
+    let rank = organisation.saturating_mul(RANKS_PER_ORGANISATION);
+    rank.saturating_add(route.min(RANKS_PER_ORGANISATION - 1))
+        .min(LEAST_URGENT)
+}
+
+/// One part of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptPart {
+    /// The part's id; requests that share the part name the same id.
+    pub id: String,
+    /// Its tokens.
+    pub tokens: u64,
+}
+
+/// Reads the parts of a prompt, written as `id:tokens` and joined by commas.
+///
+/// Parts that cannot be read are left out: they only guide placement.
+pub fn parse_prompt_parts(text: &str) -> Vec<PromptPart> {
+    let part = |text: &str| {
+        let (id, tokens) = text.trim().split_once(':')?;
+        Some(PromptPart {
+            id: id.to_owned(),
+            tokens: tokens.parse().ok()?,
+        })
+    };
+    text.split(',').filter_map(part).collect()
+}
+
+/// What an upstream says of its load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ReportedLoad {
+    /// The requests that run.
+    pub running: u32,
+    /// The requests that wait.
+    pub waiting: u32,
+    /// The requests that can run at a time.
+    pub slots: u32,
+}
+
+/// Reads an upstream's load, written as `running,waiting,slots`.
+pub fn parse_load(text: &str) -> Option<ReportedLoad> {
+    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+    let load = ReportedLoad {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+        slots: numbers.next()??,
+    };
+    numbers.next().is_none().then_some(load)
+}
--- /dev/null
+++ b/src/gateway/refusal.rs
@@ -0,0 +1,109 @@
+//! The final answer to a request that no upstream answered.
+//!
+//! What a refusal may say follows from what is known of the tries, in this one place:
+//! only a request that certainly ran nowhere is told so. See `docs/design/platform.md`.
+
+use actix_http::body::BoxBody;
+use actix_http::{Response, StatusCode};
+use std::time::Duration;
+
+/// Why a request gets no upstream's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Why {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// What is known is too old to serve keys by.
+    Stale,
+    /// No route fits the host and the path.
+    NoRoute,
+    /// The key is missing or unknown.
+    UnknownKey,
+    /// The body is larger than the limit.
+    TooLarge,
+    /// The body did not come, or not in time.
+    NoBody,
+    /// The route's model is the router's choice, and the caller named one.
+    ModelNamed,
+    /// No upstream takes the request.
+    NoUpstream,
+    /// Every upstream that was asked is full.
+    Full,
+    /// The process is about to end, and the request would outlast it.
+    Stopping,
+    /// The time is over.
+    Deadline,
+    /// An upstream failed, and the request may not be sent again.
+    UpstreamFailed,
+}
+
+impl Why {
+    /// Returns the name of the reason in answers, logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no-configuration",
+            Self::Stale => "stale",
+            Self::NoRoute => "no-route",
+            Self::UnknownKey => "unknown-key",
+            Self::TooLarge => "too-large",
+            Self::NoBody => "no-body",
+            Self::ModelNamed => "model-named",
+            Self::NoUpstream => "no-upstream",
+            Self::Full => "full",
+            Self::Stopping => "stopping",
+            Self::Deadline => "deadline",
+            Self::UpstreamFailed => "upstream-failed",
+        }
+    }
+
+    /// Returns when it makes sense to come back, if it does.
+    fn come_back_after(self) -> Option<Duration> {
+        match self {
+            Self::NoConfiguration | Self::NoUpstream => Some(Duration::from_millis(300)),
+            Self::Full => Some(Duration::from_millis(150)),
+            // Another box may serve it at once.
+            Self::Stale | Self::Stopping => Some(Duration::from_millis(10)),
+            _ => None,
+        }
+    }
+}
+
+/// Whether any try of a request may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ran {
+    /// It certainly ran nowhere and will not.
+    Nowhere,
+    /// It may have run.
+    Perhaps,
+}
+
+/// Returns the status that a request gets.
+pub fn status(why: Why, ran: Ran) -> StatusCode {
+    match (why, ran) {
+        (Why::NoRoute, _) => StatusCode::NOT_FOUND,
+        (Why::UnknownKey, _) => StatusCode::UNAUTHORIZED,
+        (Why::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
+        (Why::NoBody, _) => StatusCode::REQUEST_TIMEOUT,
+        (Why::ModelNamed, _) => StatusCode::MISDIRECTED_REQUEST,
+        (Why::Deadline, Ran::Perhaps) => StatusCode::GATEWAY_TIMEOUT,
+        (_, Ran::Perhaps) => StatusCode::BAD_GATEWAY,
+        (_, Ran::Nowhere) => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// Makes the final answer.
+pub fn answer(why: Why, ran: Ran) -> Response<BoxBody> {
+    let mut builder = Response::build(status(why, ran));
+    if ran == Ran::Nowhere
+        && let Some(after) = why.come_back_after()
+    {
+        builder.insert_header((
+            actix_http::header::RETRY_AFTER,
+            format!("{:.3}", after.as_secs_f64()),
+        ));
+    }
+    if matches!(why, Why::Stopping | Why::Stale | Why::NoBody) {
+        builder.force_close();
+    }
+    let text = format!("{}\n", why.name());
+    builder.body(text).map_into_boxed_body()
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,181 @@
+//! Carries a stream to its caller, and over to another upstream where one breaks off.
+//!
+//! Only whole events pass, so the caller's stream can go on after the last one. The
+//! answer keeps the head of its first upstream. See `docs/design/platform.md`.
+
+use super::Gateway;
+use super::events::{EventSplitter, Events};
+use super::exchange::{Answer, Piece, Tried};
+use super::job::{Job, NoTry, TryPlan};
+use super::retries::Repeat;
+use crate::clock::Now;
+use bytes::Bytes;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The part of the longest timely pause after which another upstream is asked to go on,
+/// in tenths. The rest is for the other one to read the prompt.
+const SILENCE_TENTHS: u32 = 7;
+/// How long the head of a resumed answer may take; reading the longest prompt takes
+/// under a second.
+const RESUME_HEAD: Duration = Duration::from_millis(1500);
+/// The pause before the upstreams that refused a resumed stream are asked again.
+const RESUME_PAUSE: Duration = Duration::from_millis(50);
+
+/// A stream under way.
+pub struct Relay {
+    gw: Rc<Gateway>,
+    job: Rc<Job>,
+    answer: Option<Answer>,
+    splitter: EventSplitter,
+    ready: Option<Events>,
+    model: Option<String>,
+    last_id: Option<String>,
+    events: usize,
+    began: Duration,
+    resumed: u32,
+}
+
+impl fmt::Debug for Relay {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Relay")
+            .field("request_id", &self.job.request_id)
+            .field("events", &self.events)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Why a stream could not be brought to its end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BrokeOff(pub String);
+
+impl fmt::Display for BrokeOff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the stream broke off: {}", self.0)
+    }
+}
+
+impl std::error::Error for BrokeOff {}
+
+impl Relay {
+    /// Takes over a stream whose first events, if it has any, are there.
+    pub fn new(
+        gw: &Rc<Gateway>,
+        job: &Rc<Job>,
+        answer: Answer,
+        splitter: EventSplitter,
+        events: Option<Events>,
+        model: Option<String>,
+    ) -> Self {
+        let now = Now::read();
+        let first = now.monotonic.saturating_sub(answer.sent);
+        let named = model.as_deref().unwrap_or_default();
+        gw.first_event(job, answer.upstream(), first, named);
+        let asked_after = job.headers.get(gw.headers.last_event_id.as_str());
+        let last_id = asked_after
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned);
+        Self {
+            gw: gw.clone(),
+            job: job.clone(),
+            answer: Some(answer),
+            splitter,
+            ready: events,
+            model,
+            last_id,
+            events: 0,
+            began: now.monotonic,
+            resumed: 0,
+        }
+    }
+
+    /// Returns the next events, none at the end, or why there will be no end.
+    pub async fn next(&mut self) -> Option<Result<Bytes, BrokeOff>> {
+        loop {
+            if let Some(events) = self.ready.take() {
+                self.events += events.count;
+                if events.last_id.is_some() {
+                    self.last_id = events.last_id;
+                }
+                return Some(Ok(events.bytes));
+            }
+            let answer = self.answer.as_mut()?;
+            let wait = silence(&self.job).min(self.job.left(Now::read()));
+            let broken = match tokio::time::timeout(wait, answer.next_piece()).await {
+                Ok(Piece::Bytes(bytes)) => match self.splitter.push(&bytes) {
+                    Ok(events) => {
+                        self.ready = events;
+                        continue;
+                    }
+                    Err(_too_large) => "an event has no end".to_owned(),
+                },
+                Ok(Piece::End) if !self.splitter.is_inside_event() => {
+                    self.finish();
+                    return None;
+                }
+                Ok(Piece::End) => "the stream ended inside an event".to_owned(),
+                Ok(Piece::Broken(reason)) => reason,
+                Err(_elapsed) => "no event came in time".to_owned(),
+            };
+            if let Err(broke_off) = self.carry_over(broken).await {
+                self.answer = None;
+                return Some(Err(broke_off));
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        let now = Now::read();
+        if let Some(answer) = self.answer.take() {
+            answer.finish(&self.gw.connections, now);
+        }
+        let took = now.monotonic.saturating_sub(self.began);
+        self.gw
+            .telemetry
+            .stream_ended(&self.job, self.events, self.resumed, took);
+    }
+
+    /// Lets another upstream go on after the last event that the caller has.
+    async fn carry_over(&mut self, reason: String) -> Result<(), BrokeOff> {
+        if let Some(answer) = self.answer.take() {
+            self.gw
+                .telemetry
+                .broke_off(&self.job, answer.upstream(), &reason);
+            answer.upstream().unreachable(Now::read());
+        }
+        self.splitter = EventSplitter::default();
+        loop {
+            if !self.job.may_run_again() {
+                return Err(BrokeOff(reason));
+            }
+            let plan = TryPlan {
+                model: self.model.as_deref(),
+                resume_after: self.last_id.as_deref(),
+                head: RESUME_HEAD,
+                repeat: Repeat::Failure,
+            };
+            match self.job.try_once(&self.gw, plan).await {
+                Ok(Tried::Answered(answer)) if (200..300).contains(&answer.status) => {
+                    self.resumed += 1;
+                    self.answer = Some(*answer);
+                    return Ok(());
+                }
+                Ok(_) => {}
+                Err(NoTry::NoUpstream) if !self.job.left(Now::read()).is_zero() => {
+                    tokio::time::sleep(RESUME_PAUSE).await;
+                    self.job.tries.allow_all();
+                }
+                Err(_) => return Err(BrokeOff(reason)),
+            }
+        }
+    }
+}
+
+/// Returns how long a pause may be before another upstream is asked to go on.
+fn silence(job: &Job) -> Duration {
+    match job.route.kind.stream_gap() {
+        Some(gap) if job.may_run_again() => gap * SILENCE_TENTHS / 10,
+        _ => Duration::MAX,
+    }
+}
--- /dev/null
+++ b/src/gateway/serve.rs
@@ -0,0 +1,258 @@
+//! From a caller's request to the answer that it gets.
+
+use super::Gateway;
+use super::connect::http1_types;
+use super::job::{Job, Tries, leaves_choice, read_prompt};
+use super::place::draw;
+use super::plain::{self, WholeAnswer};
+use super::refusal::{self, Ran, Why};
+use super::relay::Relay;
+use super::routes::{Caller, RouteTable};
+use super::stream::{self, Begun};
+use crate::clock::Now;
+use actix_http::body::{BodyStream, BoxBody, MessageBody as _};
+use actix_http::{HttpMessage as _, Request, Response, StatusCode};
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt as _;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Headers that concern one connection only and never pass on.
+const CONNECTION_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+const CONTENT_LENGTH: &str = "content-length";
+
+/// Serves one request and says so in the log.
+pub async fn serve(gw: Rc<Gateway>, mut req: Request) -> Response<BoxBody> {
+    let received = Now::read();
+    let _counted = gw.count_in();
+    let request_id = header(&req, &gw.headers.request_id)
+        .unwrap_or_default()
+        .to_owned();
+    let mut response = match admit(&gw, &mut req, &request_id, received).await {
+        Ok(job) => serve_job(&gw, Rc::new(job)).await,
+        Err(why) => refuse(&gw, &request_id, why, Ran::Nowhere, received),
+    };
+    if gw.is_stopping() {
+        response
+            .head_mut()
+            .set_connection_type(actix_http::ConnectionType::Close);
+    }
+    response
+}
+
+/// Checks a request and reads it whole.
+async fn admit(
+    gw: &Gateway,
+    req: &mut Request,
+    request_id: &str,
+    received: Now,
+) -> Result<Job, Why> {
+    let routes = gw.knowledge.borrow().routes().cloned();
+    let routes = routes.ok_or(Why::NoConfiguration)?;
+    check_caller(gw, req, &routes, received)?;
+    let body = read_body(req, &routes, received).await?;
+    // Reading may have taken long: what is in force now decides.
+    let routes = gw.knowledge.borrow().routes().cloned().unwrap_or(routes);
+    let now = Now::read();
+    check_caller(gw, req, &routes, now)?;
+    let route = find_route(req, &routes).ok_or(Why::NoRoute)?.clone();
+    let organisation = match routes.caller(&route, header(req, &gw.headers.key)) {
+        Caller::Known(organisation) => Some(organisation.clone()),
+        Caller::Anonymous | Caller::Unknown => None,
+    };
+    let model = header(req, &gw.headers.model);
+    let chooses_model = leaves_choice(model);
+    if !route.models.is_empty() && model.is_some() && !chooses_model {
+        return Err(Why::ModelNamed);
+    }
+    let is_stream = route.kind.stream_gap().is_some();
+    if is_stream && gw.refuses_long(now) {
+        return Err(Why::Stopping);
+    }
+    let asked = header(req, &gw.headers.deadline).and_then(|text| text.parse().ok());
+    let wait = asked.map_or(route.timeout, Duration::from_millis);
+    let parts = header(req, &gw.headers.prompt_parts);
+    let (affinity, session) = read_prompt(parts, request_id);
+    let service = route
+        .service_for(draw(request_id))
+        .ok_or(Why::NoRoute)?
+        .to_owned();
+    Ok(Job {
+        request_id: request_id.to_owned(),
+        config_version: routes.version,
+        service,
+        organisation,
+        method: method_of(req),
+        target: target_of(req),
+        headers: passed_headers(gw, req),
+        body,
+        received: received.monotonic,
+        deadline: received.monotonic + wait.min(route.timeout),
+        affinity,
+        session,
+        chooses_model,
+        route,
+        tries: Tries::default(),
+    })
+}
+
+/// Checks the route, the key and how fresh the knowledge of keys is.
+fn check_caller(gw: &Gateway, req: &Request, routes: &RouteTable, now: Now) -> Result<(), Why> {
+    let route = find_route(req, routes).ok_or(Why::NoRoute)?;
+    match routes.caller(route, header(req, &gw.headers.key)) {
+        Caller::Anonymous => Ok(()),
+        Caller::Unknown if gw.keys_are_fresh(now) => Err(Why::UnknownKey),
+        Caller::Known(_) if gw.keys_are_fresh(now) => Ok(()),
+        Caller::Known(_) | Caller::Unknown => Err(Why::Stale),
+    }
+}
+
+fn find_route<'a>(
+    req: &Request,
+    routes: &'a RouteTable,
+) -> Option<&'a std::sync::Arc<super::routes::Route>> {
+    let host = req
+        .headers()
+        .get("host")
+        .and_then(|host| host.to_str().ok());
+    routes.route(host.unwrap_or_default(), req.path())
+}
+
+async fn read_body(req: &mut Request, routes: &RouteTable, received: Now) -> Result<Bytes, Why> {
+    let limit = routes.limits.body_bytes;
+    let mut payload = req.take_payload();
+    let mut body = BytesMut::new();
+    let patience = routes.limits.idle;
+    while let Some(piece) = tokio::time::timeout(patience, payload.next())
+        .await
+        .map_err(|_elapsed| Why::NoBody)?
+    {
+        let piece = piece.map_err(|err| {
+            log::debug!(received_ms = received.monotonic.as_millis() as u64; "no whole body: {err}");
+            Why::NoBody
+        })?;
+        if body.len() + piece.len() > limit {
+            return Err(Why::TooLarge);
+        }
+        body.extend_from_slice(&piece);
+    }
+    Ok(body.freeze())
+}
+
+async fn serve_job(gw: &Rc<Gateway>, job: Rc<Job>) -> Response<BoxBody> {
+    let result = match job.route.kind.stream_gap() {
+        Some(_) => stream::begin(gw, &job).await,
+        None => plain::serve(gw, &job).await.map(Begun::Failed),
+    };
+    match result {
+        Ok(Begun::Stream { headers, relay }) => {
+            gw.telemetry.passed_on(&job, 200, Now::read());
+            stream_response(gw, &headers, relay)
+        }
+        Ok(Begun::Failed(whole)) => {
+            gw.telemetry.passed_on(&job, whole.status, Now::read());
+            whole_response(whole)
+        }
+        Err(why) => {
+            let received = Now {
+                monotonic: job.received,
+                ..Now::read()
+            };
+            refuse(gw, &job.request_id, why, job.tries.ran(), received)
+        }
+    }
+}
+
+fn refuse(gw: &Gateway, request: &str, why: Why, ran: Ran, received: Now) -> Response<BoxBody> {
+    let now = Now::read();
+    let took = now.monotonic.saturating_sub(received.monotonic);
+    let age = gw.knowledge.borrow().age(now);
+    gw.telemetry.refused(request, why, ran, age, took);
+    refusal::answer(why, ran)
+}
+
+fn whole_response(whole: WholeAnswer) -> Response<BoxBody> {
+    let mut response = head(whole.status, &whole.headers);
+    response = response.set_body(BoxBody::new(whole.body));
+    response
+}
+
+fn stream_response(
+    gw: &Rc<Gateway>,
+    headers: &http1_types::HeaderMap,
+    relay: Relay,
+) -> Response<BoxBody> {
+    let counted = gw.count_in();
+    let events = futures::stream::unfold(Some((relay, counted)), |state| async move {
+        let (mut relay, counted) = state?;
+        match relay.next().await? {
+            Ok(bytes) => Some((Ok(bytes), Some((relay, counted)))),
+            Err(err) => Some((Err(err), None)),
+        }
+    });
+    let body = BodyStream::new(Box::pin(events)).boxed();
+    head(StatusCode::OK.as_u16(), headers).set_body(body)
+}
+
+/// Makes the head of an answer as the upstream gave it.
+fn head(status: u16, headers: &http1_types::HeaderMap) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::build(status);
+    for (name, value) in headers {
+        if is_about_connection(name.as_str()) {
+            continue;
+        }
+        response.append_header((name.as_str(), value.as_bytes()));
+    }
+    response.finish().map_into_boxed_body()
+}
+
+fn is_about_connection(name: &str) -> bool {
+    name == CONTENT_LENGTH || CONNECTION_HEADERS.contains(&name)
+}
+
+fn header<'a>(req: &'a Request, name: &http::HeaderName) -> Option<&'a str> {
+    req.headers()
+        .get(name.as_str())
+        .and_then(|value| value.to_str().ok())
+}
+
+fn method_of(req: &Request) -> http1_types::Method {
+    // The server has checked the method already; this only changes the type.
+    http1_types::Method::from_bytes(req.method().as_str().as_bytes()).unwrap_or_default()
+}
+
+fn target_of(req: &Request) -> String {
+    req.uri()
+        .path_and_query()
+        .map_or_else(|| req.path().to_owned(), ToString::to_string)
+}
+
+/// Returns the caller's headers that upstreams get.
+fn passed_headers(gw: &Gateway, req: &Request) -> http1_types::HeaderMap {
+    let names = &gw.headers;
+    let mut passed = http1_types::HeaderMap::new();
+    for (name, value) in req.headers() {
+        let name = name.as_str();
+        let is_reserved = names.reserved.iter().any(|reserved| reserved == name);
+        if is_reserved || is_about_connection(name) || name == "expect" {
+            continue;
+        }
+        let name = hyper::header::HeaderName::from_bytes(name.as_bytes());
+        let value = hyper::header::HeaderValue::from_bytes(value.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            passed.append(name, value);
+        }
+    }
+    passed
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,57 @@
+//! What a box has to be told before it can start.
+
+use super::retries::RetryWindow;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+/// The settings of one box.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewaySettings {
+    /// The box's name.
+    pub name: String,
+    /// Its hall.
+    pub hall: String,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the box takes new connections.
+    pub readiness: SocketAddr,
+    /// Where other boxes send what they have seen.
+    pub peers: SocketAddr,
+    /// Where counters and histograms are served.
+    pub metrics: SocketAddr,
+    /// The bounds that operators set.
+    pub bounds: Bounds,
+}
+
+/// The bounds that operators set for all boxes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// The time from the signal to stop to the process's end at the latest.
+    pub grace: Duration,
+    /// The time after which a key that was taken away must not serve any more.
+    pub revoke: Duration,
+    /// The most repeats, as a part of the requests.
+    pub retry_ratio: f64,
+    /// The time over which repeats are counted.
+    pub retry_window: Duration,
+    /// The longest pause between two requests of a session.
+    pub session: Duration,
+}
+
+/// What a key's freshness leaves of the bound for taking keys away: the rest is for the
+/// request's way to its upstream and for timers that fire late.
+const REVOKE_MARGIN: Duration = Duration::from_millis(600);
+
+impl Bounds {
+    /// Makes an empty budget of repeats.
+    pub fn retry_window(&self) -> RetryWindow {
+        RetryWindow::new(self.retry_ratio, self.retry_window)
+    }
+
+    /// Returns how old the last proof may be by which keys are served.
+    pub fn key_lifetime(&self) -> Duration {
+        self.revoke.saturating_sub(REVOKE_MARGIN)
+    }
+}
--- /dev/null
+++ b/src/gateway/stream.rs
@@ -0,0 +1,204 @@
+//! Requests whose answer is a stream of events: the first event decides.
+//!
+//! Until the caller has some of an answer, the answer may be dropped and another upstream
+//! or a larger model asked. From then on [`super::relay`] carries the stream.
+
+use super::Gateway;
+use super::connect::http1_types;
+use super::events::EventSplitter;
+use super::exchange::{Answer, Piece, Tried};
+use super::job::{Job, NoTry, TryPlan};
+use super::models::{Verdict, first_model, judge};
+use super::plain::{WholeAnswer, why};
+use super::refusal::Why;
+use super::relay::Relay;
+use super::retries::Repeat;
+use crate::clock::Now;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The largest failure that is kept in memory to be passed on.
+const FAILURE_BYTES_LIMIT: usize = 1024 * 1024;
+/// The part of the objective after which another upstream is asked for the first event:
+/// one half leaves the other as much time again.
+const FIRST_EVENT_PART: u32 = 2;
+/// How long a request waits before the upstreams that refused it are asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// The part of the objective for which a request is offered again and again before it is
+/// refused; a refusal later than this helps the caller less than waiting on.
+const OFFER_PART: u32 = 4;
+
+/// What a stream's request led to.
+#[derive(Debug)]
+pub enum Begun {
+    /// The stream runs; the first events are in the relay.
+    Stream {
+        /// The headers of the answer.
+        headers: http1_types::HeaderMap,
+        /// What carries the rest.
+        relay: Relay,
+    },
+    /// An upstream failed with an answer of its own.
+    Failed(WholeAnswer),
+}
+
+/// How the first event came, or did not.
+enum First {
+    Came(Relay),
+    NotYet,
+}
+
+/// Serves a request until the first event is there.
+pub async fn begin(gw: &Rc<Gateway>, job: &Rc<Job>) -> Result<Begun, Why> {
+    let models = if job.chooses_model {
+        job.route.models.as_slice()
+    } else {
+        &[]
+    };
+    let mut place = first_model();
+    let mut repeat = Repeat::Failure;
+    let mut failure = None;
+    loop {
+        let plan = TryPlan {
+            model: models.get(place).map(String::as_str),
+            resume_after: None,
+            head: patience(job),
+            repeat,
+        };
+        repeat = Repeat::Failure;
+        match job.try_once(gw, plan).await {
+            Ok(Tried::Answered(answer)) if is_success(&answer) => {
+                let confidence = confidence(gw, &answer);
+                match judge(place, models.len(), confidence) {
+                    Verdict::AskLarger(larger) if may_escalate(gw, job) => {
+                        gw.telemetry.escalated(job, place, larger, confidence);
+                        place = larger;
+                        repeat = Repeat::Escalation;
+                        job.tries.allow_all();
+                        continue;
+                    }
+                    Verdict::AskLarger(_) | Verdict::PassOn => {}
+                }
+                let headers = answer.headers.clone();
+                let model = models.get(place).cloned();
+                if let First::Came(relay) = first_event(gw, job, *answer, model).await {
+                    return Ok(Begun::Stream { headers, relay });
+                }
+            }
+            Ok(Tried::Answered(answer)) => failure = take_failure(gw, job, *answer).await,
+            Ok(Tried::NotRun(_) | Tried::Unknown(_)) => {}
+            Err(NoTry::NoUpstream) if should_wait(gw, job) => {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                job.tries.allow_all();
+                continue;
+            }
+            Err(no_try) => return failure.map(Begun::Failed).ok_or_else(|| why(no_try, job)),
+        }
+        if !job.may_run_again() {
+            return failure
+                .map(Begun::Failed)
+                .ok_or_else(|| job.tries.exhausted());
+        }
+    }
+}
+
+fn is_success(answer: &Answer) -> bool {
+    (200..300).contains(&answer.status)
+}
+
+fn confidence(gw: &Gateway, answer: &Answer) -> Option<u32> {
+    let value = answer.headers.get(gw.headers.confidence.as_str())?;
+    value.to_str().ok()?.trim().parse().ok()
+}
+
+fn may_escalate(gw: &Gateway, job: &Job) -> bool {
+    let now = Now::read();
+    let mut windows = gw.retries.borrow_mut();
+    let has_room = windows
+        .get_mut(&job.service)
+        .is_some_and(|window| window.has_room(Repeat::Escalation, now));
+    has_room && job.may_run_again()
+}
+
+/// Returns how long to wait for one upstream's first event.
+fn patience(job: &Job) -> Duration {
+    // The last try has nowhere else to go.
+    let is_last = job.tries.sent() + 1 >= job.route.attempts;
+    match job.route.kind.is_repeatable() && !is_last {
+        true => job.route.objective / FIRST_EVENT_PART,
+        false => Duration::MAX,
+    }
+}
+
+fn should_wait(gw: &Gateway, job: &Job) -> bool {
+    let now = Now::read();
+    let waited = now.monotonic.saturating_sub(job.received);
+    job.may_run_again()
+        && waited + RETRY_PAUSE < job.route.objective / OFFER_PART
+        && !gw.candidates(&job.service, &job.session, now).is_empty()
+}
+
+/// Waits for the first whole event.
+async fn first_event(
+    gw: &Rc<Gateway>,
+    job: &Rc<Job>,
+    mut answer: Answer,
+    model: Option<String>,
+) -> First {
+    let mut splitter = EventSplitter::default();
+    let wait = patience(job).min(job.left(Now::read()));
+    let read = async {
+        loop {
+            match answer.next_piece().await {
+                Piece::Bytes(bytes) => match splitter.push(&bytes) {
+                    Ok(Some(events)) => return Ok(Some(events)),
+                    Ok(None) => {}
+                    Err(_too_large) => return Err("an event has no end".to_owned()),
+                },
+                Piece::End if splitter.is_inside_event() => {
+                    return Err("the stream ended inside an event".to_owned());
+                }
+                Piece::End => return Ok(None),
+                Piece::Broken(reason) => return Err(reason),
+            }
+        }
+    };
+    let reason = match tokio::time::timeout(wait, read).await {
+        Ok(Ok(events)) => {
+            return First::Came(Relay::new(gw, job, answer, splitter, events, model));
+        }
+        Ok(Err(reason)) => {
+            answer.upstream().failed(Now::read());
+            reason
+        }
+        Err(_elapsed) => {
+            answer.upstream().unreachable(Now::read());
+            "no event came in time".to_owned()
+        }
+    };
+    gw.telemetry.broke_off(job, answer.upstream(), &reason);
+    First::NotYet
+}
+
+async fn take_failure(gw: &Gateway, job: &Job, mut answer: Answer) -> Option<WholeAnswer> {
+    answer.upstream().failed(Now::read());
+    gw.count_failure(job, answer.upstream());
+    let left = job.left(Now::read());
+    let whole = tokio::time::timeout(left, answer.read_whole(FAILURE_BYTES_LIMIT)).await;
+    match whole {
+        Ok(Ok(body)) => Some(WholeAnswer {
+            status: answer.status,
+            headers: answer.headers.clone(),
+            body,
+        }),
+        Ok(Err(reason)) => {
+            gw.telemetry.broke_off(job, answer.upstream(), &reason);
+            None
+        }
+        Err(_elapsed) => {
+            gw.telemetry
+                .broke_off(job, answer.upstream(), "out of time");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/telemetry.rs
@@ -0,0 +1,190 @@
+//! One line for each decision, and counters and histograms beside it.
+//!
+//! `docs/OPERATIONS.md` shows how to get from a request's id to the cause of its failure.
+
+use super::exchange::Tried;
+use super::job::{Job, TryPlan};
+use super::knowledge::Change;
+use super::refusal::{Ran, Why};
+use super::upstream::Upstream;
+use crate::clock::Now;
+use crate::metrics::Metrics;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use std::time::Duration;
+
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 25.0,
+];
+
+/// The gateway's instruments and log lines.
+#[derive(Debug)]
+pub struct Telemetry {
+    latency: Histogram<f64>,
+    answers: Counter<u64>,
+    refusals: Counter<u64>,
+    tries: Counter<u64>,
+    store_calls: Counter<u64>,
+    config_version: Gauge<u64>,
+    age: Gauge<u64>,
+}
+
+impl Telemetry {
+    /// Makes the instruments.
+    pub fn new(metrics: &Metrics) -> Self {
+        let meter = metrics.meter();
+        Self {
+            latency: meter
+                .f64_histogram("gatepier_answer_seconds")
+                .with_description("Time from a request to its answer or its first event.")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            answers: meter
+                .u64_counter("gatepier_answers_passed_on")
+                .with_description("Upstreams' answers that were passed on, by status.")
+                .build(),
+            refusals: meter
+                .u64_counter("gatepier_final_refusals")
+                .with_description("Requests without an upstream's answer, by reason.")
+                .build(),
+            tries: meter
+                .u64_counter("gatepier_tries")
+                .with_description("Tries at upstreams, by outcome.")
+                .build(),
+            store_calls: meter
+                .u64_counter("gatepier_store_calls")
+                .with_description("Calls to the platform's store, by kind.")
+                .build(),
+            config_version: meter
+                .u64_gauge("gatepier_config_version")
+                .with_description("The version of the configuration in force.")
+                .build(),
+            age: meter
+                .u64_gauge("gatepier_knowledge_age_ms")
+                .with_description("Age of the last proof that nothing newer exists.")
+                .build(),
+        }
+    }
+
+    /// Records a try.
+    pub fn tried(&self, job: &Job, upstream: &Upstream, tried: &Tried, plan: TryPlan<'_>) {
+        let outcome = match tried {
+            Tried::Answered(_) => "answered",
+            Tried::NotRun(_) => "not-run",
+            Tried::Unknown(_) => "unknown",
+        };
+        self.tries.add(1, &[KeyValue::new("outcome", outcome)]);
+        let listed = upstream.listed();
+        log::info!(
+            request = job.request_id.as_str(),
+            route = job.route.name.as_str(),
+            config = job.config_version,
+            upstream = listed.instance.as_str(),
+            version = listed.version.as_str(),
+            model = plan.model.unwrap_or(""),
+            after_event = plan.resume_after.unwrap_or(""),
+            attempt = job.tries.sent(),
+            outstanding = upstream.outstanding();
+            "try: {}", tried.describe()
+        );
+    }
+
+    /// Records that an answer broke off or came too late.
+    pub fn broke_off(&self, job: &Job, upstream: &Upstream, reason: &str) {
+        let instance = upstream.with_listed(|listed| listed.instance.clone());
+        log::warn!(
+            request = job.request_id.as_str(),
+            upstream = instance.as_str();
+            "answer broke off: {reason}"
+        );
+    }
+
+    /// Records that a smaller model's answer was dropped.
+    pub fn escalated(&self, job: &Job, place: usize, larger: usize, confidence: Option<u32>) {
+        log::info!(
+            request = job.request_id.as_str(),
+            model = place,
+            asked_next = larger,
+            confidence = confidence.unwrap_or(0);
+            "a larger model is asked"
+        );
+    }
+
+    /// Records an answer that is passed on.
+    pub fn passed_on(&self, job: &Job, status: u16, now: Now) {
+        let took = now.monotonic.saturating_sub(job.received);
+        let status_label = KeyValue::new("status", i64::from(status));
+        self.answers.add(1, &[status_label]);
+        let route = KeyValue::new("route", job.route.name.clone());
+        self.latency.record(took.as_secs_f64(), &[route]);
+        log::info!(
+            request = job.request_id.as_str(),
+            status,
+            took_ms = millis(took),
+            tries = job.tries.sent();
+            "passed on"
+        );
+    }
+
+    /// Records a stream that came to its end.
+    pub fn stream_ended(&self, job: &Job, events: usize, resumed: u32, took: Duration) {
+        log::info!(
+            request = job.request_id.as_str(),
+            events,
+            resumed,
+            took_ms = millis(took);
+            "stream ended"
+        );
+    }
+
+    /// Records a final refusal.
+    pub fn refused(
+        &self,
+        request: &str,
+        why: Why,
+        ran: Ran,
+        age: Option<Duration>,
+        took: Duration,
+    ) {
+        self.refusals.add(1, &[KeyValue::new("reason", why.name())]);
+        log::warn!(
+            request,
+            reason = why.name(),
+            may_have_run = ran == Ran::Perhaps,
+            knowledge_age_ms = age.map_or(-1, |age| i64::try_from(millis(age)).unwrap_or(-1)),
+            took_ms = millis(took);
+            "refused"
+        );
+    }
+
+    /// Records a change of what the box knows.
+    pub fn learned(&self, change: &Change, source: &str, revision: u64) {
+        if let Change::Routes(version) = change {
+            self.config_version.record(*version, &[]);
+        }
+        match change {
+            Change::Nothing => {}
+            Change::Faulty { item, reason } => log::error!(
+                item = item.as_str(),
+                source,
+                revision;
+                "cannot be read, the last good state stays in force: {reason}"
+            ),
+            change => log::info!(source, revision; "learned: {change:?}"),
+        }
+    }
+
+    /// Counts a call to the store.
+    pub fn store_called(&self, kind: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Records the age of what is known.
+    pub fn aged(&self, age: Option<Duration>) {
+        self.age.record(age.map_or(u64::MAX, millis), &[]);
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/gateway/upstream.rs
@@ -0,0 +1,175 @@
+//! What a box knows of each upstream: what it lists of itself, and how it behaves.
+
+use super::control::ListedUpstream;
+use super::protocol::ReportedLoad;
+use crate::clock::Now;
+use crate::routing::placement::{LoadGuard, UpstreamLoad};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How fast old failures stop to matter: after this time they count half. Long enough
+/// that an upstream which fails four in ten is told from a healthy one at a few requests
+/// a second, short enough that it is tried again within seconds.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
+/// Imagined good answers that keep one failure of a new upstream from ruling it out.
+const PRIOR_ANSWERS: f64 = 3.0;
+/// How long an upstream that did not even take a connection, or that fell silent, gets
+/// only what no other can take. A crashed upstream is back after two seconds or more on
+/// the users' days, and the list drops it after three heartbeats of 1.2 s.
+const UNREACHABLE_REST: Duration = Duration::from_millis(1500);
+/// How long a report of load is trusted; upstreams serve from two requests a second up.
+const REPORT_LIFETIME: Duration = Duration::from_secs(2);
+
+/// An upstream, shared by all requests of the box.
+#[derive(Debug)]
+pub struct Upstream {
+    listed: RefCell<ListedUpstream>,
+    load: Arc<UpstreamLoad>,
+    health: Cell<Health>,
+    report: Cell<Option<Report>>,
+    lapsed_at: Cell<Option<Duration>>,
+}
+
+/// A report of load, and what this box has sent since.
+#[derive(Debug, Clone, Copy)]
+struct Report {
+    load: ReportedLoad,
+    at: Duration,
+    outstanding_then: u32,
+}
+
+/// Answers and failures of late, each fading with time.
+#[derive(Debug, Clone, Copy, Default)]
+struct Health {
+    answers: f64,
+    failures: f64,
+    updated: Duration,
+    rests_until: Duration,
+}
+
+impl Health {
+    fn faded(mut self, now: Now) -> Self {
+        let age = now.monotonic.saturating_sub(self.updated);
+        let factor = 0.5f64.powf(age.as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64());
+        self.answers *= factor;
+        self.failures *= factor;
+        self.updated = now.monotonic;
+        self
+    }
+}
+
+impl Upstream {
+    /// Makes an upstream that was just listed.
+    pub fn new(listed: ListedUpstream) -> Rc<Self> {
+        Rc::new(Self {
+            listed: RefCell::new(listed),
+            load: Arc::default(),
+            health: Cell::default(),
+            report: Cell::default(),
+            lapsed_at: Cell::default(),
+        })
+    }
+
+    /// Returns a copy of what the upstream lists of itself.
+    pub fn listed(&self) -> ListedUpstream {
+        self.listed.borrow().clone()
+    }
+
+    /// Reads what the upstream lists of itself, without a copy.
+    pub fn with_listed<T>(&self, read: impl FnOnce(&ListedUpstream) -> T) -> T {
+        read(&self.listed.borrow())
+    }
+
+    /// Takes a newer entry of the same instance.
+    pub fn relist(&self, listed: ListedUpstream) {
+        self.lapsed_at.set(None);
+        *self.listed.borrow_mut() = listed;
+    }
+
+    /// Records that the entry vanished while the store was away or had just come back.
+    pub fn lapse(&self, now: Now) {
+        if self.lapsed_at.get().is_none() {
+            self.lapsed_at.set(Some(now.monotonic));
+        }
+    }
+
+    /// Returns since when the entry has been missing, if it is.
+    pub fn lapsed_at(&self) -> Option<Duration> {
+        self.lapsed_at.get()
+    }
+
+    /// Counts a request in until the guard is dropped.
+    pub fn enter(&self) -> LoadGuard {
+        self.load.enter()
+    }
+
+    /// Returns this box's requests that the upstream has not finished.
+    pub fn outstanding(&self) -> u32 {
+        self.load.outstanding()
+    }
+
+    /// Takes a report of load out of an answer.
+    pub fn reported(&self, load: ReportedLoad, now: Now) {
+        self.report.set(Some(Report {
+            load,
+            at: now.monotonic,
+            outstanding_then: self.outstanding(),
+        }));
+    }
+
+    /// Estimates the requests that the upstream has, of all boxes.
+    pub fn occupancy(&self, now: Now) -> u32 {
+        let own = self.outstanding();
+        match self.report.get() {
+            Some(report) if now.monotonic.saturating_sub(report.at) < REPORT_LIFETIME => {
+                let others = report.load.running + report.load.waiting;
+                (others + own)
+                    .saturating_sub(report.outstanding_then)
+                    .max(own)
+            }
+            _ => own,
+        }
+    }
+
+    /// Returns the occupied part of the slots; over one means that requests wait.
+    pub fn fullness(&self, now: Now) -> f64 {
+        let slots = self.listed.borrow().slots.max(1);
+        f64::from(self.occupancy(now)) / f64::from(slots)
+    }
+
+    /// Records a whole answer.
+    pub fn answered(&self, now: Now) {
+        let mut health = self.health.get().faded(now);
+        health.answers += 1.0;
+        health.rests_until = Duration::ZERO;
+        self.health.set(health);
+    }
+
+    /// Records a request that the upstream failed though it took it.
+    pub fn failed(&self, now: Now) {
+        let mut health = self.health.get().faded(now);
+        health.failures += 1.0;
+        self.health.set(health);
+    }
+
+    /// Records that the upstream took no connection or fell silent.
+    pub fn unreachable(&self, now: Now) {
+        let mut health = self.health.get().faded(now);
+        health.failures += 1.0;
+        health.rests_until = now.monotonic + UNREACHABLE_REST;
+        self.health.set(health);
+    }
+
+    /// Tells whether the upstream should get only what no other can take.
+    pub fn rests(&self, now: Now) -> bool {
+        now.monotonic < self.health.get().rests_until
+    }
+
+    /// Returns the part of requests that it failed of late, from 0 to 1.
+    pub fn failure_rate(&self, now: Now) -> f64 {
+        let health = self.health.get().faded(now);
+        health.failures / (health.answers + health.failures + PRIOR_ANSWERS)
+    }
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -36,6 +36,8 @@
     Unreachable(String),
     /// The call may have taken effect, but no answer came.
     AnswerLost(String),
+    /// The store turned the call away and did nothing.
+    Refused(String),
 }
 
 impl fmt::Display for StoreError {
@@ -43,6 +45,7 @@
         match self {
             Self::Unreachable(reason) => write!(f, "the store cannot be reached: {reason}"),
             Self::AnswerLost(reason) => write!(f, "the store's answer was lost: {reason}"),
+            Self::Refused(reason) => write!(f, "the store turned the call away: {reason}"),
         }
     }
 }
