--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -14,6 +14,7 @@
 pub mod job;
 pub mod knowledge;
 pub mod listen;
+pub mod loads;
 pub mod membership;
 pub mod models;
 pub mod peers;
@@ -41,6 +42,7 @@
 use control::ControlStore;
 use job::Job;
 use knowledge::Knowledge;
+use loads::Loads;
 use protocol::Headers;
 use retries::RetryWindow;
 use rollout::{Quality, VersionQuery, VersionRule, VersionWatch, version_rule};
@@ -76,6 +78,8 @@
     pub sessions: RefCell<Sessions>,
     /// What was seen of versions under roll-out.
     pub versions: RefCell<VersionWatch>,
+    /// What the other boxes have under way.
+    pub loads: RefCell<Loads>,
     /// Log lines and metrics.
     pub telemetry: Telemetry,
     /// The name of this life of the box.
@@ -104,6 +108,7 @@
             knowledge: RefCell::default(),
             connections: Connections::default(),
             retries: RefCell::default(),
+            loads: RefCell::default(),
             telemetry: Telemetry::new(metrics),
             life,
             lease: Cell::new(None),
@@ -135,9 +140,13 @@
         let condemned = rollout
             .and_then(|rollout| rollout.order.as_ref())
             .is_some_and(|(order, _)| self.is_condemned(order));
+        let order_revision = rollout
+            .and_then(|rollout| rollout.order.as_ref())
+            .map_or(0, |(order, _)| order.revision);
         let query = VersionQuery {
             session,
             pinned: sessions.version(session, now),
+            stays_old: sessions.stays_old(session, order_revision),
             condemned,
         };
         let rule = version_rule(rollout, query, now);
@@ -163,6 +172,19 @@
         self.versions.borrow_mut().is_condemned(&target)
     }
 
+    /// Returns how much of an engine's time a token of a model takes, against the dearest.
+    pub fn model_weight(&self, service: &str, model: Option<&str>) -> f64 {
+        let knowledge = self.knowledge.borrow();
+        let engine = knowledge
+            .routes()
+            .and_then(|routes| routes.services.get(service))
+            .and_then(|service| service.engine.as_ref());
+        match (engine, model) {
+            (Some(engine), Some(model)) => engine.weight(model),
+            _ => 1.0,
+        }
+    }
+
     /// Records when the first event of an answer came.
     pub fn first_event(&self, job: &Job, upstream: &Upstream, took: Duration, model: &str) {
         let now = Now::read();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -6,7 +6,7 @@
 
 use super::connect::{Connection, Connections, http1_types};
 use super::protocol::{Headers, parse_load};
-use super::upstream::Upstream;
+use super::upstream::{Unread, Upstream};
 use crate::clock::Now;
 use crate::routing::placement::LoadGuard;
 use bytes::Bytes;
@@ -98,6 +98,7 @@
     body: Incoming,
     connection: Option<Connection>,
     upstream: Rc<Upstream>,
+    unread: Option<Unread>,
     _load: LoadGuard,
 }
 
@@ -142,6 +143,11 @@
         }
     }
 
+    /// Records that the first event came, so that the prompt has been read.
+    pub fn has_read(&mut self) {
+        self.unread = None;
+    }
+
     /// Returns the upstream that answers.
     pub fn upstream(&self) -> &Rc<Upstream> {
         &self.upstream
@@ -168,6 +174,8 @@
 pub struct TryLimits {
     /// How long to wait for the head of the answer.
     pub head: Duration,
+    /// The prompt's tokens that the upstream has to read, weighted by model.
+    pub tokens: f64,
     /// Whether a connection that was used before may be used; one may close just as the
     /// request is written, which leaves open whether it ran.
     pub may_reuse: bool,
@@ -182,6 +190,7 @@
     limits: TryLimits,
 ) -> Tried {
     let load = upstream.enter();
+    let unread = upstream.begin_reading(limits.tokens);
     let instance = upstream.with_listed(|listed| listed.instance.clone());
     let began = Now::read();
     let idle = match limits.may_reuse {
@@ -251,6 +260,7 @@
         body,
         connection: Some(connection),
         upstream: upstream.clone(),
+        unread: Some(unread),
         _load: load,
     }))
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -3,7 +3,7 @@
 use super::Gateway;
 use super::connect::http1_types;
 use super::exchange::{Failure, NotRun, Outgoing, Tried, TryLimits, try_upstream};
-use super::place::{Wish, choose, draw};
+use super::place::{SharedPrompt, Wish, choose, draw};
 use super::protocol::{ANY_MODEL, parse_prompt_parts, urgency};
 use super::refusal::{Ran, Why};
 use super::retries::Repeat;
@@ -45,9 +45,9 @@
     pub received: Duration,
     /// When the caller or the operators want an end.
     pub deadline: Duration,
-    /// The last part of the prompt that other requests share.
-    pub affinity: Option<String>,
-    /// What requests of one session have in common.
+    /// The prompt, on routes to model engines.
+    pub prompt: Prompt,
+    /// The id of the session, or of the request where it belongs to none.
     pub session: String,
     /// Whether the router chooses the model.
     pub chooses_model: bool,
@@ -136,6 +136,12 @@
         repeatable && self.tries.runs.get() < self.route.attempts.max(1)
     }
 
+    /// Tells whether the next run is the last one that the route allows, so that cutting
+    /// it off would end the request.
+    pub fn has_last_run_left(&self) -> bool {
+        self.tries.runs.get() + 1 >= self.route.attempts.max(1)
+    }
+
     /// Chooses an upstream and makes one try there.
     ///
     /// A try that reached an upstream before makes this one a repeat, which the budget
@@ -154,6 +160,7 @@
         let instance = upstream.with_listed(|listed| listed.instance.clone());
         let limits = TryLimits {
             head: plan.head.min(left),
+            tokens: self.prompt.tokens as f64 * gw.model_weight(&self.service, plan.model),
             may_reuse: self.route.kind.is_repeatable(),
         };
         let out = self.outgoing(gw, &instance, plan, now);
@@ -166,13 +173,19 @@
         let candidates = gw.candidates(&self.service, &self.session, now);
         let tried = self.tries.instances.borrow().clone();
         // Engines keep what they have read by model.
-        let affinity = self
-            .affinity
+        let shared = self
+            .prompt
+            .shared
             .as_ref()
-            .map(|affinity| format!("{affinity} {}", model.unwrap_or_default()));
+            .map(|part| format!("{part} {}", model.unwrap_or_default()));
         let wish = Wish {
             hall: &gw.settings().hall,
-            affinity: affinity.as_deref(),
+            prompt: shared.as_deref().map(|shared| SharedPrompt {
+                shared,
+                tokens: self.prompt.tokens as f64,
+                shared_tokens: self.prompt.shared_tokens as f64,
+                weight: gw.model_weight(&self.service, model),
+            }),
             tried: &tried,
             draw: draw(&self.request_id),
         };
@@ -253,12 +266,29 @@
     }
 }
 
-/// What the prompt's parts say for placement: the last shared part, and the session.
-pub fn read_prompt(parts: Option<&str>, request_id: &str) -> (Option<String>, String) {
-    let parts = parse_prompt_parts(parts.unwrap_or_default());
-    let mut ids = parts.into_iter().rev().map(|part| part.id);
-    let session = ids.next().unwrap_or_else(|| request_id.to_owned());
-    (ids.next(), session)
+/// What placement has to know of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Prompt {
+    /// The id of the last part that other requests share.
+    pub shared: Option<String>,
+    /// The tokens up to the end of that part.
+    pub shared_tokens: u64,
+    /// All tokens of the prompt.
+    pub tokens: u64,
+}
+
+impl Prompt {
+    /// Reads a prompt's parts; the last one belongs to the request alone.
+    pub fn read(parts: Option<&str>) -> Self {
+        let parts = parse_prompt_parts(parts.unwrap_or_default());
+        let tokens = parts.iter().map(|part| part.tokens).sum();
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        Self {
+            shared: shared.last().map(|part| part.id.clone()),
+            shared_tokens: shared.iter().map(|part| part.tokens).sum(),
+            tokens,
+        }
+    }
 }
 
 /// Tells whether a model header leaves the choice to the router.
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -284,6 +284,11 @@
         open
     }
 
+    /// Returns all upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Rc<Upstream>> {
+        self.upstreams.values()
+    }
+
     /// Tells whether an instance is still listed and takes new work.
     pub fn is_open(&self, instance: &str) -> bool {
         self.upstreams
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,11 +1,19 @@
-//! What boxes tell each other: how the versions under roll-out answered.
+//! What boxes tell each other.
 //!
-//! Counts only grow and go by reporter, so a datagram that is lost, late or doubled does
-//! no harm; that is why these are datagrams and not h2 streams. They go to the two boxes
-//! registered longest: the one that leads, and the one that would lead next. See
-//! `docs/design/platform.md`.
+//! - What each has under way at which upstream, so that placement sees all boxes' load.
+//! - How the versions under roll-out answered; this goes to the two boxes registered
+//!   longest: the one that leads, and the one that would lead next.
+//! - Which sessions the old version served just before a roll-out, so that no box moves
+//!   them in its first half.
+//!
+//! Every message replaces or adds to what the sender said before, so one that is lost,
+//! late or doubled does no harm; that is why these are datagrams and not h2 streams.
+//! See `docs/design/platform.md`.
 
 use super::Gateway;
+use super::knowledge::Knowledge;
+use super::loads::{BoxLoad, interval};
+use crate::clock::Now;
 use crate::error::{Error, Result};
 use crate::evidence::EvidenceCell;
 use serde::{Deserialize, Serialize};
@@ -17,24 +25,34 @@
 
 /// The time between two reports while a version is under roll-out.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
-/// Boxes that are told: the leading one and the one that would lead next.
+/// Boxes that are told of versions: the leading one and the one that would lead next.
 const TOLD_BOXES: usize = 2;
-/// The largest datagram; counts of a few versions on a dozen routes take a kilobyte.
+/// The largest datagram; what a box has under way at a hundred upstreams takes two
+/// kilobytes.
 const DATAGRAM_BYTES: usize = 32 * 1024;
 
 /// A message between boxes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 enum PeerMessage {
-    /// The sender's own counts.
+    /// The sender's own counts of versions.
     Counts(Vec<EvidenceCell>),
+    /// What the sender has under way.
+    Load(BoxLoad),
+    /// Sessions that the old version of a service serves: the order's revision in the
+    /// store, and the sessions' hashes.
+    OldSessions(u64, Vec<u64>),
 }
 
-/// Exchanges counts for as long as the process lives.
+/// Exchanges messages for as long as the process lives.
 pub async fn exchange(gw: Rc<Gateway>) -> Result<()> {
     let address = gw.settings().peers;
     let error = |err| Error::Unreachable(format!("cannot listen on {address}: {err}"));
     let socket = UdpSocket::bind(address).await.map_err(error)?;
-    tokio::join!(receive(&gw, &socket), report(&gw, &socket));
+    tokio::join!(
+        receive(&gw, &socket),
+        report_versions(&gw, &socket),
+        report_load(&gw, &socket),
+    );
     Ok(())
 }
 
@@ -55,36 +73,84 @@
     let config = bincode::config::standard();
     match bincode::serde::decode_from_slice::<PeerMessage, _>(datagram, config) {
         Ok((PeerMessage::Counts(cells), _)) => gw.versions.borrow_mut().merge(&cells),
+        Ok((PeerMessage::Load(load), _)) => gw.loads.borrow_mut().take(load, Now::read()),
+        Ok((PeerMessage::OldSessions(order, sessions), _)) => {
+            gw.sessions.borrow_mut().keep_old(order, &sessions);
+        }
         Err(err) => log::warn!("a datagram from {from} cannot be read: {err}"),
     }
 }
 
-async fn report(gw: &Gateway, socket: &UdpSocket) {
+async fn send(socket: &UdpSocket, message: &PeerMessage, to: &[SocketAddr]) {
+    let config = bincode::config::standard();
+    let datagram = match bincode::serde::encode_to_vec(message, config) {
+        Ok(datagram) => datagram,
+        Err(err) => {
+            log::error!("a message to other boxes cannot be encoded: {err}");
+            return;
+        }
+    };
+    for address in to {
+        if let Err(err) = socket.send_to(&datagram, address).await {
+            log::debug!("a message cannot be sent to {address}: {err}");
+        }
+    }
+}
+
+/// Tells how versions under roll-out answer, and which sessions must not move.
+async fn report_versions(gw: &Gateway, socket: &UdpSocket) {
     loop {
         sleep(REPORT_INTERVAL).await;
         let cells = gw.versions.borrow().own_cells();
-        if cells.is_empty() {
-            continue;
+        if !cells.is_empty() {
+            let told = longest_registered(gw, TOLD_BOXES);
+            send(socket, &PeerMessage::Counts(cells), &told).await;
         }
-        let config = bincode::config::standard();
-        let message = PeerMessage::Counts(cells);
-        let datagram = match bincode::serde::encode_to_vec(&message, config) {
-            Ok(datagram) => datagram,
-            Err(err) => {
-                log::error!("counts cannot be encoded: {err}");
-                continue;
-            }
-        };
-        for address in told_boxes(gw) {
-            if let Err(err) = socket.send_to(&datagram, address).await {
-                log::debug!("counts cannot be sent to {address}: {err}");
-            }
+        for (order, sessions) in old_sessions(gw, Now::read()) {
+            let message = PeerMessage::OldSessions(order, sessions);
+            send(socket, &message, &longest_registered(gw, usize::MAX)).await;
         }
     }
 }
 
-fn told_boxes(gw: &Gateway) -> Vec<SocketAddr> {
+/// Returns the sessions that this box knows to be served by an old version, by order.
+fn old_sessions(gw: &Gateway, now: Now) -> Vec<(u64, Vec<u64>)> {
     let knowledge = gw.knowledge.borrow();
+    let mut sessions = gw.sessions.borrow_mut();
+    let mut found = Vec::new();
+    for rollout in knowledge.rollouts().values() {
+        if let Some((order, seen)) = &rollout.order
+            && now.monotonic.saturating_sub(*seen) < order.duration / 2
+        {
+            let old = sessions.old_ones(order, now);
+            found.push((order.revision, old));
+        }
+    }
+    found.retain(|(_, sessions)| !sessions.is_empty());
+    found
+}
+
+/// Tells the other boxes what this one has under way, as often as their number allows.
+async fn report_load(gw: &Gateway, socket: &UdpSocket) {
+    let mut was_idle = true;
+    loop {
+        let others = longest_registered(gw, usize::MAX);
+        sleep(interval(others.len())).await;
+        let load = BoxLoad::of(&gw.life, &gw.knowledge.borrow());
+        let is_idle = load.is_idle();
+        if !(is_idle && was_idle) {
+            send(socket, &PeerMessage::Load(load), &others).await;
+        }
+        was_idle = is_idle;
+        let now = Now::read();
+        let knowledge = gw.knowledge.borrow();
+        gw.loads.borrow_mut().spread(&knowledge, now);
+    }
+}
+
+/// Returns the addresses of so many other boxes, those registered longest first.
+fn longest_registered(gw: &Gateway, most: usize) -> Vec<SocketAddr> {
+    let knowledge: &Knowledge = &gw.knowledge.borrow();
     let mut boxes: Vec<_> = knowledge
         .boxes()
         .filter(|entry| entry.name != gw.life)
@@ -92,7 +158,7 @@
     boxes.sort_by_key(|entry| entry.registered);
     boxes
         .into_iter()
-        .take(TOLD_BOXES)
+        .take(most)
         .map(|entry| entry.address)
         .collect()
 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -10,12 +10,19 @@
 use std::rc::Rc;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// The part of its slots up to which an engine gets requests for what it has read. Steps
-/// grow slower with each running request, so that above this an emptier engine is faster
-/// though it has to read the shared part anew.
-const AFFINE_FULLNESS: f64 = 0.45;
-/// How many engines share the requests with the same beginning before any other is used.
+/// How many engines are expected to keep the same beginning of prompts.
 const AFFINE_ENGINES: usize = 2;
+/// What reading a shared part anew counts for beyond its time, as a part of its tokens:
+/// it is priced, and it drives out what the engine kept.
+const ANEW: f64 = 0.5;
+/// Weighted tokens that a full engine's slots count for. An engine slows down little with
+/// the number of its requests, so this matters only near the last slots.
+const SLOTS_TOKENS: f64 = 4000.0;
+/// Weighted tokens that a request out of slots waits for at least: an engine that has
+/// none free is taken only when all others are worse.
+const NO_SLOT_TOKENS: f64 = 200_000.0;
+/// Weighted tokens that one unit of penalty for failures and rest counts for.
+const PENALTY_TOKENS: f64 = 20_000.0;
 /// Fullness that a failure rate of one counts for, so that an upstream which fails some
 /// of its requests loses to any that is not nearly full.
 const FAILURE_WEIGHT: f64 = 4.0;
@@ -34,54 +41,85 @@
 pub struct Wish<'a> {
     /// The box's hall.
     pub hall: &'a str,
-    /// What the request shares with others, such as the id of a prompt's beginning.
-    pub affinity: Option<&'a str>,
+    /// The prompt, where a model engine is asked.
+    pub prompt: Option<SharedPrompt<'a>>,
     /// Instances that were tried already.
     pub tried: &'a [String],
     /// A number of the request, which spreads equal choices.
     pub draw: u64,
 }
 
+/// A prompt whose beginning other requests share.
+#[derive(Debug, Clone, Copy)]
+pub struct SharedPrompt<'a> {
+    /// What names the shared beginning and the model.
+    pub shared: &'a str,
+    /// All tokens of the prompt.
+    pub tokens: f64,
+    /// The tokens of the shared beginning.
+    pub shared_tokens: f64,
+    /// How much of an engine's time a token takes, against the dearest model.
+    pub weight: f64,
+}
+
 /// Chooses an upstream among those that may run a request.
 pub fn choose(candidates: &[Rc<Upstream>], wish: Wish<'_>, now: Now) -> Option<Rc<Upstream>> {
     let untried: Vec<&Rc<Upstream>> = candidates
         .iter()
         .filter(|upstream| !was_tried(upstream, wish.tried))
         .collect();
-    if let Some(affinity) = wish.affinity
-        && let Some(affine) = affine_choice(&untried, affinity, now)
-    {
-        return Some(affine);
+    let costs = match wish.prompt {
+        Some(prompt) => engine_costs(&untried, prompt, now),
+        None => plain_costs(&untried, wish.hall, now),
+    };
+    let mut best: Option<(f64, u64, &Rc<Upstream>)> = None;
+    for (upstream, cost) in untried.into_iter().zip(costs) {
+        let tie = rank(upstream, wish.draw);
+        let is_better = best.is_none_or(|(least, least_tie, _)| {
+            cost.total_cmp(&least).then(tie.cmp(&least_tie)).is_lt()
+        });
+        if is_better {
+            best = Some((cost, tie, upstream));
+        }
     }
-    let cost = |upstream: &&&Rc<Upstream>| {
-        let away = match wish.affinity {
-            None if upstream.with_listed(|listed| listed.hall != wish.hall) => OTHER_HALL,
-            _ => 0.0,
-        };
-        penalty(upstream, now) + away
+    best.map(|(_, _, upstream)| upstream.clone())
+}
+
+/// Returns what each upstream of a plain service would cost, in parts of its slots.
+fn plain_costs(candidates: &[&Rc<Upstream>], hall: &str, now: Now) -> Vec<f64> {
+    let cost = |upstream: &&Rc<Upstream>| {
+        let is_away = upstream.with_listed(|listed| listed.hall != hall);
+        penalty(upstream, now) + if is_away { OTHER_HALL } else { 0.0 }
     };
-    untried
-        .iter()
-        .min_by(|a, b| {
-            let tie = || rank(a, wish.draw).cmp(&rank(b, wish.draw));
-            cost(a).total_cmp(&cost(b)).then_with(tie)
-        })
-        .map(|upstream| (*upstream).clone())
+    candidates.iter().map(cost).collect()
 }
 
-/// Returns the first engine in the order of an affinity that is healthy and not too full.
-fn affine_choice(candidates: &[&Rc<Upstream>], affinity: &str, now: Now) -> Option<Rc<Upstream>> {
-    let seed = xxh3_64(affinity.as_bytes());
-    let mut ranked: Vec<&&Rc<Upstream>> = candidates
+/// Returns what each engine would cost: the weighted tokens until the first event.
+///
+/// All boxes expect the same engines to keep a beginning, those ranked first by its hash.
+fn engine_costs(candidates: &[&Rc<Upstream>], prompt: SharedPrompt<'_>, now: Now) -> Vec<f64> {
+    let seed = xxh3_64(prompt.shared.as_bytes());
+    let mut ranks: Vec<u64> = candidates
         .iter()
-        .filter(|upstream| !upstream.rests(now) && failure_penalty(upstream, now) == 0.0)
+        .map(|upstream| rank(upstream, seed))
         .collect();
-    ranked.sort_by_cached_key(|upstream| std::cmp::Reverse(rank(upstream, seed)));
-    ranked
-        .into_iter()
-        .take(AFFINE_ENGINES)
-        .find(|upstream| upstream.fullness(now) < AFFINE_FULLNESS)
-        .map(|upstream| (*upstream).clone())
+    ranks.sort_unstable_by_key(|rank| std::cmp::Reverse(*rank));
+    let last_affine = ranks.get(AFFINE_ENGINES - 1).copied().unwrap_or(0);
+    let cost = |upstream: &&Rc<Upstream>| {
+        let keeps_shared = rank(upstream, seed) >= last_affine;
+        let read = match keeps_shared {
+            true => prompt.tokens - prompt.shared_tokens,
+            false => prompt.tokens + prompt.shared_tokens * ANEW,
+        };
+        let fullness = upstream.fullness(now);
+        let slots = match fullness < 1.0 {
+            true => fullness * SLOTS_TOKENS,
+            false => fullness * NO_SLOT_TOKENS,
+        };
+        let troubles = (penalty(upstream, now) - fullness) * PENALTY_TOKENS;
+        upstream.unread() + read * prompt.weight + slots + troubles
+    };
+    candidates.iter().map(cost).collect()
 }
 
 /// Returns how little an upstream is wanted, in parts of its slots.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,8 +17,8 @@
 /// The part of the longest timely pause after which another upstream is asked to go on,
 /// in tenths. The rest is for the other one to read the prompt.
 const SILENCE_TENTHS: u32 = 7;
-/// How long the head of a resumed answer may take; reading the longest prompt takes
-/// under a second.
+/// How long the head of a resumed answer may take where another upstream is left to ask;
+/// reading the longest prompt takes under a second.
 const RESUME_HEAD: Duration = Duration::from_millis(1500);
 /// The pause before the upstreams that refused a resumed stream are asked again.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
@@ -63,12 +63,13 @@
     pub fn new(
         gw: &Rc<Gateway>,
         job: &Rc<Job>,
-        answer: Answer,
+        mut answer: Answer,
         splitter: EventSplitter,
         events: Option<Events>,
         model: Option<String>,
     ) -> Self {
         let now = Now::read();
+        answer.has_read();
         let first = now.monotonic.saturating_sub(answer.sent);
         let named = model.as_deref().unwrap_or_default();
         gw.first_event(job, answer.upstream(), first, named);
@@ -105,6 +106,7 @@
             let broken = match tokio::time::timeout(wait, answer.next_piece()).await {
                 Ok(Piece::Bytes(bytes)) => match self.splitter.push(&bytes) {
                     Ok(events) => {
+                        answer.has_read();
                         self.ready = events;
                         continue;
                     }
@@ -152,7 +154,10 @@
             let plan = TryPlan {
                 model: self.model.as_deref(),
                 resume_after: self.last_id.as_deref(),
-                head: RESUME_HEAD,
+                head: match self.job.has_last_run_left() {
+                    true => Duration::MAX,
+                    false => RESUME_HEAD,
+                },
                 repeat: Repeat::Failure,
             };
             match self.job.try_once(&self.gw, plan).await {
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -21,6 +21,9 @@
 /// leaves room for what is under way when it is found bad. Sessions that are under way
 /// may change versions only in the second half.
 const STAGES: [(u64, u32); 5] = [(0, 100), (52, 250), (60, 500), (68, 800), (76, 1000)];
+/// How long after an order no session is moved, while boxes tell each other which
+/// sessions the old version serves: two of their reports and the way of the order.
+const SETTLING: Duration = Duration::from_millis(1600);
 /// The part of its time, in hundredths, at which a good roll-out is declared done; the
 /// rest covers a store that is away for a while.
 const DONE_AT: u64 = 84;
@@ -70,6 +73,8 @@
     pub session: &'a str,
     /// The version that served the session a short while ago.
     pub pinned: Option<&'a str>,
+    /// Whether some box saw the old version serve the session when the order came.
+    pub stays_old: bool,
     /// Whether this box found the target bad.
     pub condemned: bool,
 }
@@ -103,6 +108,7 @@
             let target = match query.pinned {
                 Some(pinned) if pinned == order.target => true,
                 Some(_) if is_first_half => false,
+                None if is_first_half && query.stays_old => false,
                 _ => by_stage,
             };
             match target {
@@ -113,6 +119,11 @@
     }
 }
 
+/// Tells whether a session, by its hash, is among those that the first stage moves.
+pub fn may_be_moved_first(session: u64) -> bool {
+    session % THOUSAND < u64::from(STAGES[0].1)
+}
+
 /// What the leading box knows when it takes a roll-out on.
 #[derive(Debug, Clone, Copy)]
 pub struct Progress {
@@ -153,7 +164,7 @@
         next.state = RolloutState::Reverted;
         next.permille = 0;
         next.rejected.push(order.target.clone());
-    } else {
+    } else if progress.elapsed >= SETTLING {
         let hundredths = part_of(progress.elapsed, order.duration);
         next.permille = next.permille.max(stage(hundredths, progress.answers));
         if hundredths >= DONE_AT && next.permille == STAGES[STAGES.len() - 1].1 {
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -102,6 +102,21 @@
     pub slots: u32,
     /// The tokens that fit into an engine's memory.
     pub memory_tokens: u64,
+    /// The models that engines run, with the price of a thousand tokens made.
+    pub models: Vec<(String, f64)>,
+}
+
+impl Engine {
+    /// Returns how much of an engine's time a token of a model takes, against the
+    /// dearest model. Nothing tells a model's speed, and its price grows with it.
+    pub fn weight(&self, model: &str) -> f64 {
+        let dearest = self.models.iter().map(|(_, price)| *price).fold(0.0, f64::max);
+        let found = self.models.iter().find(|(name, _)| name == model);
+        match found {
+            Some((_, price)) if dearest > 0.0 => price / dearest,
+            _ => 1.0,
+        }
+    }
 }
 
 /// What callers may send, and how long they may rest.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -2,7 +2,7 @@
 
 use super::Gateway;
 use super::connect::http1_types;
-use super::job::{Job, Tries, leaves_choice, read_prompt};
+use super::job::{Job, Prompt, Tries, leaves_choice};
 use super::place::draw;
 use super::plain::{self, WholeAnswer};
 use super::refusal::{self, Ran, Why};
@@ -81,8 +81,8 @@
     }
     let asked = header(req, &gw.headers.deadline).and_then(|text| text.parse().ok());
     let wait = asked.map_or(route.timeout, Duration::from_millis);
-    let parts = header(req, &gw.headers.prompt_parts);
-    let (affinity, session) = read_prompt(parts, request_id);
+    let prompt = Prompt::read(header(req, &gw.headers.prompt_parts));
+    let session = header(req, &gw.headers.session).unwrap_or(request_id);
     let service = route
         .service_for(draw(request_id))
         .ok_or(Why::NoRoute)?
@@ -98,8 +98,8 @@
         body,
         received: received.monotonic,
         deadline: received.monotonic + wait.min(route.timeout),
-        affinity,
-        session,
+        prompt,
+        session: session.to_owned(),
         chooses_model,
         route,
         tries: Tries::default(),
--- a/src/gateway/sessions.rs
+++ b/src/gateway/sessions.rs
@@ -1,17 +1,25 @@
 //! Which version served each session of late, so that a roll-out does not move it.
+//!
+//! A session's requests reach several boxes, so boxes tell each other which sessions the
+//! old version serves when a roll-out is ordered. Those keep it for the first half.
 
+use super::control::RolloutOrder;
+use super::place::draw;
+use super::rollout::may_be_moved_first;
 use crate::clock::Now;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// Sessions kept at most; the oldest knowledge goes first when there are more.
 const MOST_SESSIONS: usize = 8192;
 
-/// The sessions that this box served a short while ago.
+/// The sessions that this box served or heard of.
 #[derive(Debug)]
 pub struct Sessions {
     lifetime: Duration,
-    versions: HashMap<String, (String, Duration)>,
+    versions: HashMap<u64, (String, Duration)>,
+    /// The sessions that stay with the old version, by the order's revision.
+    old: HashMap<u64, HashSet<u64>>,
 }
 
 impl Sessions {
@@ -20,6 +28,7 @@
         Self {
             lifetime,
             versions: HashMap::new(),
+            old: HashMap::new(),
         }
     }
 
@@ -28,19 +37,47 @@
         if self.versions.len() >= MOST_SESSIONS {
             self.forget(now);
         }
-        if self.versions.len() < MOST_SESSIONS || self.versions.contains_key(session) {
+        let session = draw(session);
+        if self.versions.len() < MOST_SESSIONS || self.versions.contains_key(&session) {
             let entry = (version.to_owned(), now.monotonic);
-            self.versions.insert(session.to_owned(), entry);
+            self.versions.insert(session, entry);
         }
     }
 
     /// Returns the version that served a session, if the session is not over.
     pub fn version(&self, session: &str, now: Now) -> Option<&str> {
-        let (version, at) = self.versions.get(session)?;
+        let (version, at) = self.versions.get(&draw(session))?;
         let is_live = now.monotonic.saturating_sub(*at) < self.lifetime;
         is_live.then_some(version.as_str())
     }
 
+    /// Tells whether a session stays with the old version in an order's first half.
+    pub fn stays_old(&self, session: &str, order_revision: u64) -> bool {
+        self.old
+            .get(&order_revision)
+            .is_some_and(|old| old.contains(&draw(session)))
+    }
+
+    /// Takes the sessions that another box knows to be served by the old version.
+    pub fn keep_old(&mut self, order_revision: u64, sessions: &[u64]) {
+        let old = self.old.entry(order_revision).or_default();
+        old.extend(sessions);
+    }
+
+    /// Returns the sessions that an order's first stage could move, and that the old
+    /// version serves as far as this box knows.
+    pub fn old_ones(&mut self, order: &RolloutOrder, now: Now) -> Vec<u64> {
+        let lifetime = self.lifetime;
+        let is_old = |(session, (version, at)): (&u64, &(String, Duration))| {
+            let is_live = now.monotonic.saturating_sub(*at) < lifetime;
+            let is_served_by_old = *version != order.target;
+            (is_live && is_served_by_old && may_be_moved_first(*session)).then_some(*session)
+        };
+        let mine: Vec<u64> = self.versions.iter().filter_map(is_old).collect();
+        self.keep_old(order.revision, &mine);
+        mine
+    }
+
     /// Forgets the sessions that are over.
     pub fn forget(&mut self, now: Now) {
         let lifetime = self.lifetime;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -120,11 +120,9 @@
     has_room && job.may_run_again()
 }
 
-/// Returns how long to wait for one upstream's first event.
+/// Returns how long to wait for the head of an answer.
 fn patience(job: &Job) -> Duration {
-    // The last try has nowhere else to go.
-    let is_last = job.tries.sent() + 1 >= job.route.attempts;
-    match job.route.kind.is_repeatable() && !is_last {
+    match job.route.kind.is_repeatable() && !job.has_last_run_left() {
         true => job.route.objective / FIRST_EVENT_PART,
         false => Duration::MAX,
     }
@@ -146,7 +144,11 @@
     model: Option<String>,
 ) -> First {
     let mut splitter = EventSplitter::default();
-    let wait = patience(job).min(job.left(Now::read()));
+    let patience = match job.may_run_again() {
+        true => job.route.objective / FIRST_EVENT_PART,
+        false => Duration::MAX,
+    };
+    let wait = patience.min(job.left(Now::read()));
     let read = async {
         loop {
             match answer.next_piece().await {
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -82,6 +82,8 @@
             upstream = listed.instance.as_str(),
             version = listed.version.as_str(),
             model = plan.model.unwrap_or(""),
+            session = job.session.as_str(),
+            shared = job.prompt.shared.as_deref().unwrap_or(""),
             after_event = plan.resume_after.unwrap_or(""),
             attempt = job.tries.sent(),
             outstanding = upstream.outstanding();
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -30,6 +30,30 @@
     health: Cell<Health>,
     report: Cell<Option<Report>>,
     lapsed_at: Cell<Option<Duration>>,
+    unread: Rc<Cell<f64>>,
+    elsewhere: Cell<Elsewhere>,
+}
+
+/// What other boxes have under way at an upstream, as they told it last.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Elsewhere {
+    /// Prompt tokens that wait to be read, weighted by model.
+    pub unread: f64,
+    /// Requests under way.
+    pub outstanding: u32,
+}
+
+/// Counts a prompt's tokens out when its first event came or the try ended.
+#[derive(Debug)]
+pub struct Unread {
+    total: Rc<Cell<f64>>,
+    tokens: f64,
+}
+
+impl Drop for Unread {
+    fn drop(&mut self) {
+        self.total.set((self.total.get() - self.tokens).max(0.0));
+    }
 }
 
 /// A report of load, and what this box has sent since.
@@ -69,6 +93,8 @@
             health: Cell::default(),
             report: Cell::default(),
             lapsed_at: Cell::default(),
+            unread: Rc::default(),
+            elsewhere: Cell::default(),
         })
     }
 
@@ -110,6 +136,30 @@
         self.load.outstanding()
     }
 
+    /// Counts a prompt's weighted tokens as waiting to be read until the guard is dropped.
+    pub fn begin_reading(&self, tokens: f64) -> Unread {
+        self.unread.set(self.unread.get() + tokens);
+        Unread {
+            total: self.unread.clone(),
+            tokens,
+        }
+    }
+
+    /// Returns this box's weighted prompt tokens that the upstream has not read yet.
+    pub fn own_unread(&self) -> f64 {
+        self.unread.get()
+    }
+
+    /// Returns all boxes' weighted prompt tokens that the upstream has not read yet.
+    pub fn unread(&self) -> f64 {
+        self.unread.get() + self.elsewhere.get().unread
+    }
+
+    /// Takes what other boxes have under way here.
+    pub fn set_elsewhere(&self, elsewhere: Elsewhere) {
+        self.elsewhere.set(elsewhere);
+    }
+
     /// Takes a report of load out of an answer.
     pub fn reported(&self, load: ReportedLoad, now: Now) {
         self.report.set(Some(Report {
@@ -129,7 +179,7 @@
                     .saturating_sub(report.outstanding_then)
                     .max(own)
             }
-            _ => own,
+            _ => own + self.elsewhere.get().outstanding,
         }
     }
 
