Ask larger models only in time, and wait for long prompts as long as reading takes

Cause: first events of long prompts were given up at half the objective and read again elsewhere; the guard took answers under a growing load for slow ones and took a good version back.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,6 +21,7 @@
 pub mod place;
 pub mod plain;
 pub mod protocol;
+pub mod reading;
 pub mod refusal;
 pub mod relay;
 pub mod retries;
@@ -44,6 +45,7 @@
 use knowledge::Knowledge;
 use loads::Loads;
 use protocol::Headers;
+use reading::ReadingRate;
 use retries::RetryWindow;
 use rollout::{Quality, VersionQuery, VersionRule, VersionWatch, version_rule};
 use sessions::Sessions;
@@ -78,6 +80,8 @@
     pub sessions: RefCell<Sessions>,
     /// What was seen of versions under roll-out.
     pub versions: RefCell<VersionWatch>,
+    /// How fast engines read prompts.
+    pub reading: ReadingRate,
     /// What the other boxes have under way.
     pub loads: RefCell<Loads>,
     /// Log lines and metrics.
@@ -109,6 +113,7 @@
             connections: Connections::default(),
             retries: RefCell::default(),
             loads: RefCell::default(),
+            reading: ReadingRate::default(),
             telemetry: Telemetry::new(metrics),
             life,
             lease: Cell::new(None),
@@ -189,14 +194,20 @@
     pub fn first_event(&self, job: &Job, upstream: &Upstream, took: Duration, model: &str) {
         let now = Now::read();
         let listed = upstream.listed();
+        let ahead = upstream.unread();
+        self.telemetry.first_event(job, model, took, ahead);
+        let weight = self.model_weight(&job.service, Some(model));
+        let tokens = job.prompt.reading_tokens() * weight;
+        let expected = self.reading.expected(tokens);
+        self.reading.learn(tokens, took);
         self.sessions
             .borrow_mut()
             .served(&job.session, &listed.version, now);
         let kind = format!("{} {model}", job.route.name);
         let mut versions = self.versions.borrow_mut();
         if !self.is_under_rollout(&listed) {
-            versions.learn_usual(&kind, took);
-        } else if versions.is_slow(&kind, took) {
+            versions.learn_usual(&kind, took, expected);
+        } else if versions.is_slow(&kind, took, expected) {
             versions.count(&version_of(&listed), &job.route.name, Quality::Slow);
         } else {
             versions.count(&version_of(&listed), &job.route.name, Quality::Whole);
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -3,7 +3,7 @@
 use super::Gateway;
 use super::connect::http1_types;
 use super::exchange::{Failure, NotRun, Outgoing, Tried, TryLimits, try_upstream};
-use super::place::{SharedPrompt, Wish, choose, draw};
+use super::place::{SharedPrompt, Wish, choose, draw, least_reading};
 use super::protocol::{ANY_MODEL, parse_prompt_parts, urgency};
 use super::refusal::{Ran, Why};
 use super::retries::Repeat;
@@ -160,7 +160,7 @@
         let instance = upstream.with_listed(|listed| listed.instance.clone());
         let limits = TryLimits {
             head: plan.head.min(left),
-            tokens: self.prompt.tokens as f64 * gw.model_weight(&self.service, plan.model),
+            tokens: self.prompt.reading_tokens() * gw.model_weight(&self.service, plan.model),
             may_reuse: self.route.kind.is_repeatable(),
         };
         let out = self.outgoing(gw, &instance, plan, now);
@@ -172,26 +172,52 @@
     fn place(&self, gw: &Gateway, model: Option<&str>, now: Now) -> Option<Rc<Upstream>> {
         let candidates = gw.candidates(&self.service, &self.session, now);
         let tried = self.tries.instances.borrow().clone();
-        // Engines keep what they have read by model.
-        let shared = self
-            .prompt
-            .shared
-            .as_ref()
-            .map(|part| format!("{part} {}", model.unwrap_or_default()));
+        let shared = self.shared_name(model);
         let wish = Wish {
             hall: &gw.settings().hall,
-            prompt: shared.as_deref().map(|shared| SharedPrompt {
-                shared,
-                tokens: self.prompt.tokens as f64,
-                shared_tokens: self.prompt.shared_tokens as f64,
-                weight: gw.model_weight(&self.service, model),
-            }),
+            prompt: self.shared_prompt(gw, shared.as_deref(), model),
             tried: &tried,
             draw: draw(&self.request_id),
         };
         choose(&candidates, wish, now)
     }
 
+    /// Names the shared beginning of the prompt; engines keep what they have read by model.
+    fn shared_name(&self, model: Option<&str>) -> Option<String> {
+        let part = self.prompt.shared.as_ref()?;
+        Some(format!("{part} {}", model.unwrap_or_default()))
+    }
+
+    fn shared_prompt<'a>(
+        &self,
+        gw: &Gateway,
+        shared: Option<&'a str>,
+        model: Option<&str>,
+    ) -> Option<SharedPrompt<'a>> {
+        Some(SharedPrompt {
+            shared: shared?,
+            tokens: self.prompt.reading_tokens(),
+            shared_tokens: self.prompt.shared_tokens as f64,
+            weight: gw.model_weight(&self.service, model),
+        })
+    }
+
+    /// Returns how long a model's first event would take from now on.
+    pub fn expected(&self, gw: &Gateway, model: Option<&str>, now: Now) -> Duration {
+        let candidates = gw.candidates(&self.service, &self.session, now);
+        let shared = self.shared_name(model);
+        let tokens = self
+            .shared_prompt(gw, shared.as_deref(), model)
+            .and_then(|prompt| least_reading(&candidates, prompt, now));
+        gw.reading.expected(tokens.unwrap_or_default())
+    }
+
+    /// Returns what is left of the route's objective.
+    pub fn left_of_objective(&self, now: Now) -> Duration {
+        let spent = now.monotonic.saturating_sub(self.received);
+        self.route.objective.saturating_sub(spent)
+    }
+
     fn pay(&self, gw: &Gateway, repeat: Repeat, now: Now) -> bool {
         let mut windows = gw.retries.borrow_mut();
         let window = windows
@@ -277,7 +303,17 @@
     pub tokens: u64,
 }
 
+/// Prompt tokens at which the attention between a prompt's own tokens takes as long as
+/// all else in reading it. First events of prompts from 20,000 to 45,000 tokens gave it.
+const ATTENTION_TOKENS: f64 = 100_000.0;
+
 impl Prompt {
+    /// Returns the prompt's tokens as reading them takes time: long ones take longer.
+    pub fn reading_tokens(&self) -> f64 {
+        let tokens = self.tokens as f64;
+        tokens * (1.0 + tokens / ATTENTION_TOKENS)
+    }
+
     /// Reads a prompt's parts; the last one belongs to the request alone.
     pub fn read(parts: Option<&str>) -> Self {
         let parts = parse_prompt_parts(parts.unwrap_or_default());
--- a/src/gateway/models.rs
+++ b/src/gateway/models.rs
@@ -4,9 +4,15 @@
 //! has none of the answer, it may be dropped and a larger model asked. See
 //! `docs/design/platform.md` for the measurements behind the figures.
 
+use std::time::Duration;
+
 /// The least confidence, from 0 to 100, with which a smaller model's answer is passed on.
-/// On calm days of both users 48 gave more than 40, 55 and 70.
-pub const ENOUGH_CONFIDENCE: u32 = 48;
+/// Below 48 seven in ten such answers were poor on a calm day, from 48 to 56 about half,
+/// above 56 hardly any; the larger model's price is worth it down to one in five.
+pub const ENOUGH_CONFIDENCE: u32 = 56;
+/// The part of the objective, in hundredths, within which the larger model's first event
+/// has to be expected; a late answer earns less than a poor one that cost nothing.
+const IN_TIME_HUNDREDTHS: u32 = 95;
 
 /// What to do with an answer that has just begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,19 +23,44 @@
     AskLarger(usize),
 }
 
+/// How long until the first event is expected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Expected {
+    /// From the smallest model.
+    pub smallest: Duration,
+    /// From the largest model.
+    pub largest: Duration,
+}
+
 /// Returns the place of the model that is asked first.
-pub fn first_model() -> usize {
-    0
+///
+/// Mostly that is the smallest. Where there is time for the largest alone but not for one
+/// after the other, the largest is asked at once.
+pub fn first_model(models: usize, expected: Expected, left: Duration) -> usize {
+    let in_time = left * IN_TIME_HUNDREDTHS / 100;
+    let one_after_the_other = expected.smallest + expected.largest;
+    match expected.largest < in_time && one_after_the_other > in_time {
+        true => models.saturating_sub(1),
+        false => 0,
+    }
 }
 
 /// Judges an answer of the model at a place among `models` models.
 ///
-/// The largest model is asked next, since those between cost most of its price and are
-/// hardly better than the smallest.
-pub fn judge(place: usize, models: usize, confidence: Option<u32>) -> Verdict {
+/// The largest model is asked next, since those between cost much of its price and are
+/// hardly better than the smallest. `expected` is the time until its first event, and
+/// `left` what is left of the objective.
+pub fn judge(
+    place: usize,
+    models: usize,
+    confidence: Option<u32>,
+    expected: Duration,
+    left: Duration,
+) -> Verdict {
     let largest = models.saturating_sub(1);
+    let in_time = expected < left * IN_TIME_HUNDREDTHS / 100;
     match confidence {
-        Some(confidence) if place < largest && confidence < ENOUGH_CONFIDENCE => {
+        Some(confidence) if place < largest && confidence < ENOUGH_CONFIDENCE && in_time => {
             Verdict::AskLarger(largest)
         }
         _ => Verdict::PassOn,
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -85,6 +85,15 @@
     best.map(|(_, _, upstream)| upstream.clone())
 }
 
+/// Returns the least weighted tokens that an engine has to read until a prompt's first
+/// event; none if there is no engine.
+pub fn least_reading(candidates: &[Rc<Upstream>], prompt: SharedPrompt<'_>, now: Now) -> Option<f64> {
+    let all: Vec<&Rc<Upstream>> = candidates.iter().collect();
+    engine_costs(&all, prompt, now)
+        .into_iter()
+        .min_by(f64::total_cmp)
+}
+
 /// Returns what each upstream of a plain service would cost, in parts of its slots.
 fn plain_costs(candidates: &[&Rc<Upstream>], hall: &str, now: Now) -> Vec<f64> {
     let cost = |upstream: &&Rc<Upstream>| {
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -15,6 +15,8 @@
 use std::time::Duration;
 
 const THOUSAND: u64 = 1000;
+/// Stands for all routes together where routes are tested one by one.
+const ALL_ROUTES: &str = "(all routes)";
 /// The stages of a roll-out: from this part of its time on (in hundredths), this part of
 /// the sessions (in thousandths) is served by the target. The operators allow a bad
 /// version 15 in 100 of the requests of the whole time; 10 in 100 over the first half
@@ -30,20 +32,20 @@
 /// The fewest answers of a new version from which it is taken to be good.
 const FEWEST_ANSWERS: u64 = 20;
 /// How many times the usual time to the first event makes an answer a slow one. Bad
-/// versions take several times as long; a busy engine rarely takes three times.
-const SLOW_FACTOR: f64 = 3.0;
+/// versions take eight times as long; a busy engine rarely takes four times.
+const SLOW_FACTOR: f64 = 4.0;
 /// How much of the newest time goes into the usual one.
 const BASELINE_PART: f64 = 0.1;
 /// Answers from which the usual time is known.
 const BASELINE_ANSWERS: u32 = 10;
 
 /// What the guard tolerates of a new version: a few failures in a hundred, as crashed and
-/// failing upstreams cause them, while bad versions fail a third of their requests or
-/// more. A false alarm once in some ten thousand answers takes a good version back.
+/// failing upstreams cause them, and some slow answers, as a growing load causes them,
+/// while bad versions fail or slow a third of their requests or more. A false alarm once in some ten thousand answers takes a good version back.
 const GUARD: GuardPolicy = GuardPolicy {
-    tolerated_bad: 0.06,
-    tolerated_failed: 0.04,
-    ratio: 5.0,
+    tolerated_bad: 0.10,
+    tolerated_failed: 0.05,
+    ratio: 3.5,
     answers_to_false_alarm: 3e4,
 };
 
@@ -194,6 +196,12 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+fn log_ratio(took: Duration, expected: Duration) -> f64 {
+    const SHORTEST: f64 = 0.001;
+    let took = took.as_secs_f64().max(SHORTEST);
+    (took / expected.as_secs_f64().max(SHORTEST)).ln()
+}
+
 /// How an answer of a version went.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Quality {
@@ -216,8 +224,8 @@
     condemned: HashSet<VersionName>,
 }
 
-/// The usual time to the first event, as a mean of logarithms, since times spread by
-/// factors.
+/// How much longer than expected a first event usually takes, as a mean of logarithms,
+/// since times spread by factors.
 #[derive(Debug, Clone, Copy, Default)]
 struct UsualTime {
     mean_log: f64,
@@ -238,8 +246,8 @@
     }
 
     /// Learns the usual time of a kind of request from a version that is not new.
-    pub fn learn_usual(&mut self, kind: &str, took: Duration) {
-        let log = took.as_secs_f64().max(0.001).ln();
+    pub fn learn_usual(&mut self, kind: &str, took: Duration, expected: Duration) {
+        let log = log_ratio(took, expected);
         let usual = self.usual.entry(kind.to_owned()).or_default();
         usual.mean_log += match usual.answers {
             0 => log,
@@ -249,8 +257,8 @@
     }
 
     /// Tells whether a time is several times the usual one.
-    pub fn is_slow(&self, kind: &str, took: Duration) -> bool {
-        let log = took.as_secs_f64().max(0.001).ln();
+    pub fn is_slow(&self, kind: &str, took: Duration, expected: Duration) -> bool {
+        let log = log_ratio(took, expected);
         self.usual.get(kind).is_some_and(|usual| {
             usual.answers >= BASELINE_ANSWERS && log - usual.mean_log > SLOW_FACTOR.ln()
         })
@@ -297,24 +305,21 @@
         if self.condemned.contains(version) {
             return true;
         }
-        for (subject, counts) in self.evidence.by_subject() {
-            if subject.version != *version {
-                continue;
-            }
-            let tested = VersionName {
-                model: format!("{} on {}", version.model, subject.organisation),
-                version: version.version.clone(),
-            };
-            if let Some(alarm) = self.guard.observe(&tested, &counts) {
-                log::warn!(
-                    service = version.model.as_str(),
-                    version = version.version.as_str(),
-                    route = subject.organisation.as_str(),
-                    served = counts.served,
-                    failed = counts.failed,
-                    slow = counts.bad;
-                    "version found bad: {alarm:?}"
-                );
+        // A version may be bad on one route alone, or a little on each.
+        let mut tested: Vec<(String, Counts)> = self
+            .evidence
+            .by_subject()
+            .into_iter()
+            .filter(|(subject, _)| subject.version == *version)
+            .map(|(subject, counts)| (subject.organisation, counts))
+            .collect();
+        let mut all = Counts::default();
+        for (_, counts) in &tested {
+            all.add(counts);
+        }
+        tested.push((ALL_ROUTES.to_owned(), all));
+        for (route, counts) in tested {
+            if self.raises_alarm(version, &route, &counts) {
                 self.condemned.insert(version.clone());
                 return true;
             }
@@ -322,6 +327,26 @@
         false
     }
 
+    fn raises_alarm(&mut self, version: &VersionName, route: &str, counts: &Counts) -> bool {
+        let tested = VersionName {
+            model: format!("{} {route}", version.model),
+            version: version.version.clone(),
+        };
+        let alarm = self.guard.observe(&tested, counts);
+        if let Some(alarm) = alarm {
+            log::warn!(
+                service = version.model.as_str(),
+                version = version.version.as_str(),
+                route,
+                served = counts.served,
+                failed = counts.failed,
+                slow = counts.bad;
+                "version found bad: {alarm:?}"
+            );
+        }
+        alarm.is_some()
+    }
+
     /// Returns the answers of a version that all boxes have seen.
     pub fn answers(&self, version: &VersionName) -> u64 {
         self.evidence
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -8,7 +8,7 @@
 use super::events::EventSplitter;
 use super::exchange::{Answer, Piece, Tried};
 use super::job::{Job, NoTry, TryPlan};
-use super::models::{Verdict, first_model, judge};
+use super::models::{Expected, Verdict, first_model, judge};
 use super::plain::{WholeAnswer, why};
 use super::refusal::Why;
 use super::relay::Relay;
@@ -19,9 +19,12 @@
 
 /// The largest failure that is kept in memory to be passed on.
 const FAILURE_BYTES_LIMIT: usize = 1024 * 1024;
-/// The part of the objective after which another upstream is asked for the first event:
-/// one half leaves the other as much time again.
-const FIRST_EVENT_PART: u32 = 2;
+/// The part of the objective, in hundredths, after which another upstream is asked for the
+/// first event; the rest is time for the other one.
+const FIRST_EVENT_HUNDREDTHS: u32 = 40;
+/// How many times the expected time a first event may take, where that is longer: reading
+/// a long prompt anew elsewhere takes longer than waiting for it.
+const EXPECTED_TIMES: u32 = 3;
 /// How long a request waits before the upstreams that refused it are asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// The part of the objective for which a request is offered again and again before it is
@@ -55,21 +58,25 @@
     } else {
         &[]
     };
-    let mut place = first_model();
+    let mut place = choose_first(gw, job, models);
     let mut repeat = Repeat::Failure;
     let mut failure = None;
     loop {
+        let model = models.get(place).map(String::as_str);
         let plan = TryPlan {
-            model: models.get(place).map(String::as_str),
+            model,
             resume_after: None,
-            head: patience(job),
+            head: patience(gw, job, model),
             repeat,
         };
         repeat = Repeat::Failure;
         match job.try_once(gw, plan).await {
             Ok(Tried::Answered(answer)) if is_success(&answer) => {
                 let confidence = confidence(gw, &answer);
-                match judge(place, models.len(), confidence) {
+                let now = Now::read();
+                let expected = job.expected(gw, models.last().map(String::as_str), now);
+                let left = job.left_of_objective(now);
+                match judge(place, models.len(), confidence, expected, left) {
                     Verdict::AskLarger(larger) if may_escalate(gw, job) => {
                         gw.telemetry.escalated(job, place, larger, confidence);
                         place = larger;
@@ -102,6 +109,16 @@
     }
 }
 
+fn choose_first(gw: &Gateway, job: &Job, models: &[String]) -> usize {
+    let now = Now::read();
+    let expected = |model: Option<&String>| job.expected(gw, model.map(String::as_str), now);
+    let expected = Expected {
+        smallest: expected(models.first()),
+        largest: expected(models.last()),
+    };
+    first_model(models.len(), expected, job.left_of_objective(now))
+}
+
 fn is_success(answer: &Answer) -> bool {
     (200..300).contains(&answer.status)
 }
@@ -121,13 +138,19 @@
 }
 
 /// Returns how long to wait for the head of an answer.
-fn patience(job: &Job) -> Duration {
+fn patience(gw: &Gateway, job: &Job, model: Option<&str>) -> Duration {
     match job.route.kind.is_repeatable() && !job.has_last_run_left() {
-        true => job.route.objective / FIRST_EVENT_PART,
+        true => first_event_patience(gw, job, model),
         false => Duration::MAX,
     }
 }
 
+fn first_event_patience(gw: &Gateway, job: &Job, model: Option<&str>) -> Duration {
+    let usual = job.route.objective * FIRST_EVENT_HUNDREDTHS / 100;
+    let expected = job.expected(gw, model, Now::read()) * EXPECTED_TIMES;
+    usual.max(expected)
+}
+
 fn should_wait(gw: &Gateway, job: &Job) -> bool {
     let now = Now::read();
     let waited = now.monotonic.saturating_sub(job.received);
@@ -145,7 +168,7 @@
 ) -> First {
     let mut splitter = EventSplitter::default();
     let patience = match job.may_run_again() {
-        true => job.route.objective / FIRST_EVENT_PART,
+        true => first_event_patience(gw, job, model.as_deref()),
         false => Duration::MAX,
     };
     let wait = patience.min(job.left(Now::read()));
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -128,6 +128,19 @@
         );
     }
 
+    /// Records when the first event of a try came.
+    pub fn first_event(&self, job: &Job, model: &str, took: Duration, ahead: f64) {
+        log::info!(
+            request = job.request_id.as_str(),
+            model,
+            took_ms = millis(took),
+            tokens = job.prompt.tokens,
+            shared_tokens = job.prompt.shared_tokens,
+            unread_ahead = ahead as u64;
+            "first event"
+        );
+    }
+
     /// Records a stream that came to its end.
     pub fn stream_ended(&self, job: &Job, events: usize, resumed: u32, took: Duration) {
         log::info!(
