Wait for upstreams that are alive, leave silent ones, probe unconnectable ones aside

Cause: under load busy engines were taken for dead, and prompts were read again elsewhere, which made the load worse; unreachable upstreams cost each request 400 ms; larger models filled the queues up to the objective.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -336,6 +336,7 @@
     listen::serve_callers(&gw)?;
     listen::serve_readiness(&gw, &metrics)?;
     actix_rt::spawn(follow::follow(gw.clone(), store.clone()));
+    actix_rt::spawn(follow::probe_unconnectable(gw.clone()));
     actix_rt::spawn(membership::stay_registered(gw.clone(), store.clone()));
     actix_rt::spawn(membership::lead(gw.clone(), store.clone()));
     let peers = gw.clone();
--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -23,7 +23,7 @@
 /// The longest wait for a connection. The way there and back takes a few milliseconds;
 /// a lost opening packet is sent again only after a second, when another upstream has
 /// long answered.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long written bytes may stay unacknowledged before the connection counts as dead.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long a connection may rest and still be used again. Upstreams drop resting
@@ -129,6 +129,16 @@
         }
     }
 
+    /// Tries whether upstreams that took no connection take one again.
+    pub async fn probe(&self, upstream: &Upstream) {
+        let now = Now::read();
+        if let Ok(connection) = self.open(upstream, now).await {
+            upstream.connectable();
+            let instance = upstream.with_listed(|listed| listed.instance.clone());
+            self.rest(&instance, connection, now);
+        }
+    }
+
     /// Closes connections that have rested too long.
     pub fn close_stale(&self, now: Now) {
         let mut idle = self.idle.borrow_mut();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -114,10 +114,18 @@
 }
 
 impl Answer {
+    /// Reads the next piece of the body; none if patience ran out.
+    pub async fn next_piece_within(&mut self, patience: Patience) -> Option<Piece> {
+        let upstream = self.upstream.clone();
+        patiently(&upstream, patience, self.next_piece()).await
+    }
+
     /// Reads the next piece of the body.
     pub async fn next_piece(&mut self) -> Piece {
         loop {
-            match self.body.frame().await {
+            let frame = self.body.frame().await;
+            self.upstream.heard(Now::read());
+            match frame {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(bytes) => return Piece::Bytes(bytes),
                     Err(_trailers) => {}
@@ -169,11 +177,77 @@
     }
 }
 
+/// How long to wait for an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// How long nothing at all may come from the upstream.
+    pub silent: Duration,
+    /// How long nothing may come to this request, while others are answered.
+    pub alive: Duration,
+    /// How long this may take in any case.
+    pub most: Duration,
+}
+
+impl Patience {
+    /// Waits up to `most`, whether anything else comes or not.
+    pub fn up_to(most: Duration) -> Self {
+        Self {
+            silent: Duration::MAX,
+            alive: Duration::MAX,
+            most,
+        }
+    }
+
+    /// Returns the same patience with less time in any case.
+    pub fn within(self, most: Duration) -> Self {
+        Self {
+            most: self.most.min(most),
+            ..self
+        }
+    }
+}
+
+/// How often a wait looks whether anything came to other requests.
+const LOOK_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Waits for something from an upstream; none if patience ran out.
+///
+/// An upstream that answers other requests is alive and only busy, and what it has read
+/// would have to be read again elsewhere, so it gets more time than one that is silent.
+pub async fn patiently<T>(
+    upstream: &Upstream,
+    patience: Patience,
+    future: impl Future<Output = T>,
+) -> Option<T> {
+    let began = Now::read().monotonic;
+    let mut future = std::pin::pin!(future);
+    let least = patience.silent.min(patience.alive).min(patience.most);
+    let mut look = least;
+    loop {
+        match tokio::time::timeout(look, future.as_mut()).await {
+            Ok(outcome) => return Some(outcome),
+            Err(_elapsed) => {
+                let now = Now::read();
+                let waited = now.monotonic.saturating_sub(began);
+                let silent = upstream.silent_since(began, now);
+                if waited >= patience.most {
+                    return None;
+                }
+                if silent >= patience.silent || waited >= patience.alive {
+                    upstream.fell_silent(now);
+                    return None;
+                }
+                look = LOOK_INTERVAL.min(patience.most - waited);
+            }
+        }
+    }
+}
+
 /// How a try is made.
 #[derive(Debug, Clone, Copy)]
 pub struct TryLimits {
     /// How long to wait for the head of the answer.
-    pub head: Duration,
+    pub head: Patience,
     /// The prompt's tokens that the upstream has to read, weighted by model.
     pub tokens: f64,
     /// Whether a connection that was used before may be used; one may close just as the
@@ -202,7 +276,7 @@
         None => match connections.open(upstream, began).await {
             Ok(connection) => connection,
             Err(err) => {
-                upstream.unreachable(Now::read());
+                upstream.unconnectable(Now::read());
                 return Tried::NotRun(NotRun::NoConnection(err.to_string()));
             }
         },
@@ -212,21 +286,19 @@
         Ok(req) => req,
         Err(reason) => return Tried::NotRun(NotRun::NoConnection(reason)),
     };
-    let sent = tokio::time::timeout(limits.head, connection.send(req)).await;
+    let sent = patiently(upstream, limits.head, connection.send(req)).await;
     let now = Now::read();
     let res = match sent {
-        Ok(Ok(res)) => res,
-        Ok(Err(err)) => {
+        Some(Ok(res)) => res,
+        Some(Err(err)) => {
             if !connection.is_reused() {
                 upstream.failed(now);
             }
             return Tried::Unknown(Failure::Broken(err.to_string()));
         }
-        Err(_elapsed) => {
-            upstream.unreachable(now);
-            return Tried::Unknown(Failure::Silent);
-        }
+        None => return Tried::Unknown(Failure::Silent),
     };
+    upstream.heard(now);
     let (parts, body) = res.into_parts();
     let text = |name: &http::HeaderName| {
         parts
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -20,6 +20,8 @@
 /// The time between two checks of the store's revision. Operators' changes have to be in
 /// force within two seconds of their acknowledgement, also while a watch is silent.
 const CHECK_INTERVAL: Duration = Duration::from_millis(900);
+/// The time between two tries to connect to upstreams that took no connection.
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// How long the watch may take to bring what a check has shown to exist.
 const WATCH_LAG: Duration = Duration::from_millis(120);
 
@@ -29,6 +31,25 @@
     tokio::join!(watch(&gw, &*store), check(&gw, &*store));
 }
 
+/// Tries again and again whether upstreams that took no connection take one now, so that
+/// no request has to find out.
+pub async fn probe_unconnectable(gw: Rc<Gateway>) {
+    loop {
+        sleep(PROBE_INTERVAL).await;
+        let unconnectable: Vec<_> = gw
+            .knowledge
+            .borrow()
+            .upstreams()
+            .filter(|upstream| upstream.needs_connection())
+            .cloned()
+            .collect();
+        let probes = unconnectable
+            .iter()
+            .map(|upstream| gw.connections.probe(upstream));
+        futures::future::join_all(probes).await;
+    }
+}
+
 /// Reads everything, again and again until it succeeds.
 async fn read_everything(gw: &Gateway, store: &dyn ControlStore) {
     while !try_read_everything(gw, store).await {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -2,7 +2,8 @@
 
 use super::Gateway;
 use super::connect::http1_types;
-use super::exchange::{Failure, NotRun, Outgoing, Tried, TryLimits, try_upstream};
+use super::exchange::{NotRun, Outgoing, Patience, Tried, TryLimits, try_upstream};
+use super::models::Expected;
 use super::place::{SharedPrompt, Wish, choose, draw, least_reading};
 use super::protocol::{ANY_MODEL, parse_prompt_parts, urgency};
 use super::refusal::{Ran, Why};
@@ -108,7 +109,7 @@
     /// The last event that the caller has, where a stream goes on.
     pub resume_after: Option<&'a str>,
     /// How long to wait for the head.
-    pub head: Duration,
+    pub head: Patience,
     /// What lets this try be a second one.
     pub repeat: Repeat,
 }
@@ -159,7 +160,7 @@
         self.tries.exclude(&upstream);
         let instance = upstream.with_listed(|listed| listed.instance.clone());
         let limits = TryLimits {
-            head: plan.head.min(left),
+            head: plan.head.within(left),
             tokens: self.prompt.reading_tokens() * gw.model_weight(&self.service, plan.model),
             may_reuse: self.route.kind.is_repeatable(),
         };
@@ -203,13 +204,17 @@
     }
 
     /// Returns how long a model's first event would take from now on.
-    pub fn expected(&self, gw: &Gateway, model: Option<&str>, now: Now) -> Duration {
+    pub fn expected(&self, gw: &Gateway, model: Option<&str>, now: Now) -> Expected {
         let candidates = gw.candidates(&self.service, &self.session, now);
         let shared = self.shared_name(model);
-        let tokens = self
-            .shared_prompt(gw, shared.as_deref(), model)
-            .and_then(|prompt| least_reading(&candidates, prompt, now));
-        gw.reading.expected(tokens.unwrap_or_default())
+        let prompt = self.shared_prompt(gw, shared.as_deref(), model);
+        let least = prompt.and_then(|prompt| least_reading(&candidates, prompt, now));
+        let own = prompt.map_or(0.0, |prompt| prompt.tokens * prompt.weight);
+        let total = least.unwrap_or_default();
+        Expected {
+            total: gw.reading.expected(total),
+            ahead: gw.reading.expected((total - own).max(0.0)),
+        }
     }
 
     /// Returns what is left of the route's objective.
@@ -341,9 +346,4 @@
             Self::Unknown(failure) => failure.to_string(),
         }
     }
-
-    /// Tells whether the upstream fell silent or broke off, which asks for another one.
-    pub fn is_unknown(&self) -> bool {
-        matches!(self, Self::Unknown(Failure::Broken(_) | Failure::Silent))
-    }
 }
--- a/src/gateway/models.rs
+++ b/src/gateway/models.rs
@@ -13,6 +13,10 @@
 /// The part of the objective, in hundredths, within which the larger model's first event
 /// has to be expected; a late answer earns less than a poor one that cost nothing.
 const IN_TIME_HUNDREDTHS: u32 = 95;
+/// The part of what is left of the objective, in hundredths, that the largest model's
+/// prompts waiting ahead may take. It is ten times dearer in time than the smallest; when
+/// its prompts fill the engines, every request of every model waits.
+const AHEAD_HUNDREDTHS: u32 = 20;
 
 /// What to do with an answer that has just begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,23 +27,30 @@
     AskLarger(usize),
 }
 
-/// How long until the first event is expected.
+/// How long until a model's first event is expected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Expected {
-    /// From the smallest model.
-    pub smallest: Duration,
-    /// From the largest model.
-    pub largest: Duration,
+    /// In all.
+    pub total: Duration,
+    /// For what waits ahead of this request's own prompt.
+    pub ahead: Duration,
+}
+
+impl Expected {
+    fn is_in_time(self, left: Duration) -> bool {
+        let is_total_in_time = self.total < left * IN_TIME_HUNDREDTHS / 100;
+        is_total_in_time && self.ahead < left * AHEAD_HUNDREDTHS / 100
+    }
 }
 
 /// Returns the place of the model that is asked first.
 ///
 /// Mostly that is the smallest. Where there is time for the largest alone but not for one
 /// after the other, the largest is asked at once.
-pub fn first_model(models: usize, expected: Expected, left: Duration) -> usize {
-    let in_time = left * IN_TIME_HUNDREDTHS / 100;
-    let one_after_the_other = expected.smallest + expected.largest;
-    match expected.largest < in_time && one_after_the_other > in_time {
+pub fn first_model(models: usize, smallest: Expected, largest: Expected, left: Duration) -> usize {
+    let one_after_the_other = smallest.total + largest.total;
+    let is_enough_for_both = one_after_the_other < left * IN_TIME_HUNDREDTHS / 100;
+    match largest.is_in_time(left) && !is_enough_for_both {
         true => models.saturating_sub(1),
         false => 0,
     }
@@ -54,11 +65,11 @@
     place: usize,
     models: usize,
     confidence: Option<u32>,
-    expected: Duration,
+    expected: Expected,
     left: Duration,
 ) -> Verdict {
     let largest = models.saturating_sub(1);
-    let in_time = expected < left * IN_TIME_HUNDREDTHS / 100;
+    let in_time = expected.is_in_time(left);
     match confidence {
         Some(confidence) if place < largest && confidence < ENOUGH_CONFIDENCE && in_time => {
             Verdict::AskLarger(largest)
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -87,7 +87,11 @@
 
 /// Returns the least weighted tokens that an engine has to read until a prompt's first
 /// event; none if there is no engine.
-pub fn least_reading(candidates: &[Rc<Upstream>], prompt: SharedPrompt<'_>, now: Now) -> Option<f64> {
+pub fn least_reading(
+    candidates: &[Rc<Upstream>],
+    prompt: SharedPrompt<'_>,
+    now: Now,
+) -> Option<f64> {
     let all: Vec<&Rc<Upstream>> = candidates.iter().collect();
     engine_costs(&all, prompt, now)
         .into_iter()
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -2,7 +2,7 @@
 
 use super::Gateway;
 use super::connect::http1_types;
-use super::exchange::{Answer, Tried};
+use super::exchange::{Answer, Patience, Tried};
 use super::job::{Job, NoTry, TryPlan};
 use super::refusal::Why;
 use super::retries::Repeat;
@@ -14,10 +14,11 @@
 /// The largest answer that is kept in memory to be passed on whole; the users' answers
 /// take some kilobytes.
 const ANSWER_BYTES_LIMIT: usize = 8 * 1024 * 1024;
-/// How many times a request's objective one upstream may take before another is asked,
-/// where the request may run twice: an answer later than this is rarely in time any more,
-/// while a healthy upstream rarely takes as long.
-const PATIENCE: u32 = 3;
+/// How many times a request's objective an upstream from which nothing comes may take
+/// before another is asked, where the request may run twice.
+const SILENT_OBJECTIVES: u32 = 2;
+/// The same for an upstream that answers other requests meanwhile.
+const ALIVE_OBJECTIVES: u32 = 4;
 /// How long a request waits for an upstream to appear or to take it again.
 const RETRY_PAUSE: Duration = Duration::from_millis(15);
 
@@ -62,11 +63,16 @@
 }
 
 /// Returns how long to wait for one upstream.
-fn patience(job: &Job) -> Duration {
+fn patience(job: &Job) -> Patience {
+    let all = Patience::up_to(Duration::MAX);
     match job.route.kind {
-        RouteKind::Idempotent => job.route.objective * PATIENCE,
-        // A request that runs at most once has nowhere else to go.
-        RouteKind::NonIdempotent | RouteKind::Stream { .. } => Duration::MAX,
+        RouteKind::Idempotent if !job.has_last_run_left() => Patience {
+            silent: job.route.objective * SILENT_OBJECTIVES,
+            alive: job.route.objective * ALIVE_OBJECTIVES,
+            ..all
+        },
+        // A request that cannot run again has nowhere else to go.
+        _ => all,
     }
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 
 use super::Gateway;
 use super::events::{EventSplitter, Events};
-use super::exchange::{Answer, Piece, Tried};
+use super::exchange::{Answer, Patience, Piece, Tried};
 use super::job::{Job, NoTry, TryPlan};
 use super::retries::Repeat;
 use crate::clock::Now;
@@ -14,9 +14,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The part of the longest timely pause after which another upstream is asked to go on,
-/// in tenths. The rest is for the other one to read the prompt.
-const SILENCE_TENTHS: u32 = 7;
+/// The part of the longest timely pause after which another upstream is asked to go on if
+/// nothing came from the first to any request, in tenths. The rest is for the other one to
+/// read the prompt.
+const SILENT_TENTHS: u32 = 6;
+/// The same if the upstream is alive: such a stream was put back for a while, and is late
+/// anyway when it is read anew elsewhere.
+const ALIVE_TENTHS: u32 = 25;
 /// How long the head of a resumed answer may take where another upstream is left to ask;
 /// reading the longest prompt takes under a second.
 const RESUME_HEAD: Duration = Duration::from_millis(1500);
@@ -102,9 +106,9 @@
                 return Some(Ok(events.bytes));
             }
             let answer = self.answer.as_mut()?;
-            let wait = silence(&self.job).min(self.job.left(Now::read()));
-            let broken = match tokio::time::timeout(wait, answer.next_piece()).await {
-                Ok(Piece::Bytes(bytes)) => match self.splitter.push(&bytes) {
+            let patience = patience(&self.job).within(self.job.left(Now::read()));
+            let broken = match answer.next_piece_within(patience).await {
+                Some(Piece::Bytes(bytes)) => match self.splitter.push(&bytes) {
                     Ok(events) => {
                         answer.has_read();
                         self.ready = events;
@@ -112,13 +116,13 @@
                     }
                     Err(_too_large) => "an event has no end".to_owned(),
                 },
-                Ok(Piece::End) if !self.splitter.is_inside_event() => {
+                Some(Piece::End) if !self.splitter.is_inside_event() => {
                     self.finish();
                     return None;
                 }
-                Ok(Piece::End) => "the stream ended inside an event".to_owned(),
-                Ok(Piece::Broken(reason)) => reason,
-                Err(_elapsed) => "no event came in time".to_owned(),
+                Some(Piece::End) => "the stream ended inside an event".to_owned(),
+                Some(Piece::Broken(reason)) => reason,
+                None => "no event came in time".to_owned(),
             };
             if let Err(broke_off) = self.carry_over(broken).await {
                 self.answer = None;
@@ -144,7 +148,7 @@
             self.gw
                 .telemetry
                 .broke_off(&self.job, answer.upstream(), &reason);
-            answer.upstream().unreachable(Now::read());
+            answer.upstream().failed(Now::read());
         }
         self.splitter = EventSplitter::default();
         loop {
@@ -155,8 +159,12 @@
                 model: self.model.as_deref(),
                 resume_after: self.last_id.as_deref(),
                 head: match self.job.has_last_run_left() {
-                    true => Duration::MAX,
-                    false => RESUME_HEAD,
+                    true => Patience::up_to(Duration::MAX),
+                    false => Patience {
+                        silent: RESUME_HEAD,
+                        alive: RESUME_HEAD * 2,
+                        most: Duration::MAX,
+                    },
                 },
                 repeat: Repeat::Failure,
             };
@@ -178,9 +186,14 @@
 }
 
 /// Returns how long a pause may be before another upstream is asked to go on.
-fn silence(job: &Job) -> Duration {
+fn patience(job: &Job) -> Patience {
+    let all = Patience::up_to(Duration::MAX);
     match job.route.kind.stream_gap() {
-        Some(gap) if job.may_run_again() => gap * SILENCE_TENTHS / 10,
-        _ => Duration::MAX,
+        Some(gap) if job.may_run_again() => Patience {
+            silent: gap * SILENT_TENTHS / 10,
+            alive: gap * ALIVE_TENTHS / 10,
+            ..all
+        },
+        _ => all,
     }
 }
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -110,7 +110,11 @@
     /// Returns how much of an engine's time a token of a model takes, against the
     /// dearest model. Nothing tells a model's speed, and its price grows with it.
     pub fn weight(&self, model: &str) -> f64 {
-        let dearest = self.models.iter().map(|(_, price)| *price).fold(0.0, f64::max);
+        let dearest = self
+            .models
+            .iter()
+            .map(|(_, price)| *price)
+            .fold(0.0, f64::max);
         let found = self.models.iter().find(|(name, _)| name == model);
         match found {
             Some((_, price)) if dearest > 0.0 => price / dearest,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -6,9 +6,9 @@
 use super::Gateway;
 use super::connect::http1_types;
 use super::events::EventSplitter;
-use super::exchange::{Answer, Piece, Tried};
+use super::exchange::{Answer, Patience, Piece, Tried, patiently};
 use super::job::{Job, NoTry, TryPlan};
-use super::models::{Expected, Verdict, first_model, judge};
+use super::models::{Verdict, first_model, judge};
 use super::plain::{WholeAnswer, why};
 use super::refusal::Why;
 use super::relay::Relay;
@@ -20,8 +20,11 @@
 /// The largest failure that is kept in memory to be passed on.
 const FAILURE_BYTES_LIMIT: usize = 1024 * 1024;
 /// The part of the objective, in hundredths, after which another upstream is asked for the
-/// first event; the rest is time for the other one.
-const FIRST_EVENT_HUNDREDTHS: u32 = 40;
+/// first event if nothing came from the first to any request; the rest is time for the
+/// other one.
+const SILENT_HUNDREDTHS: u32 = 35;
+/// The same if the upstream is alive, and perhaps only busy.
+const ALIVE_HUNDREDTHS: u32 = 90;
 /// How many times the expected time a first event may take, where that is longer: reading
 /// a long prompt anew elsewhere takes longer than waiting for it.
 const EXPECTED_TIMES: u32 = 3;
@@ -112,11 +115,8 @@
 fn choose_first(gw: &Gateway, job: &Job, models: &[String]) -> usize {
     let now = Now::read();
     let expected = |model: Option<&String>| job.expected(gw, model.map(String::as_str), now);
-    let expected = Expected {
-        smallest: expected(models.first()),
-        largest: expected(models.last()),
-    };
-    first_model(models.len(), expected, job.left_of_objective(now))
+    let (smallest, largest) = (expected(models.first()), expected(models.last()));
+    first_model(models.len(), smallest, largest, job.left_of_objective(now))
 }
 
 fn is_success(answer: &Answer) -> bool {
@@ -138,17 +138,21 @@
 }
 
 /// Returns how long to wait for the head of an answer.
-fn patience(gw: &Gateway, job: &Job, model: Option<&str>) -> Duration {
+fn patience(gw: &Gateway, job: &Job, model: Option<&str>) -> Patience {
     match job.route.kind.is_repeatable() && !job.has_last_run_left() {
         true => first_event_patience(gw, job, model),
-        false => Duration::MAX,
+        false => Patience::up_to(Duration::MAX),
     }
 }
 
-fn first_event_patience(gw: &Gateway, job: &Job, model: Option<&str>) -> Duration {
-    let usual = job.route.objective * FIRST_EVENT_HUNDREDTHS / 100;
-    let expected = job.expected(gw, model, Now::read()) * EXPECTED_TIMES;
-    usual.max(expected)
+fn first_event_patience(gw: &Gateway, job: &Job, model: Option<&str>) -> Patience {
+    let expected = job.expected(gw, model, Now::read()).total * EXPECTED_TIMES;
+    let part = |hundredths: u32| (job.route.objective * hundredths / 100).max(expected);
+    Patience {
+        silent: part(SILENT_HUNDREDTHS),
+        alive: part(ALIVE_HUNDREDTHS),
+        most: Duration::MAX,
+    }
 }
 
 fn should_wait(gw: &Gateway, job: &Job) -> bool {
@@ -169,9 +173,10 @@
     let mut splitter = EventSplitter::default();
     let patience = match job.may_run_again() {
         true => first_event_patience(gw, job, model.as_deref()),
-        false => Duration::MAX,
+        false => Patience::up_to(Duration::MAX),
     };
-    let wait = patience.min(job.left(Now::read()));
+    let patience = patience.within(job.left(Now::read()));
+    let upstream = answer.upstream().clone();
     let read = async {
         loop {
             match answer.next_piece().await {
@@ -188,18 +193,15 @@
             }
         }
     };
-    let reason = match tokio::time::timeout(wait, read).await {
-        Ok(Ok(events)) => {
+    let reason = match patiently(&upstream, patience, read).await {
+        Some(Ok(events)) => {
             return First::Came(Relay::new(gw, job, answer, splitter, events, model));
         }
-        Ok(Err(reason)) => {
-            answer.upstream().failed(Now::read());
+        Some(Err(reason)) => {
+            upstream.failed(Now::read());
             reason
         }
-        Err(_elapsed) => {
-            answer.upstream().unreachable(Now::read());
-            "no event came in time".to_owned()
-        }
+        None => "no event came in time".to_owned(),
     };
     gw.telemetry.broke_off(job, answer.upstream(), &reason);
     First::NotYet
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -18,7 +18,11 @@
 /// How long an upstream that did not even take a connection, or that fell silent, gets
 /// only what no other can take. A crashed upstream is back after two seconds or more on
 /// the users' days, and the list drops it after three heartbeats of 1.2 s.
-const UNREACHABLE_REST: Duration = Duration::from_millis(1500);
+const FIRST_REST: Duration = Duration::from_millis(1200);
+/// The longest rest; each one in a row takes twice as long as the one before.
+const LONGEST_REST: Duration = Duration::from_secs(5);
+/// Rests after which they do not grow any more.
+const MOST_DOUBLINGS: u32 = 4;
 /// How long a report of load is trusted; upstreams serve from two requests a second up.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 
@@ -32,6 +36,7 @@
     lapsed_at: Cell<Option<Duration>>,
     unread: Rc<Cell<f64>>,
     elsewhere: Cell<Elsewhere>,
+    heard_at: Cell<Duration>,
 }
 
 /// What other boxes have under way at an upstream, as they told it last.
@@ -71,6 +76,9 @@
     failures: f64,
     updated: Duration,
     rests_until: Duration,
+    rests_in_a_row: u32,
+    /// Whether the upstream took no connection, so that one has to succeed first.
+    unconnectable: bool,
 }
 
 impl Health {
@@ -95,6 +103,7 @@
             lapsed_at: Cell::default(),
             unread: Rc::default(),
             elsewhere: Cell::default(),
+            heard_at: Cell::default(),
         })
     }
 
@@ -194,6 +203,8 @@
         let mut health = self.health.get().faded(now);
         health.answers += 1.0;
         health.rests_until = Duration::ZERO;
+        health.rests_in_a_row = 0;
+        health.unconnectable = false;
         self.health.set(health);
     }
 
@@ -204,17 +215,60 @@
         self.health.set(health);
     }
 
-    /// Records that the upstream took no connection or fell silent.
-    pub fn unreachable(&self, now: Now) {
+    /// Records that the upstream fell silent.
+    pub fn fell_silent(&self, now: Now) {
+        self.rest(now, false);
+    }
+
+    /// Records that the upstream took no connection.
+    pub fn unconnectable(&self, now: Now) {
+        self.rest(now, true);
+    }
+
+    fn rest(&self, now: Now, unconnectable: bool) {
         let mut health = self.health.get().faded(now);
         health.failures += 1.0;
-        health.rests_until = now.monotonic + UNREACHABLE_REST;
+        health.unconnectable |= unconnectable;
+        // Requests that fail together count as one reason to rest.
+        if now.monotonic >= health.rests_until {
+            let rest = FIRST_REST * 2u32.saturating_pow(health.rests_in_a_row);
+            health.rests_until = now.monotonic + rest.min(LONGEST_REST);
+            health.rests_in_a_row = (health.rests_in_a_row + 1).min(MOST_DOUBLINGS);
+        }
         self.health.set(health);
     }
 
+    /// Records that the upstream takes connections.
+    pub fn connectable(&self) {
+        let mut health = self.health.get();
+        if health.unconnectable {
+            health.unconnectable = false;
+            health.rests_until = Duration::ZERO;
+            self.health.set(health);
+        }
+    }
+
+    /// Tells whether a connection has to succeed before the upstream is used again.
+    pub fn needs_connection(&self) -> bool {
+        self.health.get().unconnectable
+    }
+
     /// Tells whether the upstream should get only what no other can take.
     pub fn rests(&self, now: Now) -> bool {
-        now.monotonic < self.health.get().rests_until
+        let health = self.health.get();
+        health.unconnectable || now.monotonic < health.rests_until
+    }
+
+    /// Records that something came from the upstream.
+    pub fn heard(&self, now: Now) {
+        self.heard_at.set(now.monotonic);
+    }
+
+    /// Returns how long nothing has come from the upstream to any request of this box,
+    /// counted from a moment at the earliest.
+    pub fn silent_since(&self, moment: Duration, now: Now) -> Duration {
+        now.monotonic
+            .saturating_sub(moment.max(self.heard_at.get()))
     }
 
     /// Returns the part of requests that it failed of late, from 0 to 1.
