--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,6 +8,7 @@
 use super::exchange::{Answer, Patience, Piece, Tried};
 use super::job::{Job, NoTry, TryPlan};
 use super::retries::Repeat;
+use super::telemetry::StreamSummary;
 use crate::clock::Now;
 use bytes::Bytes;
 use std::fmt;
@@ -38,6 +39,8 @@
     last_id: Option<String>,
     events: usize,
     began: Duration,
+    last_event: Duration,
+    longest_pause: Duration,
     resumed: u32,
 }
 
@@ -91,6 +94,8 @@
             last_id,
             events: 0,
             began: now.monotonic,
+            last_event: now.monotonic,
+            longest_pause: Duration::ZERO,
             resumed: 0,
         }
     }
@@ -99,6 +104,7 @@
     pub async fn next(&mut self) -> Option<Result<Bytes, BrokeOff>> {
         loop {
             if let Some(events) = self.ready.take() {
+                self.note_pause(Now::read());
                 self.events += events.count;
                 if events.last_id.is_some() {
                     self.last_id = events.last_id;
@@ -131,15 +137,26 @@
         }
     }
 
+    fn note_pause(&mut self, now: Now) {
+        let pause = now.monotonic.saturating_sub(self.last_event);
+        self.longest_pause = self.longest_pause.max(pause);
+        self.last_event = now.monotonic;
+    }
+
     fn finish(&mut self) {
         let now = Now::read();
         if let Some(answer) = self.answer.take() {
             answer.finish(&self.gw.connections, now);
         }
-        let took = now.monotonic.saturating_sub(self.began);
-        self.gw
-            .telemetry
-            .stream_ended(&self.job, self.events, self.resumed, took);
+        self.gw.telemetry.stream_ended(
+            &self.job,
+            &StreamSummary {
+                events: self.events,
+                resumed: self.resumed,
+                longest_pause: self.longest_pause,
+                took: now.monotonic.saturating_sub(self.began),
+            },
+        );
     }
 
     /// Lets another upstream go on after the last event that the caller has.
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -17,6 +17,19 @@
     0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 25.0,
 ];
 
+/// What is said of a stream at its end.
+#[derive(Debug, Clone, Copy)]
+pub struct StreamSummary {
+    /// The events that were passed on.
+    pub events: usize,
+    /// How many times another upstream went on with it.
+    pub resumed: u32,
+    /// The longest pause between two events.
+    pub longest_pause: Duration,
+    /// The time from the first event to the end.
+    pub took: Duration,
+}
+
 /// The gateway's instruments and log lines.
 #[derive(Debug)]
 pub struct Telemetry {
@@ -142,12 +155,13 @@
     }
 
     /// Records a stream that came to its end.
-    pub fn stream_ended(&self, job: &Job, events: usize, resumed: u32, took: Duration) {
+    pub fn stream_ended(&self, job: &Job, summary: &StreamSummary) {
         log::info!(
             request = job.request_id.as_str(),
-            events,
-            resumed,
-            took_ms = millis(took);
+            events = summary.events,
+            resumed = summary.resumed,
+            longest_pause_ms = millis(summary.longest_pause),
+            took_ms = millis(summary.took);
             "stream ended"
         );
     }
