Let entries that vanished during a cut count as gone two seconds after the store is back

Now the first answered call, a watch too, begins the grace, and each placement looks whether it is over.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -136,7 +136,7 @@
     /// Returns the upstreams of a service that may serve a session's request.
     pub fn candidates(&self, service: &str, session: &str, now: Now) -> Vec<Rc<Upstream>> {
         let knowledge = self.knowledge.borrow();
-        let mut open = knowledge.open_upstreams(service);
+        let mut open = knowledge.open_upstreams(service, now);
         let rollout = knowledge.rollout(service);
         if rollout.is_none() {
             return open;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -86,6 +86,7 @@
         match store.watch(after, WATCH_WAIT).await {
             Ok(Watched::Changes(updates, revision)) => {
                 let now = Now::read();
+                gw.store_answered(now);
                 let mut knowledge = gw.knowledge.borrow_mut();
                 for update in updates {
                     let change = knowledge.apply(update, now);
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -14,7 +14,7 @@
 
 /// How long an upstream whose entry lapsed with the store's outage is still used. The
 /// users say that entries of live upstreams are back within about two seconds.
-const LAPSE_GRACE: Duration = Duration::from_millis(2300);
+const LAPSE_GRACE: Duration = Duration::from_millis(2100);
 
 /// What a box knows.
 #[derive(Debug, Default)]
@@ -274,9 +274,15 @@
     }
 
     /// Returns the upstreams of a service that take new work.
-    pub fn open_upstreams(&self, service: &str) -> Vec<Rc<Upstream>> {
+    ///
+    /// Those whose entries lapsed take it only until the store has settled.
+    pub fn open_upstreams(&self, service: &str, now: Now) -> Vec<Rc<Upstream>> {
+        let is_settled = !self.store_is_unsettled(now);
         let is_open = |upstream: &&Rc<Upstream>| {
-            upstream.with_listed(|listed| listed.service == service && !listed.draining)
+            let is_gone = is_settled && upstream.lapsed_at().is_some();
+            let serves =
+                upstream.with_listed(|listed| listed.service == service && !listed.draining);
+            serves && !is_gone
         };
         let mut open: Vec<Rc<Upstream>> =
             self.upstreams.values().filter(is_open).cloned().collect();
@@ -289,13 +295,6 @@
         self.upstreams.values()
     }
 
-    /// Tells whether an instance is still listed and takes new work.
-    pub fn is_open(&self, instance: &str) -> bool {
-        self.upstreams
-            .get(instance)
-            .is_some_and(|upstream| upstream.with_listed(|listed| !listed.draining))
-    }
-
     /// Removes an upstream whose address answered for another instance.
     pub fn forget_upstream(&mut self, instance: &str) {
         self.upstreams.remove(instance);
