--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,11 +11,13 @@
 pub mod events;
 pub mod exchange;
 pub mod follow;
+pub mod hubs;
 pub mod job;
 pub mod knowledge;
 pub mod listen;
 pub mod loads;
 pub mod membership;
+pub mod mirror;
 pub mod models;
 pub mod peers;
 pub mod place;
@@ -41,9 +43,11 @@
 use crate::store::StoreError;
 use connect::Connections;
 use control::ControlStore;
+use hubs::Hubs;
 use job::Job;
 use knowledge::Knowledge;
 use loads::Loads;
+use mirror::Mirror;
 use protocol::Headers;
 use reading::ReadingRate;
 use retries::RetryWindow;
@@ -55,6 +59,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use telemetry::Telemetry;
+use tokio::sync::Notify;
 use upstream::Upstream;
 
 /// How long after the signal to stop streams are still taken: those that begin later
@@ -72,6 +77,12 @@
     pub headers: Headers,
     /// What the box knows.
     pub knowledge: RefCell<Knowledge>,
+    /// The store's items, to be passed on.
+    pub mirror: RefCell<Mirror>,
+    /// How boxes pass on what the store holds.
+    pub hubs: Hubs,
+    /// Rings when the store's items have changed.
+    pub news: Notify,
     /// Resting connections to upstreams.
     pub connections: Connections,
     /// The budgets of repeats by service.
@@ -110,6 +121,9 @@
             settings: RefCell::new(Rc::new(settings)),
             headers,
             knowledge: RefCell::default(),
+            mirror: RefCell::default(),
+            hubs: Hubs::default(),
+            news: Notify::new(),
             connections: Connections::default(),
             retries: RefCell::default(),
             loads: RefCell::default(),
@@ -269,6 +283,15 @@
         }
     }
 
+    /// Tells whether this box calls the store for others: it is a hub, or nobody is
+    /// registered yet.
+    pub fn is_hub(&self) -> bool {
+        let own = self.settings().peers;
+        let knowledge = self.knowledge.borrow();
+        let hubs = hubs::choose_hubs(knowledge.boxes());
+        hubs.is_empty() || hubs.iter().any(|hub| hub.address == own)
+    }
+
     /// Counts a request in until the guard is dropped.
     pub fn count_in(&self) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
@@ -339,10 +362,11 @@
     actix_rt::spawn(follow::probe_unconnectable(gw.clone()));
     actix_rt::spawn(membership::stay_registered(gw.clone(), store.clone()));
     actix_rt::spawn(membership::lead(gw.clone(), store.clone()));
-    let peers = gw.clone();
+    actix_rt::spawn(follow::tidy(gw.clone()));
+    let exchange = peers::exchange(gw.clone(), store.clone());
     actix_rt::spawn(async move {
-        if let Err(err) = peers::exchange(peers).await {
-            log::error!("counts are not exchanged with other boxes: {err}");
+        if let Err(err) = exchange.await {
+            log::error!("nothing is exchanged with other boxes: {err}");
         }
     });
     let settings = gw.settings();
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -12,6 +12,36 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// One item of the store, or the news that it is gone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// The item's key.
+    pub key: String,
+    /// The item's bytes; none if it is gone.
+    pub value: Option<Vec<u8>>,
+    /// The store's revision of the last change.
+    pub revision: u64,
+    /// The store's revision at which the item was made.
+    pub created: u64,
+}
+
+impl Item {
+    /// Makes the news that an item is gone since a revision.
+    pub fn gone(key: &str, revision: u64) -> Self {
+        Self {
+            key: key.to_owned(),
+            value: None,
+            revision,
+            created: 0,
+        }
+    }
+
+    /// Tells whether the item is gone.
+    pub fn is_gone(&self) -> bool {
+        self.value.is_none()
+    }
+}
+
 /// A change of one item of the store, decoded.
 #[derive(Debug, Clone)]
 pub enum Update {
@@ -120,7 +150,7 @@
 #[derive(Debug, Clone)]
 pub struct Listing {
     /// The items.
-    pub updates: Vec<Update>,
+    pub items: Vec<Item>,
     /// The revision after which changes are still to come.
     pub revision: u64,
 }
@@ -129,7 +159,7 @@
 #[derive(Debug, Clone)]
 pub enum Watched {
     /// Changes in their order, and the revision to go on from.
-    Changes(Vec<Update>, u64),
+    Changes(Vec<Item>, u64),
     /// The history after the revision is gone; everything has to be read anew.
     HistoryGone,
 }
@@ -145,6 +175,9 @@
 
 /// The platform's metadata store, as far as the gateway uses it.
 pub trait ControlStore: fmt::Debug {
+    /// Reads an item's bytes; none where the gateway has no use for the item.
+    fn decode(&self, item: &Item) -> Option<Update>;
+
     /// Reads everything, linearizably.
     fn read_all(&self) -> LocalBoxFuture<'_, StoreResult<Listing>>;
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,12 +1,13 @@
 //! Keeps a box's knowledge fresh.
 //!
-//! A watch brings changes as they happen; a cheap linearizable call bounds the age of
-//! what is known, since a watch may be silent while changes are made. A watch whose
-//! history is gone, or that has fallen behind, is replaced by reading everything.
-//! See `docs/design/platform.md`.
+//! Two boxes, the hubs, call the store: a watch brings changes as they happen, and a
+//! cheap linearizable call bounds the age of what is known, since a watch may be silent
+//! while changes are made. The other boxes ask a hub ([`super::hubs`]) and call the store
+//! only when what they know grows old. See `docs/design/platform.md`.
 
 use super::Gateway;
-use super::control::{ControlStore, Watched};
+use super::control::{ControlStore, Item, Watched};
+use super::mirror::Changes;
 use crate::clock::Now;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,15 +16,25 @@
 /// How long one watch waits. Watches are answered at once on a change, so this only
 /// bounds how long a dead one is held.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// The pause between two watches, in which changes gather: each watch is a priced call.
+const WATCH_PAUSE: Duration = Duration::from_millis(120);
 /// The pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
-/// The time between two checks of the store's revision. Operators' changes have to be in
-/// force within two seconds of their acknowledgement, also while a watch is silent.
-const CHECK_INTERVAL: Duration = Duration::from_millis(900);
+/// The age of knowledge at which a hub checks the store's revision. Operators' changes
+/// have to be in force within two seconds of their acknowledgement, also while a watch is
+/// silent.
+const HUB_AGE: Duration = Duration::from_millis(900);
+/// The age at which every other box calls the store itself, since no hub has told it
+/// anything fresh: above what hubs give, and early enough for the same two seconds.
+const OWN_AGE: Duration = Duration::from_millis(1500);
+/// How often the age is looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// How often tidying is due.
+const TIDY_INTERVAL: Duration = Duration::from_millis(500);
 /// The time between two tries to connect to upstreams that took no connection.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// How long the watch may take to bring what a check has shown to exist.
-const WATCH_LAG: Duration = Duration::from_millis(120);
+const WATCH_LAG: Duration = Duration::from_millis(150);
 
 /// Follows the store for as long as the process lives.
 pub async fn follow(gw: Rc<Gateway>, store: Rc<dyn ControlStore>) {
@@ -50,6 +61,55 @@
     }
 }
 
+/// Tidies up for as long as the process lives.
+pub async fn tidy(gw: Rc<Gateway>) {
+    loop {
+        sleep(TIDY_INTERVAL).await;
+        let now = Now::read();
+        let mut knowledge = gw.knowledge.borrow_mut();
+        for change in knowledge.drop_lapsed(now) {
+            gw.telemetry
+                .learned(&change, "lapse", gw.mirror.borrow().revision());
+        }
+        gw.telemetry.aged(knowledge.age(now));
+        drop(knowledge);
+        gw.connections.close_stale(now);
+        gw.sessions.borrow_mut().forget(now);
+    }
+}
+
+/// Takes items into what the box knows.
+pub fn take_changes(gw: &Gateway, store: &dyn ControlStore, changes: Changes, source: &str) {
+    let now = Now::read();
+    let revision = changes.revision;
+    let mut mirror = gw.mirror.borrow_mut();
+    let news = match changes.is_all {
+        true => mirror.take_all(changes.items, revision),
+        false => mirror.take(changes.items, revision),
+    };
+    drop(mirror);
+    let mut knowledge = gw.knowledge.borrow_mut();
+    for item in &news {
+        if let Some(update) = store.decode(item) {
+            let change = knowledge.apply(update, now);
+            gw.telemetry.learned(&change, source, revision);
+        }
+    }
+    if !news.is_empty() {
+        gw.news.notify_waiters();
+    }
+}
+
+fn take_items(gw: &Gateway, store: &dyn ControlStore, items: Vec<Item>, revision: u64) {
+    let changes = Changes {
+        after: gw.mirror.borrow().revision(),
+        revision,
+        is_all: false,
+        items,
+    };
+    take_changes(gw, store, changes, "watch");
+}
+
 /// Reads everything, again and again until it succeeds.
 async fn read_everything(gw: &Gateway, store: &dyn ControlStore) {
     while !try_read_everything(gw, store).await {
@@ -62,14 +122,15 @@
     gw.telemetry.store_called("list");
     match store.read_all().await {
         Ok(listing) => {
-            let now = Now::read();
-            gw.store_answered(now);
-            let mut knowledge = gw.knowledge.borrow_mut();
-            let revision = listing.revision;
-            for change in knowledge.apply_all(listing.updates, revision, now) {
-                gw.telemetry.learned(&change, "list", revision);
-            }
-            knowledge.confirm(sent.monotonic);
+            gw.store_answered(Now::read());
+            let changes = Changes {
+                after: 0,
+                revision: listing.revision,
+                is_all: true,
+                items: listing.items,
+            };
+            take_changes(gw, store, changes, "list");
+            gw.knowledge.borrow_mut().confirm(sent.monotonic);
             true
         }
         Err(err) => {
@@ -79,20 +140,19 @@
     }
 }
 
+/// Watches the store while this box is a hub.
 async fn watch(gw: &Gateway, store: &dyn ControlStore) {
     loop {
-        let after = gw.knowledge.borrow().revision();
+        sleep(WATCH_PAUSE).await;
+        if !gw.is_hub() {
+            continue;
+        }
+        let after = gw.mirror.borrow().revision();
         gw.telemetry.store_called("watch");
         match store.watch(after, WATCH_WAIT).await {
-            Ok(Watched::Changes(updates, revision)) => {
-                let now = Now::read();
-                gw.store_answered(now);
-                let mut knowledge = gw.knowledge.borrow_mut();
-                for update in updates {
-                    let change = knowledge.apply(update, now);
-                    gw.telemetry.learned(&change, "watch", revision);
-                }
-                knowledge.reached(revision);
+            Ok(Watched::Changes(items, revision)) => {
+                gw.store_answered(Now::read());
+                take_items(gw, store, items, revision);
             }
             Ok(Watched::HistoryGone) => {
                 log::warn!(after; "the store's history is gone, everything is read anew");
@@ -109,37 +169,37 @@
 /// Bounds the age of what is known.
 async fn check(gw: &Gateway, store: &dyn ControlStore) {
     loop {
-        let sent = Now::read();
-        gw.telemetry.store_called("check");
-        match store.read_revision().await {
-            Ok(revision) => {
-                gw.store_answered(Now::read());
-                if gw.knowledge.borrow().revision() < revision {
-                    sleep(WATCH_LAG).await;
-                }
-                if gw.knowledge.borrow().revision() >= revision {
-                    gw.knowledge.borrow_mut().confirm(sent.monotonic);
-                } else {
-                    log::warn!(revision; "the watch has fallen behind, everything is read anew");
-                    try_read_everything(gw, store).await;
-                }
-            }
-            Err(err) => gw.store_failed(&err, Now::read()),
+        sleep(LOOK_INTERVAL).await;
+        let age = gw.knowledge.borrow().age(Now::read());
+        let oldest = if gw.is_hub() { HUB_AGE } else { OWN_AGE };
+        if age.is_some_and(|age| age < oldest) {
+            continue;
+        }
+        if !check_once(gw, store).await {
+            sleep(FAILURE_PAUSE).await;
         }
-        tidy(gw);
-        let spent = Now::read().monotonic.saturating_sub(sent.monotonic);
-        sleep(CHECK_INTERVAL.saturating_sub(spent).max(FAILURE_PAUSE)).await;
     }
 }
 
-fn tidy(gw: &Gateway) {
-    let now = Now::read();
-    let mut knowledge = gw.knowledge.borrow_mut();
-    for change in knowledge.drop_lapsed(now) {
-        gw.telemetry.learned(&change, "lapse", knowledge.revision());
+/// Compares the store's revision with what is known; false if the store did not answer.
+async fn check_once(gw: &Gateway, store: &dyn ControlStore) -> bool {
+    let sent = Now::read();
+    gw.telemetry.store_called("check");
+    let revision = match store.read_revision().await {
+        Ok(revision) => revision,
+        Err(err) => {
+            gw.store_failed(&err, Now::read());
+            return false;
+        }
+    };
+    gw.store_answered(Now::read());
+    if gw.mirror.borrow().revision() < revision && gw.is_hub() {
+        sleep(WATCH_LAG).await;
+    }
+    if gw.mirror.borrow().revision() >= revision {
+        gw.knowledge.borrow_mut().confirm(sent.monotonic);
+        return true;
     }
-    gw.telemetry.aged(knowledge.age(now));
-    drop(knowledge);
-    gw.connections.close_stale(now);
-    gw.sessions.borrow_mut().forget(now);
+    log::info!(revision; "this box has fallen behind, everything is read anew");
+    try_read_everything(gw, store).await
 }
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -23,7 +23,6 @@
     upstreams: HashMap<String, Rc<Upstream>>,
     rollouts: HashMap<String, Rollout>,
     boxes: BTreeMap<String, BoxEntry>,
-    revision: u64,
     confirmed: Option<Duration>,
     store_unsettled_until: Option<Duration>,
 }
@@ -115,28 +114,6 @@
         }
     }
 
-    /// Takes everything that the store held; what it did not hold is gone.
-    pub fn apply_all(&mut self, updates: Vec<Update>, revision: u64, now: Now) -> Vec<Change> {
-        let listed: Vec<String> = updates.iter().filter_map(instance_of).collect();
-        let present: Vec<String> = updates.iter().filter_map(box_of).collect();
-        let mut changes: Vec<Change> = updates
-            .into_iter()
-            .map(|update| self.apply(update, now))
-            .collect();
-        let missing: Vec<String> = self
-            .upstreams
-            .keys()
-            .filter(|instance| !listed.contains(instance))
-            .cloned()
-            .collect();
-        for instance in missing {
-            changes.push(self.drop_upstream(&instance, now));
-        }
-        self.boxes.retain(|name, _| present.contains(name));
-        self.revision = self.revision.max(revision);
-        changes
-    }
-
     fn take_routes(&mut self, routes: Arc<RouteTable>) -> Change {
         let known = self.routes.as_ref().map_or(0, |known| known.version);
         if self.routes.is_some() && routes.version <= known {
@@ -218,16 +195,6 @@
         }
     }
 
-    /// Records that changes up to a revision were applied.
-    pub fn reached(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
-    }
-
-    /// Returns the revision up to which changes were applied.
-    pub fn revision(&self) -> u64 {
-        self.revision
-    }
-
     /// Records that everything acknowledged before `sent` is known: a linearizable call
     /// sent then was answered, and its revision has been reached.
     pub fn confirm(&mut self, sent: Duration) {
@@ -246,6 +213,19 @@
         self.store_unsettled_until = Some(now.monotonic + LAPSE_GRACE);
     }
 
+    /// Returns how much longer entries that vanish may belong to live upstreams.
+    pub fn unsettled_for(&self, now: Now) -> Duration {
+        self.store_unsettled_until
+            .map_or(Duration::ZERO, |until| until.saturating_sub(now.monotonic))
+    }
+
+    /// Records that another box's store is unsettled for some time yet.
+    pub fn unsettle_for(&mut self, time: Duration, now: Now) {
+        let until = now.monotonic + time;
+        let known = self.store_unsettled_until.unwrap_or_default();
+        self.store_unsettled_until = Some(known.max(until));
+    }
+
     fn store_is_unsettled(&self, now: Now) -> bool {
         self.store_unsettled_until
             .is_some_and(|until| now.monotonic < until)
@@ -320,17 +300,3 @@
         self.boxes.values().min_by_key(|entry| entry.registered)
     }
 }
-
-fn instance_of(update: &Update) -> Option<String> {
-    match update {
-        Update::Upstream(listed) => Some(listed.instance.clone()),
-        _ => None,
-    }
-}
-
-fn box_of(update: &Update) -> Option<String> {
-    match update {
-        Update::Box(entry) => Some(entry.name.clone()),
-        _ => None,
-    }
-}
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -15,9 +15,9 @@
 
 /// How long a box stays a member without a sign of life: long enough to bear two lost
 /// renewals, short enough that a roll-out is not without a leading box for long.
-const LEASE: Duration = Duration::from_secs(6);
+const LEASE: Duration = Duration::from_secs(8);
 /// The time between two renewals.
-const RENEWAL: Duration = Duration::from_secs(2);
+const RENEWAL: Duration = Duration::from_millis(2600);
 /// The time between two looks at the roll-outs.
 const LEAD_INTERVAL: Duration = Duration::from_millis(250);
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,5 +1,6 @@
 //! What boxes tell each other.
 //!
+//! - What the store holds, as [`super::hubs`] explains.
 //! - What each has under way at which upstream, so that placement sees all boxes' load.
 //! - How the versions under roll-out answered; this goes to the two boxes registered
 //!   longest: the one that leads, and the one that would lead next.
@@ -11,6 +12,8 @@
 //! See `docs/design/platform.md`.
 
 use super::Gateway;
+use super::control::ControlStore;
+use super::hubs::{self, Question, Told};
 use super::knowledge::Knowledge;
 use super::loads::{BoxLoad, interval};
 use crate::clock::Now;
@@ -20,7 +23,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
 
 /// The time between two reports while a version is under roll-out.
@@ -38,29 +41,48 @@
     Counts(Vec<EvidenceCell>),
     /// What the sender has under way.
     Load(BoxLoad),
+    /// The sender asks what the store holds.
+    Question(Question),
+    /// What the store holds.
+    Told(Told),
     /// Sessions that the old version of a service serves: the order's revision in the
     /// store, and the sessions' hashes.
     OldSessions(u64, Vec<u64>),
 }
 
 /// Exchanges messages for as long as the process lives.
-pub async fn exchange(gw: Rc<Gateway>) -> Result<()> {
+pub async fn exchange(gw: Rc<Gateway>, store: Rc<dyn ControlStore>) -> Result<()> {
     let address = gw.settings().peers;
     let error = |err| Error::Unreachable(format!("cannot listen on {address}: {err}"));
     let socket = UdpSocket::bind(address).await.map_err(error)?;
+    let listener = TcpListener::bind(address).await.map_err(error)?;
+    let send_question = async |to, question| {
+        send(&socket, &PeerMessage::Question(question), &[to]).await;
+    };
+    let send_told = async |to, told| send(&socket, &PeerMessage::Told(told), &[to]).await;
     tokio::join!(
-        receive(&gw, &socket),
+        receive(&gw, &store, &socket),
         report_versions(&gw, &socket),
         report_load(&gw, &socket),
+        hubs::ask(&gw, send_question),
+        hubs::tell_news(&gw, send_told),
+        hubs::serve_fetches(gw.clone(), listener),
     );
     Ok(())
 }
 
-async fn receive(gw: &Gateway, socket: &UdpSocket) {
+async fn receive(gw: &Rc<Gateway>, store: &Rc<dyn ControlStore>, socket: &UdpSocket) {
     let mut buf = vec![0; DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buf).await {
-            Ok((len, from)) => take(gw, buf.get(..len).unwrap_or_default(), from),
+            Ok((len, from)) => {
+                let datagram = buf.get(..len).unwrap_or_default();
+                let config = bincode::config::standard();
+                match bincode::serde::decode_from_slice::<PeerMessage, _>(datagram, config) {
+                    Ok((message, _)) => take(gw, store, socket, message, from).await,
+                    Err(err) => log::warn!("a datagram from {from} cannot be read: {err}"),
+                }
+            }
             Err(err) => {
                 log::debug!("no datagram could be read: {err}");
                 sleep(REPORT_INTERVAL).await;
@@ -69,15 +91,28 @@
     }
 }
 
-fn take(gw: &Gateway, datagram: &[u8], from: SocketAddr) {
-    let config = bincode::config::standard();
-    match bincode::serde::decode_from_slice::<PeerMessage, _>(datagram, config) {
-        Ok((PeerMessage::Counts(cells), _)) => gw.versions.borrow_mut().merge(&cells),
-        Ok((PeerMessage::Load(load), _)) => gw.loads.borrow_mut().take(load, Now::read()),
-        Ok((PeerMessage::OldSessions(order, sessions), _)) => {
+async fn take(
+    gw: &Rc<Gateway>,
+    store: &Rc<dyn ControlStore>,
+    socket: &UdpSocket,
+    message: PeerMessage,
+    from: SocketAddr,
+) {
+    let now = Now::read();
+    match message {
+        PeerMessage::Counts(cells) => gw.versions.borrow_mut().merge(&cells),
+        PeerMessage::Load(load) => gw.loads.borrow_mut().take(load, now),
+        PeerMessage::OldSessions(order, sessions) => {
             gw.sessions.borrow_mut().keep_old(order, &sessions);
         }
-        Err(err) => log::warn!("a datagram from {from} cannot be read: {err}"),
+        PeerMessage::Question(question) => {
+            let told = gw.hubs.answer(gw, question, from, now);
+            send(socket, &PeerMessage::Told(told), &[from]).await;
+        }
+        PeerMessage::Told(told) => {
+            // A fetch may take a while, and other messages should not wait for it.
+            actix_rt::spawn(hubs::take_told(gw.clone(), store.clone(), told, from));
+        }
     }
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -106,7 +106,7 @@
 }
 
 /// Reads a whole body and releases its flow-control window as it goes.
-async fn read_body(body: &mut h2::RecvStream) -> Result<Bytes, WireError> {
+pub(crate) async fn read_body(body: &mut h2::RecvStream) -> Result<Bytes, WireError> {
     let mut buf = BytesMut::new();
     while let Some(chunk) = body.data().await {
         let chunk = chunk.map_err(|err| WireError::NoAnswer(err.to_string()))?;
