--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -129,13 +129,20 @@
         }
     }
 
-    /// Tries whether upstreams that took no connection take one again.
-    pub async fn probe(&self, upstream: &Upstream) {
+    /// Tells whether an upstream takes a connection now.
+    pub async fn probe(&self, upstream: &Upstream) -> bool {
         let now = Now::read();
-        if let Ok(connection) = self.open(upstream, now).await {
-            upstream.connectable();
-            let instance = upstream.with_listed(|listed| listed.instance.clone());
-            self.rest(&instance, connection, now);
+        match self.open(upstream, now).await {
+            Ok(connection) => {
+                upstream.connectable();
+                let instance = upstream.with_listed(|listed| listed.instance.clone());
+                self.rest(&instance, connection, now);
+                true
+            }
+            Err(err) => {
+                log::debug!("a probe found no upstream: {err}");
+                false
+            }
         }
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use std::fmt;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -115,9 +116,13 @@
 
 impl Answer {
     /// Reads the next piece of the body; none if patience ran out.
-    pub async fn next_piece_within(&mut self, patience: Patience) -> Option<Piece> {
+    pub async fn next_piece_within(
+        &mut self,
+        connections: &Connections,
+        patience: Patience,
+    ) -> Option<Piece> {
         let upstream = self.upstream.clone();
-        patiently(&upstream, patience, self.next_piece()).await
+        patiently(connections, &upstream, patience, self.next_piece()).await
     }
 
     /// Reads the next piece of the body.
@@ -212,9 +217,11 @@
 
 /// Waits for something from an upstream; none if patience ran out.
 ///
-/// An upstream that answers other requests is alive and only busy, and what it has read
-/// would have to be read again elsewhere, so it gets more time than one that is silent.
+/// An upstream that answers other requests, or still takes connections, is alive and only
+/// busy, and what it has read would have to be read again elsewhere, so it gets more time
+/// than one that is silent.
 pub async fn patiently<T>(
+    connections: &Connections,
     upstream: &Upstream,
     patience: Patience,
     future: impl Future<Output = T>,
@@ -233,16 +240,50 @@
                 if waited >= patience.most {
                     return None;
                 }
-                if silent >= patience.silent || waited >= patience.alive {
+                if waited >= patience.alive {
                     upstream.fell_silent(now);
                     return None;
                 }
+                if silent >= patience.silent {
+                    let probed = probe_while(connections, upstream, future.as_mut()).await;
+                    match probed {
+                        Probed::Outcome(outcome) => return Some(outcome),
+                        Probed::Alive => {}
+                        Probed::Dead => return None,
+                    }
+                }
                 look = LOOK_INTERVAL.min(patience.most - waited);
             }
         }
     }
 }
 
+/// What came first of an outcome and a probe.
+enum Probed<T> {
+    Outcome(T),
+    Alive,
+    Dead,
+}
+
+async fn probe_while<T>(
+    connections: &Connections,
+    upstream: &Upstream,
+    future: Pin<&mut impl Future<Output = T>>,
+) -> Probed<T> {
+    tokio::select! {
+        outcome = future => Probed::Outcome(outcome),
+        is_alive = connections.probe(upstream) => {
+            let now = Now::read();
+            if is_alive {
+                upstream.heard(now);
+                return Probed::Alive;
+            }
+            upstream.unconnectable(now);
+            Probed::Dead
+        }
+    }
+}
+
 /// How a try is made.
 #[derive(Debug, Clone, Copy)]
 pub struct TryLimits {
@@ -286,7 +327,7 @@
         Ok(req) => req,
         Err(reason) => return Tried::NotRun(NotRun::NoConnection(reason)),
     };
-    let sent = patiently(upstream, limits.head, connection.send(req)).await;
+    let sent = patiently(connections, upstream, limits.head, connection.send(req)).await;
     let now = Now::read();
     let res = match sent {
         Some(Ok(res)) => res,
--- a/src/gateway/hubs.rs
+++ b/src/gateway/hubs.rs
@@ -167,9 +167,7 @@
     let knowledge = gw.knowledge.borrow();
     let mut hubs = choose_hubs(knowledge.boxes());
     hubs.sort_by_key(|hub| hub.hall != hall);
-    let trusted = hubs
-        .iter()
-        .find(|hub| gw.hubs.is_trusted(hub.address, now));
+    let trusted = hubs.iter().find(|hub| gw.hubs.is_trusted(hub.address, now));
     if let Some(hub) = trusted {
         return Some(hub.address);
     }
@@ -260,7 +258,8 @@
         let mut body = respond
             .send_response(http::Response::new(()), false)
             .map_err(lost)?;
-        body.send_data(wire::encode(&changes)?, true).map_err(lost)?;
+        body.send_data(wire::encode(&changes)?, true)
+            .map_err(lost)?;
     }
     Ok(())
 }
@@ -274,9 +273,7 @@
     let stream = TcpStream::connect(hub)
         .await
         .map_err(|err| WireError::NotSent(err.to_string()))?;
-    let (mut sender, connection) = h2::client::handshake(stream)
-        .await
-        .map_err(lost)?;
+    let (mut sender, connection) = h2::client::handshake(stream).await.map_err(lost)?;
     let driver = actix_rt::spawn(connection);
     let req = http::Request::builder()
         .uri(format!("http://{hub}{FETCH_PATH}?{after}"))
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -137,6 +137,16 @@
         repeatable && self.tries.runs.get() < self.route.attempts.max(1)
     }
 
+    /// Tells whether another upstream could be asked now: the route, what already ran and
+    /// the budget allow it. An answer is not given up otherwise.
+    pub fn can_repeat(&self, gw: &Gateway, now: Now) -> bool {
+        let mut windows = gw.retries.borrow_mut();
+        let has_room = windows
+            .get_mut(&self.service)
+            .is_some_and(|window| window.has_room(Repeat::Failure, now));
+        has_room && self.may_run_again()
+    }
+
     /// Tells whether the next run is the last one that the route allows, so that cutting
     /// it off would end the request.
     pub fn has_last_run_left(&self) -> bool {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -40,7 +40,7 @@
         let plan = TryPlan {
             model: None,
             resume_after: None,
-            head: patience(job),
+            head: patience(gw, job),
             repeat: Repeat::Failure,
         };
         match job.try_once(gw, plan).await {
@@ -63,14 +63,16 @@
 }
 
 /// Returns how long to wait for one upstream.
-fn patience(job: &Job) -> Patience {
+fn patience(gw: &Gateway, job: &Job) -> Patience {
     let all = Patience::up_to(Duration::MAX);
     match job.route.kind {
-        RouteKind::Idempotent if !job.has_last_run_left() => Patience {
-            silent: job.route.objective * SILENT_OBJECTIVES,
-            alive: job.route.objective * ALIVE_OBJECTIVES,
-            ..all
-        },
+        RouteKind::Idempotent if !job.has_last_run_left() && job.can_repeat(gw, Now::read()) => {
+            Patience {
+                silent: job.route.objective * SILENT_OBJECTIVES,
+                alive: job.route.objective * ALIVE_OBJECTIVES,
+                ..all
+            }
+        }
         // A request that cannot run again has nowhere else to go.
         _ => all,
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -113,7 +113,10 @@
             }
             let answer = self.answer.as_mut()?;
             let patience = patience(&self.job).within(self.job.left(Now::read()));
-            let broken = match answer.next_piece_within(patience).await {
+            let broken = match answer
+                .next_piece_within(&self.gw.connections, patience)
+                .await
+            {
                 Some(Piece::Bytes(bytes)) => match self.splitter.push(&bytes) {
                     Ok(events) => {
                         answer.has_read();
@@ -128,6 +131,7 @@
                 }
                 Some(Piece::End) => "the stream ended inside an event".to_owned(),
                 Some(Piece::Broken(reason)) => reason,
+                None if self.should_wait_on() => continue,
                 None => "no event came in time".to_owned(),
             };
             if let Err(broke_off) = self.carry_over(broken).await {
@@ -137,6 +141,12 @@
         }
     }
 
+    /// Tells whether a silent upstream is still the best hope: nobody else may be asked.
+    fn should_wait_on(&self) -> bool {
+        let now = Now::read();
+        !self.job.left(now).is_zero() && !self.job.can_repeat(&self.gw, now)
+    }
+
     fn note_pause(&mut self, now: Now) {
         let pause = now.monotonic.saturating_sub(self.last_event);
         self.longest_pause = self.longest_pause.max(pause);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -139,7 +139,8 @@
 
 /// Returns how long to wait for the head of an answer.
 fn patience(gw: &Gateway, job: &Job, model: Option<&str>) -> Patience {
-    match job.route.kind.is_repeatable() && !job.has_last_run_left() {
+    let can_ask_others = job.can_repeat(gw, Now::read()) && !job.has_last_run_left();
+    match job.route.kind.is_repeatable() && can_ask_others {
         true => first_event_patience(gw, job, model),
         false => Patience::up_to(Duration::MAX),
     }
@@ -171,7 +172,7 @@
     model: Option<String>,
 ) -> First {
     let mut splitter = EventSplitter::default();
-    let patience = match job.may_run_again() {
+    let patience = match job.can_repeat(gw, Now::read()) {
         true => first_event_patience(gw, job, model.as_deref()),
         false => Patience::up_to(Duration::MAX),
     };
@@ -193,7 +194,7 @@
             }
         }
     };
-    let reason = match patiently(&upstream, patience, read).await {
+    let reason = match patiently(&gw.connections, &upstream, patience, read).await {
         Some(Ok(events)) => {
             return First::Came(Relay::new(gw, job, answer, splitter, events, model));
         }
