Compare few engines where many boxes place by old reports

Cause: reports of other boxes are a second old with 67 boxes, and all picked the engine that looked emptiest.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -4,7 +4,7 @@
 use super::connect::http1_types;
 use super::exchange::{NotRun, Outgoing, Patience, Tried, TryLimits, try_upstream};
 use super::models::Expected;
-use super::place::{SharedPrompt, Wish, choose, draw, least_reading};
+use super::place::{SharedPrompt, Wish, choose, compared, draw, least_reading};
 use super::protocol::{ANY_MODEL, parse_prompt_parts, urgency};
 use super::refusal::{Ran, Why};
 use super::retries::Repeat;
@@ -189,6 +189,7 @@
             prompt: self.shared_prompt(gw, shared.as_deref(), model),
             tried: &tried,
             draw: draw(&self.request_id),
+            compared: compared(gw.knowledge.borrow().boxes().count()),
         };
         choose(&candidates, wish, now)
     }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -21,6 +21,9 @@
 /// Weighted tokens that a request out of slots waits for at least: an engine that has
 /// none free is taken only when all others are worse.
 const NO_SLOT_TOKENS: f64 = 200_000.0;
+/// Weighted tokens by which an engine that is not compared looks dearer: it is taken only
+/// when all that are compared rest, fail or are full.
+const NOT_COMPARED_TOKENS: f64 = 100_000.0;
 /// Weighted tokens that one unit of penalty for failures and rest counts for.
 const PENALTY_TOKENS: f64 = 20_000.0;
 /// Fullness that a failure rate of one counts for, so that an upstream which fails some
@@ -47,6 +50,20 @@
     pub tried: &'a [String],
     /// A number of the request, which spreads equal choices.
     pub draw: u64,
+    /// How many engines are compared beside those that keep the prompt's beginning.
+    pub compared: usize,
+}
+
+/// Engines that all boxes together compare for the requests of one moment. Each box's
+/// picture of the others' load is old, and older with more boxes; if all compared all
+/// engines, they would all pick the one that looked emptiest.
+const COMPARED_BY_ALL: usize = 90;
+/// The fewest engines that are compared.
+const LEAST_COMPARED: usize = 3;
+
+/// Returns how many engines a box compares, by the number of boxes.
+pub fn compared(boxes: usize) -> usize {
+    (COMPARED_BY_ALL / boxes.max(1)).max(LEAST_COMPARED)
 }
 
 /// A prompt whose beginning other requests share.
@@ -69,7 +86,11 @@
         .filter(|upstream| !was_tried(upstream, wish.tried))
         .collect();
     let costs = match wish.prompt {
-        Some(prompt) => engine_costs(&untried, prompt, now),
+        Some(prompt) => {
+            let mut costs = engine_costs(&untried, prompt, now);
+            leave_out_most(&untried, prompt, wish, &mut costs);
+            costs
+        }
         None => plain_costs(&untried, wish.hall, now),
     };
     let mut best: Option<(f64, u64, &Rc<Upstream>)> = None;
@@ -85,6 +106,36 @@
     best.map(|(_, _, upstream)| upstream.clone())
 }
 
+/// Makes all engines but a few, drawn by the request, and those that keep the prompt's
+/// beginning, so dear that they are not taken.
+fn leave_out_most(
+    candidates: &[&Rc<Upstream>],
+    prompt: SharedPrompt<'_>,
+    wish: Wish<'_>,
+    costs: &mut [f64],
+) {
+    let last_drawn = nth_rank(candidates, wish.draw, wish.compared);
+    let seed = xxh3_64(prompt.shared.as_bytes());
+    let last_affine = nth_rank(candidates, seed, AFFINE_ENGINES);
+    for (upstream, cost) in candidates.iter().zip(costs) {
+        let is_drawn = rank(upstream, wish.draw) >= last_drawn;
+        let is_affine = rank(upstream, seed) >= last_affine;
+        if !is_drawn && !is_affine {
+            *cost += NOT_COMPARED_TOKENS;
+        }
+    }
+}
+
+/// Returns the rank of the engine at a place, counted from one, in the order of a seed.
+fn nth_rank(candidates: &[&Rc<Upstream>], seed: u64, place: usize) -> u64 {
+    let mut ranks: Vec<u64> = candidates
+        .iter()
+        .map(|upstream| rank(upstream, seed))
+        .collect();
+    ranks.sort_unstable_by_key(|rank| std::cmp::Reverse(*rank));
+    ranks.get(place.saturating_sub(1)).copied().unwrap_or(0)
+}
+
 /// Returns the least weighted tokens that an engine has to read until a prompt's first
 /// event; none if there is no engine.
 pub fn least_reading(
@@ -112,12 +163,7 @@
 /// All boxes expect the same engines to keep a beginning, those ranked first by its hash.
 fn engine_costs(candidates: &[&Rc<Upstream>], prompt: SharedPrompt<'_>, now: Now) -> Vec<f64> {
     let seed = xxh3_64(prompt.shared.as_bytes());
-    let mut ranks: Vec<u64> = candidates
-        .iter()
-        .map(|upstream| rank(upstream, seed))
-        .collect();
-    ranks.sort_unstable_by_key(|rank| std::cmp::Reverse(*rank));
-    let last_affine = ranks.get(AFFINE_ENGINES - 1).copied().unwrap_or(0);
+    let last_affine = nth_rank(candidates, seed, AFFINE_ENGINES);
     let cost = |upstream: &&Rc<Upstream>| {
         let keeps_shared = rank(upstream, seed) >= last_affine;
         let read = match keeps_shared {
