--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,48 @@
+//! The gateway's decisions, as functions of what is known and of the present time.
+
+mod boundary;
+mod freshness;
+mod models;
+mod passing_on;
+mod placement;
+mod refusals;
+mod retries;
+mod rollouts;
+mod routes;
+mod streams;
+
+use gatepier::clock::{Now, WallTime};
+use gatepier::gateway::control::ListedUpstream;
+use std::time::Duration;
+
+/// Names each case as a test of its own.
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(
+            #[googletest::gtest]
+            fn $name() $body
+        )*
+    };
+}
+pub(crate) use cases;
+
+/// Returns a present time, in milliseconds since the start.
+pub fn at(millis: u64) -> Now {
+    Now {
+        monotonic: Duration::from_millis(millis),
+        wall: WallTime(1_000_000 + millis),
+    }
+}
+
+/// Lists an upstream that takes work.
+pub fn listed(instance: &str, service: &str, hall: &str) -> ListedUpstream {
+    ListedUpstream {
+        instance: instance.to_owned(),
+        service: service.to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        hall: hall.to_owned(),
+        version: "v1".to_owned(),
+        slots: 4,
+        draining: false,
+    }
+}
--- /dev/null
+++ b/tests/gateway/passing_on.rs
@@ -0,0 +1,113 @@
+//! What boxes pass on to each other.
+
+use super::{at, cases, listed};
+use gatepier::gateway::control::{BoxEntry, Item, Update};
+use gatepier::gateway::hubs::choose_hubs;
+use gatepier::gateway::knowledge::Knowledge;
+use gatepier::gateway::loads::{BoxLoad, Loads, interval};
+use gatepier::gateway::mirror::Mirror;
+use googletest::prelude::*;
+use std::time::Duration;
+
+fn item(key: &str, revision: u64) -> Item {
+    Item {
+        key: key.to_owned(),
+        value: Some(b"value".to_vec()),
+        revision,
+        created: revision,
+    }
+}
+
+fn entry(name: &str, hall: &str, registered: u64) -> BoxEntry {
+    BoxEntry {
+        name: name.to_owned(),
+        hall: hall.to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        registered,
+    }
+}
+
+fn hubs(boxes: &[BoxEntry]) -> Vec<String> {
+    let hubs = choose_hubs(boxes.iter());
+    hubs.into_iter().map(|hub| hub.name.clone()).collect()
+}
+
+fn keys(items: &[Item]) -> Vec<&str> {
+    items.iter().map(|item| item.key.as_str()).collect()
+}
+
+cases! {
+    hubs_stand_in_two_halls => {
+        let boxes = [entry("c", "yaba", 9), entry("a", "ikeja", 3), entry("b", "ikeja", 4)];
+        expect_that!(hubs(&boxes), elements_are![eq("a"), eq("c")]);
+    }
+
+    one_hall_has_two_hubs_all_the_same => {
+        let boxes = [entry("b", "ikeja", 4), entry("a", "ikeja", 3)];
+        expect_that!(hubs(&boxes), elements_are![eq("a"), eq("b")]);
+        expect_that!(hubs(&[]), is_empty());
+    }
+
+    box_behind_gets_what_came_since => {
+        let mut mirror = Mirror::default();
+        mirror.take(vec![item("a", 3), item("b", 5)], 5);
+        let changes = mirror.changes_after(3);
+        expect_that!(changes.is_all, eq(false));
+        expect_that!(keys(&changes.items), elements_are![eq(&"b")]);
+        expect_that!(changes.revision, eq(5));
+    }
+
+    box_that_knows_nothing_gets_everything => {
+        let mut mirror = Mirror::default();
+        mirror.take(vec![item("a", 3), Item::gone("b", 5)], 5);
+        let changes = mirror.changes_after(0);
+        expect_that!(changes.is_all, eq(true));
+        expect_that!(keys(&changes.items), elements_are![eq(&"a")]);
+    }
+
+    box_behind_hears_of_ends_that_a_listing_showed => {
+        let mut mirror = Mirror::default();
+        mirror.take(vec![item("a", 3), item("b", 4)], 4);
+        mirror.take_all(vec![item("a", 3)], 9);
+        let changes = mirror.changes_after(4);
+        expect_that!(keys(&changes.items), elements_are![eq(&"b")]);
+        expect_that!(changes.items[0].is_gone(), eq(true));
+    }
+
+    older_state_of_an_item_is_no_news => {
+        let mut mirror = Mirror::default();
+        mirror.take(vec![item("a", 7)], 7);
+        expect_that!(mirror.take(vec![item("a", 6)], 6), is_empty());
+        expect_that!(mirror.revision(), eq(7));
+    }
+
+    listing_does_not_end_what_is_newer => {
+        let mut mirror = Mirror::default();
+        mirror.take(vec![item("a", 12)], 12);
+        expect_that!(mirror.take_all(Vec::new(), 10), is_empty());
+    }
+
+    reports_get_rarer_with_more_boxes => {
+        expect_that!(interval(3), le(Duration::from_millis(150)));
+        expect_that!(interval(300), ge(Duration::from_secs(4)));
+    }
+
+    load_of_other_boxes_is_seen_and_forgotten => {
+        let mut knowledge = Knowledge::default();
+        let update = Update::Upstream(Box::new(listed("i-1", "engine", "ikeja")));
+        knowledge.apply(update, at(0));
+        let upstream = knowledge.open_upstreams("engine", at(0)).remove(0);
+        let unread = upstream.begin_reading(500.0);
+        let counted = upstream.enter();
+        let report = BoxLoad::of("other", &knowledge);
+        drop((unread, counted));
+        expect_that!(upstream.unread(), eq(0.0));
+        let mut loads = Loads::default();
+        loads.take(report, at(0));
+        loads.spread(&knowledge, at(10));
+        expect_that!(upstream.unread(), eq(500.0));
+        expect_that!(upstream.occupancy(at(10)), eq(1));
+        loads.spread(&knowledge, at(5000));
+        expect_that!(upstream.unread(), eq(0.0));
+    }
+}
