--- a/src/error.rs
+++ b/src/error.rs
@@ -1,7 +1,7 @@
 //! Errors that an operator or a caller of the library can act on.
 //!
 //! Binaries wrap these with `eyre`; the exit code of the command line follows
-//! from [`Error::exit_code`], as `docs/operations.md` lists them.
+//! from [`Error::exit_code`], as `docs/OPERATIONS.md` lists them.
 
 use std::fmt;
 use std::path::PathBuf;
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -228,6 +228,12 @@
         }
     }
 
+    /// Returns how long each model's first event would take from now on.
+    pub fn expected_of_all(&self, gw: &Gateway, models: &[String], now: Now) -> Vec<Expected> {
+        let expected = |model: &String| self.expected(gw, Some(model), now);
+        models.iter().map(expected).collect()
+    }
+
     /// Returns what is left of the route's objective.
     pub fn left_of_objective(&self, now: Now) -> Duration {
         let spent = now.monotonic.saturating_sub(self.received);
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -94,14 +94,7 @@
     let Some((order, known, elapsed)) = standing(gw, service, now) else {
         return;
     };
-    let target = target_name(&order);
-    let mut watch = gw.versions.borrow_mut();
-    let progress = Progress {
-        elapsed,
-        condemned: watch.is_condemned(&target),
-        answers: watch.answers(&target),
-    };
-    drop(watch);
+    let progress = progress_of(gw, &order, elapsed);
     let (record, expected) = match &known {
         Some(known) => (Some(&known.record), known.revision),
         None => (None, 0),
@@ -132,6 +125,16 @@
     }
 }
 
+fn progress_of(gw: &Gateway, order: &RolloutOrder, elapsed: Duration) -> Progress {
+    let target = target_name(order);
+    let mut watch = gw.versions.borrow_mut();
+    Progress {
+        elapsed,
+        condemned: watch.is_condemned(&target),
+        answers: watch.answers(&target),
+    }
+}
+
 type Standing = (RolloutOrder, Option<super::knowledge::SeenRecord>, Duration);
 
 fn standing(gw: &Gateway, service: &str, now: Now) -> Option<Standing> {
--- a/src/gateway/models.rs
+++ b/src/gateway/models.rs
@@ -10,6 +10,13 @@
 /// Below 48 seven in ten such answers were poor on a calm day, from 48 to 56 about half,
 /// above 56 hardly any; the larger model's price is worth it down to one in five.
 pub const ENOUGH_CONFIDENCE: u32 = 56;
+/// The least confidence with which the next larger model is asked and not the largest.
+/// Confidence falls evenly with how far a request is beyond a model, and the next model
+/// reaches as far as some sixteen of a hundred further, for half the largest one's price
+/// and a quarter of its time.
+const NEXT_MODEL_CONFIDENCE: u32 = 36;
+/// The same where the largest model would be late.
+const NEXT_MODEL_AT_LEAST: u32 = 20;
 /// The part of the objective, in hundredths, within which the larger model's first event
 /// has to be expected; a late answer earns less than a poor one that cost nothing.
 const IN_TIME_HUNDREDTHS: u32 = 95;
@@ -56,24 +63,37 @@
     }
 }
 
-/// Judges an answer of the model at a place among `models` models.
+/// Judges an answer of the model at a place of the route's list.
 ///
-/// The largest model is asked next, since those between cost much of its price and are
-/// hardly better than the smallest. `expected` is the time until its first event, and
-/// `left` what is left of the objective.
+/// `expected` tells for each model how long its first event would take, and `left` what
+/// is left of the objective. A larger model is asked only if it would be in time.
 pub fn judge(
     place: usize,
-    models: usize,
     confidence: Option<u32>,
-    expected: Expected,
+    expected: &[Expected],
     left: Duration,
 ) -> Verdict {
-    let largest = models.saturating_sub(1);
-    let in_time = expected.is_in_time(left);
-    match confidence {
-        Some(confidence) if place < largest && confidence < ENOUGH_CONFIDENCE && in_time => {
-            Verdict::AskLarger(largest)
-        }
-        _ => Verdict::PassOn,
+    let largest = expected.len().saturating_sub(1);
+    let Some(confidence) = confidence.filter(|sure| *sure < ENOUGH_CONFIDENCE) else {
+        return Verdict::PassOn;
+    };
+    if place >= largest {
+        return Verdict::PassOn;
+    }
+    let is_in_time = |place: usize| {
+        expected
+            .get(place)
+            .is_some_and(|expected| expected.is_in_time(left))
+    };
+    let next = place + 1;
+    if confidence >= NEXT_MODEL_CONFIDENCE && is_in_time(next) {
+        return Verdict::AskLarger(next);
+    }
+    if is_in_time(largest) {
+        return Verdict::AskLarger(largest);
+    }
+    match confidence >= NEXT_MODEL_AT_LEAST && is_in_time(next) {
+        true => Verdict::AskLarger(next),
+        false => Verdict::PassOn,
     }
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -190,7 +190,7 @@
 fn stream_response(
     gw: &Rc<Gateway>,
     headers: &http1_types::HeaderMap,
-    relay: Relay,
+    relay: Box<Relay>,
 ) -> Response<BoxBody> {
     let counted = gw.count_in();
     let events = futures::stream::unfold(Some((relay, counted)), |state| async move {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -42,7 +42,7 @@
         /// The headers of the answer.
         headers: http1_types::HeaderMap,
         /// What carries the rest.
-        relay: Relay,
+        relay: Box<Relay>,
     },
     /// An upstream failed with an answer of its own.
     Failed(WholeAnswer),
@@ -50,7 +50,7 @@
 
 /// How the first event came, or did not.
 enum First {
-    Came(Relay),
+    Came(Box<Relay>),
     NotYet,
 }
 
@@ -77,9 +77,9 @@
             Ok(Tried::Answered(answer)) if is_success(&answer) => {
                 let confidence = confidence(gw, &answer);
                 let now = Now::read();
-                let expected = job.expected(gw, models.last().map(String::as_str), now);
+                let expected = job.expected_of_all(gw, models, now);
                 let left = job.left_of_objective(now);
-                match judge(place, models.len(), confidence, expected, left) {
+                match judge(place, confidence, &expected, left) {
                     Verdict::AskLarger(larger) if may_escalate(gw, job) => {
                         gw.telemetry.escalated(job, place, larger, confidence);
                         place = larger;
@@ -114,9 +114,13 @@
 
 fn choose_first(gw: &Gateway, job: &Job, models: &[String]) -> usize {
     let now = Now::read();
-    let expected = |model: Option<&String>| job.expected(gw, model.map(String::as_str), now);
-    let (smallest, largest) = (expected(models.first()), expected(models.last()));
-    first_model(models.len(), smallest, largest, job.left_of_objective(now))
+    match job.expected_of_all(gw, models, now).as_slice() {
+        [smallest, .., largest] => {
+            let left = job.left_of_objective(now);
+            first_model(models.len(), *smallest, *largest, left)
+        }
+        _ => 0,
+    }
 }
 
 fn is_success(answer: &Answer) -> bool {
@@ -196,7 +200,8 @@
     };
     let reason = match patiently(&gw.connections, &upstream, patience, read).await {
         Some(Ok(events)) => {
-            return First::Came(Relay::new(gw, job, answer, splitter, events, model));
+            let relay = Relay::new(gw, job, answer, splitter, events, model);
+            return First::Came(Box::new(relay));
         }
         Some(Err(reason)) => {
             upstream.failed(Now::read());
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -2,7 +2,7 @@
 //!
 //! Operators sign changes with ed25519 keys. The processes of one partner's
 //! fleet know one another by certificates of the fleet's own authority. How both
-//! are made, handed out and replaced stands in `docs/operations.md`.
+//! are made, handed out and replaced stands in `docs/OPERATIONS.md`.
 
 use crate::error::{Error, Result};
 use base64::Engine as _;
--- a/tests/gateway/models.rs
+++ b/tests/gateway/models.rs
@@ -14,28 +14,45 @@
     }
 }
 
+/// What three models are expected to take, the largest as given.
+fn three(largest: Expected) -> [Expected; 3] {
+    [expected(10, 0), expected(40, 0), largest]
+}
+
 cases! {
     sure_answers_are_passed_on => {
-        expect_that!(judge(0, 3, Some(90), expected(100, 0), LEFT), eq(Verdict::PassOn));
-        expect_that!(judge(0, 3, None, expected(100, 0), LEFT), eq(Verdict::PassOn));
+        let expected = three(expected(100, 0));
+        expect_that!(judge(0, Some(90), &expected, LEFT), eq(Verdict::PassOn));
+        expect_that!(judge(0, None, &expected, LEFT), eq(Verdict::PassOn));
+        expect_that!(judge(0, Some(10), &[], LEFT), eq(Verdict::PassOn));
     }
 
     unsure_answers_go_to_the_largest_model => {
-        let verdict = judge(0, 3, Some(20), expected(100, 0), LEFT);
+        let verdict = judge(0, Some(20), &three(expected(100, 0)), LEFT);
         expect_that!(verdict, eq(Verdict::AskLarger(2)));
     }
 
+    half_sure_answers_go_to_the_next_model => {
+        let expected = three(expected(100, 0));
+        expect_that!(judge(0, Some(45), &expected, LEFT), eq(Verdict::AskLarger(1)));
+        expect_that!(judge(1, Some(45), &expected, LEFT), eq(Verdict::AskLarger(2)));
+    }
+
     largest_model_is_final => {
-        expect_that!(judge(2, 3, Some(0), expected(100, 0), LEFT), eq(Verdict::PassOn));
+        let expected = three(expected(100, 0));
+        expect_that!(judge(2, Some(0), &expected, LEFT), eq(Verdict::PassOn));
     }
 
     late_larger_answers_are_not_asked_for => {
-        expect_that!(judge(0, 3, Some(0), expected(990, 0), LEFT), eq(Verdict::PassOn));
+        let late = three(expected(990, 0));
+        expect_that!(judge(0, Some(0), &late, LEFT), eq(Verdict::PassOn));
+        expect_that!(judge(0, Some(25), &late, LEFT), eq(Verdict::AskLarger(1)));
     }
 
     full_engines_get_no_larger_model => {
         // With the whole objective open to larger models, they filled all engines.
-        expect_that!(judge(0, 3, Some(0), expected(600, 300), LEFT), eq(Verdict::PassOn));
+        let full = three(expected(600, 300));
+        expect_that!(judge(0, Some(0), &full, LEFT), eq(Verdict::PassOn));
     }
 
     largest_is_asked_first_where_only_it_is_in_time => {
