--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -59,12 +59,15 @@
     }
 }
 
+fn read_log_spec() -> Result<LogSpecification> {
+    let text = std::env::var(LOG_VARIABLE).unwrap_or_else(|_| "info".to_owned());
+    LogSpecification::parse(&text)
+        .map_err(|err| Error::Usage(format!("{LOG_VARIABLE} is `{text}`: {err}")))
+}
+
 /// Starts logging JSON lines to standard error.
 pub fn start_logs() -> Result<LoggerHandle> {
-    let text = std::env::var(LOG_VARIABLE).unwrap_or_else(|_| "info".to_owned());
-    let spec = LogSpecification::parse(&text)
-        .map_err(|err| Error::Usage(format!("{LOG_VARIABLE} is `{text}`: {err}")))?;
-    Logger::with(spec)
+    Logger::with(read_log_spec()?)
         .format(json_format)
         .log_to_stderr()
         .start()
@@ -144,12 +147,9 @@
 ///
 /// See [`crate::log_output`] for what happens to lines that nobody takes.
 pub fn start_box_logs() -> Result<LoggerHandle> {
-    let text = std::env::var(LOG_VARIABLE).unwrap_or_else(|_| "info".to_owned());
-    let spec = LogSpecification::parse(&text)
-        .map_err(|err| Error::Usage(format!("{LOG_VARIABLE} is `{text}`: {err}")))?;
     let output = crate::log_output::BoundedOutput::start()
         .map_err(|err| Error::Usage(format!("logs cannot be started: {err}")))?;
-    Logger::with(spec)
+    Logger::with(read_log_spec()?)
         .log_to_writer(Box::new(output))
         .start()
         .map_err(|err| Error::Usage(format!("logs cannot be started: {err}")))
--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -8,6 +8,7 @@
 use super::upstream::Upstream;
 use crate::clock::Now;
 use bytes::Bytes;
+use futures::future::{LocalBoxFuture, select_ok};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -24,6 +25,9 @@
 /// a lost opening packet is sent again only after a second, when another upstream has
 /// long answered.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long a probe waits before it tries a second connection: several times the way there
+/// and back.
+const SECOND_PROBE: Duration = Duration::from_millis(50);
 /// How long written bytes may stay unacknowledged before the connection counts as dead.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long a connection may rest and still be used again. Upstreams drop resting
@@ -131,13 +135,17 @@
 
     /// Tells whether an upstream takes a connection now, and remembers it.
     ///
-    /// Two connections are tried, so that one lost packet does not make an upstream look
-    /// dead.
+    /// A second connection is tried soon, so that one lost packet does not make an upstream
+    /// look dead.
     pub async fn probe(&self, upstream: &Upstream) -> bool {
         let now = Now::read();
-        let tries = [self.open(upstream, now), self.open(upstream, now)];
-        let opened = futures::future::select_ok(tries.map(Box::pin)).await;
-        match opened {
+        let soon = async {
+            tokio::time::sleep(SECOND_PROBE).await;
+            self.open(upstream, now).await
+        };
+        let tries: [LocalBoxFuture<'_, _>; 2] =
+            [Box::pin(self.open(upstream, now)), Box::pin(soon)];
+        match select_ok(tries).await {
             Ok((connection, _)) => {
                 upstream.connectable();
                 let instance = upstream.with_listed(|listed| listed.instance.clone());
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -228,8 +228,8 @@
 ) -> Option<T> {
     let began = Now::read().monotonic;
     let mut future = std::pin::pin!(future);
-    let least = patience.silent.min(patience.alive).min(patience.most);
-    let mut look = least;
+    let mut look = patience.silent.min(patience.alive).min(patience.most);
+    let mut silence_borne = patience.silent;
     loop {
         match tokio::time::timeout(look, future.as_mut()).await {
             Ok(outcome) => return Some(outcome),
@@ -244,11 +244,12 @@
                     upstream.fell_silent(now);
                     return None;
                 }
-                if silent >= patience.silent {
+                if silent >= silence_borne {
                     let probed = probe_while(connections, upstream, future.as_mut()).await;
                     match probed {
                         Probed::Outcome(outcome) => return Some(outcome),
-                        Probed::Alive => {}
+                        // Each probe costs the upstream a connection.
+                        Probed::Alive => silence_borne = silence_borne.saturating_mul(2),
                         Probed::Dead => return None,
                     }
                 }
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -1,6 +1,7 @@
 //! What all boxes have under way at each upstream.
 
 use super::knowledge::Knowledge;
+use super::place::draw;
 use super::upstream::Elsewhere;
 use crate::clock::Now;
 use serde::{Deserialize, Serialize};
@@ -24,11 +25,27 @@
 /// What one box has under way.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct BoxLoad {
-    /// The name of the box's life.
-    reporter: String,
-    /// The instances with something under way: weighted tokens that wait to be read, and
-    /// the number of requests.
-    upstreams: Vec<(String, f32, u32)>,
+    /// The hash of the name of the box's life.
+    reporter: u64,
+    /// The upstreams with something under way. Bytes between halls are priced, and this
+    /// goes to every box, so instances go by a short hash; that two of them ever share
+    /// one would only make both look busier.
+    upstreams: Vec<UpstreamLoad>,
+}
+
+/// What one box has under way at one upstream.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct UpstreamLoad {
+    instance: u32,
+    /// Weighted tokens that wait to be read.
+    unread: u32,
+    /// The number of requests.
+    outstanding: u32,
+}
+
+fn short_hash(instance: &str) -> u32 {
+    // The lower half of a hash is as good as any other.
+    draw(instance) as u32
 }
 
 impl BoxLoad {
@@ -38,14 +55,14 @@
             .upstreams()
             .filter(|upstream| upstream.outstanding() > 0);
         let upstreams = busy
-            .map(|upstream| {
-                let instance = upstream.with_listed(|listed| listed.instance.clone());
-                let unread = upstream.own_unread() as f32;
-                (instance, unread, upstream.outstanding())
+            .map(|upstream| UpstreamLoad {
+                instance: upstream.with_listed(|listed| short_hash(&listed.instance)),
+                unread: upstream.own_unread() as u32,
+                outstanding: upstream.outstanding(),
             })
             .collect();
         Self {
-            reporter: reporter.to_owned(),
+            reporter: draw(reporter),
             upstreams,
         }
     }
@@ -59,14 +76,13 @@
 /// The newest reports of the other boxes.
 #[derive(Debug, Default)]
 pub struct Loads {
-    reports: HashMap<String, (BoxLoad, Duration)>,
+    reports: HashMap<u64, (BoxLoad, Duration)>,
 }
 
 impl Loads {
     /// Takes a box's report in place of its last one.
     pub fn take(&mut self, load: BoxLoad, now: Now) {
-        let reporter = load.reporter.clone();
-        self.reports.insert(reporter, (load, now.monotonic));
+        self.reports.insert(load.reporter, (load, now.monotonic));
     }
 
     /// Forgets old reports and tells each upstream what the others have under way there.
@@ -74,17 +90,17 @@
         let lifetime = interval(self.reports.len()) * LIFETIME_INTERVALS;
         self.reports
             .retain(|_, (_, at)| now.monotonic.saturating_sub(*at) < lifetime);
-        let mut sums: HashMap<&str, Elsewhere> = HashMap::new();
+        let mut sums: HashMap<u32, Elsewhere> = HashMap::new();
         for (load, _) in self.reports.values() {
-            for (instance, unread, outstanding) in &load.upstreams {
-                let sum = sums.entry(instance).or_default();
-                sum.unread += f64::from(*unread);
-                sum.outstanding += outstanding;
+            for upstream in &load.upstreams {
+                let sum = sums.entry(upstream.instance).or_default();
+                sum.unread += f64::from(upstream.unread);
+                sum.outstanding += upstream.outstanding;
             }
         }
         for upstream in knowledge.upstreams() {
-            let instance = upstream.with_listed(|listed| listed.instance.clone());
-            let sum = sums.get(instance.as_str()).copied();
+            let instance = upstream.with_listed(|listed| short_hash(&listed.instance));
+            let sum = sums.get(&instance).copied();
             upstream.set_elsewhere(sum.unwrap_or_default());
         }
     }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -26,14 +26,10 @@
     pub load: HeaderName,
     /// The model that is to answer.
     pub model: HeaderName,
-    /// The tokens of the prompt and the most that may come out.
-    pub token_counts: HeaderName,
     /// The parts of the prompt, in order.
     pub prompt_parts: HeaderName,
     /// The session that a request belongs to.
     pub session: HeaderName,
-    /// The caller's guess of the tokens that come out.
-    pub length_hint: HeaderName,
     /// The urgency for the engine's queue.
     pub urgency: HeaderName,
     /// The engine's own opinion of its answer, from 0 to 100.
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -89,8 +89,6 @@
 /// A service that routes lead to.
 #[derive(Debug, Clone, Default)]
 pub struct Service {
-    /// The most connections that one upstream takes from all callers together.
-    pub connections: u32,
     /// What its model engines can do; none for plain services.
     pub engine: Option<Engine>,
 }
@@ -98,10 +96,6 @@
 /// What the model engines of a service can do.
 #[derive(Debug, Clone, Default)]
 pub struct Engine {
-    /// The requests that one engine runs at a time.
-    pub slots: u32,
-    /// The tokens that fit into an engine's memory.
-    pub memory_tokens: u64,
     /// The models that engines run, with the price of a thousand tokens made.
     pub models: Vec<(String, f64)>,
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -10,6 +10,7 @@
 use super::routes::{Caller, RouteTable};
 use super::stream::{self, Begun};
 use crate::clock::Now;
+use crate::hop_by_hop::HopByHop;
 use actix_http::body::{BodyStream, BoxBody, MessageBody as _};
 use actix_http::{HttpMessage as _, Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
@@ -17,19 +18,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Headers that concern one connection only and never pass on.
-const CONNECTION_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-const CONTENT_LENGTH: &str = "content-length";
+/// The router reads bodies whole before it sends them, so it never asks to be expected.
+const EXPECT: &str = "expect";
 
 /// Serves one request and says so in the log.
 pub async fn serve(gw: Rc<Gateway>, mut req: Request) -> Response<BoxBody> {
@@ -208,8 +198,10 @@
 fn head(status: u16, headers: &http1_types::HeaderMap) -> Response<BoxBody> {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = Response::build(status);
+    let connection = headers.get_all(hyper::header::CONNECTION);
+    let hop_by_hop = HopByHop::read(connection.iter().filter_map(|value| value.to_str().ok()));
     for (name, value) in headers {
-        if is_about_connection(name.as_str()) {
+        if hop_by_hop.contains(name.as_str()) {
             continue;
         }
         response.append_header((name.as_str(), value.as_bytes()));
@@ -217,10 +209,6 @@
     response.finish().map_into_boxed_body()
 }
 
-fn is_about_connection(name: &str) -> bool {
-    name == CONTENT_LENGTH || CONNECTION_HEADERS.contains(&name)
-}
-
 fn header<'a>(req: &'a Request, name: &http::HeaderName) -> Option<&'a str> {
     req.headers()
         .get(name.as_str())
@@ -242,10 +230,12 @@
 fn passed_headers(gw: &Gateway, req: &Request) -> http1_types::HeaderMap {
     let names = &gw.headers;
     let mut passed = http1_types::HeaderMap::new();
+    let connection = req.headers().get_all("connection");
+    let hop_by_hop = HopByHop::read(connection.filter_map(|value| value.to_str().ok()));
     for (name, value) in req.headers() {
         let name = name.as_str();
         let is_reserved = names.reserved.iter().any(|reserved| reserved == name);
-        if is_reserved || is_about_connection(name) || name == "expect" {
+        if is_reserved || hop_by_hop.contains(name) || name == EXPECT {
             continue;
         }
         let name = hyper::header::HeaderName::from_bytes(name.as_bytes());
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,7 +1,7 @@
 //! What a box has to be told before it can start.
 
 use super::retries::RetryWindow;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The settings of one box.
@@ -11,8 +11,6 @@
     pub name: String,
     /// Its hall.
     pub hall: String,
-    /// Its address.
-    pub ip: IpAddr,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether the box takes new connections.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod evidence;
 pub mod gateway;
 pub mod guard;
+pub mod hop_by_hop;
 pub mod http_client;
 pub mod keys;
 pub mod lab;
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -79,7 +79,6 @@
     dearer_models_weigh_more => {
         let engine = Engine {
             models: vec![("small".to_owned(), 0.02), ("large".to_owned(), 0.4)],
-            ..Engine::default()
         };
         expect_that!(engine.weight("large"), eq(1.0));
         expect_that!(engine.weight("small"), near(0.05, 1e-9));
