--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,10 +19,12 @@
 pub mod membership;
 pub mod mirror;
 pub mod models;
+pub mod patience;
 pub mod peers;
 pub mod place;
 pub mod plain;
 pub mod probe;
+pub mod prompt;
 pub mod protocol;
 pub mod reading;
 pub mod refusal;
@@ -35,7 +37,9 @@
 pub mod settings;
 pub mod stream;
 pub mod telemetry;
+pub mod tries;
 pub mod upstream;
+pub mod version_watch;
 
 use crate::clock::Now;
 use crate::error::Result;
@@ -52,7 +56,7 @@
 use protocol::Headers;
 use reading::ReadingRate;
 use retries::RetryWindow;
-use rollout::{Quality, VersionQuery, VersionRule, VersionWatch, version_rule};
+use rollout::{VersionQuery, VersionRule, version_rule};
 use sessions::Sessions;
 use settings::GatewaySettings;
 use std::cell::{Cell, RefCell};
@@ -62,6 +66,7 @@
 use telemetry::Telemetry;
 use tokio::sync::Notify;
 use upstream::Upstream;
+use version_watch::{Quality, VersionWatch};
 
 /// How long after the signal to stop streams are still taken: those that begin later
 /// would not end within the grace.
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -2,17 +2,19 @@
 
 use super::Gateway;
 use super::connect::http1_types;
-use super::exchange::{NotRun, Outgoing, Patience, Tried, TryLimits, try_upstream};
+use super::exchange::{NotRun, Outgoing, Tried, TryLimits, try_upstream};
 use super::models::Expected;
+use super::patience::Patience;
 use super::place::{SharedPrompt, Wish, choose, compared, draw, least_reading};
-use super::protocol::{ANY_MODEL, parse_prompt_parts, urgency};
-use super::refusal::{Ran, Why};
+use super::prompt::Prompt;
+use super::protocol::{ANY_MODEL, urgency};
+use super::refusal::Ran;
 use super::retries::Repeat;
 use super::routes::{Organisation, Route};
+use super::tries::Tries;
 use super::upstream::Upstream;
 use crate::clock::Now;
 use bytes::Bytes;
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,51 +58,6 @@
     pub tries: Tries,
 }
 
-/// The tries of a request.
-#[derive(Debug, Default)]
-pub struct Tries {
-    instances: RefCell<Vec<String>>,
-    runs: Cell<u32>,
-    may_have_run: Cell<bool>,
-    refused: Cell<bool>,
-    sent: Cell<u32>,
-}
-
-impl Tries {
-    /// Tells what may be said of the request.
-    pub fn ran(&self) -> Ran {
-        match self.may_have_run.get() {
-            true => Ran::Perhaps,
-            false => Ran::Nowhere,
-        }
-    }
-
-    /// Returns why no upstream is left: they refused, or there was none.
-    pub fn exhausted(&self) -> Why {
-        match (self.ran(), self.refused.get()) {
-            (Ran::Perhaps, _) => Why::UpstreamFailed,
-            (Ran::Nowhere, true) => Why::Full,
-            (Ran::Nowhere, false) => Why::NoUpstream,
-        }
-    }
-
-    /// Returns the number of tries that reached an upstream.
-    pub fn sent(&self) -> u32 {
-        self.sent.get()
-    }
-
-    /// Forgets which upstreams were tried, so that all may be asked again.
-    pub fn allow_all(&self) {
-        self.instances.borrow_mut().clear();
-    }
-
-    /// Records that the try's answer was dropped though it ran.
-    pub fn exclude(&self, upstream: &Upstream) {
-        let instance = upstream.with_listed(|listed| listed.instance.clone());
-        self.instances.borrow_mut().push(instance);
-    }
-}
-
 /// What one try asks for beyond the request itself.
 #[derive(Debug, Clone, Copy)]
 pub struct TryPlan<'a> {
@@ -134,7 +91,7 @@
     /// Tells whether one more run is allowed by the route and by what already ran.
     pub fn may_run_again(&self) -> bool {
         let repeatable = self.route.kind.is_repeatable() || self.tries.ran() == Ran::Nowhere;
-        repeatable && self.tries.runs.get() < self.route.attempts.max(1)
+        repeatable && self.tries.runs() < self.route.attempts.max(1)
     }
 
     /// Tells whether another upstream could be asked now: the route, what already ran and
@@ -150,7 +107,7 @@
     /// Tells whether the next run is the last one that the route allows, so that cutting
     /// it off would end the request.
     pub fn has_last_run_left(&self) -> bool {
-        self.tries.runs.get() + 1 >= self.route.attempts.max(1)
+        self.tries.runs() + 1 >= self.route.attempts.max(1)
     }
 
     /// Chooses an upstream and makes one try there.
@@ -182,7 +139,7 @@
 
     fn place(&self, gw: &Gateway, model: Option<&str>, now: Now) -> Option<Rc<Upstream>> {
         let candidates = gw.candidates(&self.service, &self.session, now);
-        let tried = self.tries.instances.borrow().clone();
+        let tried = self.tries.instances();
         let shared = self.shared_name(model);
         let wish = Wish {
             hall: &gw.settings().hall,
@@ -245,7 +202,7 @@
         let window = windows
             .entry(self.service.clone())
             .or_insert_with(|| gw.settings().bounds.retry_window());
-        if self.tries.sent.get() == 0 {
+        if self.tries.sent() == 0 {
             window.first(now);
             return true;
         }
@@ -253,21 +210,10 @@
     }
 
     fn record(&self, gw: &Gateway, upstream: &Upstream, tried: &Tried, plan: TryPlan<'_>) {
-        let reached = !matches!(tried, Tried::NotRun(NotRun::NoConnection(_)));
-        if reached {
-            self.tries.sent.set(self.tries.sent.get() + 1);
-        }
-        match tried {
-            Tried::NotRun(NotRun::Refused(_)) => self.tries.refused.set(true),
-            Tried::NotRun(NotRun::OtherInstance) => {
-                let instance = upstream.with_listed(|listed| listed.instance.clone());
-                gw.knowledge.borrow_mut().forget_upstream(&instance);
-            }
-            Tried::NotRun(NotRun::NoConnection(_)) => {}
-            Tried::Answered(_) | Tried::Unknown(_) => {
-                self.tries.runs.set(self.tries.runs.get() + 1);
-                self.tries.may_have_run.set(true);
-            }
+        self.tries.record(tried);
+        if matches!(tried, Tried::NotRun(NotRun::OtherInstance)) {
+            let instance = upstream.with_listed(|listed| listed.instance.clone());
+            gw.knowledge.borrow_mut().forget_upstream(&instance);
         }
         gw.telemetry.tried(self, upstream, tried, plan);
     }
@@ -314,41 +260,6 @@
     }
 }
 
-/// What placement has to know of a prompt.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Prompt {
-    /// The id of the last part that other requests share.
-    pub shared: Option<String>,
-    /// The tokens up to the end of that part.
-    pub shared_tokens: u64,
-    /// All tokens of the prompt.
-    pub tokens: u64,
-}
-
-/// Prompt tokens at which the attention between a prompt's own tokens takes as long as
-/// all else in reading it. First events of prompts from 20,000 to 45,000 tokens gave it.
-const ATTENTION_TOKENS: f64 = 100_000.0;
-
-impl Prompt {
-    /// Returns the prompt's tokens as reading them takes time: long ones take longer.
-    pub fn reading_tokens(&self) -> f64 {
-        let tokens = self.tokens as f64;
-        tokens * (1.0 + tokens / ATTENTION_TOKENS)
-    }
-
-    /// Reads a prompt's parts; the last one belongs to the request alone.
-    pub fn read(parts: Option<&str>) -> Self {
-        let parts = parse_prompt_parts(parts.unwrap_or_default());
-        let tokens = parts.iter().map(|part| part.tokens).sum();
-        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        Self {
-            shared: shared.last().map(|part| part.id.clone()),
-            shared_tokens: shared.iter().map(|part| part.tokens).sum(),
-            tokens,
-        }
-    }
-}
-
 /// Tells whether a model header leaves the choice to the router.
 pub fn leaves_choice(model: Option<&str>) -> bool {
     model == Some(ANY_MODEL)
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -2,8 +2,9 @@
 
 use super::Gateway;
 use super::connect::http1_types;
-use super::exchange::{Answer, Patience, Tried};
+use super::exchange::{Answer, Tried};
 use super::job::{Job, NoTry, TryPlan};
+use super::patience::Patience;
 use super::refusal::Why;
 use super::retries::Repeat;
 use super::routes::RouteKind;
@@ -40,7 +41,7 @@
         let plan = TryPlan {
             model: None,
             resume_after: None,
-            head: patience(gw, job),
+            head: patience(gw, job, Now::read()),
             repeat: Repeat::Failure,
         };
         match job.try_once(gw, plan).await {
@@ -50,7 +51,7 @@
                 None => {}
             },
             Ok(Tried::NotRun(_) | Tried::Unknown(_)) => {}
-            Err(NoTry::NoUpstream) if should_wait(gw, job) => {
+            Err(NoTry::NoUpstream) if should_wait(gw, job, Now::read()) => {
                 tokio::time::sleep(RETRY_PAUSE).await;
                 job.tries.allow_all();
             }
@@ -63,16 +64,14 @@
 }
 
 /// Returns how long to wait for one upstream.
-fn patience(gw: &Gateway, job: &Job) -> Patience {
+fn patience(gw: &Gateway, job: &Job, now: Now) -> Patience {
     let all = Patience::up_to(Duration::MAX);
     match job.route.kind {
-        RouteKind::Idempotent if !job.has_last_run_left() && job.can_repeat(gw, Now::read()) => {
-            Patience {
-                silent: job.route.objective * SILENT_OBJECTIVES,
-                alive: job.route.objective * ALIVE_OBJECTIVES,
-                ..all
-            }
-        }
+        RouteKind::Idempotent if !job.has_last_run_left() && job.can_repeat(gw, now) => Patience {
+            silent: job.route.objective * SILENT_OBJECTIVES,
+            alive: job.route.objective * ALIVE_OBJECTIVES,
+            ..all
+        },
         // A request that cannot run again has nowhere else to go.
         _ => all,
     }
@@ -80,13 +79,11 @@
 
 /// Tells whether a request that ran nowhere should be offered once more within the box:
 /// for a quarter of its objective, after which a refusal is better than a wait.
-fn should_wait(gw: &Gateway, job: &Job) -> bool {
-    let waited = Now::read().monotonic.saturating_sub(job.received);
+fn should_wait(gw: &Gateway, job: &Job, now: Now) -> bool {
+    let waited = now.monotonic.saturating_sub(job.received);
     job.may_run_again()
         && waited + RETRY_PAUSE < job.route.objective / 4
-        && !gw
-            .candidates(&job.service, &job.session, Now::read())
-            .is_empty()
+        && !gw.candidates(&job.service, &job.session, now).is_empty()
 }
 
 async fn take_whole(gw: &Gateway, job: &Job, mut answer: Answer) -> Option<WholeAnswer> {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,8 +5,9 @@
 
 use super::Gateway;
 use super::events::{EventSplitter, Events};
-use super::exchange::{Answer, Patience, Piece, Tried};
+use super::exchange::{Answer, Piece, Tried};
 use super::job::{Job, NoTry, TryPlan};
+use super::patience::Patience;
 use super::retries::Repeat;
 use super::telemetry::StreamSummary;
 use crate::clock::Now;
@@ -131,7 +132,7 @@
                 }
                 Some(Piece::End) => "the stream ended inside an event".to_owned(),
                 Some(Piece::Broken(reason)) => reason,
-                None if self.should_wait_on() => continue,
+                None if self.should_wait_on(Now::read()) => continue,
                 None => "no event came in time".to_owned(),
             };
             if let Err(broke_off) = self.carry_over(broken).await {
@@ -142,8 +143,7 @@
     }
 
     /// Tells whether a silent upstream is still the best hope: nobody else may be asked.
-    fn should_wait_on(&self) -> bool {
-        let now = Now::read();
+    fn should_wait_on(&self, now: Now) -> bool {
         !self.job.left(now).is_zero() && !self.job.can_repeat(&self.gw, now)
     }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -2,13 +2,15 @@
 
 use super::Gateway;
 use super::connect::http1_types;
-use super::job::{Job, Prompt, Tries, leaves_choice};
+use super::job::{Job, leaves_choice};
 use super::place::draw;
 use super::plain::{self, WholeAnswer};
+use super::prompt::Prompt;
 use super::refusal::{self, Ran, Why};
 use super::relay::Relay;
 use super::routes::{Caller, RouteTable};
 use super::stream::{self, Begun};
+use super::tries::Tries;
 use crate::clock::Now;
 use crate::hop_by_hop::HopByHop;
 use actix_http::body::{BodyStream, BoxBody, MessageBody as _};
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -6,9 +6,10 @@
 use super::Gateway;
 use super::connect::http1_types;
 use super::events::EventSplitter;
-use super::exchange::{Answer, Patience, Piece, Tried, patiently};
+use super::exchange::{Answer, Piece, Tried};
 use super::job::{Job, NoTry, TryPlan};
 use super::models::{Verdict, first_model, judge};
+use super::patience::{Patience, patiently};
 use super::plain::{WholeAnswer, why};
 use super::refusal::Why;
 use super::relay::Relay;
@@ -60,7 +61,7 @@
     } else {
         &[]
     };
-    let mut place = choose_first(gw, job, models);
+    let mut place = choose_first(gw, job, models, Now::read());
     let mut repeat = Repeat::Failure;
     let mut failure = None;
     loop {
@@ -68,7 +69,7 @@
         let plan = TryPlan {
             model,
             resume_after: None,
-            head: patience(gw, job, model),
+            head: patience(gw, job, model, Now::read()),
             repeat,
         };
         repeat = Repeat::Failure;
@@ -79,7 +80,7 @@
                 let expected = job.expected_of_all(gw, models, now);
                 let left = job.left_of_objective(now);
                 match judge(place, confidence, &expected, left) {
-                    Verdict::AskLarger(larger) if may_escalate(gw, job) => {
+                    Verdict::AskLarger(larger) if may_escalate(gw, job, now) => {
                         gw.telemetry.escalated(job, place, larger, confidence);
                         place = larger;
                         repeat = Repeat::Escalation;
@@ -96,7 +97,7 @@
             }
             Ok(Tried::Answered(answer)) => failure = take_failure(gw, job, *answer).await,
             Ok(Tried::NotRun(_) | Tried::Unknown(_)) => {}
-            Err(NoTry::NoUpstream) if should_wait(gw, job) => {
+            Err(NoTry::NoUpstream) if should_wait(gw, job, Now::read()) => {
                 tokio::time::sleep(RETRY_PAUSE).await;
                 job.tries.allow_all();
                 continue;
@@ -111,8 +112,7 @@
     }
 }
 
-fn choose_first(gw: &Gateway, job: &Job, models: &[String]) -> usize {
-    let now = Now::read();
+fn choose_first(gw: &Gateway, job: &Job, models: &[String], now: Now) -> usize {
     match job.expected_of_all(gw, models, now).as_slice() {
         [smallest, .., largest] => {
             let left = job.left_of_objective(now);
@@ -131,8 +131,7 @@
     value.to_str().ok()?.trim().parse().ok()
 }
 
-fn may_escalate(gw: &Gateway, job: &Job) -> bool {
-    let now = Now::read();
+fn may_escalate(gw: &Gateway, job: &Job, now: Now) -> bool {
     let mut windows = gw.retries.borrow_mut();
     let has_room = windows
         .get_mut(&job.service)
@@ -141,16 +140,16 @@
 }
 
 /// Returns how long to wait for the head of an answer.
-fn patience(gw: &Gateway, job: &Job, model: Option<&str>) -> Patience {
-    let can_ask_others = job.can_repeat(gw, Now::read()) && !job.has_last_run_left();
+fn patience(gw: &Gateway, job: &Job, model: Option<&str>, now: Now) -> Patience {
+    let can_ask_others = job.can_repeat(gw, now) && !job.has_last_run_left();
     match job.route.kind.is_repeatable() && can_ask_others {
-        true => first_event_patience(gw, job, model),
+        true => first_event_patience(gw, job, model, now),
         false => Patience::up_to(Duration::MAX),
     }
 }
 
-fn first_event_patience(gw: &Gateway, job: &Job, model: Option<&str>) -> Patience {
-    let expected = job.expected(gw, model, Now::read()).total * EXPECTED_TIMES;
+fn first_event_patience(gw: &Gateway, job: &Job, model: Option<&str>, now: Now) -> Patience {
+    let expected = job.expected(gw, model, now).total * EXPECTED_TIMES;
     let part = |hundredths: u32| job.route.objective * hundredths / 100;
     Patience {
         silent: part(SILENT_HUNDREDTHS),
@@ -159,8 +158,7 @@
     }
 }
 
-fn should_wait(gw: &Gateway, job: &Job) -> bool {
-    let now = Now::read();
+fn should_wait(gw: &Gateway, job: &Job, now: Now) -> bool {
     let waited = now.monotonic.saturating_sub(job.received);
     job.may_run_again()
         && waited + RETRY_PAUSE < job.route.objective / OFFER_PART
@@ -175,11 +173,12 @@
     model: Option<String>,
 ) -> First {
     let mut splitter = EventSplitter::default();
-    let patience = match job.can_repeat(gw, Now::read()) {
-        true => first_event_patience(gw, job, model.as_deref()),
+    let now = Now::read();
+    let patience = match job.can_repeat(gw, now) {
+        true => first_event_patience(gw, job, model.as_deref(), now),
         false => Patience::up_to(Duration::MAX),
     };
-    let patience = patience.within(job.left(Now::read()));
+    let patience = patience.within(job.left(now));
     let upstream = answer.upstream().clone();
     let read = async {
         loop {
--- /dev/null
+++ b/src/gateway/tries.rs
@@ -0,0 +1,76 @@
+//! The tries of one request, and what they prove.
+
+use super::exchange::{NotRun, Tried};
+use super::refusal::{Ran, Why};
+use super::upstream::Upstream;
+use std::cell::{Cell, RefCell};
+
+/// The tries of a request.
+#[derive(Debug, Default)]
+pub struct Tries {
+    instances: RefCell<Vec<String>>,
+    runs: Cell<u32>,
+    may_have_run: Cell<bool>,
+    refused: Cell<bool>,
+    sent: Cell<u32>,
+}
+
+impl Tries {
+    /// Records what came of a try.
+    pub fn record(&self, tried: &Tried) {
+        if !matches!(tried, Tried::NotRun(NotRun::NoConnection(_))) {
+            self.sent.set(self.sent.get() + 1);
+        }
+        match tried {
+            Tried::NotRun(NotRun::Refused(_)) => self.refused.set(true),
+            Tried::NotRun(NotRun::OtherInstance | NotRun::NoConnection(_)) => {}
+            Tried::Answered(_) | Tried::Unknown(_) => {
+                self.runs.set(self.runs.get() + 1);
+                self.may_have_run.set(true);
+            }
+        }
+    }
+
+    /// Returns the instances that should not be asked again.
+    pub fn instances(&self) -> Vec<String> {
+        self.instances.borrow().clone()
+    }
+
+    /// Returns the number of tries that may have run.
+    pub fn runs(&self) -> u32 {
+        self.runs.get()
+    }
+
+    /// Tells what may be said of the request.
+    pub fn ran(&self) -> Ran {
+        match self.may_have_run.get() {
+            true => Ran::Perhaps,
+            false => Ran::Nowhere,
+        }
+    }
+
+    /// Returns why no upstream is left: they refused, or there was none.
+    pub fn exhausted(&self) -> Why {
+        match (self.ran(), self.refused.get()) {
+            (Ran::Perhaps, _) => Why::UpstreamFailed,
+            (Ran::Nowhere, true) => Why::Full,
+            (Ran::Nowhere, false) => Why::NoUpstream,
+        }
+    }
+
+    /// Returns the number of tries that reached an upstream.
+    pub fn sent(&self) -> u32 {
+        self.sent.get()
+    }
+
+    /// Forgets which upstreams were tried, so that all may be asked again.
+    pub fn allow_all(&self) {
+        self.instances.borrow_mut().clear();
+    }
+
+    /// Records that the try's answer was dropped though it ran.
+    pub fn exclude(&self, upstream: &Upstream) {
+        let instance = upstream.with_listed(|listed| listed.instance.clone());
+        self.instances.borrow_mut().push(instance);
+    }
+}
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -3,10 +3,9 @@
 use super::{at, cases};
 use gatepier::gateway::control::{RolloutOrder, RolloutRecord, RolloutState, Update};
 use gatepier::gateway::knowledge::{Knowledge, Rollout};
-use gatepier::gateway::rollout::{
-    Progress, Quality, VersionQuery, VersionRule, VersionWatch, next_record, version_rule,
-};
+use gatepier::gateway::rollout::{Progress, VersionQuery, VersionRule, next_record, version_rule};
 use gatepier::gateway::sessions::Sessions;
+use gatepier::gateway::version_watch::{Quality, VersionWatch};
 use gatepier::name::VersionName;
 use googletest::prelude::*;
 use std::time::Duration;
