Count a request once for the budget; let a restarted box lead at once

Cause: each try that found no connection counted as a first request and earned repeats; after a restart of all boxes nobody led until the old leases were over. Test: retries::request_without_a_connection_counts_once.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -203,7 +203,9 @@
             .entry(self.service.clone())
             .or_insert_with(|| gw.settings().bounds.retry_window());
         if self.tries.sent() == 0 {
-            window.first(now);
+            if self.tries.count_first() {
+                window.first(now);
+            }
             return true;
         }
         window.take(repeat, now)
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -64,11 +64,14 @@
 pub async fn lead(gw: Rc<Gateway>, store: Rc<dyn ControlStore>) {
     loop {
         sleep(LEAD_INTERVAL).await;
+        // By address and not by life, so that a box which was restarted leads at once and
+        // not only when the lease of its last life is over.
+        let own = gw.settings().peers;
         let leads = gw
             .knowledge
             .borrow()
             .leader()
-            .is_some_and(|leader| leader.name == gw.life);
+            .is_some_and(|leader| leader.address == own);
         if leads && gw.lease.get().is_some() {
             for service in services_under_rollout(&gw) {
                 advance(&gw, &*store, &service).await;
--- a/src/gateway/tries.rs
+++ b/src/gateway/tries.rs
@@ -13,6 +13,7 @@
     may_have_run: Cell<bool>,
     refused: Cell<bool>,
     sent: Cell<u32>,
+    counted: Cell<bool>,
 }
 
 impl Tries {
@@ -31,6 +32,14 @@
         }
     }
 
+    /// Tells whether the request has still to be counted as a first one, and counts it.
+    ///
+    /// Tries that found no connection are not repeats, but they must not earn the budget
+    /// of a first request each time either.
+    pub fn count_first(&self) -> bool {
+        !self.counted.replace(true)
+    }
+
     /// Returns the instances that should not be asked again.
     pub fn instances(&self) -> Vec<String> {
         self.instances.borrow().clone()
--- a/tests/gateway/retries.rs
+++ b/tests/gateway/retries.rs
@@ -1,7 +1,9 @@
 //! The budget of repeats.
 
 use super::{at, cases};
+use gatepier::gateway::exchange::{NotRun, Tried};
 use gatepier::gateway::retries::{Repeat, RetryWindow};
+use gatepier::gateway::tries::Tries;
 use googletest::prelude::*;
 use std::time::Duration;
 
@@ -33,6 +35,14 @@
         expect_that!(window.has_room(Repeat::Failure, at(200)), eq(true));
     }
 
+    request_without_a_connection_counts_once => {
+        let tries = Tries::default();
+        expect_that!(tries.count_first(), eq(true));
+        tries.record(&Tried::NotRun(NotRun::NoConnection("refused".to_owned())));
+        expect_that!(tries.sent(), eq(0));
+        expect_that!(tries.count_first(), eq(false));
+    }
+
     old_requests_earn_nothing => {
         let mut window = RetryWindow::new(0.9, WINDOW);
         for millis in 0..100 {
