--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -68,9 +68,10 @@
 use upstream::Upstream;
 use version_watch::{Quality, VersionWatch};
 
-/// How long after the signal to stop streams are still taken: those that begin later
-/// would not end within the grace.
-const LONG_REQUESTS_AFTER_STOP: Duration = Duration::from_millis(500);
+/// How long after the signal to stop streams are still taken. The balancer sends new
+/// connections for two seconds yet, and a refusal costs the caller a way to another box;
+/// the operators bear a stream that is cut at the end if it was sent within three seconds.
+const LONG_REQUESTS_AFTER_STOP: Duration = Duration::from_millis(2800);
 /// How old knowledge may be for the box to count as ready: older means that the store
 /// cannot be reached, and callers fare better elsewhere.
 const READY_AGE: Duration = Duration::from_millis(3500);
