--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -57,6 +57,7 @@
 use reading::ReadingRate;
 use retries::RetryWindow;
 use rollout::{VersionQuery, VersionRule, version_rule};
+use routes::RouteKind;
 use sessions::Sessions;
 use settings::GatewaySettings;
 use std::cell::{Cell, RefCell};
@@ -72,6 +73,9 @@
 /// connections for two seconds yet, and a refusal costs the caller a way to another box;
 /// the operators bear a stream that is cut at the end if it was sent within three seconds.
 const LONG_REQUESTS_AFTER_STOP: Duration = Duration::from_millis(2800);
+/// How long before the process's end nothing is taken any more: a plain request takes a
+/// tenth of this, and some times as long at a slow upstream.
+const LAST_TAKEN_BEFORE_END: Duration = Duration::from_millis(1200);
 /// How old knowledge may be for the box to count as ready: older means that the store
 /// cannot be reached, and callers fare better elsewhere.
 const READY_AGE: Duration = Duration::from_millis(3500);
@@ -319,11 +323,18 @@
         self.stopping_since.get().is_some()
     }
 
-    /// Tells whether a request that may take long would outlast the process.
-    pub fn refuses_long(&self, now: Now) -> bool {
-        self.stopping_since
-            .get()
-            .is_some_and(|since| now.monotonic.saturating_sub(since) > LONG_REQUESTS_AFTER_STOP)
+    /// Tells whether a request would perhaps outlast the process.
+    pub fn is_too_late_for(&self, kind: RouteKind, now: Now) -> bool {
+        let Some(since) = self.stopping_since.get() else {
+            return false;
+        };
+        let time_to_end = self.settings().bounds.time_to_end();
+        let last = time_to_end.saturating_sub(LAST_TAKEN_BEFORE_END);
+        let last = match kind.stream_gap() {
+            Some(_) => last.min(LONG_REQUESTS_AFTER_STOP),
+            None => last,
+        };
+        now.monotonic.saturating_sub(since) > last
     }
 }
 
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -20,8 +20,6 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::sleep;
 
-/// How much earlier than the operators' grace the process ends, so that it is not killed.
-const GRACE_MARGIN: Duration = Duration::from_millis(350);
 /// How long a stopping box goes on at least: the balancer asks every second and takes a
 /// box out after two misses.
 const BALANCER_NOTICE: Duration = Duration::from_millis(3200);
@@ -183,11 +181,11 @@
     {
         log::warn!("the lease runs out by itself: {err}");
     }
-    let grace = gw.settings().bounds.grace.saturating_sub(GRACE_MARGIN);
+    let time_to_end = gw.settings().bounds.time_to_end();
     loop {
         let spent = Now::read().monotonic.saturating_sub(began.monotonic);
         let is_idle = gw.in_flight() == 0 && spent >= BALANCER_NOTICE;
-        if is_idle || spent >= grace {
+        if is_idle || spent >= time_to_end {
             break;
         }
         sleep(DRAIN_STEP).await;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -67,8 +67,7 @@
     if !route.models.is_empty() && model.is_some() && !chooses_model {
         return Err(Why::ModelNamed);
     }
-    let is_stream = route.kind.stream_gap().is_some();
-    if is_stream && gw.refuses_long(now) {
+    if gw.is_too_late_for(route.kind, now) {
         return Err(Why::Stopping);
     }
     let asked = header(req, &gw.headers.deadline).and_then(|text| text.parse().ok());
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -42,7 +42,15 @@
 /// request's way to its upstream and for timers that fire late.
 const REVOKE_MARGIN: Duration = Duration::from_millis(600);
 
+/// How much earlier than the operators' grace the process ends, so that it is not killed.
+const GRACE_MARGIN: Duration = Duration::from_millis(350);
+
 impl Bounds {
+    /// Returns the time from the signal to stop to the process's end at the latest.
+    pub fn time_to_end(&self) -> Duration {
+        self.grace.saturating_sub(GRACE_MARGIN)
+    }
+
     /// Makes an empty budget of repeats.
     pub fn retry_window(&self) -> RetryWindow {
         RetryWindow::new(self.retry_ratio, self.retry_window)
