--- a/src/lab/proxy.rs
+++ b/src/lab/proxy.rs
@@ -24,6 +24,12 @@
     Closed,
     /// Bytes are held, as by a network that drops packets.
     Silent,
+    /// Bytes to the target are held; those from it pass.
+    SilentThere,
+    /// Bytes from the target are held; those to it pass.
+    SilentBack,
+    /// Connections are reset, present and new ones.
+    Reset,
     /// Bytes from the target are swallowed and then the connection is closed, so that
     /// an answer is lost after its effect.
     LoseAnswers,
@@ -65,7 +71,12 @@
 
 async fn accept(listener: TcpListener, target: SocketAddr, mode: watch::Receiver<LinkMode>) {
     while let Ok((caller, _)) = listener.accept().await {
-        if *mode.borrow() == LinkMode::Closed {
+        let present = *mode.borrow();
+        if present == LinkMode::Closed {
+            continue;
+        }
+        if present == LinkMode::Reset {
+            reset(&socket2::SockRef::from(&caller));
             continue;
         }
         actix_rt::spawn(connect(caller, target, mode.clone()));
@@ -78,57 +89,75 @@
     };
     let _ = caller.set_nodelay(true);
     let _ = callee.set_nodelay(true);
+    let ends = [&caller, &callee].map(|end| socket2::SockRef::from(end).try_clone());
     let (from_caller, to_caller) = caller.into_split();
     let (from_callee, to_callee) = callee.into_split();
     let gate = Rc::new(mode);
     let there = pump(from_caller, to_callee, (*gate).clone(), false);
     let back = pump(from_callee, to_caller, (*gate).clone(), true);
     tokio::select! {
-        _ = async { tokio::join!(there, back) } => {}
-        () = closed((*gate).clone()) => {}
+        passed = async { tokio::try_join!(there, back) } => {
+            if passed.is_err() {
+                ends.iter().flatten().for_each(reset);
+            }
+        }
+        () = closed((*gate).clone()) => {
+            if *gate.borrow() == LinkMode::Reset {
+                ends.iter().flatten().for_each(reset);
+            }
+        }
     }
 }
 
+/// Makes a connection end with a reset when it is dropped.
+fn reset(stream: &socket2::Socket) {
+    let _ = stream.set_linger(Some(Duration::ZERO));
+}
+
 async fn closed(mut mode: watch::Receiver<LinkMode>) {
-    if mode
-        .wait_for(|mode| *mode == LinkMode::Closed)
-        .await
-        .is_err()
-    {
+    let ends = |mode: &LinkMode| matches!(mode, LinkMode::Closed | LinkMode::Reset);
+    if mode.wait_for(ends).await.is_err() {
         std::future::pending::<()>().await;
     }
 }
 
+/// Tells whether a mode holds the bytes of a direction.
+fn holds(mode: LinkMode, is_answer: bool) -> bool {
+    match mode {
+        LinkMode::Silent => true,
+        LinkMode::SilentThere => !is_answer,
+        LinkMode::SilentBack => is_answer,
+        _ => false,
+    }
+}
+
+/// Passes bytes one way. An error of either end is passed on as a reset, so that an
+/// answer which was cut does not look like one that came to its end.
 async fn pump(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut mode: watch::Receiver<LinkMode>,
     is_answer: bool,
-) {
+) -> std::io::Result<()> {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
-        let Ok(count) = from.read(&mut buf).await else {
-            return;
-        };
+        let count = from.read(&mut buf).await?;
         if count == 0 {
-            let _ = to.shutdown().await;
-            return;
+            return to.shutdown().await;
         }
         if mode
-            .wait_for(|mode| *mode != LinkMode::Silent)
+            .wait_for(|mode| !holds(*mode, is_answer))
             .await
             .is_err()
         {
-            return;
+            return Ok(());
         }
         let present = *mode.borrow();
         match present {
             LinkMode::Late(millis) => sleep(Duration::from_millis(millis)).await,
-            LinkMode::LoseAnswers if is_answer => return,
+            LinkMode::LoseAnswers if is_answer => return Ok(()),
             _ => {}
         }
-        if to.write_all(&buf[..count]).await.is_err() {
-            return;
-        }
+        to.write_all(&buf[..count]).await?;
     }
 }
