--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -14,7 +14,7 @@
 const AFFINE_ENGINES: usize = 2;
 /// What reading a shared part anew counts for beyond its time, as a part of its tokens:
 /// it is priced, and it drives out what the engine kept.
-const ANEW: f64 = 0.5;
+const ANEW: f64 = 1.0;
 /// Weighted tokens that a full engine's slots count for. An engine slows down little with
 /// the number of its requests, so this matters only near the last slots.
 const SLOTS_TOKENS: f64 = 4000.0;
@@ -168,7 +168,11 @@
         let keeps_shared = rank(upstream, seed) >= last_affine;
         let read = match keeps_shared {
             true => prompt.tokens - prompt.shared_tokens,
-            false => prompt.tokens + prompt.shared_tokens * ANEW,
+            false => prompt.tokens,
+        };
+        let anew = match keeps_shared {
+            true => 0.0,
+            false => prompt.shared_tokens * ANEW,
         };
         let fullness = upstream.fullness(now);
         let slots = match fullness < 1.0 {
@@ -176,7 +180,7 @@
             false => fullness * NO_SLOT_TOKENS,
         };
         let troubles = (penalty(upstream, now) - fullness) * PENALTY_TOKENS;
-        upstream.unread() + read * prompt.weight + slots + troubles
+        upstream.unread() + read * prompt.weight + anew + slots + troubles
     };
     candidates.iter().map(cost).collect()
 }
