--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// How many engines are expected to keep the same beginning of prompts.
-const AFFINE_ENGINES: usize = 2;
+const AFFINE_ENGINES: usize = 1;
 /// What reading a shared part anew counts for beyond its time, as a part of its tokens:
 /// it is priced, and it drives out what the engine kept.
 const ANEW: f64 = 1.0;
