Tell the other boxes of long reads at once

What: a read of 3,000 weighted tokens or more is told to all boxes when it begins, and what others have to read fades as engines read on. Test: long_read_of_another_box_counts_at_once_until_it_is_over.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -51,7 +51,7 @@
 use hubs::Hubs;
 use job::Job;
 use knowledge::Knowledge;
-use loads::Loads;
+use loads::{Loads, LongReads};
 use mirror::Mirror;
 use protocol::Headers;
 use reading::ReadingRate;
@@ -106,6 +106,8 @@
     pub reading: ReadingRate,
     /// What the other boxes have under way.
     pub loads: RefCell<Loads>,
+    /// Long reads that the other boxes have still to be told of.
+    pub long_reads: LongReads,
     /// Log lines and metrics.
     pub telemetry: Telemetry,
     /// The name of this life of the box.
@@ -138,6 +140,7 @@
             connections: Connections::default(),
             retries: RefCell::default(),
             loads: RefCell::default(),
+            long_reads: LongReads::default(),
             reading: ReadingRate::default(),
             telemetry: Telemetry::new(metrics),
             life,
@@ -219,7 +222,7 @@
     pub fn first_event(&self, job: &Job, upstream: &Upstream, took: Duration, model: &str) {
         let now = Now::read();
         let listed = upstream.listed();
-        let ahead = upstream.unread();
+        let ahead = upstream.unread(now);
         self.telemetry.first_event(job, model, took, ahead);
         let weight = self.model_weight(&job.service, Some(model));
         let tokens = job.prompt.reading_tokens() * weight;
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -131,6 +131,7 @@
             tokens: self.prompt.reading_tokens() * gw.model_weight(&self.service, plan.model),
             may_reuse: self.route.kind.is_repeatable(),
         };
+        gw.long_reads.note(&gw.life, &instance, limits.tokens);
         let out = self.outgoing(gw, &instance, plan, now);
         let tried = try_upstream(&gw.connections, &gw.headers, &upstream, out, limits).await;
         self.record(gw, &upstream, &tried, plan);
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -2,17 +2,23 @@
 
 use super::knowledge::Knowledge;
 use super::place::draw;
-use super::upstream::Elsewhere;
+use super::upstream::{Elsewhere, Upstream};
 use crate::clock::Now;
 use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 
 /// The shortest time between two reports of a box; requests wait about as long to be read.
 const SHORTEST_INTERVAL: Duration = Duration::from_millis(120);
 /// The time between two reports that each other box adds, so that a box gets some sixty
 /// reports a second however many boxes there are.
 const INTERVAL_PER_BOX: Duration = Duration::from_millis(15);
+/// Weighted tokens from which the beginning of a read is told at once. Such a read keeps an
+/// engine for a sixth of a second or more, and the next report may be a second away.
+const LONG_READ: f64 = 3000.0;
 /// How many intervals a report is believed when no other follows.
 const LIFETIME_INTERVALS: u32 = 6;
 
@@ -43,6 +49,50 @@
     outstanding: u32,
 }
 
+/// The news that a box begins a long read, ahead of its next report.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct LongRead {
+    /// The hash of the name of the box's life.
+    reporter: u64,
+    /// The short hash of the instance.
+    instance: u32,
+    /// The weighted tokens.
+    unread: u32,
+}
+
+/// Long reads that this box began and has still to tell of.
+#[derive(Debug, Default)]
+pub struct LongReads {
+    untold: RefCell<Vec<LongRead>>,
+    rung: Notify,
+}
+
+impl LongReads {
+    /// Notes a read that begins, if it is long enough to tell of.
+    pub fn note(&self, reporter: &str, instance: &str, tokens: f64) {
+        if tokens < LONG_READ {
+            return;
+        }
+        self.untold.borrow_mut().push(LongRead {
+            reporter: draw(reporter),
+            instance: short_hash(instance),
+            unread: tokens as u32,
+        });
+        self.rung.notify_one();
+    }
+
+    /// Waits for reads to tell of.
+    pub async fn next(&self) -> Vec<LongRead> {
+        loop {
+            let untold = self.untold.take();
+            if !untold.is_empty() {
+                return untold;
+            }
+            self.rung.notified().await;
+        }
+    }
+}
+
 fn short_hash(instance: &str) -> u32 {
     // The lower half of a hash is as good as any other.
     draw(instance) as u32
@@ -85,6 +135,24 @@
         self.reports.insert(load.reporter, (load, now.monotonic));
     }
 
+    /// Takes the news of a long read, until the reader's next report replaces it.
+    pub fn take_long_read(&mut self, read: LongRead, knowledge: &Knowledge, now: Now) {
+        let upstream = UpstreamLoad {
+            instance: read.instance,
+            unread: read.unread,
+            outstanding: 1,
+        };
+        if let Some((load, _)) = self.reports.get_mut(&read.reporter) {
+            load.upstreams.push(upstream);
+        }
+        let is_read_by = |upstream: &&Rc<Upstream>| {
+            upstream.with_listed(|listed| short_hash(&listed.instance) == read.instance)
+        };
+        if let Some(upstream) = knowledge.upstreams().find(is_read_by) {
+            upstream.add_elsewhere(f64::from(read.unread), now);
+        }
+    }
+
     /// Forgets old reports and tells each upstream what the others have under way there.
     pub fn spread(&mut self, knowledge: &Knowledge, now: Now) {
         let lifetime = interval(self.reports.len()) * LIFETIME_INTERVALS;
@@ -94,6 +162,7 @@
         for (load, _) in self.reports.values() {
             for upstream in &load.upstreams {
                 let sum = sums.entry(upstream.instance).or_default();
+                sum.as_of = now.monotonic;
                 sum.unread += f64::from(upstream.unread);
                 sum.outstanding += upstream.outstanding;
             }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,6 +2,7 @@
 //!
 //! - What the store holds, as [`super::hubs`] explains.
 //! - What each has under way at which upstream, so that placement sees all boxes' load.
+//! - Which long reads each begins, at once: a report of load comes too late for those.
 //! - How the versions under roll-out answered; this goes to the two boxes registered
 //!   longest: the one that leads, and the one that would lead next.
 //! - Which sessions the old version served just before a roll-out, so that no box moves
@@ -15,7 +16,7 @@
 use super::control::ControlStore;
 use super::hubs::{self, Question, Told};
 use super::knowledge::Knowledge;
-use super::loads::{BoxLoad, interval};
+use super::loads::{BoxLoad, LongRead, interval};
 use crate::clock::Now;
 use crate::error::{Error, Result};
 use crate::evidence::EvidenceCell;
@@ -48,6 +49,8 @@
     /// Sessions that the old version of a service serves: the order's revision in the
     /// store, and the sessions' hashes.
     OldSessions(u64, Vec<u64>),
+    /// The sender begins long reads.
+    LongReads(Vec<LongRead>),
 }
 
 /// Exchanges messages for as long as the process lives.
@@ -64,6 +67,7 @@
         receive(&gw, &store, &socket),
         report_versions(&gw, &socket),
         report_load(&gw, &socket),
+        tell_long_reads(&gw, &socket),
         hubs::ask(&gw, send_question),
         hubs::tell_news(&gw, send_told),
         hubs::serve_fetches(gw.clone(), listener),
@@ -102,6 +106,13 @@
     match message {
         PeerMessage::Counts(cells) => gw.versions.borrow_mut().merge(&cells),
         PeerMessage::Load(load) => gw.loads.borrow_mut().take(load, now),
+        PeerMessage::LongReads(reads) => {
+            let knowledge = gw.knowledge.borrow();
+            let mut loads = gw.loads.borrow_mut();
+            for read in reads {
+                loads.take_long_read(read, &knowledge, now);
+            }
+        }
         PeerMessage::OldSessions(order, sessions) => {
             gw.sessions.borrow_mut().keep_old(order, &sessions);
         }
@@ -183,6 +194,15 @@
     }
 }
 
+/// Tells the other boxes at once of each long read that this one begins.
+async fn tell_long_reads(gw: &Gateway, socket: &UdpSocket) {
+    loop {
+        let reads = gw.long_reads.next().await;
+        let others = longest_registered(gw, usize::MAX);
+        send(socket, &PeerMessage::LongReads(reads), &others).await;
+    }
+}
+
 /// Returns the addresses of so many other boxes, those registered longest first.
 fn longest_registered(gw: &Gateway, most: usize) -> Vec<SocketAddr> {
     let knowledge: &Knowledge = &gw.knowledge.borrow();
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -180,7 +180,7 @@
             false => fullness * NO_SLOT_TOKENS,
         };
         let troubles = (penalty(upstream, now) - fullness) * PENALTY_TOKENS;
-        upstream.unread() + read * prompt.weight + anew + slots + troubles
+        upstream.unread(now) + read * prompt.weight + anew + slots + troubles
     };
     candidates.iter().map(cost).collect()
 }
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -5,7 +5,7 @@
 
 /// Weighted tokens that an engine reads in a millisecond before anything was measured.
 /// The dearest model of the users' deployments reads about this fast.
-const RATE_AT_START: f64 = 18.0;
+pub const USUAL_RATE: f64 = 18.0;
 /// The bounds of what is believed of the rate.
 const RATE_BOUNDS: (f64, f64) = (2.0, 200.0);
 /// How much of the newest measurement goes into the rate.
@@ -23,7 +23,7 @@
 
 impl Default for ReadingRate {
     fn default() -> Self {
-        Self(Cell::new(RATE_AT_START))
+        Self(Cell::new(USUAL_RATE))
     }
 }
 
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -2,6 +2,7 @@
 
 use super::control::ListedUpstream;
 use super::protocol::ReportedLoad;
+use super::reading::USUAL_RATE;
 use crate::clock::Now;
 use crate::routing::placement::{LoadGuard, UpstreamLoad};
 use std::cell::{Cell, RefCell};
@@ -46,6 +47,17 @@
     pub unread: f64,
     /// Requests under way.
     pub outstanding: u32,
+    /// When this was so.
+    pub as_of: Duration,
+}
+
+impl Elsewhere {
+    /// Returns what is left to read by now, since the engine has read on.
+    fn unread_by(self, now: Now) -> f64 {
+        let age = now.monotonic.saturating_sub(self.as_of);
+        let read = age.as_secs_f64() * 1000.0 * USUAL_RATE;
+        (self.unread - read).max(0.0)
+    }
 }
 
 /// Counts a prompt's tokens out when its first event came or the try ended.
@@ -160,8 +172,8 @@
     }
 
     /// Returns all boxes' weighted prompt tokens that the upstream has not read yet.
-    pub fn unread(&self) -> f64 {
-        self.unread.get() + self.elsewhere.get().unread
+    pub fn unread(&self, now: Now) -> f64 {
+        self.unread.get() + self.elsewhere.get().unread_by(now)
     }
 
     /// Takes what other boxes have under way here.
@@ -169,6 +181,16 @@
         self.elsewhere.set(elsewhere);
     }
 
+    /// Adds a long read that another box begins here.
+    pub fn add_elsewhere(&self, tokens: f64, now: Now) {
+        let known = self.elsewhere.get();
+        self.elsewhere.set(Elsewhere {
+            unread: known.unread_by(now) + tokens,
+            outstanding: known.outstanding + 1,
+            as_of: now.monotonic,
+        });
+    }
+
     /// Takes a report of load out of an answer.
     pub fn reported(&self, load: ReportedLoad, now: Now) {
         self.report.set(Some(Report {
--- a/tests/gateway/passing_on.rs
+++ b/tests/gateway/passing_on.rs
@@ -4,7 +4,7 @@
 use gatepier::gateway::control::{BoxEntry, Item, Update};
 use gatepier::gateway::hubs::choose_hubs;
 use gatepier::gateway::knowledge::Knowledge;
-use gatepier::gateway::loads::{BoxLoad, Loads, interval};
+use gatepier::gateway::loads::{BoxLoad, Loads, LongReads, interval};
 use gatepier::gateway::mirror::Mirror;
 use googletest::prelude::*;
 use std::time::Duration;
@@ -101,13 +101,32 @@
         let counted = upstream.enter();
         let report = BoxLoad::of("other", &knowledge);
         drop((unread, counted));
-        expect_that!(upstream.unread(), eq(0.0));
+        expect_that!(upstream.unread(at(0)), eq(0.0));
         let mut loads = Loads::default();
         loads.take(report, at(0));
         loads.spread(&knowledge, at(10));
-        expect_that!(upstream.unread(), eq(500.0));
+        expect_that!(upstream.unread(at(10)), eq(500.0));
         expect_that!(upstream.occupancy(at(10)), eq(1));
         loads.spread(&knowledge, at(5000));
-        expect_that!(upstream.unread(), eq(0.0));
+        expect_that!(upstream.unread(at(5000)), eq(0.0));
+    }
+
+    long_read_of_another_box_counts_at_once_until_it_is_over => {
+        // Fails where only reports tell of it: with 67 boxes they come once a second, and
+        // boxes queued long prompts behind each other at one engine.
+        let mut knowledge = Knowledge::default();
+        let update = Update::Upstream(Box::new(listed("i-1", "engine", "ikeja")));
+        knowledge.apply(update, at(0));
+        let upstream = knowledge.open_upstreams("engine", at(0)).remove(0);
+        let told = LongReads::default();
+        told.note("other", "i-1", 100.0);
+        told.note("other", "i-1", 9000.0);
+        let told = futures::executor::block_on(told.next());
+        expect_that!(told.len(), eq(1));
+        let mut loads = Loads::default();
+        loads.take_long_read(told[0], &knowledge, at(0));
+        expect_that!(upstream.unread(at(0)), eq(9000.0));
+        expect_that!(upstream.unread(at(250)), near(4500.0, 1.0));
+        expect_that!(upstream.unread(at(600)), eq(0.0));
     }
 }
