--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -36,12 +36,33 @@
 /// How long the watch may take to bring what a check has shown to exist.
 const WATCH_LAG: Duration = Duration::from_millis(150);
 
+/// The longest wait for the box's registration before everything is read. Registering
+/// takes two calls of 4 ms; a box that reads after it knows the hubs from the start.
+const REGISTRATION_WAIT: Duration = Duration::from_millis(100);
+/// How often it is looked for the registration.
+const REGISTRATION_LOOK: Duration = Duration::from_millis(4);
+
 /// Follows the store for as long as the process lives.
 pub async fn follow(gw: Rc<Gateway>, store: Rc<dyn ControlStore>) {
+    await_registration(&gw).await;
     read_everything(&gw, &*store).await;
     tokio::join!(watch(&gw, &*store), check(&gw, &*store));
 }
 
+async fn await_registration(gw: &Gateway) {
+    let registered = async {
+        while gw.lease.get().is_none() {
+            sleep(REGISTRATION_LOOK).await;
+        }
+    };
+    if tokio::time::timeout(REGISTRATION_WAIT, registered)
+        .await
+        .is_err()
+    {
+        log::info!("everything is read before this box is registered");
+    }
+}
+
 /// Tidies up for as long as the process lives.
 pub async fn tidy(gw: Rc<Gateway>) {
     loop {
