--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -31,6 +31,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Boxes that are told of versions: the leading one and the one that would lead next.
 const TOLD_BOXES: usize = 2;
+/// Boxes that are told of a long read, so that what each gets does not grow with their
+/// number: all of the users' grown deployments, and from there on a part in turn.
+const TOLD_OF_READS: usize = 96;
 /// The largest datagram; what a box has under way at a hundred upstreams takes two
 /// kilobytes.
 const DATAGRAM_BYTES: usize = 32 * 1024;
@@ -196,13 +199,25 @@
 
 /// Tells the other boxes at once of each long read that this one begins.
 async fn tell_long_reads(gw: &Gateway, socket: &UdpSocket) {
+    let mut turn = 0;
     loop {
         let reads = gw.long_reads.next().await;
-        let others = longest_registered(gw, usize::MAX);
+        let others = in_turn(longest_registered(gw, usize::MAX), TOLD_OF_READS, &mut turn);
         send(socket, &PeerMessage::LongReads(reads), &others).await;
     }
 }
 
+/// Returns so many of some boxes, beginning where the last turn ended.
+pub fn in_turn(mut boxes: Vec<SocketAddr>, most: usize, turn: &mut usize) -> Vec<SocketAddr> {
+    if boxes.len() > most {
+        let start = *turn % boxes.len();
+        boxes.rotate_left(start);
+        boxes.truncate(most);
+        *turn = start + most;
+    }
+    boxes
+}
+
 /// Returns the addresses of so many other boxes, those registered longest first.
 fn longest_registered(gw: &Gateway, most: usize) -> Vec<SocketAddr> {
     let knowledge: &Knowledge = &gw.knowledge.borrow();
--- a/tests/gateway/passing_on.rs
+++ b/tests/gateway/passing_on.rs
@@ -6,7 +6,9 @@
 use gatepier::gateway::knowledge::Knowledge;
 use gatepier::gateway::loads::{BoxLoad, Loads, LongReads, interval};
 use gatepier::gateway::mirror::Mirror;
+use gatepier::gateway::peers::in_turn;
 use googletest::prelude::*;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 fn item(key: &str, revision: u64) -> Item {
@@ -111,6 +113,18 @@
         expect_that!(upstream.unread(at(5000)), eq(0.0));
     }
 
+    long_reads_are_told_to_a_bounded_number_of_boxes_in_turn => {
+        let boxes: Vec<SocketAddr> =
+            (1..=5).map(|port| SocketAddr::from(([127, 0, 0, 1], port))).collect();
+        let mut turn = 0;
+        expect_that!(in_turn(boxes.clone(), 5, &mut turn).len(), eq(5));
+        let first = in_turn(boxes.clone(), 3, &mut turn);
+        let second = in_turn(boxes.clone(), 3, &mut turn);
+        let ports = |told: &[SocketAddr]| told.iter().map(SocketAddr::port).collect::<Vec<_>>();
+        expect_that!(ports(&first), eq(&vec![1, 2, 3]));
+        expect_that!(ports(&second), eq(&vec![4, 5, 1]));
+    }
+
     long_read_of_another_box_counts_at_once_until_it_is_over => {
         // Fails where only reports tell of it: with 67 boxes they come once a second, and
         // boxes queued long prompts behind each other at one engine.
