--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -21,7 +21,10 @@
 /// The time between two looks at the roll-outs.
 const LEAD_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Keeps the box registered for as long as the process lives.
+/// Keeps the box registered until it is asked to stop.
+///
+/// A box that stops ends its lease by itself and must not register anew: the others would
+/// take it for a member until that lease runs out, long after its end.
 pub async fn stay_registered(gw: Rc<Gateway>, store: Rc<dyn ControlStore>) {
     let entry = BoxEntry {
         name: gw.life.clone(),
@@ -29,7 +32,7 @@
         address: gw.settings().peers,
         registered: 0,
     };
-    loop {
+    while !gw.is_stopping() {
         gw.telemetry.store_called("register");
         match store.register(&entry, LEASE).await {
             Ok(lease) => {
@@ -37,7 +40,7 @@
                 gw.lease.set(Some(lease));
                 keep_lease(&gw, &*store, lease).await;
                 gw.lease.set(None);
-                log::warn!(lease; "the lease is over, registering anew");
+                log::warn!(lease; "the lease is over");
             }
             Err(err) => {
                 gw.store_failed(&err, Now::read());
@@ -47,10 +50,13 @@
     }
 }
 
-/// Renews a lease until the store says that it is over.
+/// Renews a lease until the store says that it is over, or the box stops.
 async fn keep_lease(gw: &Gateway, store: &dyn ControlStore, lease: u64) {
     loop {
         sleep(RENEWAL).await;
+        if gw.is_stopping() {
+            return;
+        }
         gw.telemetry.store_called("renew");
         match store.renew(lease).await {
             Ok(true) => {}
