--- a/src/error.rs
+++ b/src/error.rs
@@ -4,7 +4,7 @@
 //! from [`Error::exit_code`], as `docs/OPERATIONS.md` lists them.
 
 use std::fmt;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// Exit code of a command that did what it was asked.
 pub const EXIT_DONE: i32 = 0;
@@ -29,6 +29,19 @@
     pub message: String,
 }
 
+impl Finding {
+    /// Makes a finding at a byte offset of a file's text.
+    pub fn at(file: &Path, text: &str, offset: usize, message: String) -> Self {
+        let before = text.get(..offset).unwrap_or(text);
+        Self {
+            file: file.to_owned(),
+            line: before.matches('\n').count() + 1,
+            column: before.rsplit('\n').next().unwrap_or("").chars().count() + 1,
+            message,
+        }
+    }
+}
+
 impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let file = self.file.display();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,7 +5,6 @@
 //! come from an adapter: [`protocol::Headers`] and [`control::ControlStore`]. See
 //! `docs/design/platform.md`.
 
-pub mod caller_stream;
 pub mod connect;
 pub mod control;
 pub mod events;
--- a/src/gateway/hubs.rs
+++ b/src/gateway/hubs.rs
@@ -166,8 +166,7 @@
     let knowledge = gw.knowledge.borrow();
     let mut asked = choose_hubs(knowledge.boxes());
     asked.sort_by_key(|hub| hub.hall != settings.hall);
-    let mut others: Vec<&BoxEntry> = knowledge.boxes().collect();
-    others.sort_by_key(|entry| entry.registered);
+    let mut others = knowledge.boxes_by_age();
     let is_hub = |entry: &&BoxEntry| asked.iter().any(|hub| hub.address == entry.address);
     others.retain(|entry| !is_hub(entry));
     asked.extend(others.into_iter().take(OTHERS_ASKED));
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -187,9 +187,19 @@
     /// Returns how long a model's first event would take from now on.
     pub fn expected(&self, gw: &Gateway, model: Option<&str>, now: Now) -> Expected {
         let candidates = gw.candidates(&self.service, &self.session, now);
+        self.expected_among(gw, &candidates, model, now)
+    }
+
+    fn expected_among(
+        &self,
+        gw: &Gateway,
+        candidates: &[Rc<Upstream>],
+        model: Option<&str>,
+        now: Now,
+    ) -> Expected {
         let shared = self.shared_name(model);
         let prompt = self.shared_prompt(gw, shared.as_deref(), model);
-        let least = prompt.and_then(|prompt| least_reading(&candidates, prompt, now));
+        let least = prompt.and_then(|prompt| least_reading(candidates, prompt, now));
         let own = prompt.map_or(0.0, |prompt| prompt.tokens * prompt.weight);
         let total = least.unwrap_or_default();
         Expected {
@@ -200,7 +210,8 @@
 
     /// Returns how long each model's first event would take from now on.
     pub fn expected_of_all(&self, gw: &Gateway, models: &[String], now: Now) -> Vec<Expected> {
-        let expected = |model: &String| self.expected(gw, Some(model), now);
+        let candidates = gw.candidates(&self.service, &self.session, now);
+        let expected = |model: &String| self.expected_among(gw, &candidates, Some(model), now);
         models.iter().map(expected).collect()
     }
 
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -265,10 +265,7 @@
                 upstream.with_listed(|listed| listed.service == service && !listed.draining);
             serves && !is_gone
         };
-        let mut open: Vec<Rc<Upstream>> =
-            self.upstreams.values().filter(is_open).cloned().collect();
-        open.sort_by_cached_key(|upstream| upstream.with_listed(|listed| listed.instance.clone()));
-        open
+        self.upstreams.values().filter(is_open).cloned().collect()
     }
 
     /// Returns all upstreams.
@@ -296,6 +293,13 @@
         self.boxes.values()
     }
 
+    /// Returns the registered boxes, the one registered longest first.
+    pub fn boxes_by_age(&self) -> Vec<&BoxEntry> {
+        let mut boxes: Vec<&BoxEntry> = self.boxes().collect();
+        boxes.sort_by_key(|entry| entry.registered);
+        boxes
+    }
+
     /// Returns the box that leads: the one registered longest.
     pub fn leader(&self) -> Option<&BoxEntry> {
         self.boxes.values().min_by_key(|entry| entry.registered)
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -1,7 +1,6 @@
 //! Accepts callers, answers the balancer, and ends the process in order.
 
 use super::Gateway;
-use super::caller_stream::CallerStream;
 use super::control::ControlStore;
 use super::routes::CallerLimits;
 use super::serve::serve;
@@ -10,9 +9,11 @@
 use crate::daemon::listen_shared;
 use crate::error::{Error, Result};
 use crate::metrics::Metrics;
+use crate::strict_stream::StrictStream;
 use actix_http::{HttpService, Request, Response, StatusCode};
 use actix_service::{Service as _, ServiceFactory as _};
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -102,6 +103,7 @@
         .borrow()
         .routes()
         .map_or_else(CallerLimits::default, |routes| routes.limits);
+    let stream = StrictStream::new(stream, ErrorKind::ConnectionAborted);
     let handler = move |req: Request| {
         let gw = gw.clone();
         // Boxed, so that a connection does not keep the room of the largest future.
@@ -113,7 +115,7 @@
         .h1(handler);
     match service.new_service(()).await {
         Ok(service) => {
-            if let Err(err) = service.call((CallerStream::new(stream), Some(peer))).await {
+            if let Err(err) = service.call((stream, Some(peer))).await {
                 log::debug!("connection of {peer} ended: {err}");
             }
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -15,7 +15,6 @@
 use super::Gateway;
 use super::control::ControlStore;
 use super::hubs::{self, Question, Told};
-use super::knowledge::Knowledge;
 use super::loads::{BoxLoad, LongRead, interval};
 use crate::clock::Now;
 use crate::error::{Error, Result};
@@ -220,14 +219,10 @@
 
 /// Returns the addresses of so many other boxes, those registered longest first.
 fn longest_registered(gw: &Gateway, most: usize) -> Vec<SocketAddr> {
-    let knowledge: &Knowledge = &gw.knowledge.borrow();
-    let mut boxes: Vec<_> = knowledge
-        .boxes()
-        .filter(|entry| entry.name != gw.life)
-        .collect();
-    boxes.sort_by_key(|entry| entry.registered);
+    let knowledge = gw.knowledge.borrow();
+    let boxes = knowledge.boxes_by_age().into_iter();
     boxes
-        .into_iter()
+        .filter(|entry| entry.name != gw.life)
         .take(most)
         .map(|entry| entry.address)
         .collect()
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -89,8 +89,9 @@
         .collect();
     let costs = match wish.prompt {
         Some(prompt) => {
-            let mut costs = engine_costs(&untried, prompt, now);
-            leave_out_most(&untried, prompt, wish, &mut costs);
+            let keepers = Keepers::among(&untried, prompt);
+            let mut costs = engine_costs(&untried, prompt, &keepers, now);
+            leave_out_most(&untried, wish, &keepers, &mut costs);
             costs
         }
         None => plain_costs(&untried, wish.hall, now),
@@ -108,21 +109,37 @@
     best.map(|(_, _, upstream)| upstream.clone())
 }
 
+/// The engines that all boxes expect to keep a prompt's beginning: those that rank first by
+/// its hash.
+struct Keepers {
+    seed: u64,
+    last: u64,
+}
+
+impl Keepers {
+    fn among(candidates: &[&Rc<Upstream>], prompt: SharedPrompt<'_>) -> Self {
+        let seed = xxh3_64(prompt.shared.as_bytes());
+        let last = nth_rank(candidates, seed, AFFINE_ENGINES);
+        Self { seed, last }
+    }
+
+    fn contain(&self, upstream: &Upstream) -> bool {
+        rank(upstream, self.seed) >= self.last
+    }
+}
+
 /// Makes all engines but a few, drawn by the request, and those that keep the prompt's
 /// beginning, so dear that they are not taken.
 fn leave_out_most(
     candidates: &[&Rc<Upstream>],
-    prompt: SharedPrompt<'_>,
     wish: Wish<'_>,
+    keepers: &Keepers,
     costs: &mut [f64],
 ) {
     let last_drawn = nth_rank(candidates, wish.draw, wish.compared);
-    let seed = xxh3_64(prompt.shared.as_bytes());
-    let last_affine = nth_rank(candidates, seed, AFFINE_ENGINES);
     for (upstream, cost) in candidates.iter().zip(costs) {
         let is_drawn = rank(upstream, wish.draw) >= last_drawn;
-        let is_affine = rank(upstream, seed) >= last_affine;
-        if !is_drawn && !is_affine {
+        if !is_drawn && !keepers.contain(upstream) {
             *cost += NOT_COMPARED_TOKENS;
         }
     }
@@ -146,7 +163,7 @@
     now: Now,
 ) -> Option<f64> {
     let all: Vec<&Rc<Upstream>> = candidates.iter().collect();
-    engine_costs(&all, prompt, now)
+    engine_costs(&all, prompt, &Keepers::among(&all, prompt), now)
         .into_iter()
         .min_by(f64::total_cmp)
 }
@@ -161,20 +178,16 @@
 }
 
 /// Returns what each engine would cost: the weighted tokens until the first event.
-///
-/// All boxes expect the same engines to keep a beginning, those ranked first by its hash.
-fn engine_costs(candidates: &[&Rc<Upstream>], prompt: SharedPrompt<'_>, now: Now) -> Vec<f64> {
-    let seed = xxh3_64(prompt.shared.as_bytes());
-    let last_affine = nth_rank(candidates, seed, AFFINE_ENGINES);
+fn engine_costs(
+    candidates: &[&Rc<Upstream>],
+    prompt: SharedPrompt<'_>,
+    keepers: &Keepers,
+    now: Now,
+) -> Vec<f64> {
     let cost = |upstream: &&Rc<Upstream>| {
-        let keeps_shared = rank(upstream, seed) >= last_affine;
-        let read = match keeps_shared {
-            true => prompt.tokens - prompt.shared_tokens,
-            false => prompt.tokens,
-        };
-        let anew = match keeps_shared {
-            true => 0.0,
-            false => prompt.shared_tokens * ANEW,
+        let (read, anew) = match keepers.contain(upstream) {
+            true => (prompt.tokens - prompt.shared_tokens, 0.0),
+            false => (prompt.tokens, prompt.shared_tokens * ANEW),
         };
         let fullness = upstream.fullness(now);
         let slots = match fullness < 1.0 {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -78,35 +78,38 @@
 }
 
 async fn take_whole(gw: &Gateway, job: &Job, mut answer: Answer) -> Option<WholeAnswer> {
-    let left = job.left(Now::read());
-    let read = tokio::time::timeout(left, answer.read_whole(ANSWER_BYTES_LIMIT)).await;
+    let whole = read_whole(gw, job, &mut answer, ANSWER_BYTES_LIMIT).await;
     let now = Now::read();
-    match read {
+    if whole.as_ref().is_some_and(|whole| whole.status < 500) {
+        answer.finish(&gw.connections, now);
+    } else {
+        answer.upstream().failed(now);
+    }
+    whole
+}
+
+/// Reads an answer whole within the request's time; what broke it off is logged.
+pub async fn read_whole(
+    gw: &Gateway,
+    job: &Job,
+    answer: &mut Answer,
+    limit: usize,
+) -> Option<WholeAnswer> {
+    let left = job.left(Now::read());
+    let read = tokio::time::timeout(left, answer.read_whole(limit)).await;
+    let reason = match read {
         Ok(Ok(body)) => {
-            let whole = WholeAnswer {
+            return Some(WholeAnswer {
                 status: answer.status,
                 headers: answer.headers.clone(),
                 body,
-            };
-            if whole.status < 500 {
-                answer.finish(&gw.connections, now);
-            } else {
-                answer.upstream().failed(now);
-            }
-            Some(whole)
-        }
-        Ok(Err(reason)) => {
-            gw.telemetry.broke_off(job, answer.upstream(), &reason);
-            answer.upstream().failed(now);
-            None
+            });
         }
-        Err(_elapsed) => {
-            gw.telemetry
-                .broke_off(job, answer.upstream(), "out of time");
-            answer.upstream().failed(now);
-            None
-        }
-    }
+        Ok(Err(reason)) => reason,
+        Err(_elapsed) => "out of time".to_owned(),
+    };
+    gw.telemetry.broke_off(job, answer.upstream(), &reason);
+    None
 }
 
 /// Returns the reason to give when no further try was made.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,7 +10,7 @@
 use super::job::{Job, NoTry, TryPlan};
 use super::models::{Verdict, first_model, judge};
 use super::patience::{Patience, patiently};
-use super::plain::{WholeAnswer, why};
+use super::plain::{WholeAnswer, read_whole, why};
 use super::refusal::Why;
 use super::relay::Relay;
 use super::retries::Repeat;
@@ -203,22 +203,5 @@
 async fn take_failure(gw: &Gateway, job: &Job, mut answer: Answer) -> Option<WholeAnswer> {
     answer.upstream().failed(Now::read());
     gw.count_failure(job, answer.upstream());
-    let left = job.left(Now::read());
-    let whole = tokio::time::timeout(left, answer.read_whole(FAILURE_BYTES_LIMIT)).await;
-    match whole {
-        Ok(Ok(body)) => Some(WholeAnswer {
-            status: answer.status,
-            headers: answer.headers.clone(),
-            body,
-        }),
-        Ok(Err(reason)) => {
-            gw.telemetry.broke_off(job, answer.upstream(), &reason);
-            None
-        }
-        Err(_elapsed) => {
-            gw.telemetry
-                .broke_off(job, answer.upstream(), "out of time");
-            None
-        }
-    }
+    read_whole(gw, job, &mut answer, FAILURE_BYTES_LIMIT).await
 }
--- a/src/http_client/strict.rs
+++ b/src/http_client/strict.rs
@@ -1,21 +1,11 @@
-//! A connection on which an unexpected end is an error.
-//!
-//! The client takes a connection that closes in the middle of a body for the end of
-//! the body, so that a cut answer would look whole. Here the end of a connection is
-//! an error, and only a body's own framing ends it. See `docs/design/outcomes.md`.
+//! Connections to upstreams whose end is an error, so that only a body's own framing ends it.
 
-use actix_rt::net::{ActixStream, Ready, TcpStream};
+use crate::strict_stream::StrictStream;
+use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceExt as _};
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection, Connector};
 use awc::http::Uri;
 use std::io;
-use std::pin::Pin;
-use std::task::{Context, Poll, ready};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-
-/// A TCP connection whose end is an error.
-#[derive(Debug)]
-pub struct StrictStream(TcpStream);
 
 /// Opens connections whose end is an error.
 pub fn connect_strictly() -> impl Service<
@@ -32,49 +22,6 @@
             if let Err(err) = stream.set_nodelay(true) {
                 log::debug!("small packets may wait for others: {err}");
             }
-            Connection::new(uri, StrictStream(stream))
+            Connection::new(uri, StrictStream::new(stream, io::ErrorKind::UnexpectedEof))
         })
 }
-
-impl AsyncRead for StrictStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let room = buf.remaining();
-        ready!(Pin::new(&mut self.get_mut().0).poll_read(cx, buf))?;
-        if room > 0 && buf.remaining() == room {
-            return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for StrictStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().0).poll_write(cx, buf)
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().0).poll_flush(cx)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().0).poll_shutdown(cx)
-    }
-}
-
-impl ActixStream for StrictStream {
-    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.0, cx)
-    }
-
-    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.0, cx)
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,4 +34,5 @@
 pub mod session;
 pub mod settings;
 pub mod store;
+pub mod strict_stream;
 pub mod wire;
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -74,15 +74,7 @@
         let mut findings = self.findings.take();
         findings.sort_by_key(|(offset, _)| *offset);
         let place = |(offset, message): (usize, String)| {
-            let before = self.text.get(..offset).unwrap_or(&self.text);
-            let line = before.matches('\n').count() + 1;
-            let column = before.rsplit('\n').next().unwrap_or("").chars().count() + 1;
-            Finding {
-                file: self.file.clone(),
-                line,
-                column,
-                message,
-            }
+            Finding::at(&self.file, &self.text, offset, message)
         };
         findings.into_iter().map(place).collect()
     }
