--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -75,6 +75,11 @@
 /// How long before the process's end nothing is taken any more: a plain request takes a
 /// tenth of this, and some times as long at a slow upstream.
 const LAST_TAKEN_BEFORE_END: Duration = Duration::from_millis(1200);
+/// How long after its start a box holds requests while it reads the configuration for the
+/// first time: registering and reading take three calls of 4 ms, and some ms of processor
+/// time. A refusal would cost the caller the one time that it comes back, and after a kill
+/// of all boxes every box starts at the same moment.
+const FIRST_READ: Duration = Duration::from_millis(200);
 /// How old knowledge may be for the box to count as ready: older means that the store
 /// cannot be reached, and callers fare better elsewhere.
 const READY_AGE: Duration = Duration::from_millis(3500);
@@ -113,6 +118,7 @@
     pub life: String,
     /// The lease under which the box is registered.
     pub lease: Cell<Option<u64>>,
+    started: Duration,
     stopping_since: Cell<Option<Duration>>,
     in_flight: Rc<Cell<u32>>,
     store_lost: Cell<Option<Duration>>,
@@ -144,6 +150,7 @@
             telemetry: Telemetry::new(metrics),
             life,
             lease: Cell::new(None),
+            started: now.monotonic,
             stopping_since: Cell::new(None),
             in_flight: Rc::default(),
             store_lost: Cell::new(None),
@@ -267,6 +274,16 @@
         use_it(window)
     }
 
+    /// Returns how long a request may yet wait for the first configuration: not at all once
+    /// the store has not answered, since that may last.
+    pub fn left_of_first_read(&self, now: Now) -> Duration {
+        let age = now.monotonic.saturating_sub(self.started);
+        match self.store_lost.get() {
+            Some(_) => Duration::ZERO,
+            None => FIRST_READ.saturating_sub(age),
+        }
+    }
+
     /// Tells whether keys may be served by what is known.
     pub fn keys_are_fresh(&self, now: Now) -> bool {
         self.knows_within(self.settings().bounds.key_lifetime(), now)
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -18,6 +18,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt as _;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The router reads bodies whole before it sends them, so it never asks to be expected.
@@ -49,8 +50,7 @@
     request_id: &str,
     received: Now,
 ) -> Result<Job, Why> {
-    let routes = gw.knowledge.borrow().routes().cloned();
-    let routes = routes.ok_or(Why::NoConfiguration)?;
+    let routes = await_routes(gw, received).await?;
     check_caller(gw, req, &routes, received)?;
     let body = read_body(req, &routes, received).await?;
     // Reading may have taken long: what is in force now decides.
@@ -97,6 +97,24 @@
     })
 }
 
+/// Returns the routes in force, which a box that has just started is about to learn.
+async fn await_routes(gw: &Gateway, received: Now) -> Result<Arc<RouteTable>, Why> {
+    let mut now = received;
+    loop {
+        let news = gw.news.notified();
+        if let Some(routes) = gw.knowledge.borrow().routes() {
+            return Ok(routes.clone());
+        }
+        let wait = gw.left_of_first_read(now);
+        if wait.is_zero() {
+            return Err(Why::NoConfiguration);
+        }
+        // Whether news came or the wait is over, the next round tells.
+        let _ = tokio::time::timeout(wait, news).await;
+        now = Now::read();
+    }
+}
+
 /// Checks the route, the key and how fresh the knowledge of keys is.
 fn check_caller(gw: &Gateway, req: &Request, routes: &RouteTable, now: Now) -> Result<(), Why> {
     let route = find_route(req, routes).ok_or(Why::NoRoute)?;
@@ -111,7 +129,7 @@
 fn find_route<'a>(
     req: &Request,
     routes: &'a RouteTable,
-) -> Option<&'a std::sync::Arc<super::routes::Route>> {
+) -> Option<&'a Arc<super::routes::Route>> {
     let host = req
         .headers()
         .get("host")
