Count plain answers and the pace of streams against new versions

Answers of plain services were not counted at all; a slow engine was judged by first events four times the usual, while all its streams are three to four times slower event by event. Ruled out: counts lost between boxes (each box alone had seen enough); stages too early. Now old and new versions are counted side by side by route, what the old ones show is tolerated of the new, and engines are judged by their pace. Version bad only under load: not caught, listed.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -38,17 +38,16 @@
 pub mod telemetry;
 pub mod tries;
 pub mod upstream;
+pub mod version_counts;
 pub mod version_watch;
 
 use crate::clock::Now;
 use crate::error::Result;
 use crate::metrics::Metrics;
-use crate::name::VersionName;
 use crate::store::StoreError;
 use connect::Connections;
 use control::ControlStore;
 use hubs::Hubs;
-use job::Job;
 use knowledge::Knowledge;
 use loads::{Loads, LongReads};
 use mirror::Mirror;
@@ -66,7 +65,7 @@
 use telemetry::Telemetry;
 use tokio::sync::Notify;
 use upstream::Upstream;
-use version_watch::{Quality, VersionWatch};
+use version_watch::VersionWatch;
 
 /// How long after the signal to stop streams are still taken. The balancer sends new
 /// connections for two seconds yet, and a refusal costs the caller a way to another box;
@@ -206,11 +205,6 @@
         }
     }
 
-    fn is_condemned(&self, order: &control::RolloutOrder) -> bool {
-        let target = membership::target_name(order);
-        self.versions.borrow_mut().is_condemned(&target)
-    }
-
     /// Returns how much of an engine's time a token of a model takes, against the dearest.
     pub fn model_weight(&self, service: &str, model: Option<&str>) -> f64 {
         let knowledge = self.knowledge.borrow();
@@ -224,47 +218,6 @@
         }
     }
 
-    /// Records when the first event of an answer came.
-    pub fn first_event(&self, job: &Job, upstream: &Upstream, took: Duration, model: &str) {
-        let now = Now::read();
-        let listed = upstream.listed();
-        let ahead = upstream.unread(now);
-        self.telemetry.first_event(job, model, took, ahead);
-        let weight = self.model_weight(&job.service, Some(model));
-        let tokens = job.prompt.reading_tokens() * weight;
-        let expected = self.reading.expected(tokens);
-        self.reading.learn(tokens, took);
-        self.sessions
-            .borrow_mut()
-            .served(&job.session, &listed.version, now);
-        let kind = format!("{} {model}", job.route.name);
-        let mut versions = self.versions.borrow_mut();
-        if !self.is_under_rollout(&listed) {
-            versions.learn_usual(&kind, took, expected);
-        } else if versions.is_slow(&kind, took, expected) {
-            versions.count(&version_of(&listed), &job.route.name, Quality::Slow);
-        } else {
-            versions.count(&version_of(&listed), &job.route.name, Quality::Whole);
-        }
-    }
-
-    /// Counts an upstream's own failure against its version.
-    pub fn count_failure(&self, job: &Job, upstream: &Upstream) {
-        let listed = upstream.listed();
-        if self.is_under_rollout(&listed) {
-            let mut versions = self.versions.borrow_mut();
-            versions.count(&version_of(&listed), &job.route.name, Quality::Failed);
-        }
-    }
-
-    fn is_under_rollout(&self, listed: &control::ListedUpstream) -> bool {
-        let knowledge = self.knowledge.borrow();
-        knowledge
-            .rollout(&listed.service)
-            .and_then(|rollout| rollout.order.as_ref())
-            .is_some_and(|(order, _)| order.target == listed.version)
-    }
-
     /// Uses a service's budget of repeats, which begins with the service's first request.
     pub fn with_retries<T>(&self, service: &str, use_it: impl FnOnce(&mut RetryWindow) -> T) -> T {
         let mut windows = self.retries.borrow_mut();
@@ -372,13 +325,6 @@
         .map_or_else(Vec::new, |known| known.record.rejected.clone())
 }
 
-fn version_of(listed: &control::ListedUpstream) -> VersionName {
-    VersionName {
-        model: listed.service.clone(),
-        version: listed.version.clone(),
-    }
-}
-
 /// Counts a request out when it ends, however it ends.
 #[derive(Debug)]
 pub struct InFlight(Rc<Cell<u32>>);
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -135,12 +135,10 @@
 }
 
 fn progress_of(gw: &Gateway, order: &RolloutOrder, elapsed: Duration) -> Progress {
-    let target = target_name(order);
-    let mut watch = gw.versions.borrow_mut();
     Progress {
         elapsed,
-        condemned: watch.is_condemned(&target),
-        answers: watch.answers(&target),
+        condemned: gw.is_condemned(order),
+        answers: gw.versions.borrow().answers(&target_name(order)),
     }
 }
 
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -15,6 +15,8 @@
 /// The largest answer that is kept in memory to be passed on whole; the users' answers
 /// take some kilobytes.
 const ANSWER_BYTES_LIMIT: usize = 8 * 1024 * 1024;
+/// Statuses from this one on are failures of the upstream.
+const SERVER_ERRORS: u16 = 500;
 /// How many times a request's objective an upstream from which nothing comes may take
 /// before another is asked, where the request may run twice.
 const SILENT_OBJECTIVES: u32 = 2;
@@ -46,7 +48,7 @@
         };
         match job.try_once(gw, plan).await {
             Ok(Tried::Answered(answer)) => match take_whole(gw, job, *answer).await {
-                Some(whole) if whole.status < 500 => return Ok(whole),
+                Some(whole) if whole.status < SERVER_ERRORS => return Ok(whole),
                 Some(whole) => failed_answer = Some(whole),
                 None => {}
             },
@@ -80,10 +82,17 @@
 async fn take_whole(gw: &Gateway, job: &Job, mut answer: Answer) -> Option<WholeAnswer> {
     let whole = read_whole(gw, job, &mut answer, ANSWER_BYTES_LIMIT).await;
     let now = Now::read();
-    if whole.as_ref().is_some_and(|whole| whole.status < 500) {
-        answer.finish(&gw.connections, now);
-    } else {
-        answer.upstream().failed(now);
+    match whole.as_ref().map(|whole| whole.status) {
+        Some(status) if status < SERVER_ERRORS => {
+            let took = now.monotonic.saturating_sub(answer.sent);
+            gw.answered_plain(job, answer.upstream(), Some(took));
+            answer.finish(&gw.connections, now);
+        }
+        Some(_) => {
+            gw.answered_plain(job, answer.upstream(), None);
+            answer.upstream().failed(now);
+        }
+        None => answer.upstream().failed(now),
     }
     whole
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -23,6 +23,10 @@
 /// The same if the upstream is alive: such a stream was put back for a while, and is late
 /// anyway when it is read anew elsewhere.
 const ALIVE_TENTHS: u32 = 25;
+/// The events after which the pace of an answer is judged, and the fewest at its end from
+/// which it can be: long prompts of others hold up single events.
+const PACED_EVENTS: usize = 13;
+const LEAST_PACED_EVENTS: usize = 4;
 /// How long the head of a resumed answer may take where another upstream is left to ask;
 /// reading the longest prompt takes under a second.
 const RESUME_HEAD: Duration = Duration::from_millis(1500);
@@ -43,6 +47,8 @@
     last_event: Duration,
     longest_pause: Duration,
     resumed: u32,
+    /// Whether it was counted how the answer went, or cannot be told any more.
+    is_judged: bool,
 }
 
 impl fmt::Debug for Relay {
@@ -80,7 +86,7 @@
         answer.has_read();
         let first = now.monotonic.saturating_sub(answer.sent);
         let named = model.as_deref().unwrap_or_default();
-        gw.first_event(job, answer.upstream(), first, named);
+        gw.first_event(job, answer.upstream(), first, named, now);
         let asked_after = job.headers.get(gw.headers.last_event_id.as_str());
         let last_id = asked_after
             .and_then(|value| value.to_str().ok())
@@ -98,6 +104,7 @@
             last_event: now.monotonic,
             longest_pause: Duration::ZERO,
             resumed: 0,
+            is_judged: false,
         }
     }
 
@@ -105,8 +112,12 @@
     pub async fn next(&mut self) -> Option<Result<Bytes, BrokeOff>> {
         loop {
             if let Some(events) = self.ready.take() {
-                self.note_pause(Now::read());
+                let now = Now::read();
+                self.note_pause(now);
                 self.events += events.count;
+                if self.events >= PACED_EVENTS {
+                    self.judge_pace(now);
+                }
                 if events.last_id.is_some() {
                     self.last_id = events.last_id;
                 }
@@ -153,8 +164,23 @@
         self.last_event = now.monotonic;
     }
 
+    /// Tells how fast the events came, once for each answer.
+    fn judge_pace(&mut self, now: Now) {
+        let Some(answer) = self.answer.as_ref().filter(|_| !self.is_judged) else {
+            return;
+        };
+        let took = now.monotonic.saturating_sub(self.began);
+        let gaps = u32::try_from(self.events)
+            .unwrap_or(u32::MAX)
+            .saturating_sub(1);
+        let gap = (self.events >= LEAST_PACED_EVENTS).then(|| took / gaps);
+        self.gw.paced(&self.job, answer.upstream(), gap);
+        self.is_judged = true;
+    }
+
     fn finish(&mut self) {
         let now = Now::read();
+        self.judge_pace(now);
         if let Some(answer) = self.answer.take() {
             answer.finish(&self.gw.connections, now);
         }
@@ -171,6 +197,7 @@
 
     /// Lets another upstream go on after the last event that the caller has.
     async fn carry_over(&mut self, reason: String) -> Result<(), BrokeOff> {
+        self.is_judged = true;
         if let Some(answer) = self.answer.take() {
             self.gw
                 .telemetry
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -126,10 +126,7 @@
     }
 }
 
-fn find_route<'a>(
-    req: &Request,
-    routes: &'a RouteTable,
-) -> Option<&'a Arc<super::routes::Route>> {
+fn find_route<'a>(req: &Request, routes: &'a RouteTable) -> Option<&'a Arc<super::routes::Route>> {
     let host = req
         .headers()
         .get("host")
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -17,8 +17,10 @@
     pub tolerated_bad: f64,
     /// The tolerated part of answers that fail.
     pub tolerated_failed: f64,
-    /// How many times the tolerated part a version must show to count as bad.
-    pub ratio: f64,
+    /// How many times the tolerated part of bad answers a version must show.
+    pub ratio_bad: f64,
+    /// How many times the tolerated part of failures a version must show.
+    pub ratio_failed: f64,
     /// The expected number of answers to a false alarm.
     pub answers_to_false_alarm: f64,
 }
@@ -28,7 +30,8 @@
         Self {
             tolerated_bad: 0.10,
             tolerated_failed: 0.02,
-            ratio: 3.0,
+            ratio_bad: 3.0,
+            ratio_failed: 3.0,
             answers_to_false_alarm: 1e8,
         }
     }
@@ -69,7 +72,16 @@
 
     /// Takes the newest counts of a version and decides whether it has turned bad.
     pub fn observe(&mut self, version: &VersionName, counts: &Counts) -> Option<Alarm> {
-        let policy = self.policy;
+        self.observe_with(self.policy, version, counts)
+    }
+
+    /// Does the same by another policy, where what is tolerable was measured.
+    pub fn observe_with(
+        &mut self,
+        policy: GuardPolicy,
+        version: &VersionName,
+        counts: &Counts,
+    ) -> Option<Alarm> {
         let sums = self.sums.entry(version.clone()).or_default();
         let new = counts.since(&sums.seen);
         sums.seen = *counts;
@@ -79,14 +91,14 @@
             new.bad,
             new.good,
             policy.tolerated_bad,
-            policy.ratio,
+            policy.ratio_bad,
         );
         sums.failed = step(
             sums.failed,
             new.failed,
             whole,
             policy.tolerated_failed,
-            policy.ratio,
+            policy.ratio_failed,
         );
         let threshold = policy.answers_to_false_alarm.ln();
         if sums.bad >= threshold {
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -5,7 +5,9 @@
 use gatepier::gateway::knowledge::{Knowledge, Rollout};
 use gatepier::gateway::rollout::{Progress, VersionQuery, VersionRule, next_record, version_rule};
 use gatepier::gateway::sessions::Sessions;
-use gatepier::gateway::version_watch::{Quality, VersionWatch};
+use gatepier::gateway::version_watch::{
+    ENGINE_GUARD, PLAIN_GUARD, Quality, SLOW_ANSWER, Timing, VersionWatch,
+};
 use gatepier::name::VersionName;
 use googletest::prelude::*;
 use std::time::Duration;
@@ -64,6 +66,13 @@
     }
 }
 
+fn old() -> VersionName {
+    VersionName {
+        version: "v1".to_owned(),
+        ..target()
+    }
+}
+
 fn target() -> VersionName {
     VersionName {
         model: "engine".to_owned(),
@@ -158,7 +167,7 @@
     failing_version_is_found_bad_within_fifty_answers => {
         let mut watch = VersionWatch::new("box");
         let mut answers = 0;
-        while !watch.is_condemned(&target()) && answers < 200 {
+        while !watch.is_condemned(&target(), PLAIN_GUARD) && answers < 200 {
             let failed = answers % 3 == 0;
             let quality = if failed { Quality::Failed } else { Quality::Whole };
             watch.count(&target(), "recap", quality);
@@ -173,7 +182,7 @@
             let quality = if answer % 3 == 0 { Quality::Slow } else { Quality::Whole };
             watch.count(&target(), "recap", quality);
         }
-        expect_that!(watch.is_condemned(&target()), eq(true));
+        expect_that!(watch.is_condemned(&target(), PLAIN_GUARD), eq(true));
     }
 
     version_bad_on_one_route_is_found => {
@@ -185,7 +194,7 @@
                 watch.count(&target(), "caption", Quality::Whole);
             }
         }
-        expect_that!(watch.is_condemned(&target()), eq(true));
+        expect_that!(watch.is_condemned(&target(), PLAIN_GUARD), eq(true));
     }
 
     good_version_with_some_failures_is_kept => {
@@ -197,7 +206,7 @@
                 _ => Quality::Whole,
             };
             watch.count(&target(), "recap", quality);
-            expect_that!(watch.is_condemned(&target()), eq(false));
+            expect_that!(watch.is_condemned(&target(), PLAIN_GUARD), eq(false));
         }
     }
 
@@ -208,21 +217,91 @@
             one.count(&target(), "recap", Quality::Failed);
             other.count(&target(), "recap", Quality::Failed);
         }
-        expect_that!(one.is_condemned(&target()), eq(false));
+        expect_that!(one.is_condemned(&target(), PLAIN_GUARD), eq(false));
         one.merge(&other.own_cells());
         one.merge(&other.own_cells());
         expect_that!(one.answers(&target()), eq(10));
-        expect_that!(one.is_condemned(&target()), eq(true));
+        expect_that!(one.is_condemned(&target(), PLAIN_GUARD), eq(true));
     }
 
-    slow_is_told_against_the_expected_time => {
+    slow_is_told_against_the_usual_time => {
         let mut watch = VersionWatch::new("box");
-        let expected = Duration::from_millis(100);
+        let timing = |kind, took| Timing {
+            kind,
+            took: Duration::from_millis(took),
+            slow_from: SLOW_ANSWER,
+        };
         for _ in 0..20 {
-            watch.learn_usual("recap", Duration::from_millis(120), expected);
+            watch.learn_usual(timing("bookmark", 20));
+            watch.learn_usual(timing("report", 120));
+        }
+        expect_that!(watch.is_slow(timing("bookmark", 100)), eq(true));
+        expect_that!(watch.is_slow(timing("report", 100)), eq(false));
+        expect_that!(watch.is_slow(timing("unheard of", 100)), eq(false));
+    }
+
+    plain_version_that_slows_a_quarter_of_its_answers_is_found => {
+        let mut watch = VersionWatch::new("box");
+        for answer in 0..60 {
+            let quality = if answer % 4 == 0 { Quality::Slow } else { Quality::Whole };
+            watch.count(&target(), "bookmark", quality);
+        }
+        expect_that!(watch.is_condemned(&target(), PLAIN_GUARD), eq(true));
+    }
+
+    answers_too_short_to_be_timed_hide_no_slow_ones => {
+        // Fails where they count as fast ones: half of the users' answers have three events.
+        let mut watch = VersionWatch::new("box");
+        for answer in 0..80 {
+            let quality = if answer % 2 == 0 { Quality::Slow } else { Quality::Untimed };
+            watch.count(&target(), "tag", quality);
+        }
+        expect_that!(watch.is_condemned(&target(), ENGINE_GUARD), eq(true));
+    }
+
+    engine_that_slows_nearly_all_answers_is_found_bad => {
+        let mut watch = VersionWatch::new("box");
+        for answer in 0..40 {
+            let quality = if answer % 6 == 0 { Quality::Whole } else { Quality::Slow };
+            watch.count(&target(), "recap", quality);
+        }
+        expect_that!(watch.is_condemned(&target(), ENGINE_GUARD), eq(true));
+    }
+
+    engine_that_reads_all_prompts_anew_for_a_while_is_kept => {
+        // Fails where an engine is judged as strictly as a plain service: good versions
+        // were taken back when a stage moved half of all sessions to them.
+        let mut watch = VersionWatch::new("box");
+        for answer in 0..100 {
+            let quality = if answer % 5 < 2 { Quality::Slow } else { Quality::Whole };
+            watch.count(&target(), "recap", quality);
+        }
+        expect_that!(watch.is_condemned(&target(), ENGINE_GUARD), eq(false));
+    }
+
+    failures_that_the_old_version_shows_too_are_no_fault_of_the_new_one => {
+        // Fails where a fixed part of failures is tolerated: one bookmark in seven gets 500
+        // from every version.
+        let mut watch = VersionWatch::new("box");
+        for answer in 0..2000 {
+            let quality = if answer % 7 == 0 { Quality::Failed } else { Quality::Whole };
+            watch.count(&old(), "bookmark", quality);
+            watch.count(&target(), "bookmark", quality);
+            expect_that!(watch.is_condemned(&target(), PLAIN_GUARD), eq(false));
+        }
+    }
+
+    version_that_fails_more_than_the_old_one_is_found => {
+        let mut watch = VersionWatch::new("box");
+        for answer in 0..90 {
+            let fails = |one_in: usize| match answer % one_in {
+                0 => Quality::Failed,
+                _ => Quality::Whole,
+            };
+            watch.count(&old(), "bookmark", fails(7));
+            watch.count(&target(), "bookmark", fails(2));
         }
-        expect_that!(watch.is_slow("recap", Duration::from_millis(900), expected), eq(true));
-        expect_that!(watch.is_slow("recap", Duration::from_millis(900), 9 * expected), eq(false));
+        expect_that!(watch.is_condemned(&target(), PLAIN_GUARD), eq(true));
     }
 
     boxes_name_the_sessions_that_the_first_stage_could_move => {
