Tell a request's story from the logs of boxes; a line for each stream without an end

Cause: what became of a request on the users' platform stood in logs that only a reader's patience joined, and a stream that was cut had no line of its own.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -22,7 +22,8 @@
     status                          Show how the agents stand
     audit                           Show the change log
     ledger                          Show what was billed, by organisation
-    explain <REQUEST-ID>            Show what was decided about a request
+    explain <REQUEST-ID> [LOG]...   Show what was decided about a request: ask the agents, or
+                                    read boxes' logs (`-` is standard input)
     keygen operator <NAME> <FILE>   Make an operator's signing key
     keygen fleet <PARTNER> <DIR>    Make a fleet's certificate authority
     keygen box <PARTNER> <NAME> <DIR>
@@ -85,7 +86,12 @@
     /// Show what was billed.
     Ledger,
     /// Show what was decided about a request.
-    Explain(String),
+    Explain {
+        /// The request's id.
+        id: String,
+        /// Logs of boxes; with none, the agents are asked.
+        logs: Vec<PathBuf>,
+    },
     /// Make keys or certificates.
     Keygen(Keygen),
     /// Run the demo, and stay up if asked to.
@@ -173,7 +179,10 @@
         "status" => Command::Status,
         "audit" => Command::Audit,
         "ledger" => Command::Ledger,
-        "explain" => Command::Explain(free(args, "REQUEST-ID")?),
+        "explain" => Command::Explain {
+            id: free(args, "REQUEST-ID")?,
+            logs: read_rest(args),
+        },
         "keygen" => Command::Keygen(read_keygen(args)?),
         "demo" => Command::Demo {
             serve: args.contains("--serve"),
@@ -184,12 +193,16 @@
 
 fn read_files(args: &mut Arguments) -> Result<Vec<PathBuf>> {
     let mut files = vec![PathBuf::from(free(args, "BUNDLE")?)];
-    while let Ok(file) = args.free_from_str::<PathBuf>() {
-        files.push(file);
-    }
+    files.extend(read_rest(args));
     Ok(files)
 }
 
+/// Returns the files that are left on the command line, which may be none.
+fn read_rest(args: &mut Arguments) -> Vec<PathBuf> {
+    let next = || args.free_from_str::<PathBuf>().ok();
+    std::iter::from_fn(next).collect()
+}
+
 fn read_keygen(args: &mut Arguments) -> Result<Keygen> {
     let kind = free(args, "operator, fleet, box or session")?;
     Ok(match kind.as_str() {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -55,6 +55,47 @@
         }
     }
 
+    /// Every reason.
+    const ALL: [Self; 12] = [
+        Self::NoConfiguration,
+        Self::Stale,
+        Self::NoRoute,
+        Self::UnknownKey,
+        Self::TooLarge,
+        Self::NoBody,
+        Self::ModelNamed,
+        Self::NoUpstream,
+        Self::Full,
+        Self::Stopping,
+        Self::Deadline,
+        Self::UpstreamFailed,
+    ];
+
+    /// Returns the reason of a name, as logs hold it.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|why| why.name() == name)
+    }
+
+    /// Says for people what the reason means and where its cause is to be looked for.
+    pub fn meaning(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "the box had just started and not reached the store yet",
+            Self::Stale => {
+                "the box had no recent proof that keys still hold; the store, or the way to it and to the hubs, was away"
+            }
+            Self::NoRoute => "no route of the configuration fits its host and path",
+            Self::UnknownKey => "its key is missing or not in the configuration",
+            Self::TooLarge => "its body is larger than the configuration allows",
+            Self::NoBody => "its body did not come in time",
+            Self::ModelNamed => "it names a model where the router chooses",
+            Self::NoUpstream => "no upstream of the service took a connection or was listed",
+            Self::Full => "every upstream that was asked refused it",
+            Self::Stopping => "the box was about to end",
+            Self::Deadline => "its time was over",
+            Self::UpstreamFailed => "its upstream failed and it may not be sent again",
+        }
+    }
+
     /// Returns when it makes sense to come back, if it does.
     fn come_back_after(self) -> Option<Duration> {
         match self {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -72,6 +72,17 @@
 
 impl std::error::Error for BrokeOff {}
 
+/// A stream that is dropped while its upstream still answers was left by its caller, or cut
+/// by the end of the process.
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if self.answer.is_some() {
+            let reason = "its caller left, or the process ends";
+            self.gw.telemetry.stream_cut(&self.job, self.events, reason);
+        }
+    }
+}
+
 impl Relay {
     /// Takes over a stream whose first events, if it has any, are there.
     pub fn new(
@@ -148,6 +159,9 @@
             };
             if let Err(broke_off) = self.carry_over(broken).await {
                 self.answer = None;
+                self.gw
+                    .telemetry
+                    .stream_cut(&self.job, self.events, &broke_off.0);
                 return Some(Err(broke_off));
             }
         }
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -166,6 +166,16 @@
         );
     }
 
+    /// Records a stream that will have no end.
+    pub fn stream_cut(&self, job: &Job, events: usize, reason: &str) {
+        log::warn!(
+            request = job.request_id.as_str(),
+            events,
+            tries = job.tries.sent();
+            "stream cut: {reason}"
+        );
+    }
+
     /// Records a final refusal.
     pub fn refused(
         &self,
--- a/src/operate.rs
+++ b/src/operate.rs
@@ -1,5 +1,6 @@
 //! What the operators' command line does.
 
+mod box_logs;
 mod keygen;
 mod report;
 
@@ -53,7 +54,8 @@
         Command::Status => report::status(&load()?).await?,
         Command::Audit => report::audit(&load()?).await?,
         Command::Ledger => report::ledger(&load()?).await?,
-        Command::Explain(id) => report::explain(&load()?, id).await?,
+        Command::Explain { id, logs } if logs.is_empty() => report::explain(&load()?, id).await?,
+        Command::Explain { id, logs } => box_logs::explain(id, logs)?,
         Command::Demo { .. } => return Err(Error::Usage("the demo runs by itself".to_owned())),
     };
     Ok(output.print(options.json))
