--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -86,8 +86,10 @@
     UpstreamLapsed(String),
     /// A roll-out of this service was ordered, taken on or cancelled.
     Rollout(String),
-    /// The set of boxes changed.
-    Boxes,
+    /// A box has registered.
+    BoxAdded(String),
+    /// A box's entry is gone.
+    BoxGone(String),
     /// An item could not be read.
     Faulty {
         /// The item's key in the store.
@@ -112,7 +114,7 @@
             Update::RolloutStage(record, revision) => self.take_record(record, revision, now),
             Update::Box(entry) => self.take_box(entry),
             Update::BoxGone(name) => match self.boxes.remove(&name) {
-                Some(_) => Change::Boxes,
+                Some(_) => Change::BoxGone(name),
                 None => Change::Nothing,
             },
             Update::Faulty { item, reason } => Change::Faulty { item, reason },
@@ -196,7 +198,7 @@
     fn take_box(&mut self, entry: BoxEntry) -> Change {
         match self.boxes.insert(entry.name.clone(), entry.clone()) {
             Some(known) if known == entry => Change::Nothing,
-            _ => Change::Boxes,
+            _ => Change::BoxAdded(entry.name),
         }
     }
 
--- a/src/operate/box_logs.rs
+++ b/src/operate/box_logs.rs
@@ -48,7 +48,7 @@
             "roll-out taken on",
         ];
         let begins = |beginning: &&str| self.text.starts_with(*beginning);
-        self.request().is_none() && BEGINNINGS.iter().any(|beginning| begins(&beginning))
+        self.request().is_none() && BEGINNINGS.iter().any(begins)
     }
 
     fn write(&self) -> String {
