--- a/src/gateway/version_watch.rs
+++ b/src/gateway/version_watch.rs
@@ -122,6 +122,8 @@
     usual: HashMap<String, UsualTime>,
     guard: Guard,
     condemned: HashSet<VersionName>,
+    /// The state of the counts at which a version was judged last: every request asks.
+    judged: HashMap<VersionName, u64>,
 }
 
 /// How long something usually takes, as a mean of logarithms of seconds, since times spread
@@ -142,6 +144,7 @@
             usual: HashMap::new(),
             guard: Guard::default(),
             condemned: HashSet::new(),
+            judged: HashMap::new(),
         }
     }
 
@@ -206,6 +209,10 @@
         if self.condemned.contains(version) {
             return true;
         }
+        let counted = self.evidence.version();
+        if self.judged.insert(version.clone(), counted) == Some(counted) {
+            return false;
+        }
         // A version may be bad on one route alone, or a little on each.
         for (route, counts) in self.counts_by_route(version) {
             if self.raises_alarm(version, &route, &counts, policy) {
