Place prompts by one cost in engine time; keep fast models' beginnings in each hall; fetch them

What an engine has still to read was counted by price, which takes the small model's reads for half as long as they are and the middle one's for 1.6 times as long. Of the bytes between halls most are prompts that leave their hall for the one engine that keeps a beginning. And an engine that does not keep a beginning reads it whole, up to 1.2 s for the large model, while the keeper is busy. Change: rates are learned by model, as medians of first events that tell them; everything that waits is counted in time. Models but the dearest keep a beginning in each hall, and each kilobyte that leaves the hall costs 14 ms. An engine that does not keep a beginning of the dearest model fetches it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,11 +7,13 @@
 
 pub mod connect;
 pub mod control;
+pub mod engine_cost;
 pub mod events;
 pub mod exchange;
 pub mod follow;
 pub mod hubs;
 pub mod job;
+pub mod keepers;
 pub mod knowledge;
 pub mod listen;
 pub mod loads;
@@ -52,7 +54,7 @@
 use loads::{Loads, LongReads};
 use mirror::Mirror;
 use protocol::Headers;
-use reading::ReadingRate;
+use reading::{ModelPace, ReadingRates};
 use retries::RetryWindow;
 use rollout::{VersionQuery, VersionRule, version_rule};
 use routes::RouteKind;
@@ -106,7 +108,7 @@
     /// What was seen of versions under roll-out.
     pub versions: RefCell<VersionWatch>,
     /// How fast engines read prompts.
-    pub reading: ReadingRate,
+    pub reading: ReadingRates,
     /// What the other boxes have under way.
     pub loads: RefCell<Loads>,
     /// Long reads that the other boxes have still to be told of.
@@ -145,7 +147,7 @@
             retries: RefCell::default(),
             loads: RefCell::default(),
             long_reads: LongReads::default(),
-            reading: ReadingRate::default(),
+            reading: ReadingRates::default(),
             telemetry: Telemetry::new(metrics),
             life,
             lease: Cell::new(None),
@@ -205,17 +207,42 @@
         }
     }
 
-    /// Returns how much of an engine's time a token of a model takes, against the dearest.
-    pub fn model_weight(&self, service: &str, model: Option<&str>) -> f64 {
+    /// Returns how long an engine of a service reads so many tokens for a model.
+    pub fn reading_time(&self, service: &str, model: Option<&str>, tokens: f64) -> Duration {
+        self.with_pace(service, model, |pace| self.reading.time(pace, tokens))
+    }
+
+    /// Tells whether a model is the dearest of its service, or the only one.
+    pub fn is_dearest(&self, service: &str, model: Option<&str>) -> bool {
+        self.with_pace(service, model, |pace| pace.price_part >= 1.0)
+    }
+
+    /// Learns from a first event for which an engine read so many tokens and nothing else.
+    pub fn learn_rate(&self, service: &str, model: &str, tokens: f64, took: Duration) {
+        self.with_pace(service, Some(model), |pace| {
+            self.reading.learn(pace, tokens, took);
+        });
+    }
+
+    fn with_pace<T>(
+        &self,
+        service: &str,
+        model: Option<&str>,
+        use_it: impl FnOnce(ModelPace<'_>) -> T,
+    ) -> T {
         let knowledge = self.knowledge.borrow();
         let engine = knowledge
             .routes()
             .and_then(|routes| routes.services.get(service))
             .and_then(|service| service.engine.as_ref());
-        match (engine, model) {
-            (Some(engine), Some(model)) => engine.weight(model),
+        let price_part = match (engine, model) {
+            (Some(engine), Some(model)) => engine.price_part(model),
             _ => 1.0,
-        }
+        };
+        use_it(ModelPace {
+            name: model.unwrap_or_default(),
+            price_part,
+        })
     }
 
     /// Uses a service's budget of repeats, which begins with the service's first request.
--- /dev/null
+++ b/src/gateway/engine_cost.rs
@@ -0,0 +1,195 @@
+//! What it costs to send a prompt to an engine: one sum in one unit, milliseconds of an
+//! engine's time.
+//!
+//! Reading prompts fills engines before anything else does, so what a request costs others
+//! counts in the time that it keeps an engine from reading theirs; what is priced otherwise
+//! is weighed against that. See `docs/design/platform.md`.
+
+use super::keepers::{Keepers, Spread, rank};
+use super::place::Wish;
+use super::upstream::Upstream;
+use crate::clock::Now;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Milliseconds that reading a token of a shared part anew counts for beyond the time it
+/// takes, whatever the model: it is priced by token, and it drives out what the engine kept.
+/// A shared part of 5,400 tokens is worth a wait of 0.3 s.
+const ANEW_MS: f64 = 0.055;
+/// Milliseconds that fetching a token of a shared part from the engine that keeps it counts
+/// for. The fetch itself takes some milliseconds in all, but what is moved is priced, and
+/// less than half of what the dearest models of the users' deployments take to read a token.
+///
+/// Fetching makes engines equal for a shared part, so that the idle one can be taken. It
+/// raised what whole days were worth to callers by 0.003 to 0.009 on three deployments
+/// (paired days, `docs/measurements/decisions.md`), by less waiting and more answers of the
+/// large model.
+const FETCHED_MS: f64 = 0.045;
+/// Milliseconds that each kilobyte of a request counts for which leaves the hall.
+///
+/// With one engine a hall for the beginnings of models that read fast, this took a third off
+/// the bytes between halls and raised what a day was worth by 0.015 on a deployment where
+/// they are dear, and by 0.002 where they are cheap (paired days,
+/// `docs/measurements/decisions.md`).
+const AWAY_MS: f64 = 14.0;
+/// Milliseconds that an engine's slots count for when they are full. An engine slows down
+/// little with the number of its requests, so this matters only near the last slots.
+const SLOTS_MS: f64 = 220.0;
+/// Milliseconds that a request out of slots waits for at least: an engine that has none free
+/// is taken only when all others are worse.
+const NO_SLOT_MS: f64 = 11_000.0;
+/// Milliseconds by which an engine that is not compared looks dearer: it is taken only when
+/// all that are compared rest, fail or are full.
+const NOT_COMPARED_MS: f64 = 5_500.0;
+/// Milliseconds that one unit of penalty for failures and rest counts for.
+const PENALTY_MS: f64 = 1_100.0;
+/// The bytes of a kilobyte.
+const KILOBYTE: f64 = 1000.0;
+
+/// A prompt whose beginning other requests share.
+#[derive(Debug, Clone, Copy)]
+pub struct SharedPrompt<'a> {
+    /// What names the shared beginning and the model.
+    pub shared: &'a str,
+    /// How many engines are expected to keep that beginning.
+    pub spread: Spread,
+    /// How long an engine that has kept nothing of it reads the prompt.
+    pub whole: Duration,
+    /// How long an engine that has kept the shared beginning reads the rest.
+    pub rest: Duration,
+    /// The tokens of the shared beginning.
+    pub shared_tokens: f64,
+    /// The bytes of the request.
+    pub bytes: usize,
+}
+
+impl SharedPrompt<'_> {
+    /// Returns what fetching the shared beginning costs, if that is less than the time that
+    /// reading it takes.
+    fn fetching(&self) -> Option<f64> {
+        let fetching = self.shared_tokens * FETCHED_MS;
+        let saved = millis(self.whole.saturating_sub(self.rest));
+        (fetching < saved).then_some(fetching)
+    }
+}
+
+/// How an engine comes by the shared beginning of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Beginning {
+    /// It is expected to have kept it.
+    Kept,
+    /// It fetches it from the engine at this address, which is expected to have kept it.
+    Fetched(SocketAddr),
+    /// It reads it.
+    Read,
+}
+
+/// What a request costs and finds at an upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceCost {
+    /// The sum by which upstreams are compared: in milliseconds of an engine, or in parts of
+    /// a plain upstream's slots.
+    pub cost: f64,
+    /// How long the engine reads what other requests have sent.
+    pub ahead: Duration,
+    /// How long it then reads this prompt.
+    pub reading: Duration,
+    /// How it comes by the shared beginning.
+    pub beginning: Beginning,
+}
+
+/// Returns what a prompt would cost at each engine.
+///
+/// All engines but a few, drawn by the request, and those that keep the prompt's beginning,
+/// are so dear that they are not taken.
+pub fn engine_costs(
+    candidates: &[&Rc<Upstream>],
+    wish: Wish<'_>,
+    prompt: SharedPrompt<'_>,
+    now: Now,
+) -> Vec<PlaceCost> {
+    let keepers = Keepers::among(candidates, prompt.shared, prompt.spread);
+    let last_drawn = nth_rank(candidates, wish.draw, wish.compared);
+    let cost = |upstream: &&Rc<Upstream>| {
+        let beginning = beginning(candidates, &keepers, prompt, upstream, now);
+        let is_drawn = rank(upstream, wish.draw) >= last_drawn;
+        let is_compared = is_drawn || beginning == Beginning::Kept;
+        let mut found = engine_cost(upstream, wish.hall, prompt, beginning, now);
+        if !is_compared {
+            found.cost += NOT_COMPARED_MS;
+        }
+        found
+    };
+    candidates.iter().map(cost).collect()
+}
+
+/// Tells how an engine would come by a prompt's shared beginning.
+fn beginning(
+    candidates: &[&Rc<Upstream>],
+    keepers: &Keepers,
+    prompt: SharedPrompt<'_>,
+    upstream: &Upstream,
+    now: Now,
+) -> Beginning {
+    if keepers.contain(upstream) {
+        return Beginning::Kept;
+    }
+    let version = upstream.with_listed(|listed| listed.version.clone());
+    let can_give = |other: &&&Rc<Upstream>| {
+        let has_same_weights = other.with_listed(|listed| listed.version == version);
+        has_same_weights && keepers.contain(other) && !other.rests(now)
+    };
+    match candidates.iter().find(can_give) {
+        Some(keeper) if prompt.fetching().is_some() => {
+            Beginning::Fetched(keeper.with_listed(|listed| listed.address))
+        }
+        _ => Beginning::Read,
+    }
+}
+
+fn engine_cost(
+    upstream: &Rc<Upstream>,
+    hall: &str,
+    prompt: SharedPrompt<'_>,
+    beginning: Beginning,
+    now: Now,
+) -> PlaceCost {
+    let (reading, getting) = match beginning {
+        Beginning::Kept => (prompt.rest, 0.0),
+        Beginning::Fetched(_) => (prompt.rest, prompt.fetching().unwrap_or_default()),
+        Beginning::Read => (prompt.whole, prompt.shared_tokens * ANEW_MS),
+    };
+    let is_away = upstream.with_listed(|listed| listed.hall != hall);
+    let away = match is_away {
+        true => prompt.bytes as f64 / KILOBYTE * AWAY_MS,
+        false => 0.0,
+    };
+    let fullness = upstream.fullness(now);
+    let slots = match fullness < 1.0 {
+        true => fullness * SLOTS_MS,
+        false => fullness * NO_SLOT_MS,
+    };
+    let troubles = (upstream.penalty(now) - fullness) * PENALTY_MS;
+    let ahead = upstream.unread(now);
+    PlaceCost {
+        cost: millis(ahead) + millis(reading) + getting + away + slots + troubles,
+        ahead,
+        reading,
+        beginning,
+    }
+}
+
+/// Returns the rank of the engine at a place, counted from one, in the order of a seed.
+fn nth_rank(candidates: &[&Rc<Upstream>], seed: u64, place: usize) -> u64 {
+    let mut ranks: Vec<u64> = candidates
+        .iter()
+        .map(|upstream| rank(upstream, seed))
+        .collect();
+    ranks.sort_unstable_by_key(|rank| std::cmp::Reverse(*rank));
+    ranks.get(place.saturating_sub(1)).copied().unwrap_or(0)
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1000.0
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -96,6 +96,8 @@
     pub headers: http1_types::HeaderMap,
     /// When the request went out.
     pub sent: Duration,
+    /// Whether the time to the first event tells how fast the upstream reads.
+    pub tells_rate: bool,
     body: Incoming,
     connection: Option<Connection>,
     upstream: Rc<Upstream>,
@@ -187,8 +189,11 @@
 pub struct TryLimits {
     /// How long to wait for the head of the answer.
     pub head: Patience,
-    /// The prompt's tokens that the upstream has to read, weighted by model.
-    pub tokens: f64,
+    /// How long the upstream reads the prompt.
+    pub reading: Duration,
+    /// Whether the upstream reads the prompt whole and has nothing else to read, as far as
+    /// is known, so that the time to the first event tells how fast it reads.
+    pub tells_rate: bool,
     /// Whether a connection that was used before may be used; one may close just as the
     /// request is written, which leaves open whether it ran.
     pub may_reuse: bool,
@@ -203,7 +208,7 @@
     limits: TryLimits,
 ) -> Tried {
     let load = upstream.enter();
-    let unread = upstream.begin_reading(limits.tokens);
+    let unread = upstream.begin_reading(limits.reading);
     let instance = upstream.with_listed(|listed| listed.instance.clone());
     let began = Now::read();
     let idle = match limits.may_reuse {
@@ -268,6 +273,7 @@
         status,
         headers: parts.headers,
         sent: began.monotonic,
+        tells_rate: limits.tells_rate,
         body,
         connection: Some(connection),
         upstream: upstream.clone(),
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -2,12 +2,15 @@
 
 use super::Gateway;
 use super::connect::http1_types;
+use super::engine_cost::{Beginning, SharedPrompt};
 use super::exchange::{NotRun, Outgoing, Tried, TryLimits, try_upstream};
+use super::keepers::Spread;
 use super::models::Expected;
 use super::patience::Patience;
-use super::place::{SharedPrompt, Wish, choose, compared, draw, least_reading};
+use super::place::{Choice, Wish, choose, compared, draw};
 use super::prompt::Prompt;
 use super::protocol::{ANY_MODEL, urgency};
+use super::reading;
 use super::refusal::Ran;
 use super::retries::Repeat;
 use super::routes::{Organisation, Route};
@@ -132,36 +135,47 @@
         if left <= ANSWER_MARGIN {
             return Err(NoTry::OutOfTime);
         }
-        let upstream = self.place(gw, plan.model, now).ok_or(NoTry::NoUpstream)?;
+        let candidates = gw.candidates(&self.service, &self.session, now);
+        let tried = self.tries.instances();
+        let choice = self.place(gw, &candidates, &tried, plan.model, now);
+        let choice = choice.ok_or(NoTry::NoUpstream)?;
+        let upstream = &choice.upstream;
         if !self.pay(gw, plan.repeat, now) {
             return Err(NoTry::OutOfBudget);
         }
-        self.tries.exclude(&upstream);
+        self.tries.exclude(upstream);
         let instance = upstream.with_listed(|listed| listed.instance.clone());
         let limits = TryLimits {
             head: plan.head.within(left),
-            tokens: self.prompt.reading_tokens() * gw.model_weight(&self.service, plan.model),
+            reading: choice.reading,
+            tells_rate: choice.tells_rate(),
             may_reuse: self.route.kind.is_repeatable(),
         };
-        gw.long_reads.note(&gw.life, &instance, limits.tokens);
-        let out = self.outgoing(gw, &instance, plan, now);
-        let tried = try_upstream(&gw.connections, &gw.headers, &upstream, out, limits).await;
-        self.record(gw, &upstream, &tried, plan);
+        gw.long_reads.note(&gw.life, &instance, limits.reading);
+        let out = self.outgoing(gw, &choice, plan, now);
+        let tried = try_upstream(&gw.connections, &gw.headers, upstream, out, limits).await;
+        self.record(gw, upstream, &tried, plan);
         Ok(tried)
     }
 
-    fn place(&self, gw: &Gateway, model: Option<&str>, now: Now) -> Option<Rc<Upstream>> {
-        let candidates = gw.candidates(&self.service, &self.session, now);
-        let tried = self.tries.instances();
+    /// Chooses the upstream that a try with a model would go to.
+    fn place(
+        &self,
+        gw: &Gateway,
+        candidates: &[Rc<Upstream>],
+        tried: &[String],
+        model: Option<&str>,
+        now: Now,
+    ) -> Option<Choice> {
         let shared = self.shared_name(model);
         let wish = Wish {
             hall: &gw.settings().hall,
             prompt: self.shared_prompt(gw, shared.as_deref(), model),
-            tried: &tried,
+            tried,
             draw: draw(&self.request_id),
             compared: compared(gw.knowledge.borrow().boxes().count()),
         };
-        choose(&candidates, wish, now)
+        choose(candidates, wish, now)
     }
 
     /// Names the shared beginning of the prompt; engines keep what they have read by model.
@@ -176,11 +190,19 @@
         shared: Option<&'a str>,
         model: Option<&str>,
     ) -> Option<SharedPrompt<'a>> {
+        let whole = self.prompt.reading_tokens();
+        let shared_tokens = self.prompt.shared_tokens as f64;
+        let time = |tokens: f64| gw.reading_time(&self.service, model, tokens);
         Some(SharedPrompt {
             shared: shared?,
-            tokens: self.prompt.reading_tokens(),
-            shared_tokens: self.prompt.shared_tokens as f64,
-            weight: gw.model_weight(&self.service, model),
+            spread: match gw.is_dearest(&self.service, model) {
+                true => Spread::OneEngine,
+                false => Spread::OneEngineAHall,
+            },
+            whole: time(whole),
+            rest: time(whole - shared_tokens),
+            shared_tokens,
+            bytes: self.body.len(),
         })
     }
 
@@ -197,14 +219,13 @@
         model: Option<&str>,
         now: Now,
     ) -> Expected {
-        let shared = self.shared_name(model);
-        let prompt = self.shared_prompt(gw, shared.as_deref(), model);
-        let least = prompt.and_then(|prompt| least_reading(candidates, prompt, now));
-        let own = prompt.map_or(0.0, |prompt| prompt.tokens * prompt.weight);
-        let total = least.unwrap_or_default();
+        let choice = self.place(gw, candidates, &[], model, now);
+        let (ahead, reading) = choice.map_or((Duration::ZERO, Duration::ZERO), |choice| {
+            (choice.ahead, choice.reading)
+        });
         Expected {
-            total: gw.reading.expected(total),
-            ahead: gw.reading.expected((total - own).max(0.0)),
+            total: reading::FIXED + ahead + reading,
+            ahead,
         }
     }
 
@@ -242,7 +263,7 @@
         gw.telemetry.tried(self, upstream, tried, plan);
     }
 
-    fn outgoing(&self, gw: &Gateway, instance: &str, plan: TryPlan<'_>, now: Now) -> Outgoing {
+    fn outgoing(&self, gw: &Gateway, choice: &Choice, plan: TryPlan<'_>, now: Now) -> Outgoing {
         let names = &gw.headers;
         let mut headers = self.headers.clone();
         let mut set = |name: &http::HeaderName, value: &str| {
@@ -257,7 +278,13 @@
         };
         let left = self.left(now).saturating_sub(ANSWER_MARGIN);
         set(&names.deadline, &left.as_millis().to_string());
-        set(&names.expect_instance, instance);
+        let instance = choice
+            .upstream
+            .with_listed(|listed| listed.instance.clone());
+        set(&names.expect_instance, &instance);
+        if let Beginning::Fetched(keeper) = choice.beginning {
+            set(&names.fetch_from, &keeper.to_string());
+        }
         if let Some(organisation) = &self.organisation {
             set(&names.organisation, &organisation.name);
         }
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -16,9 +16,9 @@
 /// The time between two reports that each other box adds, so that a box gets some sixty
 /// reports a second however many boxes there are.
 const INTERVAL_PER_BOX: Duration = Duration::from_millis(15);
-/// Weighted tokens from which the beginning of a read is told at once. Such a read keeps an
-/// engine for a sixth of a second or more, and the next report may be a second away.
-const LONG_READ: f64 = 3000.0;
+/// The time that a read takes from which its beginning is told at once: the next report may
+/// be a second away.
+const LONG_READ: Duration = Duration::from_millis(165);
 /// How many intervals a report is believed when no other follows.
 const LIFETIME_INTERVALS: u32 = 6;
 
@@ -43,8 +43,8 @@
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct UpstreamLoad {
     instance: u32,
-    /// Weighted tokens that wait to be read.
-    unread: u32,
+    /// How long reading what waits takes, in milliseconds.
+    unread_ms: u32,
     /// The number of requests.
     outstanding: u32,
 }
@@ -56,8 +56,8 @@
     reporter: u64,
     /// The short hash of the instance.
     instance: u32,
-    /// The weighted tokens.
-    unread: u32,
+    /// How long it takes, in milliseconds.
+    reading_ms: u32,
 }
 
 /// Long reads that this box began and has still to tell of.
@@ -69,14 +69,14 @@
 
 impl LongReads {
     /// Notes a read that begins, if it is long enough to tell of.
-    pub fn note(&self, reporter: &str, instance: &str, tokens: f64) {
-        if tokens < LONG_READ {
+    pub fn note(&self, reporter: &str, instance: &str, reading: Duration) {
+        if reading < LONG_READ {
             return;
         }
         self.untold.borrow_mut().push(LongRead {
             reporter: draw(reporter),
             instance: short_hash(instance),
-            unread: tokens as u32,
+            reading_ms: millis(reading),
         });
         self.rung.notify_one();
     }
@@ -93,6 +93,10 @@
     }
 }
 
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn short_hash(instance: &str) -> u32 {
     // The lower half of a hash is as good as any other.
     draw(instance) as u32
@@ -107,7 +111,7 @@
         let upstreams = busy
             .map(|upstream| UpstreamLoad {
                 instance: upstream.with_listed(|listed| short_hash(&listed.instance)),
-                unread: upstream.own_unread() as u32,
+                unread_ms: millis(upstream.own_unread()),
                 outstanding: upstream.outstanding(),
             })
             .collect();
@@ -139,7 +143,7 @@
     pub fn take_long_read(&mut self, read: LongRead, knowledge: &Knowledge, now: Now) {
         let upstream = UpstreamLoad {
             instance: read.instance,
-            unread: read.unread,
+            unread_ms: read.reading_ms,
             outstanding: 1,
         };
         if let Some((load, _)) = self.reports.get_mut(&read.reporter) {
@@ -149,7 +153,8 @@
             upstream.with_listed(|listed| short_hash(&listed.instance) == read.instance)
         };
         if let Some(upstream) = knowledge.upstreams().find(is_read_by) {
-            upstream.add_elsewhere(f64::from(read.unread), now);
+            let reading = Duration::from_millis(read.reading_ms.into());
+            upstream.add_elsewhere(reading, now);
         }
     }
 
@@ -163,7 +168,7 @@
             for upstream in &load.upstreams {
                 let sum = sums.entry(upstream.instance).or_default();
                 sum.as_of = now.monotonic;
-                sum.unread += f64::from(upstream.unread);
+                sum.unread += Duration::from_millis(upstream.unread_ms.into());
                 sum.outstanding += upstream.outstanding;
             }
         }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -32,6 +32,8 @@
     pub session: HeaderName,
     /// The urgency for the engine's queue.
     pub urgency: HeaderName,
+    /// The engine from which an engine is to fetch what that one keeps of the prompt.
+    pub fetch_from: HeaderName,
     /// The engine's own opinion of its answer, from 0 to 100.
     pub confidence: HeaderName,
     /// The last event that the receiver of a stream has.
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -1,48 +1,101 @@
-//! How fast engines read prompts, learned from the first events of answers.
+//! How fast engines read the prompts of each model, learned from the first events of answers.
+//!
+//! Everything that waits at an engine is counted in the time that reading it takes, so that
+//! prompts of small and large models can be added up. See `docs/design/platform.md`.
 
-use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::time::Duration;
 
-/// Weighted tokens that an engine reads in a millisecond before anything was measured.
-/// The dearest model of the users' deployments reads about this fast.
-pub const USUAL_RATE: f64 = 18.0;
-/// The bounds of what is believed of the rate.
-const RATE_BOUNDS: (f64, f64) = (2.0, 200.0);
-/// How much of the newest measurement goes into the rate.
-const NEWEST_PART: f64 = 0.03;
-/// The fewest weighted tokens that tell something of the rate; shorter prompts are
+/// Tokens that an engine reads in a millisecond for the dearest model before anything was
+/// measured; engines that were measured read 11 to 20.
+const USUAL_RATE: f64 = 18.0;
+/// The bounds of what is believed of a rate, in tokens a millisecond.
+const RATE_BOUNDS: (f64, f64) = (2.0, 400.0);
+/// How far the first measurement moves a rate, as a part of it; the next ones move it less.
+const FIRST_STEP: f64 = 0.25;
+/// The least that a measurement moves a rate, so that it follows engines that change.
+const LEAST_STEP: f64 = 0.03;
+/// The fewest tokens that tell something of a rate; the first events of shorter prompts are
 /// dominated by the way there and by the engine's steps.
 const FEWEST_TOKENS: f64 = 1500.0;
 /// The time to the first event that does not depend on the tokens: the way there and a
 /// step or two of the engine.
-const FIXED: Duration = Duration::from_millis(25);
+pub const FIXED: Duration = Duration::from_millis(25);
 
-/// A service's rate of reading, in weighted tokens a millisecond.
-#[derive(Debug)]
-pub struct ReadingRate(Cell<f64>);
+/// The rates of a box's models.
+///
+/// Prices alone say little of them: of three models whose prices stood as 1 to 7 to 15, the
+/// small one read 6 times as fast as the large one and the middle one 3 times, so that going
+/// by the price took the small one's reads for half as long as they were and the middle
+/// one's for 1.6 times as long (first events of 3,400 tries, four days of 34 s).
+#[derive(Debug, Default)]
+pub struct ReadingRates {
+    by_model: RefCell<HashMap<String, Rate>>,
+}
+
+/// The rate of one model.
+#[derive(Debug, Clone, Copy)]
+struct Rate {
+    tokens_per_ms: f64,
+    measurements: u32,
+}
+
+impl Rate {
+    /// Returns what is believed before anything was measured: that time goes by price.
+    ///
+    /// `price_part` is the model's price as a part of the dearest one's.
+    fn by_price(price_part: f64) -> Self {
+        let rate = USUAL_RATE / price_part.max(f64::MIN_POSITIVE);
+        Self {
+            tokens_per_ms: rate.clamp(RATE_BOUNDS.0, RATE_BOUNDS.1),
+            measurements: 0,
+        }
+    }
 
-impl Default for ReadingRate {
-    fn default() -> Self {
-        Self(Cell::new(USUAL_RATE))
+    /// Moves a step towards a measurement, however far away that is, so that the rate
+    /// settles at the median: a prompt that had to wait, or that the engine had kept after
+    /// all, says nothing of the rate, and may be wrong by any factor.
+    fn learn(&mut self, measured: f64) {
+        let step = (FIRST_STEP * 2.0 / f64::from(self.measurements + 2)).max(LEAST_STEP);
+        let factor = match measured > self.tokens_per_ms {
+            true => 1.0 + step,
+            false => 1.0 / (1.0 + step),
+        };
+        self.tokens_per_ms = (self.tokens_per_ms * factor).clamp(RATE_BOUNDS.0, RATE_BOUNDS.1);
+        self.measurements = self.measurements.saturating_add(1);
     }
 }
 
-impl ReadingRate {
-    /// Learns from a first event: so many weighted tokens were ahead of it, its own
-    /// included, and it took so long.
-    pub fn learn(&self, tokens: f64, took: Duration) {
+/// A model, as far as the time of its reads goes.
+#[derive(Debug, Clone, Copy)]
+pub struct ModelPace<'a> {
+    /// The model's name.
+    pub name: &'a str,
+    /// Its price as a part of the dearest model's, which stands in for what is not yet
+    /// measured.
+    pub price_part: f64,
+}
+
+impl ReadingRates {
+    /// Learns from a first event for which an engine read so many tokens and nothing else.
+    pub fn learn(&self, model: ModelPace<'_>, tokens: f64, took: Duration) {
         if tokens < FEWEST_TOKENS {
             return;
         }
         let millis = took.saturating_sub(FIXED).as_secs_f64() * 1000.0;
-        let measured = (tokens / millis.max(1.0)).clamp(RATE_BOUNDS.0, RATE_BOUNDS.1);
-        // A mean of logarithms, since rates spread by factors.
-        let rate = self.0.get().ln() * (1.0 - NEWEST_PART) + measured.ln() * NEWEST_PART;
-        self.0.set(rate.exp());
+        let mut rates = self.by_model.borrow_mut();
+        let rate = rates
+            .entry(model.name.to_owned())
+            .or_insert_with(|| Rate::by_price(model.price_part));
+        rate.learn(tokens / millis.max(1.0));
     }
 
-    /// Returns how long so many weighted tokens take.
-    pub fn expected(&self, tokens: f64) -> Duration {
-        FIXED + Duration::from_secs_f64(tokens.max(0.0) / self.0.get() / 1000.0)
+    /// Returns how long an engine reads so many tokens for a model.
+    pub fn time(&self, model: ModelPace<'_>, tokens: f64) -> Duration {
+        let rates = self.by_model.borrow();
+        let known = rates.get(model.name).copied();
+        let rate = known.unwrap_or_else(|| Rate::by_price(model.price_part));
+        Duration::from_secs_f64(tokens.max(0.0) / rate.tokens_per_ms / 1000.0)
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -95,9 +95,7 @@
     ) -> Self {
         let now = Now::read();
         answer.has_read();
-        let first = now.monotonic.saturating_sub(answer.sent);
-        let named = model.as_deref().unwrap_or_default();
-        gw.first_event(job, answer.upstream(), first, named, now);
+        gw.first_event(job, &answer, model.as_deref().unwrap_or_default(), now);
         let asked_after = job.headers.get(gw.headers.last_event_id.as_str());
         let last_id = asked_after
             .and_then(|value| value.to_str().ok())
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -101,9 +101,9 @@
 }
 
 impl Engine {
-    /// Returns how much of an engine's time a token of a model takes, against the
-    /// dearest model. Nothing tells a model's speed, and its price grows with it.
-    pub fn weight(&self, model: &str) -> f64 {
+    /// Returns a model's price as a part of the dearest model's; one for a model without a
+    /// price.
+    pub fn price_part(&self, model: &str) -> f64 {
         let dearest = self
             .models
             .iter()
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -142,14 +142,14 @@
     }
 
     /// Records when the first event of a try came.
-    pub fn first_event(&self, job: &Job, model: &str, took: Duration, ahead: f64) {
+    pub fn first_event(&self, job: &Job, model: &str, took: Duration, unread: Duration) {
         log::info!(
             request = job.request_id.as_str(),
             model,
             took_ms = millis(took),
             tokens = job.prompt.tokens,
             shared_tokens = job.prompt.shared_tokens,
-            unread_ahead = ahead as u64;
+            unread_ms = millis(unread);
             "first event"
         );
     }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -2,7 +2,6 @@
 
 use super::control::ListedUpstream;
 use super::protocol::ReportedLoad;
-use super::reading::USUAL_RATE;
 use crate::clock::Now;
 use crate::routing::placement::{LoadGuard, UpstreamLoad};
 use std::cell::{Cell, RefCell};
@@ -27,6 +26,15 @@
 /// How long a report of load is trusted; upstreams serve from two requests a second up.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Fullness that a failure rate of one counts for, so that an upstream which fails some
+/// of its requests loses to any that is not nearly full.
+const FAILURE_WEIGHT: f64 = 4.0;
+/// Failure rates below this are taken for chance.
+const TOLERATED_FAILURES: f64 = 0.2;
+/// What resting counts for: more than all else together, since the upstream did not even
+/// take a connection.
+const RESTING: f64 = 100.0;
+
 /// An upstream, shared by all requests of the box.
 #[derive(Debug)]
 pub struct Upstream {
@@ -35,7 +43,7 @@
     health: Cell<Health>,
     report: Cell<Option<Report>>,
     lapsed_at: Cell<Option<Duration>>,
-    unread: Rc<Cell<f64>>,
+    unread: Rc<Cell<Duration>>,
     elsewhere: Cell<Elsewhere>,
     heard_at: Cell<Duration>,
 }
@@ -43,8 +51,8 @@
 /// What other boxes have under way at an upstream, as they told it last.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Elsewhere {
-    /// Prompt tokens that wait to be read, weighted by model.
-    pub unread: f64,
+    /// How long reading the prompts that wait takes.
+    pub unread: Duration,
     /// Requests under way.
     pub outstanding: u32,
     /// When this was so.
@@ -53,23 +61,23 @@
 
 impl Elsewhere {
     /// Returns what is left to read by now, since the engine has read on.
-    fn unread_by(self, now: Now) -> f64 {
+    fn unread_by(self, now: Now) -> Duration {
         let age = now.monotonic.saturating_sub(self.as_of);
-        let read = age.as_secs_f64() * 1000.0 * USUAL_RATE;
-        (self.unread - read).max(0.0)
+        self.unread.saturating_sub(age)
     }
 }
 
-/// Counts a prompt's tokens out when its first event came or the try ended.
+/// Counts a prompt out when its first event came or the try ended.
 #[derive(Debug)]
 pub struct Unread {
-    total: Rc<Cell<f64>>,
-    tokens: f64,
+    total: Rc<Cell<Duration>>,
+    reading: Duration,
 }
 
 impl Drop for Unread {
     fn drop(&mut self) {
-        self.total.set((self.total.get() - self.tokens).max(0.0));
+        self.total
+            .set(self.total.get().saturating_sub(self.reading));
     }
 }
 
@@ -157,22 +165,22 @@
         self.load.outstanding()
     }
 
-    /// Counts a prompt's weighted tokens as waiting to be read until the guard is dropped.
-    pub fn begin_reading(&self, tokens: f64) -> Unread {
-        self.unread.set(self.unread.get() + tokens);
+    /// Counts a prompt that takes so long to read as waiting until the guard is dropped.
+    pub fn begin_reading(&self, reading: Duration) -> Unread {
+        self.unread.set(self.unread.get() + reading);
         Unread {
             total: self.unread.clone(),
-            tokens,
+            reading,
         }
     }
 
-    /// Returns this box's weighted prompt tokens that the upstream has not read yet.
-    pub fn own_unread(&self) -> f64 {
+    /// Returns how long reading takes what this box sent and the upstream has not read yet.
+    pub fn own_unread(&self) -> Duration {
         self.unread.get()
     }
 
-    /// Returns all boxes' weighted prompt tokens that the upstream has not read yet.
-    pub fn unread(&self, now: Now) -> f64 {
+    /// Returns how long reading takes what all boxes sent and the upstream has not read yet.
+    pub fn unread(&self, now: Now) -> Duration {
         self.unread.get() + self.elsewhere.get().unread_by(now)
     }
 
@@ -182,10 +190,10 @@
     }
 
     /// Adds a long read that another box begins here.
-    pub fn add_elsewhere(&self, tokens: f64, now: Now) {
+    pub fn add_elsewhere(&self, reading: Duration, now: Now) {
         let known = self.elsewhere.get();
         self.elsewhere.set(Elsewhere {
-            unread: known.unread_by(now) + tokens,
+            unread: known.unread_by(now) + reading,
             outstanding: known.outstanding + 1,
             as_of: now.monotonic,
         });
@@ -293,6 +301,21 @@
             .saturating_sub(moment.max(self.heard_at.get()))
     }
 
+    /// Returns how little the upstream is wanted, in parts of its slots: how full it is, how
+    /// often it fails, and whether it rests.
+    pub fn penalty(&self, now: Now) -> f64 {
+        let rests = if self.rests(now) { RESTING } else { 0.0 };
+        self.fullness(now) + self.failure_penalty(now) + rests
+    }
+
+    fn failure_penalty(&self, now: Now) -> f64 {
+        let rate = self.failure_rate(now);
+        match rate > TOLERATED_FAILURES {
+            true => rate * FAILURE_WEIGHT,
+            false => 0.0,
+        }
+    }
+
     /// Returns the part of requests that it failed of late, from 0 to 1.
     pub fn failure_rate(&self, now: Now) -> f64 {
         let health = self.health.get().faded(now);
--- a/src/gateway/version_counts.rs
+++ b/src/gateway/version_counts.rs
@@ -7,6 +7,7 @@
 
 use super::Gateway;
 use super::control::{ListedUpstream, RolloutOrder};
+use super::exchange::Answer;
 use super::job::Job;
 use super::membership::target_name;
 use super::upstream::Upstream;
@@ -23,19 +24,14 @@
 
 impl Gateway {
     /// Records when the first event of an answer came.
-    pub fn first_event(
-        &self,
-        job: &Job,
-        upstream: &Upstream,
-        took: Duration,
-        model: &str,
-        now: Now,
-    ) {
-        let ahead = upstream.unread(now);
-        self.telemetry.first_event(job, model, took, ahead);
-        let weight = self.model_weight(&job.service, Some(model));
-        let tokens = job.prompt.reading_tokens() * weight;
-        self.reading.learn(tokens, took);
+    pub fn first_event(&self, job: &Job, answer: &Answer, model: &str, now: Now) {
+        let upstream = answer.upstream();
+        let took = now.monotonic.saturating_sub(answer.sent);
+        self.telemetry
+            .first_event(job, model, took, upstream.unread(now));
+        if answer.tells_rate {
+            self.learn_rate(&job.service, model, job.prompt.reading_tokens(), took);
+        }
         upstream.with_listed(|listed| {
             self.sessions
                 .borrow_mut()
--- a/tests/gateway/passing_on.rs
+++ b/tests/gateway/passing_on.rs
@@ -99,18 +99,18 @@
         let update = Update::Upstream(Box::new(listed("i-1", "engine", "ikeja")));
         knowledge.apply(update, at(0));
         let upstream = knowledge.open_upstreams("engine", at(0)).remove(0);
-        let unread = upstream.begin_reading(500.0);
+        let unread = upstream.begin_reading(Duration::from_millis(500));
         let counted = upstream.enter();
         let report = BoxLoad::of("other", &knowledge);
         drop((unread, counted));
-        expect_that!(upstream.unread(at(0)), eq(0.0));
+        expect_that!(upstream.unread(at(0)), eq(Duration::ZERO));
         let mut loads = Loads::default();
         loads.take(report, at(0));
         loads.spread(&knowledge, at(10));
-        expect_that!(upstream.unread(at(10)), eq(500.0));
+        expect_that!(upstream.unread(at(10)), eq(Duration::from_millis(500)));
         expect_that!(upstream.occupancy(at(10)), eq(1));
         loads.spread(&knowledge, at(5000));
-        expect_that!(upstream.unread(at(5000)), eq(0.0));
+        expect_that!(upstream.unread(at(5000)), eq(Duration::ZERO));
     }
 
     long_reads_are_told_to_a_bounded_number_of_boxes_in_turn => {
@@ -133,14 +133,14 @@
         knowledge.apply(update, at(0));
         let upstream = knowledge.open_upstreams("engine", at(0)).remove(0);
         let told = LongReads::default();
-        told.note("other", "i-1", 100.0);
-        told.note("other", "i-1", 9000.0);
+        told.note("other", "i-1", Duration::from_millis(6));
+        told.note("other", "i-1", Duration::from_millis(500));
         let told = futures::executor::block_on(told.next());
         expect_that!(told.len(), eq(1));
         let mut loads = Loads::default();
         loads.take_long_read(told[0], &knowledge, at(0));
-        expect_that!(upstream.unread(at(0)), eq(9000.0));
-        expect_that!(upstream.unread(at(250)), near(4500.0, 1.0));
-        expect_that!(upstream.unread(at(600)), eq(0.0));
+        expect_that!(upstream.unread(at(0)), eq(Duration::from_millis(500)));
+        expect_that!(upstream.unread(at(250)), eq(Duration::from_millis(250)));
+        expect_that!(upstream.unread(at(600)), eq(Duration::ZERO));
     }
 }
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -1,9 +1,11 @@
 //! Which upstream gets a request.
 
 use super::{at, cases, listed};
-use gatepier::gateway::place::{SharedPrompt, Wish, choose, compared};
+use gatepier::gateway::engine_cost::{Beginning, SharedPrompt};
+use gatepier::gateway::keepers::Spread;
+use gatepier::gateway::place::{Choice, Wish, choose, compared};
 use gatepier::gateway::protocol::{parse_load, parse_prompt_parts, urgency};
-use gatepier::gateway::reading::ReadingRate;
+use gatepier::gateway::reading::{ModelPace, ReadingRates};
 use gatepier::gateway::upstream::Upstream;
 use googletest::prelude::*;
 use std::rc::Rc;
@@ -27,29 +29,51 @@
     }
 }
 
+/// A prompt for the dearest model, five sixths of which others share.
 fn prompt(shared: &str) -> SharedPrompt<'_> {
     SharedPrompt {
         shared,
-        tokens: 6000.0,
+        spread: Spread::OneEngine,
+        whole: Duration::from_millis(330),
+        rest: Duration::from_millis(55),
         shared_tokens: 5000.0,
-        weight: 1.0,
+        bytes: 0,
     }
 }
 
+/// The same for a model that reads fourteen times as fast.
+fn fast_prompt(shared: &str) -> SharedPrompt<'_> {
+    SharedPrompt {
+        spread: Spread::OneEngineAHall,
+        whole: Duration::from_millis(24),
+        rest: Duration::from_millis(4),
+        bytes: 6000,
+        ..prompt(shared)
+    }
+}
+
+fn choice(candidates: &[Rc<Upstream>], wish: Wish<'_>) -> Choice {
+    choose(candidates, wish, at(0)).unwrap()
+}
+
 fn chosen(candidates: &[Rc<Upstream>], wish: Wish<'_>) -> String {
-    let upstream = choose(candidates, wish, at(0)).unwrap();
-    upstream.listed().instance
+    choice(candidates, wish).upstream.listed().instance
 }
 
+const MIDDLE: ModelPace<'_> = ModelPace {
+    name: "middle",
+    price_part: 0.5,
+};
+
 cases! {
     shared_part_of_a_small_model_is_not_read_anew_to_save_a_short_wait => {
         // Fails where reading anew counts by the model's time: for the smallest model a
         // queue of 30 ms moved a prompt, and 1.3 million tokens were read again in a day.
         let candidates = upstreams(20);
-        let small = SharedPrompt { weight: 0.07, ..prompt("part") };
+        let small = SharedPrompt { spread: Spread::OneEngine, ..fast_prompt("part") };
         let keeper = chosen(&candidates, wish(Some(small), 1));
         let busy = candidates.iter().find(|found| found.listed().instance == keeper).unwrap();
-        let _unread = busy.begin_reading(2000.0);
+        let _unread = busy.begin_reading(Duration::from_millis(110));
         expect_that!(chosen(&candidates, wish(Some(small), 1)), eq(&keeper));
     }
 
@@ -67,14 +91,73 @@
         let candidates = upstreams(20);
         let first = chosen(&candidates, wish(Some(prompt("part")), 1));
         let busy = candidates.iter().find(|found| found.listed().instance == first).unwrap();
-        let _unread = busy.begin_reading(50_000.0);
+        let _unread = busy.begin_reading(Duration::from_millis(2800));
         expect_that!(chosen(&candidates, wish(Some(prompt("part")), 1)), not(eq(&first)));
     }
 
+    idle_engine_fetches_what_a_busy_one_keeps => {
+        // Load: long prompts of the dearest model share a beginning, and the engine that
+        // keeps it is busy with others. Read anew, they fill two engines in place of one.
+        let candidates = upstreams(20);
+        let keeper = choice(&candidates, wish(Some(prompt("part")), 1)).upstream;
+        expect_that!(choice(&candidates, wish(Some(prompt("part")), 1)).beginning, eq(Beginning::Kept));
+        let _unread = keeper.begin_reading(Duration::from_millis(2800));
+        let idle = choice(&candidates, wish(Some(prompt("part")), 1));
+        expect_that!(idle.beginning, eq(Beginning::Fetched(keeper.listed().address)));
+        expect_that!(idle.reading, eq(Duration::from_millis(55)));
+    }
+
+    beginning_that_is_read_fast_is_not_fetched => {
+        let candidates = upstreams(20);
+        let fast = SharedPrompt { spread: Spread::OneEngine, ..fast_prompt("part") };
+        let keeper = choice(&candidates, wish(Some(fast), 1)).upstream;
+        let _unread = keeper.begin_reading(Duration::from_millis(2800));
+        let other = choice(&candidates, wish(Some(fast), 1));
+        expect_that!(other.beginning, eq(Beginning::Read));
+    }
+
+    nothing_is_fetched_from_an_engine_that_rests_or_runs_other_weights => {
+        let candidates = upstreams(20);
+        let keeper = choice(&candidates, wish(Some(prompt("part")), 1)).upstream;
+        keeper.unconnectable(at(0));
+        expect_that!(choice(&candidates, wish(Some(prompt("part")), 1)).beginning, eq(Beginning::Read));
+        let mut listed = keeper.listed();
+        listed.version = "v2".to_owned();
+        keeper.relist(listed);
+        keeper.connectable();
+        let _unread = keeper.begin_reading(Duration::from_millis(2800));
+        expect_that!(choice(&candidates, wish(Some(prompt("part")), 1)).beginning, eq(Beginning::Read));
+    }
+
+    fast_models_keep_a_beginning_in_each_hall_and_stay_there => {
+        // Load: the same beginning is asked for from every hall again and again. With one
+        // engine for all halls, most requests and answers cross halls.
+        let candidates = upstreams(20);
+        for hall in ["ikeja", "yaba"] {
+            for draw in 0..20 {
+                let wish = Wish { hall, ..wish(Some(fast_prompt("part")), draw) };
+                let found = choice(&candidates, wish);
+                expect_that!(found.upstream.listed().hall, eq(hall));
+                expect_that!(found.beginning, eq(Beginning::Kept));
+            }
+        }
+    }
+
+    full_hall_sends_prompts_to_the_keeper_of_another => {
+        let candidates = upstreams(20);
+        let yaba = Wish { hall: "yaba", ..wish(Some(fast_prompt("part")), 1) };
+        let keeper_there = choice(&candidates, yaba).upstream.listed().instance;
+        let in_hall = candidates.iter().filter(|found| found.listed().hall == "ikeja");
+        let _unread: Vec<_> =
+            in_hall.map(|found| found.begin_reading(Duration::from_millis(900))).collect();
+        let found = choice(&candidates, wish(Some(fast_prompt("part")), 1));
+        expect_that!(found.upstream.listed().instance, eq(&keeper_there));
+    }
+
     plain_requests_stay_in_their_hall => {
         let candidates = upstreams(10);
         for draw in 0..20 {
-            let upstream = choose(&candidates, wish(None, draw), at(0)).unwrap();
+            let upstream = choice(&candidates, wish(None, draw)).upstream;
             expect_that!(upstream.listed().hall, eq("ikeja"));
         }
     }
@@ -131,14 +214,37 @@
         expect_that!(silent.as_millis(), eq(100));
     }
 
-    reading_rate_is_learned => {
-        let rate = ReadingRate::default();
-        let before = rate.expected(18_000.0);
-        for _ in 0..500 {
-            rate.learn(18_000.0, Duration::from_millis(2025));
+    reading_rates_begin_with_the_price_and_are_learned => {
+        let rates = ReadingRates::default();
+        expect_that!(rates.time(MIDDLE, 36_000.0), eq(Duration::from_secs(1)));
+        for _ in 0..100 {
+            rates.learn(MIDDLE, 36_000.0, Duration::from_millis(2025));
         }
-        expect_that!(before, lt(Duration::from_millis(1100)));
-        expect_that!(rate.expected(18_000.0), gt(Duration::from_millis(1900)));
+        let learned = rates.time(MIDDLE, 36_000.0).as_secs_f64();
+        expect_that!(learned, near(2.0, 0.07));
+        let other = ModelPace { name: "small", price_part: 0.5 };
+        expect_that!(rates.time(other, 36_000.0), eq(Duration::from_secs(1)));
+    }
+
+    reading_rates_bear_measurements_that_are_far_off => {
+        // Three in ten first events came early, since the engine had kept the prompt after
+        // all, or late, since it had something else to read.
+        let rates = ReadingRates::default();
+        for round in 0..200 {
+            let took = match round % 10 {
+                0 => 30,
+                1 | 2 => 20_000,
+                _ => 2025,
+            };
+            rates.learn(MIDDLE, 36_000.0, Duration::from_millis(took));
+        }
+        expect_that!(rates.time(MIDDLE, 36_000.0).as_secs_f64(), near(2.0, 0.15));
+    }
+
+    short_prompts_teach_no_rate => {
+        let rates = ReadingRates::default();
+        rates.learn(MIDDLE, 1000.0, Duration::from_millis(900));
+        expect_that!(rates.time(MIDDLE, 36_000.0), eq(Duration::from_secs(1)));
     }
 
     headers_are_read_strictly => {
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -80,8 +80,8 @@
         let engine = Engine {
             models: vec![("small".to_owned(), 0.02), ("large".to_owned(), 0.4)],
         };
-        expect_that!(engine.weight("large"), eq(1.0));
-        expect_that!(engine.weight("small"), near(0.05, 1e-9));
-        expect_that!(engine.weight("unknown"), eq(1.0));
+        expect_that!(engine.price_part("large"), eq(1.0));
+        expect_that!(engine.price_part("small"), near(0.05, 1e-9));
+        expect_that!(engine.price_part("unknown"), eq(1.0));
     }
 }
