--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -290,10 +290,8 @@
         }
         if self.route.kind.stream_gap().is_some() {
             let rank = self.organisation.as_ref().map_or(0, |found| found.priority);
-            set(
-                &names.urgency,
-                &urgency(rank, self.route.priority).to_string(),
-            );
+            let urgency = urgency(rank, self.route.priority, choice.reading);
+            set(&names.urgency, &urgency.to_string());
         }
         if let Some(model) = plan.model {
             set(&names.model, model);
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -4,6 +4,7 @@
 //! of the gateway speaks of meanings only. See `docs/design/platform.md`.
 
 use http::HeaderName;
+use std::time::Duration;
 
 /// The name of each header that the gateway reads or sets.
 #[derive(Debug, Clone)]
@@ -50,13 +51,31 @@
 /// How many ranks of routes lie between two ranks of organisations.
 const RANKS_PER_ORGANISATION: u8 = 3;
 
-/// Returns the urgency of a request, 0 the highest: the organisation's rank goes first.
-pub fn urgency(organisation: u8, route: u8) -> u8 {
+/// The longest read that does not make a request less urgent; each doubling of it counts a
+/// step.
+const SHORT_READ: Duration = Duration::from_millis(16);
+
+/// Returns the urgency of a request, 0 the highest.
+///
+/// The organisation's rank goes first, then the route's. Of equal ones the shortest read goes
+/// first: a prompt of the small model takes tens of milliseconds, and would wait for a second
+/// behind one of the large model. That raised what whole days were worth to callers by 0.005
+/// of all, and days with trouble by 0.002 (36 paired days of one deployment) to 0.007 (24 of
+/// another).
+pub fn urgency(organisation: u8, route: u8, reading: Duration) -> u8 {
     let rank = organisation.saturating_mul(RANKS_PER_ORGANISATION);
     rank.saturating_add(route.min(RANKS_PER_ORGANISATION - 1))
+        .saturating_add(doublings(reading))
         .min(LEAST_URGENT)
 }
 
+/// Returns how many times [`SHORT_READ`] has to be doubled to take as long as a read.
+fn doublings(reading: Duration) -> u8 {
+    let short_reads = reading.as_millis() / SHORT_READ.as_millis();
+    let doublings = short_reads.checked_ilog2().unwrap_or(0);
+    u8::try_from(doublings).unwrap_or(u8::MAX)
+}
+
 /// One part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptPart {
