--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -62,9 +62,9 @@
     let socket = UdpSocket::bind(address).await.map_err(error)?;
     let listener = TcpListener::bind(address).await.map_err(error)?;
     let send_question = async |to, question| {
-        send(&socket, &PeerMessage::Question(question), &[to]).await;
+        send(&gw, &socket, &PeerMessage::Question(question), &[to]).await;
     };
-    let send_told = async |to, told| send(&socket, &PeerMessage::Told(told), &[to]).await;
+    let send_told = async |to, told| send(&gw, &socket, &PeerMessage::Told(told), &[to]).await;
     tokio::join!(
         receive(&gw, &store, &socket),
         report_versions(&gw, &socket),
@@ -120,7 +120,7 @@
         }
         PeerMessage::Question(question) => {
             let told = gw.hubs.answer(gw, question, from, now);
-            send(socket, &PeerMessage::Told(told), &[from]).await;
+            send(gw, socket, &PeerMessage::Told(told), &[from]).await;
         }
         PeerMessage::Told(told) => {
             // A fetch may take a while, and other messages should not wait for it.
@@ -129,7 +129,21 @@
     }
 }
 
-async fn send(socket: &UdpSocket, message: &PeerMessage, to: &[SocketAddr]) {
+impl PeerMessage {
+    /// Returns what the message is for, as the metrics name it.
+    fn purpose(&self) -> &'static str {
+        match self {
+            Self::Counts(_) => "version-counts",
+            Self::Load(_) => "load",
+            Self::LongReads(_) => "long-reads",
+            Self::OldSessions(..) => "old-sessions",
+            Self::Question(_) => "questions",
+            Self::Told(_) => "told",
+        }
+    }
+}
+
+async fn send(gw: &Gateway, socket: &UdpSocket, message: &PeerMessage, to: &[SocketAddr]) {
     let config = bincode::config::standard();
     let datagram = match bincode::serde::encode_to_vec(message, config) {
         Ok(datagram) => datagram,
@@ -138,6 +152,8 @@
             return;
         }
     };
+    gw.telemetry
+        .told_boxes(message.purpose(), datagram.len() * to.len());
     for address in to {
         if let Err(err) = socket.send_to(&datagram, address).await {
             log::debug!("a message cannot be sent to {address}: {err}");
@@ -152,11 +168,11 @@
         let cells = gw.versions.borrow().own_cells();
         if !cells.is_empty() {
             let told = longest_registered(gw, TOLD_BOXES);
-            send(socket, &PeerMessage::Counts(cells), &told).await;
+            send(gw, socket, &PeerMessage::Counts(cells), &told).await;
         }
         for (order, sessions) in old_sessions(gw, Now::read()) {
             let message = PeerMessage::OldSessions(order, sessions);
-            send(socket, &message, &longest_registered(gw, usize::MAX)).await;
+            send(gw, socket, &message, &longest_registered(gw, usize::MAX)).await;
         }
     }
 }
@@ -187,7 +203,7 @@
         let load = BoxLoad::of(&gw.life, &gw.knowledge.borrow());
         let is_idle = load.is_idle();
         if !(is_idle && was_idle) {
-            send(socket, &PeerMessage::Load(load), &others).await;
+            send(gw, socket, &PeerMessage::Load(load), &others).await;
         }
         was_idle = is_idle;
         let now = Now::read();
@@ -202,7 +218,7 @@
     loop {
         let reads = gw.long_reads.next().await;
         let others = in_turn(longest_registered(gw, usize::MAX), TOLD_OF_READS, &mut turn);
-        send(socket, &PeerMessage::LongReads(reads), &others).await;
+        send(gw, socket, &PeerMessage::LongReads(reads), &others).await;
     }
 }
 
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -38,6 +38,7 @@
     refusals: Counter<u64>,
     tries: Counter<u64>,
     store_calls: Counter<u64>,
+    peer_bytes: Counter<u64>,
     config_version: Gauge<u64>,
     age: Gauge<u64>,
 }
@@ -68,6 +69,10 @@
                 .u64_counter("gatepier_store_calls")
                 .with_description("Calls to the platform's store, by kind.")
                 .build(),
+            peer_bytes: meter
+                .u64_counter("gatepier_peer_bytes")
+                .with_description("Bytes of datagrams to other boxes, by purpose.")
+                .build(),
             config_version: meter
                 .u64_gauge("gatepier_config_version")
                 .with_description("The version of the configuration in force.")
@@ -218,6 +223,13 @@
         self.store_calls.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts the bytes of a message to other boxes, those to each box.
+    pub fn told_boxes(&self, purpose: &'static str, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.peer_bytes
+            .add(bytes, &[KeyValue::new("purpose", purpose)]);
+    }
+
     /// Records the age of what is known.
     pub fn aged(&self, age: Option<Duration>) {
         self.age.record(age.map_or(u64::MAX, millis), &[]);
