Log what placement and the choice of a model went by

Cause: a try's line did not say what was expected at its engine, and an answer that was passed on although its model was unsure left no line at all, so poor answers could not be traced to their reason (no larger model in time, or no repeat left). Found while tracing where worth is lost. Change: ahead_ms, reading_ms and beginning in each try's line; a line for each unsure answer that is passed on, with the reason and the time that was left. No decision changes.

--- a/src/gateway/engine_cost.rs
+++ b/src/gateway/engine_cost.rs
@@ -85,6 +85,17 @@
     Read,
 }
 
+impl Beginning {
+    /// Returns the name that logs give it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Kept => "kept",
+            Self::Fetched(_) => "fetched",
+            Self::Read => "read",
+        }
+    }
+}
+
 /// What a request costs and finds at an upstream.
 #[derive(Debug, Clone, Copy)]
 pub struct PlaceCost {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -154,7 +154,7 @@
         gw.long_reads.note(&gw.life, &instance, limits.reading);
         let out = self.outgoing(gw, &choice, plan, now);
         let tried = try_upstream(&gw.connections, &gw.headers, upstream, out, limits).await;
-        self.record(gw, upstream, &tried, plan);
+        self.record(gw, &choice, &tried, plan);
         Ok(tried)
     }
 
@@ -254,13 +254,15 @@
         })
     }
 
-    fn record(&self, gw: &Gateway, upstream: &Upstream, tried: &Tried, plan: TryPlan<'_>) {
+    fn record(&self, gw: &Gateway, choice: &Choice, tried: &Tried, plan: TryPlan<'_>) {
         self.tries.record(tried);
         if matches!(tried, Tried::NotRun(NotRun::OtherInstance)) {
-            let instance = upstream.with_listed(|listed| listed.instance.clone());
+            let instance = choice
+                .upstream
+                .with_listed(|listed| listed.instance.clone());
             gw.knowledge.borrow_mut().forget_upstream(&instance);
         }
-        gw.telemetry.tried(self, upstream, tried, plan);
+        gw.telemetry.tried(self, choice, tried, plan);
     }
 
     fn outgoing(&self, gw: &Gateway, choice: &Choice, plan: TryPlan<'_>, now: Now) -> Outgoing {
--- a/src/gateway/models.rs
+++ b/src/gateway/models.rs
@@ -30,8 +30,10 @@
 /// What to do with an answer that has just begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// The answer is passed on.
+    /// The answer is passed on: the model is sure of it, or there is no larger one.
     PassOn,
+    /// The answer is passed on though the model is unsure: no larger one would be in time.
+    PassOnUnsure,
     /// The answer is dropped, and the model at this place of the route's list asked.
     AskLarger(usize),
 }
@@ -83,6 +85,6 @@
     }
     match confidence >= NEXT_MODEL_AT_LEAST && is_in_time(next) {
         true => Verdict::AskLarger(next),
-        false => Verdict::PassOn,
+        false => Verdict::PassOnUnsure,
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -73,19 +73,11 @@
         repeat = Repeat::Failure;
         match job.try_once(gw, plan).await {
             Ok(Tried::Answered(answer)) if is_success(&answer) => {
-                let confidence = confidence(gw, &answer);
-                let now = Now::read();
-                let expected = job.expected_of_all(gw, models, now);
-                let left = job.left_of_objective(now);
-                match judge(place, confidence, &expected, left) {
-                    Verdict::AskLarger(larger) if may_escalate(gw, job, now) => {
-                        gw.telemetry.escalated(job, place, larger, confidence);
-                        place = larger;
-                        repeat = Repeat::Escalation;
-                        job.tries.allow_all();
-                        continue;
-                    }
-                    Verdict::AskLarger(_) | Verdict::PassOn => {}
+                if let Some(larger) = larger_model(gw, job, models, place, &answer) {
+                    place = larger;
+                    repeat = Repeat::Escalation;
+                    job.tries.allow_all();
+                    continue;
                 }
                 let headers = answer.headers.clone();
                 let model = models.get(place).cloned();
@@ -110,6 +102,37 @@
     }
 }
 
+/// Returns the place of the larger model that is to be asked in an answer's place, if any.
+fn larger_model(
+    gw: &Gateway,
+    job: &Job,
+    models: &[String],
+    place: usize,
+    answer: &Answer,
+) -> Option<usize> {
+    let confidence = confidence(gw, answer);
+    let now = Now::read();
+    let expected = job.expected_of_all(gw, models, now);
+    let left = job.left_of_objective(now);
+    match judge(place, confidence, &expected, left) {
+        Verdict::PassOn => None,
+        Verdict::PassOnUnsure => {
+            gw.telemetry
+                .unsure_passed_on(job, place, confidence, "no larger model in time", left);
+            None
+        }
+        Verdict::AskLarger(_) if !may_escalate(gw, job, now) => {
+            gw.telemetry
+                .unsure_passed_on(job, place, confidence, "no repeat left", left);
+            None
+        }
+        Verdict::AskLarger(larger) => {
+            gw.telemetry.escalated(job, place, larger, confidence);
+            Some(larger)
+        }
+    }
+}
+
 fn is_success(answer: &Answer) -> bool {
     (200..300).contains(&answer.status)
 }
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -5,6 +5,7 @@
 use super::exchange::Tried;
 use super::job::{Job, TryPlan};
 use super::knowledge::Change;
+use super::place::Choice;
 use super::refusal::{Ran, Why};
 use super::upstream::Upstream;
 use crate::clock::Now;
@@ -85,13 +86,14 @@
     }
 
     /// Records a try.
-    pub fn tried(&self, job: &Job, upstream: &Upstream, tried: &Tried, plan: TryPlan<'_>) {
+    pub fn tried(&self, job: &Job, choice: &Choice, tried: &Tried, plan: TryPlan<'_>) {
         let outcome = match tried {
             Tried::Answered(_) => "answered",
             Tried::NotRun(_) => "not-run",
             Tried::Unknown(_) => "unknown",
         };
         self.tries.add(1, &[KeyValue::new("outcome", outcome)]);
+        let upstream = &choice.upstream;
         let listed = upstream.listed();
         log::info!(
             request = job.request_id.as_str(),
@@ -104,6 +106,9 @@
             shared = job.prompt.shared.as_deref().unwrap_or(""),
             after_event = plan.resume_after.unwrap_or(""),
             attempt = job.tries.sent(),
+            ahead_ms = millis(choice.ahead),
+            reading_ms = millis(choice.reading),
+            beginning = choice.beginning.name(),
             outstanding = upstream.outstanding();
             "try: {}", tried.describe()
         );
@@ -130,6 +135,24 @@
         );
     }
 
+    /// Records that a smaller model's answer is passed on though the model is unsure of it.
+    pub fn unsure_passed_on(
+        &self,
+        job: &Job,
+        place: usize,
+        confidence: Option<u32>,
+        reason: &str,
+        left: Duration,
+    ) {
+        log::info!(
+            request = job.request_id.as_str(),
+            model = place,
+            confidence = confidence.unwrap_or(0),
+            left_ms = millis(left);
+            "unsure answer is passed on: {reason}"
+        );
+    }
+
     /// Records an answer that is passed on.
     pub fn passed_on(&self, job: &Job, status: u16, now: Now) {
         let took = now.monotonic.saturating_sub(job.received);
--- a/tests/gateway/models.rs
+++ b/tests/gateway/models.rs
@@ -45,16 +45,16 @@
 
     late_larger_answers_are_not_asked_for => {
         let late = three(expected(990, 0));
-        expect_that!(judge(0, Some(0), &late, LEFT), eq(Verdict::PassOn));
+        expect_that!(judge(0, Some(0), &late, LEFT), eq(Verdict::PassOnUnsure));
         expect_that!(judge(0, Some(25), &late, LEFT), eq(Verdict::AskLarger(1)));
         // What others send meanwhile makes most of those late that are expected just in time.
         let barely = three(expected(850, 0));
-        expect_that!(judge(0, Some(0), &barely, LEFT), eq(Verdict::PassOn));
+        expect_that!(judge(0, Some(0), &barely, LEFT), eq(Verdict::PassOnUnsure));
     }
 
     full_engines_get_no_larger_model => {
         // With the whole objective open to larger models, they filled all engines.
         let full = three(expected(600, 300));
-        expect_that!(judge(0, Some(0), &full, LEFT), eq(Verdict::PassOn));
+        expect_that!(judge(0, Some(0), &full, LEFT), eq(Verdict::PassOnUnsure));
     }
 }
