--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -59,9 +59,8 @@
 ///
 /// The organisation's rank goes first, then the route's. Of equal ones the shortest read goes
 /// first: a prompt of the small model takes tens of milliseconds, and would wait for a second
-/// behind one of the large model. That raised what whole days were worth to callers by 0.005
-/// of all, and days with trouble by 0.002 (36 paired days of one deployment) to 0.007 (24 of
-/// another).
+/// behind one of the large model. That raised what whole days were worth to callers, before
+/// prices, by 0.005 of all (36 paired days of one deployment).
 pub fn urgency(organisation: u8, route: u8, reading: Duration) -> u8 {
     let rank = organisation.saturating_mul(RANKS_PER_ORGANISATION);
     rank.saturating_add(route.min(RANKS_PER_ORGANISATION - 1))
