--- a/src/lab/proxy.rs
+++ b/src/lab/proxy.rs
@@ -10,7 +10,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 const BUFFER_BYTES: usize = 16 * 1024;
 
@@ -35,6 +35,29 @@
     LoseAnswers,
     /// Bytes pass late by so many milliseconds.
     Late(u64),
+    /// So many bytes pass in a second each way, on all connections of the link together.
+    Narrow(u64),
+}
+
+/// Until when each way of a link is taken up by bytes that have passed already.
+#[derive(Debug, Default)]
+struct Lanes {
+    busy_until: Mutex<[Option<Instant>; 2]>,
+}
+
+impl Lanes {
+    /// Reserves a way for some bytes and returns when the last of them has passed.
+    fn reserve(&self, is_answer: bool, bytes: usize, rate: u64, now: Instant) -> Instant {
+        let mut lanes = self
+            .busy_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let lane = &mut lanes[usize::from(is_answer)];
+        let start = lane.map_or(now, |until| until.max(now));
+        let passed = start + Duration::from_secs_f64(bytes as f64 / rate.max(1) as f64);
+        *lane = Some(passed);
+        passed
+    }
 }
 
 /// A proxy with any number of links, each with a mode of its own.
@@ -70,6 +93,7 @@
 }
 
 async fn accept(listener: TcpListener, target: SocketAddr, mode: watch::Receiver<LinkMode>) {
+    let lanes = Rc::new(Lanes::default());
     while let Ok((caller, _)) = listener.accept().await {
         let present = *mode.borrow();
         if present == LinkMode::Closed {
@@ -79,11 +103,16 @@
             reset(&socket2::SockRef::from(&caller));
             continue;
         }
-        actix_rt::spawn(connect(caller, target, mode.clone()));
+        actix_rt::spawn(connect(caller, target, mode.clone(), lanes.clone()));
     }
 }
 
-async fn connect(caller: TcpStream, target: SocketAddr, mode: watch::Receiver<LinkMode>) {
+async fn connect(
+    caller: TcpStream,
+    target: SocketAddr,
+    mode: watch::Receiver<LinkMode>,
+    lanes: Rc<Lanes>,
+) {
     let Ok(callee) = TcpStream::connect(target).await else {
         return;
     };
@@ -93,8 +122,8 @@
     let (from_caller, to_caller) = caller.into_split();
     let (from_callee, to_callee) = callee.into_split();
     let gate = Rc::new(mode);
-    let there = pump(from_caller, to_callee, (*gate).clone(), false);
-    let back = pump(from_callee, to_caller, (*gate).clone(), true);
+    let there = pump(from_caller, to_callee, (*gate).clone(), &lanes, false);
+    let back = pump(from_callee, to_caller, (*gate).clone(), &lanes, true);
     tokio::select! {
         passed = async { tokio::try_join!(there, back) } => {
             if passed.is_err() {
@@ -137,6 +166,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut mode: watch::Receiver<LinkMode>,
+    lanes: &Lanes,
     is_answer: bool,
 ) -> std::io::Result<()> {
     let mut buf = vec![0; BUFFER_BYTES];
@@ -155,6 +185,9 @@
         let present = *mode.borrow();
         match present {
             LinkMode::Late(millis) => sleep(Duration::from_millis(millis)).await,
+            LinkMode::Narrow(rate) => {
+                sleep_until(lanes.reserve(is_answer, count, rate, Instant::now())).await;
+            }
             LinkMode::LoseAnswers if is_answer => return Ok(()),
             _ => {}
         }
