--- a/src/gateway/hubs.rs
+++ b/src/gateway/hubs.rs
@@ -21,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -158,7 +158,9 @@
                 bytes: bytes - changes.len(),
                 failed,
             };
-            let halls = Halls::of(gw, to);
+            let settings = gw.settings();
+            let knowledge = gw.knowledge.borrow();
+            let halls = Halls::of(knowledge.boxes(), &settings.hall, to);
             let is_near = |sender| halls.are_same(sender);
             let mut spread = self.spread.borrow_mut();
             spread.source_for(to, lacking, is_near, now)
@@ -226,32 +228,29 @@
 }
 
 /// The halls of boxes, as seen by one that is to fetch.
-struct Halls {
-    receiver: Option<String>,
-    hub: String,
-    of: HashMap<SocketAddr, String>,
+struct Halls<'a> {
+    receiver: Option<&'a str>,
+    hub: &'a str,
+    of: HashMap<SocketAddr, &'a str>,
 }
 
-impl Halls {
-    fn of(gw: &Gateway, receiver: SocketAddr) -> Self {
-        let knowledge = gw.knowledge.borrow();
-        let boxes = knowledge.boxes();
-        let of: HashMap<SocketAddr, String> = boxes
-            .map(|entry| (entry.address, entry.hall.clone()))
-            .collect();
+impl<'a> Halls<'a> {
+    fn of(boxes: impl Iterator<Item = &'a BoxEntry>, hub: &'a str, receiver: SocketAddr) -> Self {
+        let halls = boxes.map(|entry| (entry.address, entry.hall.as_str()));
+        let of: HashMap<SocketAddr, &str> = halls.collect();
         Self {
-            receiver: of.get(&receiver).cloned(),
-            hub: gw.settings().hall.clone(),
+            receiver: of.get(&receiver).copied(),
+            hub,
             of,
         }
     }
 
     fn are_same(&self, sender: Option<SocketAddr>) -> bool {
         let sender = match sender {
-            Some(sender) => self.of.get(&sender),
-            None => Some(&self.hub),
+            Some(sender) => self.of.get(&sender).copied(),
+            None => Some(self.hub),
         };
-        sender.is_some() && sender == self.receiver.as_ref()
+        sender.is_some() && sender == self.receiver
     }
 }
 
@@ -468,7 +467,10 @@
 }
 
 /// Tells the other hub and the askers of news at once, for as long as the process lives.
-pub async fn tell_news(gw: &Gateway, send: impl AsyncFn(SocketAddr, Told)) {
+///
+/// Boxes that have reached the same revision are told the same, unless they have to fetch, so
+/// that a change is packed and written down once and not once for each box.
+pub async fn tell_news(gw: &Gateway, send: impl AsyncFn(&[SocketAddr], Told)) {
     let mut told_before = gw.mirror.borrow().revision();
     loop {
         // Made before the look at the revision, so that no news in between is missed.
@@ -479,23 +481,36 @@
             continue;
         }
         let now = Now::read();
-        for (address, reached) in told_of_news(gw, told_before, now) {
+        for (reached, boxes) in told_of_news(gw, told_before, now) {
             if reached >= revision {
                 continue;
             }
-            let told = gw.hubs.tell(gw, address, reached, Fetching::None, now);
+            let Some(&first) = boxes.first() else {
+                continue;
+            };
+            let told = gw.hubs.tell(gw, first, reached, Fetching::None, now);
             if told.rest.is_none() {
-                gw.hubs.spread.borrow_mut().told(address, told.revision);
+                gw.hubs.spread.borrow_mut().told(&boxes, told.revision);
+                send(&boxes, told).await;
+                continue;
+            }
+            send(&[first], told).await;
+            for address in &boxes[1..] {
+                let told = gw.hubs.tell(gw, *address, reached, Fetching::None, now);
+                send(&[*address], told).await;
             }
-            send(address, told).await;
         }
         told_before = revision;
     }
 }
 
-/// Returns the boxes that are told of news, each with the revision that it has reached.
-fn told_of_news(gw: &Gateway, told_before: u64, now: Now) -> Vec<(SocketAddr, u64)> {
-    let mut told = gw.hubs.spread.borrow_mut().askers(now);
+/// Returns the boxes that are told of news, by the revision that they have reached.
+fn told_of_news(gw: &Gateway, told_before: u64, now: Now) -> BTreeMap<u64, Vec<SocketAddr>> {
+    let askers = gw.hubs.spread.borrow_mut().askers(now);
+    let mut told: BTreeMap<u64, Vec<SocketAddr>> = BTreeMap::new();
+    for (address, reached) in &askers {
+        told.entry(*reached).or_default().push(*address);
+    }
     if !gw.is_hub() {
         return told;
     }
@@ -504,9 +519,9 @@
     let own = gw.settings().peers;
     let knowledge = gw.knowledge.borrow();
     for hub in choose_hubs(knowledge.boxes()) {
-        let is_told = told.iter().any(|(address, _)| *address == hub.address);
+        let is_told = askers.iter().any(|(address, _)| *address == hub.address);
         if hub.address != own && !is_told {
-            told.push((hub.address, told_before));
+            told.entry(told_before).or_default().push(hub.address);
         }
     }
     told
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -7,7 +7,7 @@
 use super::control::Item;
 use super::packing::{COMPRESSED_FROM, PackedItem, Unusable};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// Ended items that are remembered; the oldest go first. A box that is further behind
 /// than that gets everything.
@@ -21,6 +21,9 @@
 #[derive(Debug, Default)]
 pub struct Mirror {
     items: BTreeMap<String, Item>,
+    /// The items' keys by revision: a hub of 300 boxes is asked 750 times a second for the
+    /// few that are new among some thousand.
+    by_revision: BTreeSet<(u64, String)>,
     revision: u64,
     /// Boxes that know nothing newer than this have to be given everything.
     floor: u64,
@@ -87,7 +90,10 @@
         for item in items {
             let known = self.items.get(&item.key);
             if known.is_none_or(|known| known.revision < item.revision) {
+                self.by_revision.insert((item.revision, item.key.clone()));
                 if let Some(replaced) = self.items.insert(item.key.clone(), item.clone()) {
+                    self.by_revision
+                        .remove(&(replaced.revision, replaced.key.clone()));
                     self.remember(replaced);
                 }
                 news.push(item);
@@ -139,6 +145,7 @@
         let surplus = ended.len() - MOST_ENDED / 2;
         for (revision, key) in ended.into_iter().take(surplus) {
             self.items.remove(&key);
+            self.by_revision.remove(&(revision, key));
             self.floor = self.floor.max(revision);
         }
     }
@@ -153,11 +160,15 @@
     /// A box that could not use a difference asks for items as a whole.
     pub fn changes_after(&mut self, after: u64, as_a_whole: bool) -> PackedChanges {
         let is_all = after < self.floor || after == 0;
-        let is_wanted = |item: &&Item| match is_all {
-            true => !item.is_gone(),
-            false => item.revision > after,
+        let newer = (after.saturating_add(1), String::new())..;
+        let wanted: Vec<&Item> = match is_all {
+            true => self.items.values().filter(|item| !item.is_gone()).collect(),
+            false => self
+                .by_revision
+                .range(newer)
+                .filter_map(|(_, key)| self.items.get(key))
+                .collect(),
         };
-        let wanted: Vec<&Item> = self.items.values().filter(is_wanted).collect();
         let mut items = Vec::with_capacity(wanted.len());
         for item in wanted {
             if !is_large(item) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -65,7 +65,9 @@
     let send_question = async |to, question| {
         send(&gw, &socket, &PeerMessage::Question(question), &[to]).await;
     };
-    let send_told = async |to, told| send(&gw, &socket, &PeerMessage::Told(told), &[to]).await;
+    let send_told = async |to: &[SocketAddr], told| {
+        send(&gw, &socket, &PeerMessage::Told(told), to).await;
+    };
     tokio::join!(
         receive(&gw, &store, &socket),
         report_versions(&gw, &socket),
--- a/src/gateway/spread.rs
+++ b/src/gateway/spread.rs
@@ -80,10 +80,12 @@
         self.askers.insert(asker, asked);
     }
 
-    /// Records that a box was told all that there is up to a revision.
-    pub fn told(&mut self, asker: SocketAddr, revision: u64) {
-        if let Some(asker) = self.askers.get_mut(&asker) {
-            asker.told = revision;
+    /// Records that boxes were told all that there is up to a revision.
+    pub fn told(&mut self, boxes: &[SocketAddr], revision: u64) {
+        for address in boxes {
+            if let Some(asker) = self.askers.get_mut(address) {
+                asker.told = revision;
+            }
         }
     }
 
@@ -124,6 +126,7 @@
         self.forget(now);
         self.fetch_ended(receiver);
         let most = (SENT_AT_A_TIME / lacking.bytes.max(1)).clamp(1, MOST_RECEIVERS);
+        let receivers = self.receivers_by_sender();
         let holders = self
             .askers
             .iter()
@@ -132,7 +135,10 @@
         let free = senders
             .chain([None])
             .filter(|sender| lacking.failed != Some(source(*sender)))
-            .map(|sender| (self.receivers_of(sender), !is_near(sender), sender))
+            .map(|sender| {
+                let receivers = receivers.get(&sender).copied().unwrap_or_default();
+                (receivers, !is_near(sender), sender)
+            })
             .filter(|(receivers, _, _)| *receivers < most)
             .min();
         let Some((_, _, sender)) = free else {
@@ -143,9 +149,12 @@
         source(sender)
     }
 
-    fn receivers_of(&self, sender: Option<SocketAddr>) -> usize {
-        let fetches = self.fetches.values();
-        fetches.filter(|fetch| fetch.sender == sender).count()
+    fn receivers_by_sender(&self) -> HashMap<Option<SocketAddr>, usize> {
+        let mut receivers = HashMap::new();
+        for fetch in self.fetches.values() {
+            *receivers.entry(fetch.sender).or_default() += 1;
+        }
+        receivers
     }
 }
 
