--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 
 pub mod connect;
 pub mod control;
+pub mod datagram;
 pub mod engine_cost;
 pub mod events;
 pub mod exchange;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -14,6 +14,7 @@
 
 use super::Gateway;
 use super::control::ControlStore;
+use super::datagram;
 use super::fetch;
 use super::hubs::{self, Question, Told};
 use super::loads::{BoxLoad, LongRead, interval};
@@ -86,9 +87,8 @@
         match socket.recv_from(&mut buf).await {
             Ok((len, from)) => {
                 let datagram = buf.get(..len).unwrap_or_default();
-                let config = bincode::config::standard();
-                match bincode::serde::decode_from_slice::<PeerMessage, _>(datagram, config) {
-                    Ok((message, _)) => take(gw, store, socket, message, from).await,
+                match datagram::read::<PeerMessage>(datagram) {
+                    Ok(message) => take(gw, store, socket, message, from).await,
                     Err(err) => log::warn!("a datagram from {from} cannot be read: {err}"),
                 }
             }
@@ -146,8 +146,7 @@
 }
 
 async fn send(gw: &Gateway, socket: &UdpSocket, message: &PeerMessage, to: &[SocketAddr]) {
-    let config = bincode::config::standard();
-    let datagram = match bincode::serde::encode_to_vec(message, config) {
+    let datagram = match datagram::write(message) {
         Ok(datagram) => datagram,
         Err(err) => {
             log::error!("a message to other boxes cannot be encoded: {err}");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway's decisions, as functions of what is known and of the present time.
 
 mod boundary;
+mod datagrams;
 mod freshness;
 mod models;
 mod packing;
