Read everything page by page, and let hubs tell boxes that start where it takes more than one

Only the hubs read all pages; the others take what a hub tells. Messages of fetches are compressed as a whole. Many additions at once are one line of the log.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -149,13 +149,15 @@
     pub registered: u64,
 }
 
-/// Everything that the store held at one time, and from where to watch on.
+/// A part of what the store holds, in the order of the keys.
 #[derive(Debug, Clone)]
-pub struct Listing {
+pub struct Page {
     /// The items.
     pub items: Vec<Item>,
-    /// The revision after which changes are still to come.
+    /// The store's revision when it was read.
     pub revision: u64,
+    /// Where the next page begins; none if this is the last one.
+    pub next: Option<String>,
 }
 
 /// What a watch brought.
@@ -184,8 +186,8 @@
     /// Tells whether an answer is on its way of which a part has come.
     fn is_receiving(&self) -> bool;
 
-    /// Reads everything, linearizably.
-    fn read_all(&self) -> LocalBoxFuture<'_, StoreResult<Listing>>;
+    /// Reads a page, linearizably: the first one, or the one that begins where another ended.
+    fn read_page<'a>(&'a self, begin: Option<&'a str>) -> LocalBoxFuture<'a, StoreResult<Page>>;
 
     /// Returns the store's newest revision, linearizably and cheaply.
     fn read_revision(&self) -> LocalBoxFuture<'_, StoreResult<u64>>;
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -4,14 +4,13 @@
 //! other in the half minute around a roll-out, compression takes a third off
 //! (`tests/gateway/datagrams.rs` measures both). Bytes between halls are priced.
 
+use super::packing::{grow, shrink};
 use crate::error::{Error, Result};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 /// Messages from this size on are compressed; smaller ones hold little that repeats.
 const COMPRESSED_FROM: usize = 256;
-/// The library's fastest usual level: a datagram of 2 kB takes some 20 us.
-const LEVEL: i32 = 1;
 /// The largest message, so that a few bytes which claim to be more set no memory aside.
 const MOST_BYTES: usize = 256 * 1024;
 
@@ -26,7 +25,7 @@
         .map_err(|err| Error::Usage(format!("a message cannot be written: {err}")))?;
     let (form, body) = match plain.len() {
         ..COMPRESSED_FROM => (PLAIN, plain),
-        _ => match zstd::bulk::compress(&plain, LEVEL) {
+        _ => match shrink(&plain) {
             Ok(compressed) if compressed.len() < plain.len() => (COMPRESSED, compressed),
             // What does not shrink goes as it is.
             Ok(_) | Err(_) => (PLAIN, plain),
@@ -49,17 +48,10 @@
     match datagram.split_first() {
         Some((&PLAIN, plain)) => decode(plain),
         Some((&COMPRESSED, body)) => {
-            let len = plain_len(body).ok_or_else(|| faulty("its length".to_owned()))?;
-            let plain = zstd::bulk::decompress(body, len);
+            let plain = grow(body, MOST_BYTES);
             decode(&plain.map_err(|err| faulty(err.to_string()))?)
         }
         Some((form, _)) => Err(faulty(format!("its form is {form}"))),
         None => Err(faulty("it is empty".to_owned())),
     }
 }
-
-/// Returns how many bytes a compressed body says that it holds, unless those are too many.
-fn plain_len(body: &[u8]) -> Option<usize> {
-    let len = zstd::zstd_safe::get_frame_content_size(body).ok()??;
-    usize::try_from(len).ok().filter(|len| *len <= MOST_BYTES)
-}
--- a/src/gateway/fetch.rs
+++ b/src/gateway/fetch.rs
@@ -6,6 +6,7 @@
 
 use super::Gateway;
 use super::mirror::PackedChanges;
+use super::packing::{grow, shrink};
 use crate::wire::{self, MESSAGE_BYTES_LIMIT, WireError};
 use bytes::{Bytes, BytesMut};
 use std::cell::Cell;
@@ -83,7 +84,8 @@
     progress: &Progress,
 ) -> Result<PackedChanges, WireError> {
     let fetching = timeout(LONGEST_FETCH, try_fetch(from, wanted, progress)).await;
-    let body = fetching.map_err(|_elapsed| out_of_time("the fetch took too long"))??;
+    let body = fetching.map_err(|_elapsed| no_answer("the fetch took too long"))??;
+    let body = grow(&body, MESSAGE_BYTES_LIMIT).map_err(|err| no_answer(&err.to_string()))?;
     wire::decode(&body)
 }
 
@@ -144,10 +146,10 @@
 
 async fn unless_silent<T>(coming: impl Future<Output = T>) -> Result<T, WireError> {
     let come = timeout(SILENCE, coming).await;
-    come.map_err(|_elapsed| out_of_time("nothing came any more"))
+    come.map_err(|_elapsed| no_answer("nothing came any more"))
 }
 
-fn out_of_time(reason: &str) -> WireError {
+fn no_answer(reason: &str) -> WireError {
     WireError::NoAnswer(reason.to_owned())
 }
 
@@ -190,7 +192,8 @@
             .mirror
             .borrow_mut()
             .changes_after(wanted.after, wanted.as_a_whole);
-        let answer = wire::encode(&changes)?;
+        let answer = shrink(&wire::encode(&changes)?).map(Bytes::from);
+        let answer = answer.map_err(|err| WireError::NotSent(err.to_string()))?;
         gw.telemetry.told_boxes("items", answer.len());
         let mut body = respond
             .send_response(http::Response::new(()), false)
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -39,6 +39,9 @@
 const OWN_AGE: Duration = Duration::from_millis(1500);
 /// How often the age is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Items that are logged one by one when they come together. A box that starts learns of
+/// all upstreams and boxes, and 3,000 lines took it longer than reading them.
+const MOST_LINES: usize = 100;
 /// How often tidying is due.
 const TIDY_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a reading of changes may wait for some, which a check has shown to exist.
@@ -46,6 +49,13 @@
 /// How long the watch may take to bring what a check has shown to exist.
 const WATCH_LAG: Duration = Duration::from_millis(150);
 
+/// How many pages may fail while a check reads everything, before the next check.
+const FAILURES_OF_A_CHECK: u32 = 3;
+/// How long a box that starts waits for a hub that has everything. Hubs that start with it
+/// read some pages first, and what they have then doubles its holders each tenth of a second:
+/// 300 boxes take nine rounds.
+const FIRST_TOLD: Duration = Duration::from_millis(1200);
+
 /// The longest wait for the box's registration before everything is read. Registering
 /// takes two calls of 4 ms; a box that reads after it knows the hubs from the start.
 const REGISTRATION_WAIT: Duration = Duration::from_millis(100);
@@ -55,7 +65,7 @@
 /// Follows the store for as long as the process lives.
 pub async fn follow(gw: Rc<Gateway>, store: Rc<dyn ControlStore>) {
     await_registration(&gw).await;
-    read_everything(&gw, &*store).await;
+    learn_everything(&gw, &*store).await;
     tokio::join!(watch(&gw, &*store), check(&gw, &*store));
 }
 
@@ -104,10 +114,16 @@
     let mut knowledge = gw.knowledge.borrow_mut();
     knowledge.hear_of_store(now);
     let lag = knowledge.lag(now);
+    let summarized = news.len() > MOST_LINES;
+    if summarized {
+        log::info!(source, revision, items = news.len(); "learned much at once");
+    }
     for item in &news {
         if let Some(update) = store.decode(item) {
             let change = knowledge.apply(update, now);
-            gw.telemetry.learned(&change, source, revision);
+            if !(summarized && change.is_addition()) {
+                gw.telemetry.learned(&change, source, revision);
+            }
             if let Change::Routes(version) = change {
                 let bytes = item.value.as_ref().map_or(0, Vec::len);
                 gw.telemetry
@@ -152,31 +168,123 @@
 
 /// Reads everything, again and again until it succeeds.
 async fn read_everything(gw: &Gateway, store: &dyn ControlStore) {
-    while !try_read_everything(gw, store).await {
-        sleep(FAILURE_PAUSE).await;
+    let listing = Listing::begin(Now::read());
+    read_the_rest(gw, store, listing, u32::MAX).await;
+}
+
+/// Reads the pages that a listing lacks and takes it; false after too many failures.
+///
+/// A page that the store turned away is asked for again, and not everything from the start:
+/// of 300 boxes that began together with eight pages each, most were turned away for one of
+/// them, and starting anew made them turn each other away for half a minute.
+async fn read_the_rest(
+    gw: &Gateway,
+    store: &dyn ControlStore,
+    mut listing: Listing,
+    most_failures: u32,
+) -> bool {
+    let mut backoff = Backoff::new();
+    let mut failures = 0;
+    while !listing.is_whole {
+        if listing.read_page(gw, store).await {
+            continue;
+        }
+        failures += 1;
+        if failures >= most_failures {
+            return false;
+        }
+        backoff.pause(LONGEST_HUB_PAUSE).await;
     }
+    listing.take(gw, store);
+    true
 }
 
-async fn try_read_everything(gw: &Gateway, store: &dyn ControlStore) -> bool {
-    let sent = Now::read();
-    gw.telemetry.store_called("list");
-    match store.read_all().await {
-        Ok(listing) => {
-            gw.store_answered(Now::read());
-            let changes = Changes {
-                after: 0,
-                revision: listing.revision,
-                is_all: true,
-                items: listing.items,
-            };
-            take_changes(gw, store, changes, "list");
-            gw.knowledge.borrow_mut().confirm(sent.monotonic);
-            true
+/// Everything that the store holds, as far as it has been read.
+struct Listing {
+    began: Duration,
+    items: Vec<Item>,
+    /// The revision of the first page. Later pages are newer; watching on from the first one
+    /// misses nothing.
+    revision: Option<u64>,
+    next: Option<String>,
+    is_whole: bool,
+}
+
+impl Listing {
+    fn begin(now: Now) -> Self {
+        Self {
+            began: now.monotonic,
+            items: Vec::new(),
+            revision: None,
+            next: None,
+            is_whole: false,
         }
-        Err(err) => {
-            gw.store_failed(&err, Now::read());
-            false
+    }
+
+    /// Reads the next page; false if the store did not answer.
+    async fn read_page(&mut self, gw: &Gateway, store: &dyn ControlStore) -> bool {
+        gw.telemetry.store_called("list");
+        let page = match store.read_page(self.next.as_deref()).await {
+            Ok(page) => page,
+            Err(err) => {
+                gw.store_failed(&err, Now::read());
+                return false;
+            }
+        };
+        gw.store_answered(Now::read());
+        self.revision.get_or_insert(page.revision);
+        self.items.extend(page.items);
+        self.is_whole = page.next.is_none();
+        self.next = page.next;
+        true
+    }
+
+    fn changes(&self) -> Changes {
+        Changes {
+            after: 0,
+            revision: self.revision.unwrap_or_default(),
+            is_all: true,
+            items: self.items.clone(),
+        }
+    }
+
+    fn take(self, gw: &Gateway, store: &dyn ControlStore) {
+        take_changes(gw, store, self.changes(), "list");
+        gw.knowledge.borrow_mut().confirm(self.began);
+    }
+}
+
+/// Learns everything for the first time.
+///
+/// Where it takes more than one page, the first one tells of the other boxes, and all but the
+/// hubs let those tell the rest: the store's rates grow more slowly than the fleet.
+async fn learn_everything(gw: &Gateway, store: &dyn ControlStore) {
+    let mut listing = Listing::begin(Now::read());
+    if listing.read_page(gw, store).await && !listing.is_whole {
+        take_part(gw, store, listing.changes(), "list");
+        if !gw.is_hub() && is_told_everything(gw).await {
+            return;
+        }
+    }
+    read_the_rest(gw, store, listing, u32::MAX).await;
+}
+
+/// Waits for a hub to tell everything; false if none does in time.
+async fn is_told_everything(gw: &Gateway) -> bool {
+    gw.hubs.ask_now();
+    let began = Now::read().monotonic;
+    loop {
+        let news = gw.news.notified();
+        if gw.mirror.borrow().revision() > 0 {
+            return true;
+        }
+        let waited = Now::read().monotonic.saturating_sub(began);
+        if waited >= FIRST_TOLD && !gw.hubs.is_fetching() {
+            log::info!("no hub has told everything, it is read from the store");
+            return false;
         }
+        // Whether news came or the time is over, the next round tells.
+        let _ = tokio::time::timeout(LOOK_INTERVAL, news).await;
     }
 }
 
@@ -266,7 +374,8 @@
     }
     if is_behind(gw, revision) {
         log::info!(revision; "changes did not bring this box up to date, everything is read anew");
-        return try_read_everything(gw, store).await;
+        let listing = Listing::begin(Now::read());
+        return read_the_rest(gw, store, listing, FAILURES_OF_A_CHECK).await;
     }
     gw.knowledge.borrow_mut().confirm(sent.monotonic);
     true
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -129,6 +129,13 @@
     },
 }
 
+impl Change {
+    /// Tells whether something was added, as nearly all is when a box starts.
+    pub fn is_addition(&self) -> bool {
+        matches!(self, Self::UpstreamAdded(_) | Self::BoxAdded(_))
+    }
+}
+
 impl Knowledge {
     /// Takes one update.
     pub fn apply(&mut self, update: Update, now: Now) -> Change {
--- a/src/gateway/packing.rs
+++ b/src/gateway/packing.rs
@@ -20,6 +20,8 @@
 /// Level 3 packs a megabyte in some 5 ms; higher ones save a tenth of the bytes for several
 /// times the work, and a box may have an eighth of a core.
 const LEVEL: i32 = 3;
+/// The level for whole messages, which are packed anew for each receiver.
+const MESSAGE_LEVEL: i32 = 1;
 /// The least window that the library takes, as a power of two.
 const LEAST_WINDOW_LOG: u32 = 10;
 
@@ -57,7 +59,7 @@
 pub enum Unusable {
     /// It is told apart from a state that this box does not have.
     OtherBase,
-    /// It is larger than any item may be.
+    /// It has so many bytes, more than any may have.
     TooLarge(usize),
     /// Its bytes are spoilt or cut short.
     Spoilt(String),
@@ -67,7 +69,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::OtherBase => write!(f, "it builds on a state that this box does not have"),
-            Self::TooLarge(len) => write!(f, "it has {len} bytes, {MOST_VALUE_BYTES} are taken"),
+            Self::TooLarge(len) => write!(f, "{len} bytes are more than is taken"),
             Self::Spoilt(reason) => write!(f, "it is spoilt: {reason}"),
         }
     }
@@ -134,6 +136,25 @@
     }
 }
 
+/// Compresses a whole message: entries of upstreams and boxes repeat their words.
+pub fn shrink(message: &[u8]) -> std::io::Result<Vec<u8>> {
+    zstd::bulk::compress(message, MESSAGE_LEVEL)
+}
+
+/// Returns the message that [`shrink`] made these bytes of, if it has no more bytes than
+/// `most`.
+pub fn grow(bytes: &[u8], most: usize) -> Result<Vec<u8>, Unusable> {
+    let len = zstd::zstd_safe::get_frame_content_size(bytes)
+        .ok()
+        .flatten()
+        .and_then(|len| usize::try_from(len).ok())
+        .ok_or_else(|| Unusable::Spoilt("it does not tell its length".to_owned()))?;
+    if len > most {
+        return Err(Unusable::TooLarge(len));
+    }
+    zstd::bulk::decompress(bytes, len).map_err(|err| Unusable::Spoilt(err.to_string()))
+}
+
 fn compress(value: &[u8], base: Option<&Item>) -> std::io::Result<Content> {
     let len = value.len();
     let known = base.and_then(|base| Some((base.revision, base.value.as_deref()?)));
--- a/tests/spreading.rs
+++ b/tests/spreading.rs
@@ -20,7 +20,7 @@
 use gatepier::clock::Now;
 use gatepier::gateway::Gateway;
 use gatepier::gateway::control::{
-    BoxEntry, ControlStore, Item, Listing, RecordWritten, RolloutRecord, Update, Watched,
+    BoxEntry, ControlStore, Item, Page, RecordWritten, RolloutRecord, Update, Watched,
 };
 use gatepier::gateway::follow::take_changes;
 use gatepier::gateway::mirror::Changes;
@@ -76,7 +76,7 @@
         false
     }
 
-    fn read_all(&self) -> LocalBoxFuture<'_, StoreResult<Listing>> {
+    fn read_page<'a>(&'a self, _: Option<&'a str>) -> LocalBoxFuture<'a, StoreResult<Page>> {
         away()
     }
 
