--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -6,7 +6,7 @@
 //! only when what they know grows old. See `docs/design/platform.md`.
 
 use super::Gateway;
-use super::control::{ControlStore, Item, Watched};
+use super::control::{ControlStore, Item, Update, Watched};
 use super::knowledge::Change;
 use super::mirror::Changes;
 use crate::clock::Now;
@@ -248,6 +248,16 @@
         }
     }
 
+    /// Takes the other boxes alone: routes without their upstreams would make this box take
+    /// callers that it has to refuse.
+    fn take_boxes(&self, gw: &Gateway, store: &dyn ControlStore) {
+        let mut boxes = self.changes();
+        boxes
+            .items
+            .retain(|item| matches!(store.decode(item), Some(Update::Box(_))));
+        take_part(gw, store, boxes, "list");
+    }
+
     fn take(self, gw: &Gateway, store: &dyn ControlStore) {
         take_changes(gw, store, self.changes(), "list");
         gw.knowledge.borrow_mut().confirm(self.began);
@@ -261,7 +271,7 @@
 async fn learn_everything(gw: &Gateway, store: &dyn ControlStore) {
     let mut listing = Listing::begin(Now::read());
     if listing.read_page(gw, store).await && !listing.is_whole {
-        take_part(gw, store, listing.changes(), "list");
+        listing.take_boxes(gw, store);
         if !gw.is_hub() && is_told_everything(gw).await {
             return;
         }
