--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -6,7 +6,7 @@
 //! only when what they know grows old. See `docs/design/platform.md`.
 
 use super::Gateway;
-use super::control::{ControlStore, Item, Update, Watched};
+use super::control::{ControlStore, Item, Watched};
 use super::knowledge::Change;
 use super::mirror::Changes;
 use crate::clock::Now;
@@ -40,7 +40,8 @@
 /// How often the age is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Items that are logged one by one when they come together. A box that starts learns of
-/// all upstreams and boxes, and 3,000 lines took it longer than reading them.
+/// all upstreams and boxes, 750 where 295 boxes start together; a line each would push other
+/// lines out of the log's queue.
 const MOST_LINES: usize = 100;
 /// How often tidying is due.
 const TIDY_INTERVAL: Duration = Duration::from_millis(500);
@@ -51,11 +52,6 @@
 
 /// How many pages may fail while a check reads everything, before the next check.
 const FAILURES_OF_A_CHECK: u32 = 3;
-/// How long a box that starts waits for a hub that has everything. Hubs that start with it
-/// read some pages first, and what they have then doubles its holders each tenth of a second:
-/// 300 boxes take nine rounds.
-const FIRST_TOLD: Duration = Duration::from_millis(1200);
-
 /// The longest wait for the box's registration before everything is read. Registering
 /// takes two calls of 4 ms; a box that reads after it knows the hubs from the start.
 const REGISTRATION_WAIT: Duration = Duration::from_millis(100);
@@ -65,7 +61,7 @@
 /// Follows the store for as long as the process lives.
 pub async fn follow(gw: Rc<Gateway>, store: Rc<dyn ControlStore>) {
     await_registration(&gw).await;
-    learn_everything(&gw, &*store).await;
+    read_everything(&gw, &*store).await;
     tokio::join!(watch(&gw, &*store), check(&gw, &*store));
 }
 
@@ -168,21 +164,15 @@
 
 /// Reads everything, again and again until it succeeds.
 async fn read_everything(gw: &Gateway, store: &dyn ControlStore) {
-    let listing = Listing::begin(Now::read());
-    read_the_rest(gw, store, listing, u32::MAX).await;
+    read_pages(gw, store, u32::MAX).await;
 }
 
-/// Reads the pages that a listing lacks and takes it; false after too many failures.
+/// Reads everything page by page; false after too many failures.
 ///
-/// A page that the store turned away is asked for again, and not everything from the start:
-/// of 300 boxes that began together with eight pages each, most were turned away for one of
-/// them, and starting anew made them turn each other away for half a minute.
-async fn read_the_rest(
-    gw: &Gateway,
-    store: &dyn ControlStore,
-    mut listing: Listing,
-    most_failures: u32,
-) -> bool {
+/// A page that fails is asked for again, and not everything from the start: where each third
+/// call is turned away, six pages never came through in one go (platform/tests/first_reads.rs).
+async fn read_pages(gw: &Gateway, store: &dyn ControlStore, most_failures: u32) -> bool {
+    let mut listing = Listing::begin(Now::read());
     let mut backoff = Backoff::new();
     let mut failures = 0;
     while !listing.is_whole {
@@ -239,65 +229,18 @@
         true
     }
 
-    fn changes(&self) -> Changes {
-        Changes {
+    fn take(self, gw: &Gateway, store: &dyn ControlStore) {
+        let changes = Changes {
             after: 0,
             revision: self.revision.unwrap_or_default(),
             is_all: true,
-            items: self.items.clone(),
-        }
-    }
-
-    /// Takes the other boxes alone: routes without their upstreams would make this box take
-    /// callers that it has to refuse.
-    fn take_boxes(&self, gw: &Gateway, store: &dyn ControlStore) {
-        let mut boxes = self.changes();
-        boxes
-            .items
-            .retain(|item| matches!(store.decode(item), Some(Update::Box(_))));
-        take_part(gw, store, boxes, "list");
-    }
-
-    fn take(self, gw: &Gateway, store: &dyn ControlStore) {
-        take_changes(gw, store, self.changes(), "list");
+            items: self.items,
+        };
+        take_changes(gw, store, changes, "list");
         gw.knowledge.borrow_mut().confirm(self.began);
     }
 }
 
-/// Learns everything for the first time.
-///
-/// Where it takes more than one page, the first one tells of the other boxes, and all but the
-/// hubs let those tell the rest: the store's rates grow more slowly than the fleet.
-async fn learn_everything(gw: &Gateway, store: &dyn ControlStore) {
-    let mut listing = Listing::begin(Now::read());
-    if listing.read_page(gw, store).await && !listing.is_whole {
-        listing.take_boxes(gw, store);
-        if !gw.is_hub() && is_told_everything(gw).await {
-            return;
-        }
-    }
-    read_the_rest(gw, store, listing, u32::MAX).await;
-}
-
-/// Waits for a hub to tell everything; false if none does in time.
-async fn is_told_everything(gw: &Gateway) -> bool {
-    gw.hubs.ask_now();
-    let began = Now::read().monotonic;
-    loop {
-        let news = gw.news.notified();
-        if gw.mirror.borrow().revision() > 0 {
-            return true;
-        }
-        let waited = Now::read().monotonic.saturating_sub(began);
-        if waited >= FIRST_TOLD && !gw.hubs.is_fetching() {
-            log::info!("no hub has told everything, it is read from the store");
-            return false;
-        }
-        // Whether news came or the time is over, the next round tells.
-        let _ = tokio::time::timeout(LOOK_INTERVAL, news).await;
-    }
-}
-
 /// The pause after the next failure.
 struct Backoff(Duration);
 
@@ -384,8 +327,7 @@
     }
     if is_behind(gw, revision) {
         log::info!(revision; "changes did not bring this box up to date, everything is read anew");
-        let listing = Listing::begin(Now::read());
-        return read_the_rest(gw, store, listing, FAILURES_OF_A_CHECK).await;
+        return read_pages(gw, store, FAILURES_OF_A_CHECK).await;
     }
     gw.knowledge.borrow_mut().confirm(sent.monotonic);
     true
--- a/src/gateway/hubs.rs
+++ b/src/gateway/hubs.rs
@@ -185,11 +185,6 @@
         !self.spread.borrow_mut().askers(now).is_empty()
     }
 
-    /// Makes the next question due at once.
-    pub fn ask_now(&self) {
-        self.ask_now.notify_one();
-    }
-
     fn ask_again_soon(&self) {
         self.asks_again.set(true);
         self.ask_now.notify_one();
