Add up an answer's items once, not anew for each that is left out

What to leave out of a datagram went through all items again for each one left out: with the 3,600 items that a box without any asks for, some millions of steps an answer, on the hubs. The result is the same.

--- a/src/gateway/asking.rs
+++ b/src/gateway/asking.rs
@@ -40,6 +40,7 @@
 /// How many times in a row items may be of no use before they are asked for as a whole.
 /// Once happens where two changes overtake each other, and the next question mends it.
 const USELESS_BEFORE_WHOLE: u32 = 2;
+
 /// How the boxes that were asked answered, and what this box fetches.
 #[derive(Debug, Default)]
 pub struct Asking {
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -61,9 +61,11 @@
     /// returns the highest revision among those left out.
     pub fn leave_out_beyond(&mut self, most: usize) -> Option<u64> {
         self.items.sort_by_key(PackedItem::len);
+        let mut len = self.len();
         let mut left_out = None;
-        while self.len() > most {
+        while len > most {
             let largest = self.items.pop()?;
+            len -= largest.len();
             left_out = left_out.max(Some(largest.revision));
         }
         left_out
