One reader of chunks, one millis, the library's handle that ends a task

A fetch had written anew how a chunk of a body is released, bounded and added, which wire::read_body does: both call wire::gather now. The handle that ends a connection's task is tokio-util's. Four copies of millis are one, in clock.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -49,7 +49,12 @@
             .unwrap_or_default();
         Self {
             monotonic: START.get_or_init(Instant::now).elapsed(),
-            wall: WallTime(u64::try_from(wall.as_millis()).unwrap_or(u64::MAX)),
+            wall: WallTime(millis(wall)),
         }
     }
 }
+
+/// Returns a duration in whole milliseconds, as messages and logs carry it.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/gateway/fetch.rs
+++ b/src/gateway/fetch.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
 
 /// How long a box may take to accept a connection: some ways there and back between halls,
 /// and a turn of a busy processor. One that is gone does not answer at all.
@@ -104,25 +105,15 @@
         .initial_connection_window_size(WINDOW);
     let handshake = builder.handshake::<_, Bytes>(stream).await;
     let (mut sender, connection) = handshake.map_err(lost)?;
-    let driver = AbortOnDrop(actix_rt::spawn(connection));
+    // The connection's task ends together with the fetch, also where that is given up.
+    let _driver = AbortOnDropHandle::new(actix_rt::spawn(connection));
     let req = http::Request::builder()
         .uri(format!("http://{from}{PATH}?{}", wanted.query()))
         .body(())
         .map_err(|err| WireError::NotSent(err.to_string()))?;
     let (response, _) = sender.send_request(req, true).map_err(lost)?;
     let response = unless_silent(response).await?.map_err(lost)?;
-    let body = read_while_it_comes(response.into_body(), progress).await;
-    drop(driver);
-    body
-}
-
-/// Ends a connection's task together with the fetch, also where that is given up.
-struct AbortOnDrop<T>(actix_rt::task::JoinHandle<T>);
-
-impl<T> Drop for AbortOnDrop<T> {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
+    read_while_it_comes(response.into_body(), progress).await
 }
 
 async fn read_while_it_comes(
@@ -131,14 +122,7 @@
 ) -> Result<Bytes, WireError> {
     let mut buf = BytesMut::new();
     while let Some(chunk) = unless_silent(body.data()).await? {
-        let chunk = chunk.map_err(lost)?;
-        body.flow_control()
-            .release_capacity(chunk.len())
-            .map_err(lost)?;
-        if buf.len() + chunk.len() > MESSAGE_BYTES_LIMIT {
-            return Err(WireError::NoAnswer("it is too large".to_owned()));
-        }
-        buf.extend_from_slice(&chunk);
+        wire::gather(&mut body, &mut buf, chunk)?;
         progress.bytes.set(buf.len());
     }
     Ok(buf.freeze())
--- a/src/gateway/hubs.rs
+++ b/src/gateway/hubs.rs
@@ -14,7 +14,7 @@
 use super::control::BoxEntry;
 use super::mirror::PackedChanges;
 use super::spread::{Lacking, Source, Spread};
-use crate::clock::Now;
+use crate::clock::{Now, millis};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -226,7 +226,3 @@
     }
     told
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -7,7 +7,7 @@
 use super::control::{RolloutOrder, RolloutRecord, RolloutState};
 use super::knowledge::Rollout;
 use super::place::draw;
-use crate::clock::Now;
+use crate::clock::{Now, millis};
 use std::time::Duration;
 
 const THOUSAND: u64 = 1000;
@@ -167,7 +167,3 @@
     let whole = millis(whole).max(1);
     millis(elapsed).saturating_mul(100) / whole
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -9,7 +9,7 @@
 use super::place::Choice;
 use super::refusal::{Ran, Why};
 use super::upstream::Upstream;
-use crate::clock::Now;
+use crate::clock::{Now, millis};
 use crate::metrics::Metrics;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
@@ -324,7 +324,3 @@
         self.lag.record(lag.map_or(0, millis), &[]);
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/routing/placement.rs
+++ b/src/routing/placement.rs
@@ -4,7 +4,7 @@
 //! time is taken, the session's own upstream first where it is not much busier, and
 //! the own hall first where it is not full. See `docs/design/placement.md`.
 
-use crate::clock::Now;
+use crate::clock::{Now, millis};
 use crate::name::VersionName;
 use rand::Rng;
 use rand::seq::IndexedRandom as _;
@@ -139,10 +139,6 @@
     Some((FIRST_REST * 2u32.pow(doublings)).min(LONGEST_REST))
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Counts a request out of its upstream when it ends, however it ends.
 #[derive(Debug)]
 pub struct LoadGuard {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -109,16 +109,26 @@
 pub(crate) async fn read_body(body: &mut h2::RecvStream) -> Result<Bytes, WireError> {
     let mut buf = BytesMut::new();
     while let Some(chunk) = body.data().await {
-        let chunk = chunk.map_err(|err| WireError::NoAnswer(err.to_string()))?;
-        release(body, chunk.len())?;
-        if buf.len() + chunk.len() > MESSAGE_BYTES_LIMIT {
-            return Err(WireError::NoAnswer("the message is too large".to_owned()));
-        }
-        buf.extend_from_slice(&chunk);
+        gather(body, &mut buf, chunk)?;
     }
     Ok(buf.freeze())
 }
 
+/// Adds a chunk of a body to what came before, and releases its flow-control window.
+pub(crate) fn gather(
+    body: &mut h2::RecvStream,
+    buf: &mut BytesMut,
+    chunk: Result<Bytes, h2::Error>,
+) -> Result<(), WireError> {
+    let chunk = chunk.map_err(|err| WireError::NoAnswer(err.to_string()))?;
+    release(body, chunk.len())?;
+    if buf.len() + chunk.len() > MESSAGE_BYTES_LIMIT {
+        return Err(WireError::NoAnswer("the message is too large".to_owned()));
+    }
+    buf.extend_from_slice(&chunk);
+    Ok(())
+}
+
 fn release(body: &mut h2::RecvStream, bytes: usize) -> Result<(), WireError> {
     body.flow_control()
         .release_capacity(bytes)
