An upstream that starts again is another one; a spoilt entry names none

Ruled out: ordering by birth, since an entry of another writer with a birth far in the future would keep the upstream's own entries out for good.

--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -5,6 +5,7 @@
 //! more came behind it. So this uses `hyper`'s connection-level client, the nearest kin.
 //! See `docs/design/platform.md`.
 
+use super::control::UpstreamLife;
 use super::upstream::Upstream;
 use crate::clock::Now;
 use bytes::Bytes;
@@ -74,18 +75,18 @@
     pub use hyper::http::{HeaderMap, Method, Request, Response};
 }
 
-/// The resting connections of a box, by instance and never by address alone, since an
-/// address may pass on to another service.
+/// The resting connections of a box, by the life of the upstream and never by address alone,
+/// since an address may pass on to another service and an upstream may start again.
 #[derive(Debug, Default)]
 pub struct Connections {
-    idle: RefCell<HashMap<String, Vec<Connection>>>,
+    idle: RefCell<HashMap<UpstreamLife, Vec<Connection>>>,
 }
 
 impl Connections {
     /// Returns a connection that has rested for a short while, if there is one.
-    pub fn take_idle(&self, instance: &str, now: Now) -> Option<Connection> {
+    pub fn take_idle(&self, life: &UpstreamLife, now: Now) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let resting = idle.get_mut(instance)?;
+        let resting = idle.get_mut(life)?;
         while let Some(mut connection) = resting.pop() {
             let rested = now.monotonic.saturating_sub(connection.rested_since);
             if rested < IDLE_LIFETIME && connection.sender.is_ready() {
@@ -121,13 +122,13 @@
     }
 
     /// Keeps a connection whose answer was whole, for the next request.
-    pub fn rest(&self, instance: &str, mut connection: Connection, now: Now) {
+    pub fn rest(&self, life: &UpstreamLife, mut connection: Connection, now: Now) {
         if connection.sender.is_closed() {
             return;
         }
         connection.rested_since = now.monotonic;
         let mut idle = self.idle.borrow_mut();
-        let resting = idle.entry(instance.to_owned()).or_default();
+        let resting = idle.entry(life.clone()).or_default();
         if resting.len() < IDLE_PER_UPSTREAM {
             resting.push(connection);
         }
@@ -148,8 +149,7 @@
         match select_ok(tries).await {
             Ok((connection, _)) => {
                 upstream.connectable();
-                let instance = upstream.with_listed(|listed| listed.instance.clone());
-                self.rest(&instance, connection, now);
+                self.rest(upstream.life(), connection, now);
                 true
             }
             Err(err) => {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -51,6 +51,14 @@
     Upstream(Box<ListedUpstream>),
     /// The upstream of this instance is not listed any more.
     UpstreamGone(String),
+    /// The entry of an upstream that cannot be read; another writer spoilt it, so what it
+    /// said before does not count any more either.
+    UpstreamFaulty {
+        /// The upstream's id.
+        instance: String,
+        /// What is wrong with the entry.
+        reason: String,
+    },
     /// The operators' newest roll-out order of a service.
     RolloutOrdered(RolloutOrder),
     /// The order of this service was taken back.
@@ -73,8 +81,11 @@
 /// An upstream, as it lists itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListedUpstream {
-    /// The id of this start of the upstream; it is never used again.
+    /// The upstream's id, which it may keep when it starts again.
     pub instance: String,
+    /// When it started, in milliseconds since the Unix epoch; none where it does not say, and
+    /// then each start has an id of its own.
+    pub born: Option<u64>,
     /// The service that it runs.
     pub service: String,
     /// Where it listens.
@@ -89,6 +100,37 @@
     pub draining: bool,
 }
 
+impl ListedUpstream {
+    /// Returns the life that this entry tells of.
+    pub fn life(&self) -> UpstreamLife {
+        UpstreamLife {
+            instance: self.instance.clone(),
+            born: self.born,
+        }
+    }
+}
+
+/// One life of an upstream, from a start to its end.
+///
+/// An upstream that starts again under its id holds nothing of what it held before, so
+/// whatever is remembered of an upstream is remembered of a life and not of an id.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct UpstreamLife {
+    /// The upstream's id.
+    pub instance: String,
+    /// When it started; see [`ListedUpstream::born`].
+    pub born: Option<u64>,
+}
+
+impl fmt::Display for UpstreamLife {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.born {
+            Some(born) => write!(f, "{}@{born}", self.instance),
+            None => f.write_str(&self.instance),
+        }
+    }
+}
+
 /// An operators' order to move a service to a version.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RolloutOrder {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -178,8 +178,7 @@
         if let Some(connection) = self.connection.take()
             && !closes
         {
-            let instance = self.upstream.with_listed(|listed| listed.instance.clone());
-            connections.rest(&instance, connection, now);
+            connections.rest(self.upstream.life(), connection, now);
         }
     }
 }
@@ -209,10 +208,9 @@
 ) -> Tried {
     let load = upstream.enter();
     let unread = upstream.begin_reading(limits.reading);
-    let instance = upstream.with_listed(|listed| listed.instance.clone());
     let began = Now::read();
     let idle = match limits.may_reuse {
-        true => connections.take_idle(&instance, began),
+        true => connections.take_idle(upstream.life(), began),
         false => None,
     };
     let mut connection = match idle {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -90,6 +90,7 @@
                 .learned(&change, "lapse", gw.mirror.borrow().revision());
         }
         gw.telemetry.aged(knowledge.age(now), knowledge.lag(now));
+        gw.telemetry.faulty_upstreams(knowledge.faulty_count());
         drop(knowledge);
         gw.connections.close_stale(now);
         gw.sessions.borrow_mut().forget(now);
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -2,6 +2,7 @@
 
 use super::Gateway;
 use super::connect::http1_types;
+use super::control::UpstreamLife;
 use super::engine_cost::{Beginning, SharedPrompt};
 use super::exchange::{NotRun, Outgoing, Tried, TryLimits, try_upstream};
 use super::keepers::Spread;
@@ -136,7 +137,7 @@
             return Err(NoTry::OutOfTime);
         }
         let candidates = gw.candidates(&self.service, &self.session, now);
-        let tried = self.tries.instances();
+        let tried = self.tries.tried();
         let choice = self.place(gw, &candidates, &tried, plan.model, now);
         let choice = choice.ok_or(NoTry::NoUpstream)?;
         let upstream = &choice.upstream;
@@ -144,14 +145,13 @@
             return Err(NoTry::OutOfBudget);
         }
         self.tries.exclude(upstream);
-        let instance = upstream.with_listed(|listed| listed.instance.clone());
         let limits = TryLimits {
             head: plan.head.within(left),
             reading: choice.reading,
             tells_rate: choice.tells_rate(),
             may_reuse: self.route.kind.is_repeatable(),
         };
-        gw.long_reads.note(&gw.life, &instance, limits.reading);
+        gw.long_reads.note(&gw.life, upstream, limits.reading);
         let out = self.outgoing(gw, &choice, plan, now);
         let tried = try_upstream(&gw.connections, &gw.headers, upstream, out, limits).await;
         self.record(gw, &choice, &tried, plan);
@@ -163,7 +163,7 @@
         &self,
         gw: &Gateway,
         candidates: &[Rc<Upstream>],
-        tried: &[String],
+        tried: &[UpstreamLife],
         model: Option<&str>,
         now: Now,
     ) -> Option<Choice> {
@@ -257,10 +257,9 @@
     fn record(&self, gw: &Gateway, choice: &Choice, tried: &Tried, plan: TryPlan<'_>) {
         self.tries.record(tried);
         if matches!(tried, Tried::NotRun(NotRun::OtherInstance)) {
-            let instance = choice
-                .upstream
-                .with_listed(|listed| listed.instance.clone());
-            gw.knowledge.borrow_mut().forget_upstream(&instance);
+            gw.knowledge
+                .borrow_mut()
+                .forget_upstream(choice.upstream.life());
         }
         gw.telemetry.tried(self, choice, tried, plan);
     }
@@ -280,10 +279,7 @@
         };
         let left = self.left(now).saturating_sub(ANSWER_MARGIN);
         set(&names.deadline, &left.as_millis().to_string());
-        let instance = choice
-            .upstream
-            .with_listed(|listed| listed.instance.clone());
-        set(&names.expect_instance, &instance);
+        set(&names.expect_instance, &choice.upstream.life().instance);
         if let Beginning::Fetched(keeper) = choice.beginning {
             set(&names.fetch_from, &keeper.to_string());
         }
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -3,7 +3,7 @@
 //! One rule holds for every source: only a higher version or revision replaces what is
 //! known, so nothing ever goes back within a life. See `docs/design/platform.md`.
 
-use super::control::{BoxEntry, ListedUpstream, RolloutOrder, RolloutRecord, Update};
+use super::control::{BoxEntry, ListedUpstream, RolloutOrder, RolloutRecord, Update, UpstreamLife};
 use super::routes::RouteTable;
 use super::settings::Bounds;
 use super::upstream::Upstream;
@@ -27,6 +27,8 @@
 pub struct Knowledge {
     routes: Option<Arc<RouteTable>>,
     upstreams: HashMap<String, Rc<Upstream>>,
+    /// What is wrong with the entries of upstreams that cannot be read, by id.
+    faulty: HashMap<String, String>,
     rollouts: HashMap<String, Rollout>,
     boxes: BTreeMap<String, BoxEntry>,
     confirmed: Option<Duration>,
@@ -110,6 +112,8 @@
     UpstreamAdded(String),
     /// An upstream is leaving or came back.
     UpstreamChanged(String),
+    /// An upstream has started again under its id.
+    UpstreamReborn(UpstreamLife),
     /// An upstream is gone.
     UpstreamRemoved(String),
     /// An upstream's entry is missing while the store is unsettled.
@@ -120,6 +124,13 @@
     BoxAdded(String),
     /// A box's entry is gone.
     BoxGone(String),
+    /// An upstream's entry could not be read, so the upstream is not used.
+    UpstreamFaulty {
+        /// The upstream's id.
+        instance: String,
+        /// What is wrong with the entry.
+        reason: String,
+    },
     /// An item could not be read.
     Faulty {
         /// The item's key in the store.
@@ -143,6 +154,7 @@
             Update::Routes(routes) => self.take_routes(routes),
             Update::Upstream(listed) => self.take_upstream(*listed),
             Update::UpstreamGone(instance) => self.drop_upstream(&instance, now),
+            Update::UpstreamFaulty { instance, reason } => self.take_faulty(instance, reason),
             Update::RolloutOrdered(order) => self.take_order(order, now),
             Update::RolloutCancelled(service) => {
                 self.rollouts.entry(service.clone()).or_default().order = None;
@@ -168,9 +180,27 @@
         Change::Routes(version)
     }
 
+    /// Takes an upstream's entry, which is newer than the one known.
+    ///
+    /// What was remembered of the upstream stays only if the entry is of the same life. Which
+    /// of two entries is newer is the store's revision to tell and not the time of birth: an
+    /// upstream's clock may be wrong, and an entry with a birth far in the future, by another
+    /// writer, would else keep the upstream's own entries out for good.
     fn take_upstream(&mut self, listed: ListedUpstream) -> Change {
         let instance = listed.instance.clone();
-        match self.upstreams.get(&instance) {
+        let known = self.upstreams.get(&instance);
+        if listed.born.is_none() && known.is_some_and(|known| known.life().born.is_some()) {
+            let reason = "it does not say any more when the upstream started".to_owned();
+            return self.take_faulty(instance, reason);
+        }
+        self.faulty.remove(&instance);
+        match known {
+            Some(known) if *known.life() != listed.life() => {
+                let reborn = Upstream::new(listed);
+                let life = reborn.life().clone();
+                self.upstreams.insert(instance, reborn);
+                Change::UpstreamReborn(life)
+            }
             Some(known) if known.lapsed_at().is_none() && known.listed() == listed => {
                 Change::Nothing
             }
@@ -186,7 +216,17 @@
         }
     }
 
+    fn take_faulty(&mut self, instance: String, reason: String) -> Change {
+        self.upstreams.remove(&instance);
+        let known = self.faulty.insert(instance.clone(), reason.clone());
+        match known {
+            Some(known) if known == reason => Change::Nothing,
+            _ => Change::UpstreamFaulty { instance, reason },
+        }
+    }
+
     fn drop_upstream(&mut self, instance: &str, now: Now) -> Change {
+        self.faulty.remove(instance);
         let Some(known) = self.upstreams.get(instance) else {
             return Change::Nothing;
         };
@@ -352,9 +392,18 @@
         self.upstreams.values()
     }
 
-    /// Removes an upstream whose address answered for another instance.
-    pub fn forget_upstream(&mut self, instance: &str) {
-        self.upstreams.remove(instance);
+    /// Removes an upstream whose address answered for another instance, unless it has started
+    /// again meanwhile.
+    pub fn forget_upstream(&mut self, life: &UpstreamLife) {
+        let known = self.upstreams.get(&life.instance);
+        if known.is_some_and(|known| known.life() == life) {
+            self.upstreams.remove(&life.instance);
+        }
+    }
+
+    /// Returns the number of upstreams whose entries cannot be read.
+    pub fn faulty_count(&self) -> usize {
+        self.faulty.len()
     }
 
     /// Returns the roll-out of a service.
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -34,15 +34,14 @@
     /// The hash of the name of the box's life.
     reporter: u64,
     /// The upstreams with something under way. Bytes between halls are priced, and this
-    /// goes to every box, so instances go by a short hash; that two of them ever share
-    /// one would only make both look busier.
+    /// goes to every box, so upstreams go by [`Upstream::short_hash`].
     upstreams: Vec<UpstreamLoad>,
 }
 
 /// What one box has under way at one upstream.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct UpstreamLoad {
-    instance: u32,
+    upstream: u32,
     /// How long reading what waits takes, in milliseconds.
     unread_ms: u32,
     /// The number of requests.
@@ -54,8 +53,8 @@
 pub struct LongRead {
     /// The hash of the name of the box's life.
     reporter: u64,
-    /// The short hash of the instance.
-    instance: u32,
+    /// [`Upstream::short_hash`].
+    upstream: u32,
     /// How long it takes, in milliseconds.
     reading_ms: u32,
 }
@@ -69,13 +68,13 @@
 
 impl LongReads {
     /// Notes a read that begins, if it is long enough to tell of.
-    pub fn note(&self, reporter: &str, instance: &str, reading: Duration) {
+    pub fn note(&self, reporter: &str, upstream: &Upstream, reading: Duration) {
         if reading < LONG_READ {
             return;
         }
         self.untold.borrow_mut().push(LongRead {
             reporter: draw(reporter),
-            instance: short_hash(instance),
+            upstream: upstream.short_hash(),
             reading_ms: millis(reading),
         });
         self.rung.notify_one();
@@ -97,11 +96,6 @@
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
-fn short_hash(instance: &str) -> u32 {
-    // The lower half of a hash is as good as any other.
-    draw(instance) as u32
-}
-
 impl BoxLoad {
     /// Collects what a box has under way.
     pub fn of(reporter: &str, knowledge: &Knowledge) -> Self {
@@ -110,7 +104,7 @@
             .filter(|upstream| upstream.outstanding() > 0);
         let upstreams = busy
             .map(|upstream| UpstreamLoad {
-                instance: upstream.with_listed(|listed| short_hash(&listed.instance)),
+                upstream: upstream.short_hash(),
                 unread_ms: millis(upstream.own_unread()),
                 outstanding: upstream.outstanding(),
             })
@@ -142,16 +136,14 @@
     /// Takes the news of a long read, until the reader's next report replaces it.
     pub fn take_long_read(&mut self, read: LongRead, knowledge: &Knowledge, now: Now) {
         let upstream = UpstreamLoad {
-            instance: read.instance,
+            upstream: read.upstream,
             unread_ms: read.reading_ms,
             outstanding: 1,
         };
         if let Some((load, _)) = self.reports.get_mut(&read.reporter) {
             load.upstreams.push(upstream);
         }
-        let is_read_by = |upstream: &&Rc<Upstream>| {
-            upstream.with_listed(|listed| short_hash(&listed.instance) == read.instance)
-        };
+        let is_read_by = |upstream: &&Rc<Upstream>| upstream.short_hash() == read.upstream;
         if let Some(upstream) = knowledge.upstreams().find(is_read_by) {
             let reading = Duration::from_millis(read.reading_ms.into());
             upstream.add_elsewhere(reading, now);
@@ -166,15 +158,14 @@
         let mut sums: HashMap<u32, Elsewhere> = HashMap::new();
         for (load, _) in self.reports.values() {
             for upstream in &load.upstreams {
-                let sum = sums.entry(upstream.instance).or_default();
+                let sum = sums.entry(upstream.upstream).or_default();
                 sum.as_of = now.monotonic;
                 sum.unread += Duration::from_millis(upstream.unread_ms.into());
                 sum.outstanding += upstream.outstanding;
             }
         }
         for upstream in knowledge.upstreams() {
-            let instance = upstream.with_listed(|listed| short_hash(&listed.instance));
-            let sum = sums.get(&instance).copied();
+            let sum = sums.get(&upstream.short_hash()).copied();
             upstream.set_elsewhere(sum.unwrap_or_default());
         }
     }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -4,6 +4,7 @@
 //! it anew; plain requests stay in their hall. Both give way when an upstream is full, fails
 //! or rests. See `docs/design/platform.md`.
 
+use super::control::UpstreamLife;
 use super::engine_cost::{Beginning, PlaceCost, SharedPrompt, engine_costs};
 use super::keepers::rank;
 use super::upstream::Upstream;
@@ -30,8 +31,8 @@
     pub hall: &'a str,
     /// The prompt, where a model engine is asked.
     pub prompt: Option<SharedPrompt<'a>>,
-    /// Instances that were tried already.
-    pub tried: &'a [String],
+    /// The lives of upstreams that were tried already.
+    pub tried: &'a [UpstreamLife],
     /// A number of the request, which spreads equal choices.
     pub draw: u64,
     /// How many engines are compared beside those that keep the prompt's beginning.
@@ -68,7 +69,7 @@
 pub fn choose(candidates: &[Rc<Upstream>], wish: Wish<'_>, now: Now) -> Option<Choice> {
     let untried: Vec<&Rc<Upstream>> = candidates
         .iter()
-        .filter(|upstream| !was_tried(upstream, wish.tried))
+        .filter(|upstream| !wish.tried.contains(upstream.life()))
         .collect();
     let costs = match wish.prompt {
         Some(prompt) => engine_costs(&untried, wish, prompt, now),
@@ -105,10 +106,6 @@
     candidates.iter().map(cost).collect()
 }
 
-fn was_tried(upstream: &Upstream, tried: &[String]) -> bool {
-    upstream.with_listed(|listed| tried.contains(&listed.instance))
-}
-
 /// Returns a number that a text always gives, to spread requests evenly.
 pub fn draw(text: &str) -> u64 {
     xxh3_64(text.as_bytes())
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -45,6 +45,7 @@
     received_bytes: Counter<u64>,
     fetches: Counter<u64>,
     config_version: Gauge<u64>,
+    faulty_upstreams: Gauge<u64>,
     lag: Gauge<u64>,
     age: Gauge<u64>,
 }
@@ -87,6 +88,10 @@
                 .u64_counter("gatepier_fetches")
                 .with_description("Fetches from other boxes, by outcome.")
                 .build(),
+            faulty_upstreams: meter
+                .u64_gauge("gatepier_faulty_upstreams")
+                .with_description("Upstreams whose entries cannot be read.")
+                .build(),
             lag: meter
                 .u64_gauge("gatepier_lag_ms")
                 .with_description("How long this box has known of something newer than it has.")
@@ -254,6 +259,12 @@
                 revision;
                 "cannot be read, the last good state stays in force: {reason}"
             ),
+            Change::UpstreamFaulty { instance, reason } => log::error!(
+                upstream = instance.as_str(),
+                source,
+                revision;
+                "its entry cannot be read, the upstream is not used: {reason}"
+            ),
             change => log::info!(source, revision; "learned: {change:?}"),
         }
     }
@@ -318,6 +329,12 @@
             .add(bytes, &[KeyValue::new("purpose", purpose)]);
     }
 
+    /// Records how many upstreams have entries that cannot be read.
+    pub fn faulty_upstreams(&self, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.faulty_upstreams.record(count, &[]);
+    }
+
     /// Records the age of what is known.
     pub fn aged(&self, age: Option<Duration>, lag: Option<Duration>) {
         self.age.record(age.map_or(u64::MAX, millis), &[]);
--- a/src/gateway/tries.rs
+++ b/src/gateway/tries.rs
@@ -1,5 +1,6 @@
 //! The tries of one request, and what they prove.
 
+use super::control::UpstreamLife;
 use super::exchange::{NotRun, Tried};
 use super::refusal::{Ran, Why};
 use super::upstream::Upstream;
@@ -8,7 +9,7 @@
 /// The tries of a request.
 #[derive(Debug, Default)]
 pub struct Tries {
-    instances: RefCell<Vec<String>>,
+    tried: RefCell<Vec<UpstreamLife>>,
     runs: Cell<u32>,
     may_have_run: Cell<bool>,
     refused: Cell<bool>,
@@ -40,9 +41,9 @@
         !self.counted.replace(true)
     }
 
-    /// Returns the instances that should not be asked again.
-    pub fn instances(&self) -> Vec<String> {
-        self.instances.borrow().clone()
+    /// Returns the lives of upstreams that should not be asked again.
+    pub fn tried(&self) -> Vec<UpstreamLife> {
+        self.tried.borrow().clone()
     }
 
     /// Returns the number of tries that may have run.
@@ -74,12 +75,11 @@
 
     /// Forgets which upstreams were tried, so that all may be asked again.
     pub fn allow_all(&self) {
-        self.instances.borrow_mut().clear();
+        self.tried.borrow_mut().clear();
     }
 
     /// Records that the try's answer was dropped though it ran.
     pub fn exclude(&self, upstream: &Upstream) {
-        let instance = upstream.with_listed(|listed| listed.instance.clone());
-        self.instances.borrow_mut().push(instance);
+        self.tried.borrow_mut().push(upstream.life().clone());
     }
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -1,6 +1,7 @@
 //! What a box knows of each upstream: what it lists of itself, and how it behaves.
 
-use super::control::ListedUpstream;
+use super::control::{ListedUpstream, UpstreamLife};
+use super::place::draw;
 use super::protocol::ReportedLoad;
 use crate::clock::Now;
 use crate::routing::placement::{LoadGuard, UpstreamLoad};
@@ -35,9 +36,11 @@
 /// take a connection.
 const RESTING: f64 = 100.0;
 
-/// An upstream, shared by all requests of the box.
+/// One life of an upstream, shared by all requests of the box.
 #[derive(Debug)]
 pub struct Upstream {
+    life: UpstreamLife,
+    short_hash: u32,
     listed: RefCell<ListedUpstream>,
     load: Arc<UpstreamLoad>,
     health: Cell<Health>,
@@ -115,7 +118,11 @@
 impl Upstream {
     /// Makes an upstream that was just listed.
     pub fn new(listed: ListedUpstream) -> Rc<Self> {
+        let life = listed.life();
         Rc::new(Self {
+            // The lower half of a hash is as good as any other.
+            short_hash: draw(&life.to_string()) as u32,
+            life,
             listed: RefCell::new(listed),
             load: Arc::default(),
             health: Cell::default(),
@@ -127,6 +134,19 @@
         })
     }
 
+    /// Returns which life of which upstream this is.
+    pub fn life(&self) -> &UpstreamLife {
+        &self.life
+    }
+
+    /// Returns a hash of the life by which boxes name it to each other.
+    ///
+    /// Bytes between halls are priced, and reports of load go to every box. That two lives
+    /// ever share a hash would only make both look busier.
+    pub fn short_hash(&self) -> u32 {
+        self.short_hash
+    }
+
     /// Returns a copy of what the upstream lists of itself.
     pub fn listed(&self) -> ListedUpstream {
         self.listed.borrow().clone()
@@ -137,7 +157,7 @@
         read(&self.listed.borrow())
     }
 
-    /// Takes a newer entry of the same instance.
+    /// Takes a newer entry of the same life.
     pub fn relist(&self, listed: ListedUpstream) {
         self.lapsed_at.set(None);
         *self.listed.borrow_mut() = listed;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod packing;
 mod passing_on;
 mod placement;
+mod rebirths;
 mod refusals;
 mod retries;
 mod rollouts;
@@ -46,6 +47,7 @@
         hall: hall.to_owned(),
         version: "v1".to_owned(),
         slots: 4,
+        born: None,
         draining: false,
     }
 }
--- a/tests/gateway/passing_on.rs
+++ b/tests/gateway/passing_on.rs
@@ -149,8 +149,8 @@
         knowledge.apply(update, at(0));
         let upstream = knowledge.open_upstreams("engine", at(0)).remove(0);
         let told = LongReads::default();
-        told.note("other", "i-1", Duration::from_millis(6));
-        told.note("other", "i-1", Duration::from_millis(500));
+        told.note("other", &upstream, Duration::from_millis(6));
+        told.note("other", &upstream, Duration::from_millis(500));
         let told = futures::executor::block_on(told.next());
         expect_that!(told.len(), eq(1));
         let mut loads = Loads::default();
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -188,7 +188,7 @@
 
     tried_upstreams_are_not_chosen => {
         let candidates = upstreams(1);
-        let tried = ["i-0".to_owned()];
+        let tried = [candidates[0].life().clone()];
         let wish = Wish { tried: &tried, ..wish(None, 1) };
         expect_that!(choose(&candidates, wish, at(0)).is_none(), eq(true));
     }
