Part src/gateway into folders that tell a request's way

Moves alone: admit, place, attempt, answer; control, peers and versions beside them. No behaviour changes.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,69 +2,44 @@
 //!
 //! It serves callers over HTTP/1.1, follows the operators' configuration in the
 //! platform's store, and keeps nothing that has to last. All names of the deployment
-//! come from an adapter: [`protocol::Headers`] and [`control::ControlStore`]. See
-//! `docs/design/platform.md`.
+//! come from an adapter: [`Headers`] and [`ControlStore`].
+//!
+//! A request goes through [`admit`] (what does it ask for, and may it be served), [`place`]
+//! (which upstream and which model), [`attempt`] (one try at one upstream) and [`answer`] (an
+//! upstream's answer passed on, or a refusal). Beside it stand [`control`] (what the box knows
+//! and how it stays fresh), [`peers`] (what boxes tell each other) and [`versions`] (roll-outs).
+//! See `docs/design/platform.md`.
 
-pub mod asking;
-pub mod connect;
+pub mod admit;
+pub mod answer;
+pub mod attempt;
 pub mod control;
-pub mod datagram;
-pub mod engine_cost;
-pub mod events;
-pub mod exchange;
-pub mod fetch;
-pub mod follow;
-pub mod hubs;
-pub mod job;
-pub mod keepers;
-pub mod knowledge;
-pub mod listen;
-pub mod loads;
-pub mod membership;
-pub mod mirror;
-pub mod models;
-pub mod packing;
-pub mod patience;
 pub mod peers;
 pub mod place;
-pub mod plain;
-pub mod probe;
-pub mod prompt;
-pub mod protocol;
-pub mod reading;
-pub mod refusal;
-pub mod relay;
-pub mod retries;
-pub mod rollout;
-pub mod routes;
-pub mod serve;
-pub mod sessions;
 pub mod settings;
-pub mod spread;
-pub mod stream;
 pub mod telemetry;
-pub mod tries;
-pub mod upstream;
-pub mod version_counts;
-pub mod version_watch;
+pub mod versions;
 
 use crate::clock::Now;
 use crate::error::Result;
 use crate::metrics::Metrics;
 use crate::store::StoreError;
-use asking::Asking;
-use connect::Connections;
-use control::ControlStore;
-use hubs::Hubs;
-use knowledge::{Knowledge, Proof};
-use loads::{Loads, LongReads};
-use mirror::Mirror;
-use protocol::Headers;
-use reading::{ModelPace, ReadingRates};
-use retries::RetryWindow;
-use rollout::{VersionQuery, VersionRule, version_rule};
-use routes::RouteKind;
-use sessions::Sessions;
+use admit::listen;
+use admit::routes::RouteKind;
+use attempt::connect::Connections;
+use attempt::probe;
+use attempt::protocol::Headers;
+use attempt::retries::RetryWindow;
+use attempt::upstream::Upstream;
+use control::knowledge::{Knowledge, Proof, Rollout};
+use control::mirror::Mirror;
+use control::store::ControlStore;
+use control::{follow, membership};
+use peers::asking::Asking;
+use peers::hubs::{Hubs, choose_hubs};
+use peers::messages;
+use place::loads::{Loads, LongReads};
+use place::reading::{ModelPace, ReadingRates};
 use settings::GatewaySettings;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -72,8 +47,9 @@
 use std::time::Duration;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
-use upstream::Upstream;
-use version_watch::VersionWatch;
+use versions::rollout::{VersionQuery, VersionRule, version_rule};
+use versions::sessions::Sessions;
+use versions::watch::VersionWatch;
 
 /// How long after the signal to stop streams are still taken. The balancer sends new
 /// connections for two seconds yet, and a refusal costs the caller a way to another box;
@@ -320,7 +296,7 @@
     pub fn is_hub(&self) -> bool {
         let own = self.settings().peers;
         let knowledge = self.knowledge.borrow();
-        let hubs = hubs::choose_hubs(knowledge.boxes());
+        let hubs = choose_hubs(knowledge.boxes());
         hubs.is_empty() || hubs.iter().any(|hub| hub.address == own)
     }
 
@@ -360,7 +336,7 @@
     }
 }
 
-fn rejected_versions(rollout: Option<&knowledge::Rollout>) -> Vec<String> {
+fn rejected_versions(rollout: Option<&Rollout>) -> Vec<String> {
     rollout
         .and_then(|rollout| rollout.record.as_ref())
         .map_or_else(Vec::new, |known| known.record.rejected.clone())
@@ -395,7 +371,7 @@
     actix_rt::spawn(membership::stay_registered(gw.clone(), store.clone()));
     actix_rt::spawn(membership::lead(gw.clone(), store.clone()));
     actix_rt::spawn(follow::tidy(gw.clone()));
-    let exchange = peers::exchange(gw.clone(), store.clone());
+    let exchange = messages::exchange(gw.clone(), store.clone());
     actix_rt::spawn(async move {
         if let Err(err) = exchange.await {
             log::error!("nothing is exchanged with other boxes: {err}");
--- a/src/gateway/job.rs
+++ b/src/gateway/admit/job.rs
@@ -1,23 +1,23 @@
 //! One request on its way through the box.
 
-use super::Gateway;
-use super::connect::http1_types;
-use super::control::UpstreamLife;
-use super::engine_cost::{Beginning, SharedPrompt};
-use super::exchange::{NotRun, Outgoing, Tried, TryLimits, try_upstream};
-use super::keepers::Spread;
-use super::models::Expected;
-use super::patience::Patience;
-use super::place::{Choice, Wish, choose, compared, draw};
 use super::prompt::Prompt;
-use super::protocol::{ANY_MODEL, urgency};
-use super::reading;
-use super::refusal::Ran;
-use super::retries::Repeat;
 use super::routes::{Organisation, Route};
-use super::tries::Tries;
-use super::upstream::Upstream;
 use crate::clock::Now;
+use crate::gateway::Gateway;
+use crate::gateway::answer::refusal::Ran;
+use crate::gateway::attempt::connect::http1_types;
+use crate::gateway::attempt::exchange::{NotRun, Outgoing, Tried, TryLimits, try_upstream};
+use crate::gateway::attempt::patience::Patience;
+use crate::gateway::attempt::protocol::{ANY_MODEL, urgency};
+use crate::gateway::attempt::retries::Repeat;
+use crate::gateway::attempt::tries::Tries;
+use crate::gateway::attempt::upstream::Upstream;
+use crate::gateway::control::store::UpstreamLife;
+use crate::gateway::place::choose::{Choice, Wish, choose, compared, draw};
+use crate::gateway::place::engine_cost::{Beginning, SharedPrompt};
+use crate::gateway::place::keepers::Spread;
+use crate::gateway::place::models::Expected;
+use crate::gateway::place::reading;
 use bytes::Bytes;
 use std::rc::Rc;
 use std::sync::Arc;
--- a/src/gateway/listen.rs
+++ b/src/gateway/admit/listen.rs
@@ -1,13 +1,13 @@
 //! Accepts callers, answers the balancer, and ends the process in order.
 
-use super::Gateway;
-use super::control::ControlStore;
 use super::routes::CallerLimits;
 use super::serve::serve;
-use super::settings::GatewaySettings;
 use crate::clock::Now;
 use crate::daemon::listen_shared;
 use crate::error::{Error, Result};
+use crate::gateway::Gateway;
+use crate::gateway::control::store::ControlStore;
+use crate::gateway::settings::GatewaySettings;
 use crate::metrics::Metrics;
 use crate::strict_stream::StrictStream;
 use actix_http::{HttpService, Request, Response, StatusCode};
--- a/src/gateway/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -1,19 +1,19 @@
 //! From a caller's request to the answer that it gets.
 
-use super::Gateway;
-use super::connect::http1_types;
 use super::job::{Job, leaves_choice};
-use super::knowledge::Proof;
-use super::place::draw;
-use super::plain::{self, WholeAnswer};
 use super::prompt::Prompt;
-use super::refusal::{self, Ran, Why};
-use super::relay::Relay;
 use super::routes::{Caller, Route, RouteTable};
-use super::settings::UnprovedKeys;
-use super::stream::{self, Begun};
-use super::tries::Tries;
 use crate::clock::Now;
+use crate::gateway::Gateway;
+use crate::gateway::answer::plain::{self, WholeAnswer};
+use crate::gateway::answer::refusal::{self, Ran, Why};
+use crate::gateway::answer::relay::Relay;
+use crate::gateway::answer::stream::{self, Begun};
+use crate::gateway::attempt::connect::http1_types;
+use crate::gateway::attempt::tries::Tries;
+use crate::gateway::control::knowledge::Proof;
+use crate::gateway::place::choose::draw;
+use crate::gateway::settings::UnprovedKeys;
 use crate::hop_by_hop::HopByHop;
 use actix_http::body::{BodyStream, BoxBody, MessageBody as _};
 use actix_http::{HttpMessage as _, Request, Response, StatusCode};
--- a/src/gateway/plain.rs
+++ b/src/gateway/answer/plain.rs
@@ -1,14 +1,14 @@
 //! Requests whose answer is passed on whole.
 
-use super::Gateway;
-use super::connect::http1_types;
-use super::exchange::{Answer, Tried};
-use super::job::{Job, NoTry, TryPlan};
-use super::patience::Patience;
 use super::refusal::Why;
-use super::retries::Repeat;
-use super::routes::RouteKind;
 use crate::clock::Now;
+use crate::gateway::Gateway;
+use crate::gateway::admit::job::{Job, NoTry, TryPlan};
+use crate::gateway::admit::routes::RouteKind;
+use crate::gateway::attempt::connect::http1_types;
+use crate::gateway::attempt::exchange::{Answer, Tried};
+use crate::gateway::attempt::patience::Patience;
+use crate::gateway::attempt::retries::Repeat;
 use bytes::Bytes;
 use std::time::Duration;
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/answer/relay.rs
@@ -3,14 +3,14 @@
 //! Only whole events pass, so the caller's stream can go on after the last one. The
 //! answer keeps the head of its first upstream. See `docs/design/platform.md`.
 
-use super::Gateway;
 use super::events::{EventSplitter, Events};
-use super::exchange::{Answer, Piece, Tried};
-use super::job::{Job, NoTry, TryPlan};
-use super::patience::Patience;
-use super::retries::Repeat;
-use super::telemetry::StreamSummary;
 use crate::clock::Now;
+use crate::gateway::Gateway;
+use crate::gateway::admit::job::{Job, NoTry, TryPlan};
+use crate::gateway::attempt::exchange::{Answer, Piece, Tried};
+use crate::gateway::attempt::patience::Patience;
+use crate::gateway::attempt::retries::Repeat;
+use crate::gateway::telemetry::StreamSummary;
 use bytes::Bytes;
 use std::fmt;
 use std::rc::Rc;
--- a/src/gateway/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -3,18 +3,18 @@
 //! Until the caller has some of an answer, the answer may be dropped and another upstream
 //! or a larger model asked. From then on [`super::relay`] carries the stream.
 
-use super::Gateway;
-use super::connect::http1_types;
 use super::events::EventSplitter;
-use super::exchange::{Answer, Piece, Tried};
-use super::job::{Job, NoTry, TryPlan};
-use super::models::{Verdict, judge};
-use super::patience::{Patience, patiently};
 use super::plain::{WholeAnswer, read_whole, why};
 use super::refusal::Why;
 use super::relay::Relay;
-use super::retries::Repeat;
 use crate::clock::Now;
+use crate::gateway::Gateway;
+use crate::gateway::admit::job::{Job, NoTry, TryPlan};
+use crate::gateway::attempt::connect::http1_types;
+use crate::gateway::attempt::exchange::{Answer, Piece, Tried};
+use crate::gateway::attempt::patience::{Patience, patiently};
+use crate::gateway::attempt::retries::Repeat;
+use crate::gateway::place::models::{Verdict, judge};
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/src/gateway/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -5,9 +5,9 @@
 //! more came behind it. So this uses `hyper`'s connection-level client, the nearest kin.
 //! See `docs/design/platform.md`.
 
-use super::control::UpstreamLife;
 use super::upstream::Upstream;
 use crate::clock::Now;
+use crate::gateway::control::store::UpstreamLife;
 use bytes::Bytes;
 use futures::future::{LocalBoxFuture, select_ok};
 use http_body_util::Full;
--- a/src/gateway/probe.rs
+++ b/src/gateway/attempt/probe.rs
@@ -3,9 +3,9 @@
 //! When one upstream of a hall takes none, the others of that hall are asked as well: the
 //! hall may be cut off, and each request would else wait for another dead one of it.
 
-use super::Gateway;
 use super::upstream::Upstream;
 use crate::clock::Now;
+use crate::gateway::Gateway;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/gateway/tries.rs
+++ b/src/gateway/attempt/tries.rs
@@ -1,9 +1,9 @@
 //! The tries of one request, and what they prove.
 
-use super::control::UpstreamLife;
 use super::exchange::{NotRun, Tried};
-use super::refusal::{Ran, Why};
 use super::upstream::Upstream;
+use crate::gateway::answer::refusal::{Ran, Why};
+use crate::gateway::control::store::UpstreamLife;
 use std::cell::{Cell, RefCell};
 
 /// The tries of a request.
--- a/src/gateway/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -1,9 +1,9 @@
 //! What a box knows of each upstream: what it lists of itself, and how it behaves.
 
-use super::control::{ListedUpstream, UpstreamLife};
-use super::place::draw;
 use super::protocol::ReportedLoad;
 use crate::clock::Now;
+use crate::gateway::control::store::{ListedUpstream, UpstreamLife};
+use crate::gateway::place::choose::draw;
 use crate::routing::placement::{LoadGuard, UpstreamLoad};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/src/gateway/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -2,14 +2,14 @@
 //!
 //! Two boxes, the hubs, call the store: a watch brings changes as they happen, and a
 //! cheap linearizable call bounds the age of what is known, since a watch may be silent
-//! while changes are made. The other boxes ask a hub ([`super::hubs`]) and call the store
-//! only when what they know grows old. See `docs/design/platform.md`.
+//! while changes are made. The other boxes ask a hub ([`crate::gateway::peers::hubs`]) and
+//! call the store only when what they know grows old. See `docs/design/platform.md`.
 
-use super::Gateway;
-use super::control::{ControlStore, Item, Watched};
 use super::knowledge::Change;
 use super::mirror::Changes;
+use super::store::{ControlStore, Item, Watched};
 use crate::clock::Now;
+use crate::gateway::Gateway;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/control/knowledge.rs
@@ -3,11 +3,11 @@
 //! One rule holds for every source: only a higher version or revision replaces what is
 //! known, so nothing ever goes back within a life. See `docs/design/platform.md`.
 
-use super::control::{BoxEntry, ListedUpstream, RolloutOrder, RolloutRecord, Update, UpstreamLife};
-use super::routes::RouteTable;
-use super::settings::Bounds;
-use super::upstream::Upstream;
+use super::store::{BoxEntry, ListedUpstream, RolloutOrder, RolloutRecord, Update, UpstreamLife};
 use crate::clock::Now;
+use crate::gateway::admit::routes::RouteTable;
+use crate::gateway::attempt::upstream::Upstream;
+use crate::gateway::settings::Bounds;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
--- a/src/gateway/membership.rs
+++ b/src/gateway/control/membership.rs
@@ -4,10 +4,10 @@
 //! roll-outs through their stages; every step is a conditional write, so that a box which
 //! wrongly believes that it leads does no harm. See `docs/design/platform.md`.
 
-use super::Gateway;
-use super::control::{BoxEntry, ControlStore, RecordWritten, RolloutOrder, Update};
-use super::rollout::{Progress, next_record};
+use super::store::{BoxEntry, ControlStore, RecordWritten, RolloutOrder, Update};
 use crate::clock::Now;
+use crate::gateway::Gateway;
+use crate::gateway::versions::rollout::{Progress, next_record};
 use crate::name::VersionName;
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/gateway/mirror.rs
+++ b/src/gateway/control/mirror.rs
@@ -4,8 +4,8 @@
 //! it. Of large items the states before stay too, so that a box which has one of them is
 //! told the difference alone. See `docs/design/spreading.md`.
 
-use super::control::Item;
-use super::packing::{COMPRESSED_FROM, PackedItem, Unusable};
+use super::store::Item;
+use crate::gateway::peers::packing::{COMPRESSED_FROM, PackedItem, Unusable};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
--- a/src/gateway/asking.rs
+++ b/src/gateway/peers/asking.rs
@@ -3,15 +3,15 @@
 //! A box asks one hub several times a second ([`super::hubs`]) and makes one fetch at a time.
 //! See `docs/design/spreading.md`.
 
-use super::Gateway;
-use super::control::{BoxEntry, ControlStore};
 use super::fetch::{Progress, Wanted, fetch};
-use super::follow::{take_changes, take_part};
 use super::hubs::{Fetching, Question, Told, choose_hubs};
-use super::mirror::PackedChanges;
 use super::packing::Unusable;
 use super::spread::Source;
 use crate::clock::Now;
+use crate::gateway::Gateway;
+use crate::gateway::control::follow::{take_changes, take_part};
+use crate::gateway::control::mirror::PackedChanges;
+use crate::gateway::control::store::{BoxEntry, ControlStore};
 use crate::wire::WireError;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/src/gateway/fetch.rs
+++ b/src/gateway/peers/fetch.rs
@@ -4,9 +4,9 @@
 //! size: a time-out of 0.8 s for all kept a megabyte from ever passing a link of 10 Mbit/s,
 //! which carries it in 0.84 s. See `docs/design/spreading.md`.
 
-use super::Gateway;
-use super::mirror::PackedChanges;
 use super::packing::{grow, shrink};
+use crate::gateway::Gateway;
+use crate::gateway::control::mirror::PackedChanges;
 use crate::wire::{self, MESSAGE_BYTES_LIMIT, WireError};
 use bytes::{Bytes, BytesMut};
 use std::cell::Cell;
--- a/src/gateway/hubs.rs
+++ b/src/gateway/peers/hubs.rs
@@ -10,11 +10,11 @@
 //! [`super::asking`].
 //! See `docs/design/platform.md` and `docs/design/spreading.md`.
 
-use super::Gateway;
-use super::control::BoxEntry;
-use super::mirror::PackedChanges;
 use super::spread::{Lacking, Source, Spread};
 use crate::clock::{Now, millis};
+use crate::gateway::Gateway;
+use crate::gateway::control::mirror::PackedChanges;
+use crate::gateway::control::store::BoxEntry;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::cmp::Reverse;
--- /dev/null
+++ b/src/gateway/peers/messages.rs
@@ -0,0 +1,247 @@
+//! What boxes tell each other.
+//!
+//! - What the store holds, as [`super::hubs`] explains.
+//! - What each has under way at which upstream, so that placement sees all boxes' load.
+//! - Which long reads each begins, at once: a report of load comes too late for those.
+//! - How the versions under roll-out answered; this goes to the two boxes registered
+//!   longest: the one that leads, and the one that would lead next.
+//! - Which sessions the old version served just before a roll-out, so that no box moves
+//!   them in its first half.
+//!
+//! Every message replaces or adds to what the sender said before, so one that is lost,
+//! late or doubled does no harm; that is why these are datagrams and not h2 streams.
+//! See `docs/design/platform.md`.
+
+use super::asking;
+use super::datagram;
+use super::fetch;
+use super::hubs::{self, Question, Told};
+use crate::clock::Now;
+use crate::error::{Error, Result};
+use crate::evidence::EvidenceCell;
+use crate::gateway::Gateway;
+use crate::gateway::control::store::ControlStore;
+use crate::gateway::place::loads::{BoxLoad, LongRead, interval};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::sleep;
+
+/// The time between two reports while a version is under roll-out.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// Boxes that are told of versions: the leading one and the one that would lead next.
+const TOLD_BOXES: usize = 2;
+/// Boxes that are told of a long read, so that what each gets does not grow with their
+/// number: all of the users' grown deployments, and from there on a part in turn.
+const TOLD_OF_READS: usize = 96;
+/// The largest datagram; what a box has under way at a hundred upstreams takes two
+/// kilobytes.
+const DATAGRAM_BYTES: usize = 32 * 1024;
+
+/// A message between boxes.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+enum PeerMessage {
+    /// The sender's own counts of versions.
+    Counts(Vec<EvidenceCell>),
+    /// What the sender has under way.
+    Load(BoxLoad),
+    /// The sender asks what the store holds.
+    Question(Question),
+    /// What the store holds.
+    Told(Told),
+    /// Sessions that the old version of a service serves: the order's revision in the
+    /// store, and the sessions' hashes.
+    OldSessions(u64, Vec<u64>),
+    /// The sender begins long reads.
+    LongReads(Vec<LongRead>),
+}
+
+/// Exchanges messages for as long as the process lives.
+pub async fn exchange(gw: Rc<Gateway>, store: Rc<dyn ControlStore>) -> Result<()> {
+    let address = gw.settings().peers;
+    let error = |err| Error::Unreachable(format!("cannot listen on {address}: {err}"));
+    let socket = UdpSocket::bind(address).await.map_err(error)?;
+    let listener = TcpListener::bind(address).await.map_err(error)?;
+    let send_question = async |to, question| {
+        send(&gw, &socket, &PeerMessage::Question(question), &[to]).await;
+    };
+    let send_told = async |to: &[SocketAddr], told| {
+        send(&gw, &socket, &PeerMessage::Told(told), to).await;
+    };
+    tokio::join!(
+        receive(&gw, &store, &socket),
+        report_versions(&gw, &socket),
+        report_load(&gw, &socket),
+        tell_long_reads(&gw, &socket),
+        asking::ask(&gw, send_question),
+        hubs::tell_news(&gw, send_told),
+        fetch::serve_fetches(gw.clone(), listener),
+    );
+    Ok(())
+}
+
+async fn receive(gw: &Rc<Gateway>, store: &Rc<dyn ControlStore>, socket: &UdpSocket) {
+    let mut buf = vec![0; DATAGRAM_BYTES];
+    loop {
+        match socket.recv_from(&mut buf).await {
+            Ok((len, from)) => {
+                let datagram = buf.get(..len).unwrap_or_default();
+                match datagram::read::<PeerMessage>(datagram) {
+                    Ok(message) => take(gw, store, socket, message, from).await,
+                    Err(err) => log::warn!("a datagram from {from} cannot be read: {err}"),
+                }
+            }
+            Err(err) => {
+                log::debug!("no datagram could be read: {err}");
+                sleep(REPORT_INTERVAL).await;
+            }
+        }
+    }
+}
+
+async fn take(
+    gw: &Rc<Gateway>,
+    store: &Rc<dyn ControlStore>,
+    socket: &UdpSocket,
+    message: PeerMessage,
+    from: SocketAddr,
+) {
+    let now = Now::read();
+    match message {
+        PeerMessage::Counts(cells) => gw.versions.borrow_mut().merge(&cells),
+        PeerMessage::Load(load) => gw.loads.borrow_mut().take(load, now),
+        PeerMessage::LongReads(reads) => {
+            let knowledge = gw.knowledge.borrow();
+            let mut loads = gw.loads.borrow_mut();
+            for read in reads {
+                loads.take_long_read(read, &knowledge, now);
+            }
+        }
+        PeerMessage::OldSessions(order, sessions) => {
+            gw.sessions.borrow_mut().keep_old(order, &sessions);
+        }
+        PeerMessage::Question(question) => {
+            let told = gw.hubs.answer(gw, question, from, now);
+            send(gw, socket, &PeerMessage::Told(told), &[from]).await;
+        }
+        PeerMessage::Told(told) => {
+            asking::take_told(gw, store, told, from);
+        }
+    }
+}
+
+impl PeerMessage {
+    /// Returns what the message is for, as the metrics name it.
+    fn purpose(&self) -> &'static str {
+        match self {
+            Self::Counts(_) => "version-counts",
+            Self::Load(_) => "load",
+            Self::LongReads(_) => "long-reads",
+            Self::OldSessions(..) => "old-sessions",
+            Self::Question(_) => "questions",
+            Self::Told(_) => "told",
+        }
+    }
+}
+
+async fn send(gw: &Gateway, socket: &UdpSocket, message: &PeerMessage, to: &[SocketAddr]) {
+    let datagram = match datagram::write(message) {
+        Ok(datagram) => datagram,
+        Err(err) => {
+            log::error!("a message to other boxes cannot be encoded: {err}");
+            return;
+        }
+    };
+    gw.telemetry
+        .told_boxes(message.purpose(), datagram.len() * to.len());
+    for address in to {
+        if let Err(err) = socket.send_to(&datagram, address).await {
+            log::debug!("a message cannot be sent to {address}: {err}");
+        }
+    }
+}
+
+/// Tells how versions under roll-out answer, and which sessions must not move.
+async fn report_versions(gw: &Gateway, socket: &UdpSocket) {
+    loop {
+        sleep(REPORT_INTERVAL).await;
+        let cells = gw.versions.borrow().own_cells();
+        if !cells.is_empty() {
+            let told = longest_registered(gw, TOLD_BOXES);
+            send(gw, socket, &PeerMessage::Counts(cells), &told).await;
+        }
+        for (order, sessions) in old_sessions(gw, Now::read()) {
+            let message = PeerMessage::OldSessions(order, sessions);
+            send(gw, socket, &message, &longest_registered(gw, usize::MAX)).await;
+        }
+    }
+}
+
+/// Returns the sessions that this box knows to be served by an old version, by order.
+fn old_sessions(gw: &Gateway, now: Now) -> Vec<(u64, Vec<u64>)> {
+    let knowledge = gw.knowledge.borrow();
+    let mut sessions = gw.sessions.borrow_mut();
+    let mut found = Vec::new();
+    for rollout in knowledge.rollouts().values() {
+        if let Some((order, seen)) = &rollout.order
+            && now.monotonic.saturating_sub(*seen) < order.duration / 2
+        {
+            let old = sessions.old_ones(order, now);
+            found.push((order.revision, old));
+        }
+    }
+    found.retain(|(_, sessions)| !sessions.is_empty());
+    found
+}
+
+/// Tells the other boxes what this one has under way, as often as their number allows.
+async fn report_load(gw: &Gateway, socket: &UdpSocket) {
+    let mut was_idle = true;
+    loop {
+        let others = longest_registered(gw, usize::MAX);
+        sleep(interval(others.len())).await;
+        let load = BoxLoad::of(&gw.life, &gw.knowledge.borrow());
+        let is_idle = load.is_idle();
+        if !(is_idle && was_idle) {
+            send(gw, socket, &PeerMessage::Load(load), &others).await;
+        }
+        was_idle = is_idle;
+        let now = Now::read();
+        let knowledge = gw.knowledge.borrow();
+        gw.loads.borrow_mut().spread(&knowledge, now);
+    }
+}
+
+/// Tells the other boxes at once of each long read that this one begins.
+async fn tell_long_reads(gw: &Gateway, socket: &UdpSocket) {
+    let mut turn = 0;
+    loop {
+        let reads = gw.long_reads.next().await;
+        let others = in_turn(longest_registered(gw, usize::MAX), TOLD_OF_READS, &mut turn);
+        send(gw, socket, &PeerMessage::LongReads(reads), &others).await;
+    }
+}
+
+/// Returns so many of some boxes, beginning where the last turn ended.
+pub fn in_turn(mut boxes: Vec<SocketAddr>, most: usize, turn: &mut usize) -> Vec<SocketAddr> {
+    if boxes.len() > most {
+        let start = *turn % boxes.len();
+        boxes.rotate_left(start);
+        boxes.truncate(most);
+        *turn = start + most;
+    }
+    boxes
+}
+
+/// Returns the addresses of so many other boxes, those registered longest first.
+fn longest_registered(gw: &Gateway, most: usize) -> Vec<SocketAddr> {
+    let knowledge = gw.knowledge.borrow();
+    let boxes = knowledge.boxes_by_age().into_iter();
+    boxes
+        .filter(|entry| entry.name != gw.life)
+        .take(most)
+        .map(|entry| entry.address)
+        .collect()
+}
--- a/src/gateway/packing.rs
+++ b/src/gateway/peers/packing.rs
@@ -6,7 +6,7 @@
 //! them as they are 300 bytes, which fits a datagram (`tests/gateway/packing.rs` measures it).
 //! See `docs/design/spreading.md`.
 
-use super::control::Item;
+use crate::gateway::control::store::Item;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::io::{Read as _, Write as _};
--- /dev/null
+++ b/src/gateway/place/choose.rs
@@ -0,0 +1,112 @@
+//! Which upstream gets a request.
+//!
+//! Requests with the same beginning go to the engine that keeps it, since it need not read
+//! it anew; plain requests stay in their hall. Both give way when an upstream is full, fails
+//! or rests. See `docs/design/platform.md`.
+
+use super::engine_cost::{Beginning, PlaceCost, SharedPrompt, engine_costs};
+use super::keepers::rank;
+use crate::clock::Now;
+use crate::gateway::attempt::upstream::Upstream;
+use crate::gateway::control::store::UpstreamLife;
+use std::rc::Rc;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Fullness that leaving the hall counts for: an upstream of another hall is taken when
+/// the own one is this much fuller. The way costs a millisecond or two each way, about
+/// a tenth of a plain request's work.
+const OTHER_HALL: f64 = 0.35;
+/// Engines that all boxes together compare for the requests of one moment. Each box's
+/// picture of the others' load is old, and older with more boxes; if all compared all
+/// engines, they would all pick the one that looked emptiest.
+const COMPARED_BY_ALL: usize = 90;
+/// The fewest engines that are compared.
+const LEAST_COMPARED: usize = 3;
+
+/// What placement asks of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// The box's hall.
+    pub hall: &'a str,
+    /// The prompt, where a model engine is asked.
+    pub prompt: Option<SharedPrompt<'a>>,
+    /// The lives of upstreams that were tried already.
+    pub tried: &'a [UpstreamLife],
+    /// A number of the request, which spreads equal choices.
+    pub draw: u64,
+    /// How many engines are compared beside those that keep the prompt's beginning.
+    pub compared: usize,
+}
+
+/// The upstream that a request goes to, and what it finds there.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// The upstream.
+    pub upstream: Rc<Upstream>,
+    /// How long the upstream reads what other requests have sent.
+    pub ahead: Duration,
+    /// How long it then reads this request's prompt.
+    pub reading: Duration,
+    /// How it comes by the shared beginning of the prompt; read, for plain upstreams.
+    pub beginning: Beginning,
+}
+
+impl Choice {
+    /// Tells whether the time to the first event shows how fast the engine reads: it reads
+    /// the prompt whole, and nothing else as far as is known.
+    pub fn tells_rate(&self) -> bool {
+        self.beginning == Beginning::Read && self.ahead.is_zero()
+    }
+}
+
+/// Returns how many engines a box compares, by the number of boxes.
+pub fn compared(boxes: usize) -> usize {
+    (COMPARED_BY_ALL / boxes.max(1)).max(LEAST_COMPARED)
+}
+
+/// Chooses an upstream among those that may run a request.
+pub fn choose(candidates: &[Rc<Upstream>], wish: Wish<'_>, now: Now) -> Option<Choice> {
+    let untried: Vec<&Rc<Upstream>> = candidates
+        .iter()
+        .filter(|upstream| !wish.tried.contains(upstream.life()))
+        .collect();
+    let costs = match wish.prompt {
+        Some(prompt) => engine_costs(&untried, wish, prompt, now),
+        None => plain_costs(&untried, wish.hall, now),
+    };
+    let tie = |upstream: &Upstream| std::cmp::Reverse(rank(upstream, wish.draw));
+    let (upstream, found) =
+        untried
+            .into_iter()
+            .zip(costs)
+            .min_by(|(one, cost), (other, other_cost)| {
+                let by_cost = cost.cost.total_cmp(&other_cost.cost);
+                by_cost.then_with(|| tie(one).cmp(&tie(other)))
+            })?;
+    Some(Choice {
+        upstream: upstream.clone(),
+        ahead: found.ahead,
+        reading: found.reading,
+        beginning: found.beginning,
+    })
+}
+
+/// Returns what each upstream of a plain service would cost, in parts of its slots.
+fn plain_costs(candidates: &[&Rc<Upstream>], hall: &str, now: Now) -> Vec<PlaceCost> {
+    let cost = |upstream: &&Rc<Upstream>| {
+        let is_away = upstream.with_listed(|listed| listed.hall != hall);
+        PlaceCost {
+            cost: upstream.penalty(now) + if is_away { OTHER_HALL } else { 0.0 },
+            ahead: Duration::ZERO,
+            reading: Duration::ZERO,
+            beginning: Beginning::Read,
+        }
+    };
+    candidates.iter().map(cost).collect()
+}
+
+/// Returns a number that a text always gives, to spread requests evenly.
+pub fn draw(text: &str) -> u64 {
+    xxh3_64(text.as_bytes())
+}
--- a/src/gateway/engine_cost.rs
+++ b/src/gateway/place/engine_cost.rs
@@ -5,10 +5,10 @@
 //! counts in the time that it keeps an engine from reading theirs; what is priced otherwise
 //! is weighed against that. See `docs/design/platform.md`.
 
+use super::choose::Wish;
 use super::keepers::{Keepers, Spread, rank};
-use super::place::Wish;
-use super::upstream::Upstream;
 use crate::clock::Now;
+use crate::gateway::attempt::upstream::Upstream;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/gateway/keepers.rs
+++ b/src/gateway/place/keepers.rs
@@ -4,7 +4,7 @@
 //! expect the same engines to keep a beginning, by a hash, so they agree without talking to
 //! each other. See `docs/design/platform.md`.
 
-use super::upstream::Upstream;
+use crate::gateway::attempt::upstream::Upstream;
 use std::rc::Rc;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
--- a/src/gateway/loads.rs
+++ b/src/gateway/place/loads.rs
@@ -1,9 +1,9 @@
 //! What all boxes have under way at each upstream.
 
-use super::knowledge::Knowledge;
-use super::place::draw;
-use super::upstream::{Elsewhere, Upstream};
+use super::choose::draw;
 use crate::clock::Now;
+use crate::gateway::attempt::upstream::{Elsewhere, Upstream};
+use crate::gateway::control::knowledge::Knowledge;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,6 +1,6 @@
 //! What a box has to be told before it can start.
 
-use super::retries::RetryBound;
+use super::attempt::retries::RetryBound;
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -2,13 +2,13 @@
 //!
 //! `docs/OPERATIONS.md` shows how to get from a request's id to the cause of its failure.
 
-use super::asking::FetchError;
-use super::exchange::Tried;
-use super::job::{Job, TryPlan};
-use super::knowledge::Change;
-use super::place::Choice;
-use super::refusal::{Ran, Why};
-use super::upstream::Upstream;
+use super::admit::job::{Job, TryPlan};
+use super::answer::refusal::{Ran, Why};
+use super::attempt::exchange::Tried;
+use super::attempt::upstream::Upstream;
+use super::control::knowledge::Change;
+use super::peers::asking::FetchError;
+use super::place::choose::Choice;
 use crate::clock::{Now, millis};
 use crate::metrics::Metrics;
 use opentelemetry::KeyValue;
--- a/src/gateway/version_counts.rs
+++ b/src/gateway/versions/counts.rs
@@ -5,16 +5,16 @@
 //! in seven fails whatever the version does not condemn a good one. See
 //! `docs/design/platform.md`.
 
-use super::Gateway;
-use super::control::{ListedUpstream, RolloutOrder};
-use super::exchange::Answer;
-use super::job::Job;
-use super::membership::target_name;
-use super::upstream::Upstream;
-use super::version_watch::{
+use super::watch::{
     ENGINE_GUARD, PLAIN_GUARD, Quality, SLOW_ANSWER, SLOW_PACE, SLOW_PACE_LOADED, Timing,
 };
 use crate::clock::Now;
+use crate::gateway::Gateway;
+use crate::gateway::admit::job::Job;
+use crate::gateway::attempt::exchange::Answer;
+use crate::gateway::attempt::upstream::Upstream;
+use crate::gateway::control::membership::target_name;
+use crate::gateway::control::store::{ListedUpstream, RolloutOrder};
 use crate::name::VersionName;
 use std::time::Duration;
 
--- a/src/gateway/rollout.rs
+++ b/src/gateway/versions/rollout.rs
@@ -2,12 +2,12 @@
 //!
 //! The leading box takes a roll-out through its stages and keeps the stage in the store;
 //! every box follows the stage it has heard of last. Whether a version is bad is found by
-//! [`super::version_watch`]. See `docs/design/platform.md`.
+//! [`super::watch`]. See `docs/design/platform.md`.
 
-use super::control::{RolloutOrder, RolloutRecord, RolloutState};
-use super::knowledge::Rollout;
-use super::place::draw;
 use crate::clock::{Now, millis};
+use crate::gateway::control::knowledge::Rollout;
+use crate::gateway::control::store::{RolloutOrder, RolloutRecord, RolloutState};
+use crate::gateway::place::choose::draw;
 use std::time::Duration;
 
 const THOUSAND: u64 = 1000;
--- a/src/gateway/sessions.rs
+++ b/src/gateway/versions/sessions.rs
@@ -3,10 +3,10 @@
 //! A session's requests reach several boxes, so boxes tell each other which sessions the
 //! old version serves when a roll-out is ordered. Those keep it for the first half.
 
-use super::control::RolloutOrder;
-use super::place::draw;
 use super::rollout::may_be_moved_first;
 use crate::clock::Now;
+use crate::gateway::control::store::RolloutOrder;
+use crate::gateway::place::choose::draw;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
--- a/src/operate/box_logs.rs
+++ b/src/operate/box_logs.rs
@@ -5,7 +5,7 @@
 
 use super::Output;
 use crate::error::{Error, Result};
-use crate::gateway::refusal::Why;
+use crate::gateway::answer::refusal::Why;
 use serde::Deserialize;
 use serde_json::{Map, Value, json};
 use std::io::Read as _;
--- a/tests/gateway/datagrams.rs
+++ b/tests/gateway/datagrams.rs
@@ -1,8 +1,8 @@
 //! Messages between boxes come out as they went in, and spoilt ones are not taken.
 
 use super::cases;
-use gatepier::gateway::control::BoxEntry;
-use gatepier::gateway::datagram::{read, write};
+use gatepier::gateway::control::store::BoxEntry;
+use gatepier::gateway::peers::datagram::{read, write};
 use googletest::prelude::*;
 
 fn entries(count: u64) -> Vec<BoxEntry> {
--- a/tests/gateway/freshness.rs
+++ b/tests/gateway/freshness.rs
@@ -1,12 +1,12 @@
 //! Knowledge never goes back, and its age is never underestimated.
 
 use super::{at, cases, listed};
-use gatepier::gateway::control::Update;
-use gatepier::gateway::knowledge::{Change, Knowledge, Proof};
-use gatepier::gateway::refusal::Why;
-use gatepier::gateway::retries::RetryBound;
-use gatepier::gateway::routes::{Caller, Organisation, RouteTable};
-use gatepier::gateway::serve::check;
+use gatepier::gateway::admit::routes::{Caller, Organisation, RouteTable};
+use gatepier::gateway::admit::serve::check;
+use gatepier::gateway::answer::refusal::Why;
+use gatepier::gateway::attempt::retries::RetryBound;
+use gatepier::gateway::control::knowledge::{Change, Knowledge, Proof};
+use gatepier::gateway::control::store::Update;
 use gatepier::gateway::settings::{Bounds, UnprovedKeys};
 use googletest::prelude::*;
 use std::sync::Arc;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,7 +16,7 @@
 mod streams;
 
 use gatepier::clock::{Now, WallTime};
-use gatepier::gateway::control::ListedUpstream;
+use gatepier::gateway::control::store::ListedUpstream;
 use std::time::Duration;
 
 /// Names each case as a test of its own.
--- a/tests/gateway/models.rs
+++ b/tests/gateway/models.rs
@@ -1,7 +1,7 @@
 //! Whether a smaller model's answer will do.
 
 use super::cases;
-use gatepier::gateway::models::{Expected, Verdict, judge};
+use gatepier::gateway::place::models::{Expected, Verdict, judge};
 use googletest::prelude::*;
 use std::time::Duration;
 
--- a/tests/gateway/packing.rs
+++ b/tests/gateway/packing.rs
@@ -1,8 +1,8 @@
 //! How small items become on their way between boxes, and what spoilt ones do.
 
 use super::cases;
-use gatepier::gateway::control::Item;
-use gatepier::gateway::packing::{PackedItem, Unusable};
+use gatepier::gateway::control::store::Item;
+use gatepier::gateway::peers::packing::{PackedItem, Unusable};
 use googletest::prelude::*;
 use std::fmt::Write as _;
 
--- a/tests/gateway/passing_on.rs
+++ b/tests/gateway/passing_on.rs
@@ -1,13 +1,13 @@
 //! What boxes pass on to each other.
 
 use super::{at, cases, listed};
-use gatepier::gateway::control::{BoxEntry, Item, Update};
-use gatepier::gateway::hubs::choose_hubs;
-use gatepier::gateway::knowledge::Knowledge;
-use gatepier::gateway::loads::{BoxLoad, Loads, LongReads, interval};
-use gatepier::gateway::mirror::Mirror;
-use gatepier::gateway::packing::PackedItem;
-use gatepier::gateway::peers::in_turn;
+use gatepier::gateway::control::knowledge::Knowledge;
+use gatepier::gateway::control::mirror::Mirror;
+use gatepier::gateway::control::store::{BoxEntry, Item, Update};
+use gatepier::gateway::peers::hubs::choose_hubs;
+use gatepier::gateway::peers::messages::in_turn;
+use gatepier::gateway::peers::packing::PackedItem;
+use gatepier::gateway::place::loads::{BoxLoad, Loads, LongReads, interval};
 use googletest::prelude::*;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -1,12 +1,12 @@
 //! Which upstream gets a request.
 
 use super::{at, cases, listed};
-use gatepier::gateway::engine_cost::{Beginning, SharedPrompt};
-use gatepier::gateway::keepers::Spread;
-use gatepier::gateway::place::{Choice, Wish, choose, compared};
-use gatepier::gateway::protocol::{parse_load, parse_prompt_parts, urgency};
-use gatepier::gateway::reading::{ModelPace, ReadingRates};
-use gatepier::gateway::upstream::Upstream;
+use gatepier::gateway::attempt::protocol::{parse_load, parse_prompt_parts, urgency};
+use gatepier::gateway::attempt::upstream::Upstream;
+use gatepier::gateway::place::choose::{Choice, Wish, choose, compared};
+use gatepier::gateway::place::engine_cost::{Beginning, SharedPrompt};
+use gatepier::gateway::place::keepers::Spread;
+use gatepier::gateway::place::reading::{ModelPace, ReadingRates};
 use googletest::prelude::*;
 use std::rc::Rc;
 use std::time::Duration;
--- a/tests/gateway/rebirths.rs
+++ b/tests/gateway/rebirths.rs
@@ -2,11 +2,11 @@
 //! read names none.
 
 use super::{at, cases, listed};
-use gatepier::gateway::control::{Item, ListedUpstream, Update};
-use gatepier::gateway::knowledge::{Change, Knowledge};
-use gatepier::gateway::loads::{BoxLoad, Loads, LongReads};
-use gatepier::gateway::mirror::Mirror;
-use gatepier::gateway::upstream::Upstream;
+use gatepier::gateway::attempt::upstream::Upstream;
+use gatepier::gateway::control::knowledge::{Change, Knowledge};
+use gatepier::gateway::control::mirror::Mirror;
+use gatepier::gateway::control::store::{Item, ListedUpstream, Update};
+use gatepier::gateway::place::loads::{BoxLoad, Loads, LongReads};
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom as _;
--- a/tests/gateway/refusals.rs
+++ b/tests/gateway/refusals.rs
@@ -1,7 +1,7 @@
 //! What a refusal says is true.
 
 use super::cases;
-use gatepier::gateway::refusal::{Ran, Why, answer, status};
+use gatepier::gateway::answer::refusal::{Ran, Why, answer, status};
 use googletest::prelude::*;
 
 const ALL: [Why; 12] = [
--- a/tests/gateway/retries.rs
+++ b/tests/gateway/retries.rs
@@ -1,9 +1,9 @@
 //! The budget of repeats.
 
 use super::{at, cases};
-use gatepier::gateway::exchange::{NotRun, Tried};
-use gatepier::gateway::retries::{Repeat, RetryBound, RetryWindow};
-use gatepier::gateway::tries::Tries;
+use gatepier::gateway::attempt::exchange::{NotRun, Tried};
+use gatepier::gateway::attempt::retries::{Repeat, RetryBound, RetryWindow};
+use gatepier::gateway::attempt::tries::Tries;
 use googletest::prelude::*;
 use std::time::Duration;
 
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -1,11 +1,13 @@
 //! Roll-outs: which version serves whom, and when a version is found bad.
 
 use super::{at, cases};
-use gatepier::gateway::control::{RolloutOrder, RolloutRecord, RolloutState, Update};
-use gatepier::gateway::knowledge::{Knowledge, Rollout};
-use gatepier::gateway::rollout::{Progress, VersionQuery, VersionRule, next_record, version_rule};
-use gatepier::gateway::sessions::Sessions;
-use gatepier::gateway::version_watch::{
+use gatepier::gateway::control::knowledge::{Knowledge, Rollout};
+use gatepier::gateway::control::store::{RolloutOrder, RolloutRecord, RolloutState, Update};
+use gatepier::gateway::versions::rollout::{
+    Progress, VersionQuery, VersionRule, next_record, version_rule,
+};
+use gatepier::gateway::versions::sessions::Sessions;
+use gatepier::gateway::versions::watch::{
     ENGINE_GUARD, PLAIN_GUARD, Quality, SLOW_ANSWER, Timing, VersionWatch,
 };
 use gatepier::name::VersionName;
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -1,7 +1,7 @@
 //! Which route a request takes, and whose key it carries.
 
 use super::cases;
-use gatepier::gateway::routes::{
+use gatepier::gateway::admit::routes::{
     Caller, CallerLimits, Engine, Organisation, Route, RouteKind, RouteTable,
 };
 use googletest::prelude::*;
--- a/tests/gateway/spreading.rs
+++ b/tests/gateway/spreading.rs
@@ -2,10 +2,10 @@
 //!
 //! Real hubs' decisions over links that are modelled: each carries `LINK` bytes a second
 //! each way, shared by what passes at a time. Boxes ask, fetch and ask again as
-//! `gateway::hubs` does; the clock is the test's.
+//! `gateway::peers::hubs` does; the clock is the test's.
 
 use super::{at, cases};
-use gatepier::gateway::spread::{Lacking, Source, Spread};
+use gatepier::gateway::peers::spread::{Lacking, Source, Spread};
 use googletest::prelude::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -1,7 +1,7 @@
 //! Streams are passed on in whole events.
 
 use super::cases;
-use gatepier::gateway::events::EventSplitter;
+use gatepier::gateway::answer::events::EventSplitter;
 use googletest::prelude::*;
 
 cases! {
--- a/tests/spreading.rs
+++ b/tests/spreading.rs
@@ -19,15 +19,15 @@
 use futures::future::LocalBoxFuture;
 use gatepier::clock::Now;
 use gatepier::gateway::Gateway;
-use gatepier::gateway::control::{
+use gatepier::gateway::admit::routes::{CallerLimits, RouteTable};
+use gatepier::gateway::attempt::protocol::Headers;
+use gatepier::gateway::attempt::retries::RetryBound;
+use gatepier::gateway::control::follow::take_changes;
+use gatepier::gateway::control::mirror::Changes;
+use gatepier::gateway::control::store::{
     BoxEntry, ControlStore, Item, Page, RecordWritten, RolloutRecord, Update, Watched,
 };
-use gatepier::gateway::follow::take_changes;
-use gatepier::gateway::mirror::Changes;
-use gatepier::gateway::peers;
-use gatepier::gateway::protocol::Headers;
-use gatepier::gateway::retries::RetryBound;
-use gatepier::gateway::routes::{CallerLimits, RouteTable};
+use gatepier::gateway::peers::messages;
 use gatepier::gateway::settings::{Bounds, GatewaySettings, UnprovedKeys};
 use gatepier::lab::fleet::free_address;
 use gatepier::lab::proxy::{LinkMode, Proxy};
@@ -172,7 +172,7 @@
     let gw = Gateway::new(settings(name, address), headers(), &metrics, Now::read());
     let talking = gw.clone();
     let task = actix_rt::spawn(async move {
-        peers::exchange(talking, Rc::new(NoStore)).await.unwrap();
+        messages::exchange(talking, Rc::new(NoStore)).await.unwrap();
     });
     (gw, address, task)
 }
