--- a/tests/days/draw_days.py
+++ b/tests/days/draw_days.py
@@ -4,9 +4,9 @@
 Each kind of trouble is played alone, repeated, and beside a store outage, a kill of
 boxes and a roll-out. The seed is printed; the same seed draws the same days.
 
-    tests/days/draw_days.py BENCH SITE [--seed N] [--days N] [--jobs N] [--only KIND]
+    tests/days/draw_days.py BENCH SITE [--seed N] [--days N] [--jobs N] [--only KIND] [--small]
 
-BENCH is the users' bench and SITE a site file. A day that breaks a rule, or in which
+BENCH is the users' bench and SITE a site file; --small plays a large one at a small size. A day that breaks a rule, or in which
 something fails that the bench names, is printed and its file kept. Kinds of trouble that
 a site's contracts leave out are refused by the bench and count as not played.
 """
@@ -142,11 +142,12 @@
     return "\n".join(lines) + "\n"
 
 
-def play(bench, site, file):
+def play(bench, site, file, small):
     """Plays a day; returns its report and what it broke, or no report and the bench's words."""
     report = file.with_suffix(".json")
+    size = ["--small"] if small else []
     done = subprocess.run(
-        [bench, "run", site, file, "--no-cpu", "--report", report,
+        [bench, "run", site, file, "--no-cpu", "--report", report, *size,
          "--why", "a day of drawn troubles, to find broken rules"],
         capture_output=True, text=True, check=False)
     if not report.exists():
@@ -164,6 +165,7 @@
     parser.add_argument("--days", type=int, default=len(TROUBLES))
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--only", help="one kind of trouble")
+    parser.add_argument("--small", action="store_true", help="a small twin of a large site")
     args = parser.parse_args()
     print(f"seed {args.seed}", flush=True)
     rng = random.Random(args.seed)
@@ -177,7 +179,7 @@
         files.append(file)
     broken, unplayed = 0, 0
     with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
-        results = pool.map(lambda file: play(args.bench, args.site, file), files)
+        results = pool.map(lambda file: play(args.bench, args.site, file, args.small), files)
         for file, (found, trouble) in zip(files, results):
             if not found:
                 unplayed += 1
