The lab asks by a connection whether an address is free

The lab tried an address by listening on it; a process that another thread starts at that moment shares the socket between its fork and its exec, and then the new owner cannot listen there. Shown: with four threads that start processes, several of 3,000 addresses given out could not be listened on; with this change none (the new test, seen failing before it). Ruled out: ports of the system's own range, which are not given out. Only the lab and tests change; the box does not use this code.

--- a/src/lab/fleet.rs
+++ b/src/lab/fleet.rs
@@ -6,8 +6,10 @@
 use crate::session::SessionKey;
 use sha2::{Digest as _, Sha256};
 use std::fmt::Write as _;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::io::ErrorKind;
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// The two operators of each lab fleet; one proposes and the other signs.
 pub const OPERATORS: [&str; 2] = ["ada", "bayo"];
@@ -89,6 +91,8 @@
 /// The ports that are given out: below the range from which the system takes those of
 /// sockets that ask for none.
 const LAB_PORTS: std::ops::Range<u16> = 10_000..32_000;
+/// The longest wait for a connection to an address of this machine.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// How many addresses are tried; a drawn one is hardly ever in use.
 const ADDRESS_TRIES: usize = 20;
 
@@ -98,18 +102,25 @@
 /// that listens on all of the machine's addresses and asked for no port; a port of 127.0.0.1
 /// may be taken by an outgoing connection. Nothing else uses these.
 pub fn free_address() -> Result<SocketAddr> {
-    let mut failure = None;
     for _ in 0..ADDRESS_TRIES {
         let octet = || rand::random_range(1..=254);
         let ip = Ipv4Addr::new(LOOPBACK, octet(), octet(), octet());
         let address = SocketAddr::from((ip, rand::random_range(LAB_PORTS)));
-        match TcpListener::bind(address) {
-            Ok(_free) => return Ok(address),
-            Err(err) => failure = Some(err),
+        if is_free(address) {
+            return Ok(address);
         }
     }
-    let reason = failure.map_or_else(String::new, |err| err.to_string());
-    Err(Error::Unreachable(format!("no free address: {reason}")))
+    Err(Error::Unreachable("no free address was found".to_owned()))
+}
+
+/// Tells whether nobody listens on an address of this machine.
+///
+/// It asks by a connection and not by listening there itself: a process that is started at
+/// that moment by another thread would share the listening socket until it runs its own
+/// program, and the address could not be listened on as long as that takes.
+pub fn is_free(address: SocketAddr) -> bool {
+    let connected = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT);
+    connected.is_err_and(|err| err.kind() == ErrorKind::ConnectionRefused)
 }
 
 fn write(file: &Path, text: &str) -> Result<()> {
--- a/tests/lab.rs
+++ b/tests/lab.rs
@@ -4,6 +4,14 @@
 
 use gatepier::lab::fleet::free_address;
 use googletest::prelude::*;
+use std::net::TcpListener;
+use std::process::{Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// Threads that start processes, and addresses that are drawn meanwhile.
+const STARTING_THREADS: usize = 4;
+const ADDRESSES_TRIED: usize = 3000;
 
 /// Where the system takes the ports of sockets that ask for none.
 fn first_port_of_the_system() -> u16 {
@@ -20,4 +28,32 @@
             expect_that!(free_address().unwrap().port(), lt(first));
         }
     };
+
+    address_given_out_can_be_listened_on_while_processes_are_started => async {
+        // Fails where an address is tried by listening on it: a process that another thread
+        // starts at that moment has the socket too, until it runs its own program, and beside
+        // load that took longer than it took the new owner of the address to listen there.
+        let is_done = Arc::new(AtomicBool::new(false));
+        let starters: Vec<_> = (0..STARTING_THREADS)
+            .map(|_| {
+                let is_done = is_done.clone();
+                std::thread::spawn(move || {
+                    while !is_done.load(Ordering::Relaxed) {
+                        let program = env!("CARGO_BIN_EXE_gatepier");
+                        let started = Command::new(program).arg("--version").stdout(Stdio::null()).status();
+                        assert!(started.is_ok_and(|status| status.success()));
+                    }
+                })
+            })
+            .collect();
+        for _ in 0..ADDRESSES_TRIED {
+            let address = free_address().unwrap();
+            let listened = TcpListener::bind(address);
+            expect_that!(listened.as_ref().err().map(ToString::to_string), none(), "{address}");
+        }
+        is_done.store(true, Ordering::Relaxed);
+        for starter in starters {
+            starter.join().unwrap();
+        }
+    };
 }
