A replaced router cuts nothing, refuses nobody; counts belong to the lift they were made under

router_is_replaced_under_load_with_nothing_cut, two causes. The server library ends a worker at once where it counts no connection of it; the router's own count, added for sight, showed 2 and 3 answers under way at 'stopped' (6 of 24 stops beside four busy processes cut streams). The router now leaves the callers' address, and waits for its own count before it asks the library to stop. The second cause showed behind it: a successor listens on the shared address before it knows a bundle and refuses its part of the callers (3 of 24); it listens once it knows one, or after two seconds. Ruled out: the callers' proxy, the deadline. Not shown: why the library counts none.

failing_version_is_suspended_...: counts carry the operators' lift under which the request was sent, and only those of the newest lift are tested.

--- a/src/agent/guarding.rs
+++ b/src/agent/guarding.rs
@@ -38,8 +38,10 @@
 
 fn observe(agent: &Agent) -> Vec<Suspension> {
     let now = Now::read();
-    let sums = agent.shared.borrow().evidence.by_version();
+    let lifted = agent.shared.borrow().lifted();
+    let sums = agent.shared.borrow().evidence.by_version(&lifted);
     let mut guard = agent.guard.borrow_mut();
+    guard.follow_lifts(&lifted);
     let mut suspended = Vec::new();
     for (version, counts) in &sums {
         let Some(alarm) = guard.observe(version, counts) else {
--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -119,12 +119,9 @@
 
     /// Returns the suspensions that operators have not lifted.
     pub fn suspensions_in_force(&self) -> Vec<Suspension> {
-        let lifted = self
-            .applied
-            .as_ref()
-            .map(|applied| &applied.entry.state.lifted);
+        let lifted = self.lifted();
         let in_force = |suspension: &&Suspension| {
-            let lifted_at = lifted.and_then(|lifted| lifted.get(&suspension.version));
+            let lifted_at = lifted.get(&suspension.version);
             lifted_at.is_none_or(|lifted_at| suspension.generation >= *lifted_at)
         };
         self.suspensions
@@ -134,6 +131,12 @@
             .collect()
     }
 
+    /// Returns the generation at which operators lifted each version's suspension last.
+    pub fn lifted(&self) -> BTreeMap<VersionName, Generation> {
+        let applied = self.applied.as_ref();
+        applied.map_or_else(BTreeMap::new, |applied| applied.entry.state.lifted.clone())
+    }
+
     /// Records that the store answered at a moment.
     pub fn note_store(&mut self, at: Duration) {
         self.store_heard = self.store_heard.max(Some(at));
--- a/src/evidence.rs
+++ b/src/evidence.rs
@@ -58,6 +58,9 @@
     pub version: VersionName,
     /// The organisation.
     pub organisation: String,
+    /// The operators' lift under which the request was sent, the first generation of all if
+    /// there was none: what was counted before a lift says nothing of the version after it.
+    pub lift: Generation,
 }
 
 /// One reporter's counts about one subject.
@@ -122,11 +125,21 @@
         (changed.into_iter().map(cell).collect(), next)
     }
 
-    /// Returns the sums over all reporters, by version.
-    pub fn by_version(&self) -> BTreeMap<VersionName, Counts> {
+    /// Returns the sums over all reporters, by version, of what was counted under the
+    /// operators' newest lift of each.
+    ///
+    /// Counts travel: some from before a lift are only heard of after it. They are told from
+    /// new ones by the lift that they carry and not by when they come.
+    pub fn by_version(
+        &self,
+        lifted: &BTreeMap<VersionName, Generation>,
+    ) -> BTreeMap<VersionName, Counts> {
         let mut sums: BTreeMap<VersionName, Counts> = BTreeMap::new();
         for ((_, subject), (counts, _)) in &self.cells {
-            sums.entry(subject.version.clone()).or_default().add(counts);
+            let newest = lifted.get(&subject.version).copied().unwrap_or_default();
+            if subject.lift == newest {
+                sums.entry(subject.version.clone()).or_default().add(counts);
+            }
         }
         sums
     }
--- a/src/gateway/versions/watch.rs
+++ b/src/gateway/versions/watch.rs
@@ -172,6 +172,7 @@
         let subject = Subject {
             version: version.clone(),
             organisation: route.to_owned(),
+            lift: Default::default(),
         };
         let counts = self.own.entry(subject.clone()).or_default();
         counts.served += 1;
@@ -271,7 +272,7 @@
     /// Returns the answers of a version that all boxes have seen.
     pub fn answers(&self, version: &VersionName) -> u64 {
         self.evidence
-            .by_version()
+            .by_version(&BTreeMap::new())
             .get(version)
             .map_or(0, |counts| counts.served)
     }
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -6,6 +6,7 @@
 //! number of answers to a false alarm is at least the exponential of the threshold.
 //! See `docs/design/exposure.md`.
 
+use crate::change::Generation;
 use crate::evidence::Counts;
 use crate::name::VersionName;
 use std::collections::BTreeMap;
@@ -59,6 +60,7 @@
 pub struct Guard {
     policy: GuardPolicy,
     sums: BTreeMap<VersionName, Sums>,
+    lifted: BTreeMap<VersionName, Generation>,
 }
 
 impl Guard {
@@ -66,7 +68,7 @@
     pub fn new(policy: GuardPolicy) -> Self {
         Self {
             policy,
-            sums: BTreeMap::new(),
+            ..Self::default()
         }
     }
 
@@ -107,7 +109,16 @@
         (sums.failed >= threshold).then_some(Alarm::Failed)
     }
 
-    /// Forgets a version's past, after operators lifted its suspension.
+    /// Begins anew with each version that operators have lifted since, whose counts begin
+    /// anew as well.
+    pub fn follow_lifts(&mut self, lifted: &BTreeMap<VersionName, Generation>) {
+        let known = &self.lifted;
+        self.sums
+            .retain(|version, _| lifted.get(version) == known.get(version));
+        self.lifted.clone_from(lifted);
+    }
+
+    /// Forgets what raised the alarm, so that a version is suspended once for it.
     pub fn reset(&mut self, version: &VersionName) {
         if let Some(sums) = self.sums.get_mut(version) {
             *sums = Sums {
--- a/src/router.rs
+++ b/src/router.rs
@@ -22,6 +22,7 @@
 mod sse;
 mod telemetry;
 mod trace;
+mod under_way;
 
 use crate::clock::Now;
 use crate::daemon::listen_shared;
@@ -35,7 +36,9 @@
 use arc_swap::ArcSwap;
 pub use body::read_whole;
 use context::{RouterShared, Worker};
-use std::net::TcpListener;
+use socket2::SockRef;
+use std::net::{Shutdown, TcpListener};
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use telemetry::RouterMetrics;
@@ -51,6 +54,17 @@
 /// not ready and send new callers elsewhere.
 const READINESS_LEAD: Duration = Duration::from_secs(2);
 
+/// How long a router that starts takes no callers while it knows of no bundle. Agents tell it
+/// within some milliseconds; where none is there, callers are better refused than left to wait.
+const FIRST_KNOWLEDGE: Duration = Duration::from_secs(2);
+/// How often it looks whether it knows enough.
+const FIRST_KNOWLEDGE_LOOK: Duration = Duration::from_millis(5);
+/// How often a stopping router looks whether it has finished.
+const IDLE_LOOK_INTERVAL: Duration = Duration::from_millis(25);
+/// How many looks in a row have to find nothing under way: a connection that was just taken
+/// has no request yet.
+const IDLE_LOOKS: u32 = 4;
+
 /// Runs a router until it is asked to stop, and then until it has drained.
 pub async fn run(settings: RouterSettings, stop: impl Future<Output = ()>) -> Result<()> {
     let metrics = Metrics::new()?;
@@ -65,35 +79,90 @@
         reporter: format!("{}#{}", settings.identity.name, Now::read().wall.0),
         evidence: Default::default(),
         recent_finishes: Default::default(),
+        under_way: Default::default(),
         settings,
     });
-    let listener = listen_shared(shared.settings.listen)?;
     let metrics_server = metrics.serve(shared.settings.metrics)?;
+    actix_rt::spawn(link::follow_agents(shared.clone(), metrics.clone()));
+    let reports = actix_rt::spawn(link::report_to_agent(shared.clone(), record_queue));
+    let mut stop = pin!(stop);
+    tokio::select! {
+        () = await_first_knowledge(&shared) => {}
+        () = &mut stop => {
+            log::info!("stopped before any caller was taken");
+            return Ok(());
+        }
+    }
+    let listener = listen_shared(shared.settings.listen)?;
+    let front_door = listener
+        .try_clone()
+        .map_err(|err| Error::Unreachable(format!("the callers' address cannot be kept: {err}")))?;
     let stopping = CancellationToken::new();
     let server = start_server(&shared, listener, stopping.clone())?;
     let handle = server.handle();
     let server = actix_rt::spawn(server);
-    actix_rt::spawn(link::follow_agents(shared.clone(), metrics.clone()));
-    let reports = actix_rt::spawn(link::report_to_agent(shared.clone(), record_queue));
     log::info!(
         box_name = shared.settings.identity.name.as_str(),
         hall = shared.settings.identity.hall.as_str();
         "started"
     );
     stop.await;
-    log::info!("stopping: requests under way are finished");
+    log::info!(under_way = shared.under_way.count(); "stopping: requests under way are finished");
     // The metrics' address is left at once, so that probes are answered by a new router
     // if there is one, and by nobody otherwise.
     metrics_server.stop(false).await;
     sleep(READINESS_LEAD).await;
+    log::info!(under_way = shared.under_way.count(); "no connection is taken or kept any more");
+    close_door(&front_door);
     stopping.cancel();
+    finish_requests(&shared).await;
     handle.stop(true).await;
     let _ = server.await;
     reports.abort();
-    log::info!("stopped");
+    log::info!(under_way = shared.under_way.count(); "stopped");
     Ok(())
 }
 
+/// Waits until this router knows enough to serve, for a while.
+///
+/// A successor shares the callers' address with the router that it replaces, so it gets a part
+/// of the callers as soon as it listens, whatever its readiness says: beside four busy
+/// processes it refused some of them at 3 of 24 starts.
+async fn await_first_knowledge(shared: &RouterShared) {
+    let deadline = Now::read().monotonic + FIRST_KNOWLEDGE;
+    while !shared.snapshot.load().is_ready() && Now::read().monotonic < deadline {
+        sleep(FIRST_KNOWLEDGE_LOOK).await;
+    }
+}
+
+/// Takes no connection any more, while those that there are go on.
+fn close_door(listener: &TcpListener) {
+    if let Err(err) = SockRef::from(listener).shutdown(Shutdown::Both) {
+        log::warn!("the callers' address is not left before the process ends: {err}");
+    }
+}
+
+/// Waits until the requests under way have their answers, for the time that operators leave.
+///
+/// The server library ends a worker at once where it counts no connection of it, and it did so
+/// while two and three of eight streams ran there: beside four busy processes 6 of 24 stops
+/// cut some. The router's own count is of answers that have not reached their end.
+async fn finish_requests(shared: &RouterShared) {
+    let deadline = Now::read().monotonic + shared.settings.drain;
+    let mut idle_looks = 0;
+    while idle_looks < IDLE_LOOKS && Now::read().monotonic < deadline {
+        sleep(IDLE_LOOK_INTERVAL).await;
+        idle_looks = match shared.under_way.count() {
+            0 => idle_looks + 1,
+            _ => 0,
+        };
+    }
+    let under_way = shared.under_way.count();
+    if under_way > 0 {
+        log::warn!(under_way; "the time to finish is over, what is under way is cut");
+    }
+}
+
 fn start_server(
     shared: &Arc<RouterShared>,
     listener: TcpListener,
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -3,6 +3,7 @@
 use super::agents::AgentCalls;
 use super::finishes::RecentFinishes;
 use super::telemetry::RouterMetrics;
+use super::under_way::UnderWay;
 use crate::claim::{AttemptId, ClaimKey, ClaimReply, Finish};
 use crate::clock::Now;
 use crate::evidence::{Counts, EvidenceCell, Subject};
@@ -55,17 +56,25 @@
     pub evidence: Mutex<HashMap<Subject, Counts>>,
     /// How the newest requests ended.
     pub recent_finishes: RecentFinishes,
+    /// The requests that a stopping router has yet to finish.
+    pub under_way: UnderWay,
 }
 
 impl RouterShared {
-    /// Adds to the counts of a version.
-    pub fn count(&self, version: &VersionName, organisation: &str, add: impl FnOnce(&mut Counts)) {
-        let subject = Subject {
+    /// Returns what a request sent now to a version for an organisation is counted under.
+    pub fn subject(&self, version: &VersionName, organisation: &str) -> Subject {
+        let lifted = &self.snapshot.load().control.lifted;
+        Subject {
             version: version.clone(),
             organisation: organisation.to_owned(),
-        };
+            lift: lifted.get(version).copied().unwrap_or_default(),
+        }
+    }
+
+    /// Adds to the counts of what a request was sent under.
+    pub fn count(&self, subject: &Subject, add: impl FnOnce(&mut Counts)) {
         let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
-        add(evidence.entry(subject).or_default());
+        add(evidence.entry(subject.clone()).or_default());
     }
 
     /// Returns this router's counts as its agent takes them.
--- a/src/router/entry.rs
+++ b/src/router/entry.rs
@@ -4,6 +4,7 @@
 use super::context::{Caller, Worker, refuse};
 use super::model::serve_model;
 use super::plain::serve_plain;
+use super::under_way::until_sent;
 use crate::claim::mint_request_id;
 use crate::clock::Now;
 use crate::keys::hex;
@@ -27,14 +28,20 @@
 
 /// Serves one request.
 pub async fn serve(worker: Rc<Worker>, req: Request) -> Result<Response<BoxBody>, Infallible> {
+    let counted = worker.shared.under_way.enter();
+    let response = answer(worker, req).await;
+    Ok(until_sent(response, counted))
+}
+
+async fn answer(worker: Rc<Worker>, req: Request) -> Response<BoxBody> {
     let received = Now::read();
     let caller = match identify(&worker, &req, received) {
         Ok(caller) => caller,
-        Err(refused) => return Ok(refusal(&refused, None)),
+        Err(refused) => return refusal(&refused, None),
     };
     let path = req.path();
     if path == COMPLETIONS_PATH && req.method() == Method::POST {
-        return Ok(serve_model(worker, caller, req).await);
+        return serve_model(worker, caller, req).await;
     }
     let service = path
         .trim_start_matches('/')
@@ -42,7 +49,7 @@
         .next()
         .unwrap_or("")
         .to_owned();
-    Ok(serve_plain(worker, caller, service, req).await)
+    serve_plain(worker, caller, service, req).await
 }
 
 /// Reads who sent a request; the organisation follows from the credential alone.
--- a/src/router/model.rs
+++ b/src/router/model.rs
@@ -268,6 +268,7 @@
                 .expect("the head is valid");
             return Ok(Served::Streaming(Box::new(relay), tx, res));
         }
+        let subject = answer.subject.clone();
         let (version, whole) = match take_whole(worker, caller, answer).await {
             Ok(whole) => whole,
             Err(refused) => {
@@ -280,14 +281,14 @@
             false => Some(true),
             true => {
                 let left = caller.time_left(Now::read());
-                rate_inline(worker, &caller.organisation, &version, &whole.body, left).await
+                rate_inline(worker, &subject, &whole.body, left).await
             }
         };
         if passes == Some(false) {
             continue;
         }
         if !holds && is_sampled(worker, &snapshot, &version) {
-            rate_later(worker, &caller.organisation, &version, whole.body.clone());
+            rate_later(worker, &subject, whole.body.clone());
         }
         bill(worker, caller, &version, &cost, trace).await;
         let mut res = head(worker, caller, &session, &version, &whole.content_type);
@@ -351,13 +352,12 @@
     let rest = read_whole(&mut answer.response, super::body::ANSWER_BYTES_LIMIT, left).await;
     let body = rest.map(|rest| join(answer.first.take(), rest));
     let usage = body.as_ref().ok().and_then(|body| usage_of_answer(body));
-    let organisation = &caller.organisation;
     let (Ok(body), Some(usage)) = (body, usage) else {
-        answer.failed(worker, organisation);
+        answer.failed(worker);
         let message = "the upstream's answer is not whole";
         return Err(refuse(Outcome::Unknown, Reason::UpstreamFailed, message));
     };
-    answer.succeeded(worker, organisation);
+    answer.succeeded(worker);
     let whole = WholeAnswer {
         body,
         content_type: answer.content_type(),
--- a/src/router/model_relay.rs
+++ b/src/router/model_relay.rs
@@ -72,19 +72,18 @@
         }
         trace.record.status = StatusCode::OK.as_u16();
         let end = self.relay(&worker, &caller, &tx, &mut trace).await;
-        let organisation = &caller.organisation;
         match end {
             RelayEnd::Whole => {
                 trace.record.outcome = Outcome::Done;
-                self.answer.succeeded(&worker, organisation);
+                self.answer.succeeded(&worker);
                 if let Some(sample) = self.sample.take() {
-                    rate_later(&worker, organisation, &self.answer.version, sample.freeze());
+                    rate_later(&worker, &self.answer.subject, sample.freeze());
                 }
             }
             RelayEnd::Cut(message) => {
                 let refused = refuse(Outcome::Unknown, Reason::UpstreamFailed, message);
                 trace.refused(&refused);
-                self.answer.failed(&worker, organisation);
+                self.answer.failed(&worker);
                 let event = format!("data: {}\n\n", refusal_body(&refused));
                 // The error event tells a reader of events, and the body that breaks off
                 // tells a reader of bytes, that the answer is not whole.
--- a/src/router/model_try.rs
+++ b/src/router/model_try.rs
@@ -8,6 +8,7 @@
 use super::model::ModelRequest;
 use super::trace::Trace;
 use crate::clock::Now;
+use crate::evidence::Subject;
 use crate::name::VersionName;
 use crate::outcome::{DispatchLog, Outcome, Reason, Refused};
 use crate::record::TryRecord;
@@ -48,6 +49,8 @@
 pub struct StepAnswer {
     /// The version that runs.
     pub version: VersionName,
+    /// What the answer is counted under.
+    pub subject: Subject,
     /// The rest of the answer.
     pub response: UpstreamResponse,
     /// The first bytes of a streamed answer.
@@ -59,20 +62,20 @@
 
 impl StepAnswer {
     /// Records that the answer is whole.
-    pub fn succeeded(&self, worker: &Worker, organisation: &str) {
+    pub fn succeeded(&self, worker: &Worker) {
         let took = Now::read().monotonic.saturating_sub(self.began);
         self.load.succeeded(took);
         self.load.version_succeeded(&self.version);
         worker.shared.budget.deposit();
         worker
             .shared
-            .count(&self.version, organisation, |counts| counts.served += 1);
+            .count(&self.subject, |counts| counts.served += 1);
     }
 
     /// Records that the answer broke off.
-    pub fn failed(&self, worker: &Worker, organisation: &str) {
+    pub fn failed(&self, worker: &Worker) {
         self.load.failed(Now::read());
-        count_failure(worker, &self.version, organisation);
+        count_failure(worker, &self.subject);
     }
 
     /// Returns the answer's content type.
@@ -85,8 +88,8 @@
     }
 }
 
-fn count_failure(worker: &Worker, version: &VersionName, organisation: &str) {
-    worker.shared.count(version, organisation, |counts| {
+fn count_failure(worker: &Worker, subject: &Subject) {
+    worker.shared.count(subject, |counts| {
         counts.served += 1;
         counts.failed += 1;
     });
@@ -224,13 +227,14 @@
     log: &mut DispatchLog,
 ) -> Result<StepAnswer, Refused> {
     let began = Now::read().monotonic;
+    let subject = worker.shared.subject(version, &caller.organisation);
     let guard = upstream.load.enter();
     let request = upstream_request(worker, caller, step, version, upstream);
     let response = dispatch(request, caller, log).await.map_err(|failure| {
         if failure.refused.reason == Reason::UpstreamFailed {
             upstream.load.failed(Now::read());
             if !failure.is_unsent {
-                count_failure(worker, version, &caller.organisation);
+                count_failure(worker, &subject);
             }
         }
         failure.refused
@@ -250,13 +254,14 @@
                 BeginFailure::Other(reason, message) => (reason, message),
             };
             if reason == Reason::UpstreamFailed {
-                count_failure(worker, version, &caller.organisation);
+                count_failure(worker, &subject);
             }
             refuse(Outcome::Unknown, reason, message)
         })?;
     let load = upstream.load.clone();
     Ok(StepAnswer {
         version: version.clone(),
+        subject,
         response,
         first,
         load,
--- a/src/router/rating.rs
+++ b/src/router/rating.rs
@@ -1,6 +1,7 @@
 //! Asks the platform's service whether an answer is good.
 
 use super::context::Worker;
+use crate::evidence::Subject;
 use crate::name::VersionName;
 use crate::routing::snapshot::Snapshot;
 use bytes::Bytes;
@@ -27,16 +28,15 @@
 /// Asks whether an answer is good; none means that no rating came in time.
 pub async fn rate(
     worker: &Worker,
-    organisation: &str,
-    version: &VersionName,
+    subject: &Subject,
     answer: &Bytes,
     deadline: Duration,
 ) -> Option<bool> {
     let rater = worker.shared.settings.rater?;
     let rated = &answer[..answer.len().min(RATED_BYTES_LIMIT)];
     let question = json!({
-        "organisation": organisation,
-        "version": version.to_string(),
+        "organisation": subject.organisation,
+        "version": subject.version.to_string(),
         "answer": String::from_utf8_lossy(rated),
     });
     let url = format!("http://{rater}/v1/rate");
@@ -45,26 +45,18 @@
         res.json::<Rating>().await.ok()
     };
     let rating = tokio::time::timeout(deadline, ask).await.ok().flatten()?;
-    count(worker, organisation, version, rating.good);
+    count(worker, subject, rating.good);
     Some(rating.good)
 }
 
 /// Asks for a rating on which a request waits.
 pub async fn rate_inline(
     worker: &Worker,
-    organisation: &str,
-    version: &VersionName,
+    subject: &Subject,
     answer: &Bytes,
     left: Duration,
 ) -> Option<bool> {
-    rate(
-        worker,
-        organisation,
-        version,
-        answer,
-        INLINE_DEADLINE.min(left),
-    )
-    .await
+    rate(worker, subject, answer, INLINE_DEADLINE.min(left)).await
 }
 
 /// Decides whether an answer is rated for learning: one in ten, and each answer of a
@@ -81,16 +73,15 @@
 }
 
 /// Rates an answer in the background.
-pub fn rate_later(worker: &Rc<Worker>, organisation: &str, version: &VersionName, answer: Bytes) {
-    let (worker, organisation, version) =
-        (worker.clone(), organisation.to_owned(), version.clone());
+pub fn rate_later(worker: &Rc<Worker>, subject: &Subject, answer: Bytes) {
+    let (worker, subject) = (worker.clone(), subject.clone());
     actix_rt::spawn(async move {
-        rate(&worker, &organisation, &version, &answer, SAMPLE_DEADLINE).await;
+        rate(&worker, &subject, &answer, SAMPLE_DEADLINE).await;
     });
 }
 
-fn count(worker: &Worker, organisation: &str, version: &VersionName, good: bool) {
-    worker.shared.count(version, organisation, |counts| {
+fn count(worker: &Worker, subject: &Subject, good: bool) {
+    worker.shared.count(subject, |counts| {
         if good {
             counts.good += 1;
         } else {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -657,6 +657,13 @@
             .count()
     }
 
+    /// Returns the lines of the processes' common log that contain a text.
+    pub fn log_lines(&self, text: &str) -> String {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().filter(|line| line.contains(text)).collect();
+        lines.join("\n")
+    }
+
     /// Returns the text of a router's metrics.
     pub async fn router_metrics(&self, name: &str) -> String {
         let url = format!("http://{}/metrics", self.boxes[name].files.router_metrics);
--- a/tests/exposure.rs
+++ b/tests/exposure.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::{Bench, BenchPlan};
-use gatepier::evidence::Counts;
+use gatepier::change::Generation;
+use gatepier::evidence::{Counts, Evidence, EvidenceCell, Subject};
 use gatepier::guard::{Guard, GuardPolicy};
 use gatepier::lab::model::Behaviour;
 use gatepier::lab::store::StoreFaults;
@@ -11,6 +12,7 @@
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
+use std::collections::BTreeMap;
 
 const SEEDS: u64 = 40;
 const BOXES: usize = 8;
@@ -130,6 +132,47 @@
     }
 }
 
+/// What a router reports of answers that all failed, counted under a lift.
+fn failures(reporter: &str, lift: Generation, failed: u64) -> EvidenceCell {
+    EvidenceCell {
+        reporter: reporter.to_owned(),
+        subject: Subject {
+            version: small(),
+            organisation: "comics".to_owned(),
+            lift,
+        },
+        counts: Counts {
+            served: failed,
+            failed,
+            ..Counts::default()
+        },
+    }
+}
+
+/// Standing agents suspended a lifted version again 0.2 s after the lift: an agent looked at
+/// counts only then that another one had already suspended the version for. Counts were told
+/// apart by when they came and not by what they were made under.
+#[googletest::test]
+fn counts_from_before_a_lift_condemn_nothing_when_they_come_late() {
+    let mut evidence = Evidence::default();
+    let mut guard = Guard::new(GuardPolicy::default());
+    let mut observe = |evidence: &Evidence, lifted: &BTreeMap<VersionName, Generation>| {
+        guard.follow_lifts(lifted);
+        let counts = evidence.by_version(lifted);
+        let alarm = |(version, counts)| guard.observe(version, counts).is_some();
+        counts.iter().any(alarm)
+    };
+    let before = BTreeMap::new();
+    let after = BTreeMap::from([(small(), Generation(3))]);
+    evidence.merge(&[failures("seen-in-time", Generation(0), 50)]);
+    expect_that!(observe(&evidence, &before), eq(true));
+    expect_that!(observe(&evidence, &after), eq(false));
+    evidence.merge(&[failures("held-back", Generation(0), 50)]);
+    expect_that!(observe(&evidence, &after), eq(false));
+    evidence.merge(&[failures("seen-in-time", Generation(3), 50)]);
+    expect_that!(observe(&evidence, &after), eq(true));
+}
+
 async fn suspended_everywhere(bench: &Bench) {
     bench
         .wait_for("both agents have the suspension", async || {
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -81,7 +81,8 @@
         let answers: Vec<&Answer> = streams.iter().flatten().collect();
         let is_cut = |answer: &&&Answer| !answer.whole || answer.status != 200;
         let cut: Vec<_> = answers.iter().filter(is_cut).collect();
-        expect_that!(cut, is_empty(), "of {} answers", answers.len());
+        let stop = bench.log_lines("under_way");
+        expect_that!(cut, is_empty(), "of {} answers, {stop}", answers.len());
         bench.wait_for("the old router has ended", async || old.ended().is_some()).await;
         expect_that!(old.ended(), some(eq(true)));
     };
