The time of a roll-out goes on though every box restarts

All boxes were restarted within the roll-out; each took the time of the last record, 1.8 s, and counted on from its own start: at 22.5 s of 20 the leading box took it for 10.3 s, so the version was neither given up at 92 hundredths nor stopped by its share in time. Boxes now tell the leading one how long ago the order was, and it tells all; the longest counts.

--- a/src/gateway/control/knowledge.rs
+++ b/src/gateway/control/knowledge.rs
@@ -73,6 +73,16 @@
     pub order: Option<(RolloutOrder, Duration)>,
     /// The newest record.
     pub record: Option<SeenRecord>,
+    /// What another box said of the time since the order.
+    told: Option<ToldTime>,
+}
+
+/// Another box's word on how long ago an order was given.
+#[derive(Debug, Clone, Copy)]
+struct ToldTime {
+    order: u64,
+    elapsed: Duration,
+    heard: Duration,
 }
 
 /// A roll-out's record, and when this box learned of it.
@@ -94,7 +104,24 @@
         (is_running && record.order_revision == order.revision).then_some(record)
     }
 
-    /// Returns the time since the order, as far as this box or a leading one knows.
+    /// Takes another box's word on the time since an order.
+    ///
+    /// The record tells the time of the last stage alone, and a box that starts sees it for the
+    /// first time: where all boxes were restarted one after the other, the time went back to
+    /// that stage, and a version without a proof was on trial for ever.
+    pub fn hear_elapsed(&mut self, order: u64, elapsed: Duration, now: Now) {
+        let by_now = |told: ToldTime| told.elapsed + now.monotonic.saturating_sub(told.heard);
+        let known = self.told.filter(|told| told.order == order).map(by_now);
+        if known.is_none_or(|known| known < elapsed) {
+            self.told = Some(ToldTime {
+                order,
+                elapsed,
+                heard: now.monotonic,
+            });
+        }
+    }
+
+    /// Returns the time since the order, as far as this box or another one knows.
     pub fn elapsed(&self, now: Now) -> Option<Duration> {
         let (order, seen) = self.order.as_ref()?;
         let own = now.monotonic.saturating_sub(*seen);
@@ -106,7 +133,10 @@
                 let then = Duration::from_millis(known.record.elapsed_ms);
                 then + now.monotonic.saturating_sub(known.seen)
             });
-        Some(recorded.map_or(own, |recorded| recorded.max(own)))
+        let told = self.told.filter(|told| told.order == order.revision);
+        let told = told.map(|told| told.elapsed + now.monotonic.saturating_sub(told.heard));
+        let known = [Some(own), recorded, told];
+        known.into_iter().flatten().max()
     }
 }
 
@@ -450,10 +480,25 @@
 
     /// Tells whether a roll-out is under way.
     pub fn has_rollout(&self) -> bool {
-        let is_under_way = |rollout: &Rollout| {
-            let order = rollout.order.as_ref().map(|(order, _)| order);
-            order.is_some_and(|order| rollout.running(order).is_some())
+        self.rollouts_under_way().next().is_some()
+    }
+
+    /// Returns the roll-outs under way, each with its order.
+    pub fn rollouts_under_way(&self) -> impl Iterator<Item = (&RolloutOrder, &Rollout)> {
+        self.rollouts.values().filter_map(|rollout| {
+            let (order, _) = rollout.order.as_ref()?;
+            rollout.running(order).map(|_| (order, rollout))
+        })
+    }
+
+    /// Takes another box's word on the time since an order.
+    pub fn hear_elapsed(&mut self, order: u64, elapsed: Duration, now: Now) {
+        let is_ordered = |rollout: &&mut Rollout| {
+            let known = rollout.order.as_ref();
+            known.is_some_and(|(known, _)| known.revision == order)
         };
-        self.rollouts.values().any(is_under_way)
+        if let Some(rollout) = self.rollouts.values_mut().find(is_ordered) {
+            rollout.hear_elapsed(order, elapsed, now);
+        }
     }
 }
--- a/src/gateway/control/membership.rs
+++ b/src/gateway/control/membership.rs
@@ -123,7 +123,7 @@
 ///
 /// By address and not by life, so that a box which was restarted leads at once and not only
 /// when the lease of its last life is over.
-fn leads(gw: &Gateway, now: Now) -> bool {
+pub fn leads(gw: &Gateway, now: Now) -> bool {
     let own = gw.settings().peers;
     let knowledge = gw.knowledge.borrow();
     let boxes = knowledge.boxes_by_age();
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -18,11 +18,12 @@
 use super::fetch;
 use super::heard;
 use super::hubs::{self, Question, Told};
-use crate::clock::Now;
+use crate::clock::{Now, millis};
 use crate::error::{Error, Result};
 use crate::gateway::Gateway;
 use crate::gateway::control::knowledge::Rollout;
-use crate::gateway::control::store::{BoxEntry, ControlStore};
+use crate::gateway::control::membership::leads;
+use crate::gateway::control::store::{BoxEntry, ControlStore, RolloutOrder};
 use crate::gateway::place::loads::{BoxLoad, LongRead, interval};
 use crate::gateway::versions::tally::Report;
 use serde::{Deserialize, Serialize};
@@ -50,6 +51,8 @@
     Counts(Report),
     /// The sender found the target of this order bad; the number is the order's revision.
     FoundBad(u64),
+    /// So many milliseconds ago this order was given, as far as the sender knows.
+    RolloutTime(u64, u64),
     /// What the sender has under way.
     Load(BoxLoad),
     /// The sender asks what the store holds.
@@ -117,6 +120,10 @@
     let now = Now::read();
     match message {
         PeerMessage::Counts(report) => gw.versions.borrow_mut().take(report),
+        PeerMessage::RolloutTime(order, elapsed_ms) => {
+            let elapsed = Duration::from_millis(elapsed_ms);
+            gw.knowledge.borrow_mut().hear_elapsed(order, elapsed, now);
+        }
         PeerMessage::FoundBad(order) => gw.take_finding(order, &from.to_string()),
         PeerMessage::Load(load) => gw.loads.borrow_mut().take(load, now),
         PeerMessage::LongReads(reads) => {
@@ -145,6 +152,7 @@
         match self {
             Self::Counts(_) => "version-counts",
             Self::FoundBad(_) => "versions-found-bad",
+            Self::RolloutTime(..) => "roll-out-times",
             Self::Load(_) => "load",
             Self::LongReads(_) => "long-reads",
             Self::OldSessions(..) => "old-sessions",
@@ -181,6 +189,15 @@
             let told = told_of_versions(gw, Now::read());
             send(gw, socket, &PeerMessage::Counts(report), &told).await;
         }
+        for (order, elapsed_ms) in rollout_times(gw, Now::read()) {
+            let message = PeerMessage::RolloutTime(order, elapsed_ms);
+            // Whoever leads hears it from all, and all from whoever leads.
+            let told = match leads(gw, Now::read()) {
+                true => longest_registered(gw, usize::MAX),
+                false => told_of_versions(gw, Now::read()),
+            };
+            send(gw, socket, &message, &told).await;
+        }
         for order in found_here(gw) {
             let message = PeerMessage::FoundBad(order);
             send(gw, socket, &message, &longest_registered(gw, usize::MAX)).await;
@@ -196,16 +213,23 @@
 /// leading box has written it down and everybody knows it by the store.
 fn found_here(gw: &Gateway) -> Vec<u64> {
     let knowledge = gw.knowledge.borrow();
-    let found = gw.versions.borrow().found_here();
-    let is_under_way = |rollout: &Rollout, revision: u64| {
-        let order = rollout.order.as_ref().map(|(order, _)| order);
-        order.is_some_and(|order| order.revision == revision && rollout.running(order).is_some())
-    };
-    let of_any = |revision: &u64| {
-        let mut rollouts = knowledge.rollouts().values();
-        rollouts.any(|rollout| is_under_way(rollout, *revision))
+    let mut found = gw.versions.borrow().found_here();
+    found.retain(|revision| {
+        let mut orders = knowledge.rollouts_under_way().map(|(order, _)| order);
+        orders.any(|order| order.revision == *revision)
+    });
+    found
+}
+
+/// Returns how many milliseconds ago each order under way was given, as far as this box knows.
+fn rollout_times(gw: &Gateway, now: Now) -> Vec<(u64, u64)> {
+    let knowledge = gw.knowledge.borrow();
+    let rollouts = knowledge.rollouts_under_way();
+    let time = |(order, rollout): (&RolloutOrder, &Rollout)| {
+        let elapsed = rollout.elapsed(now)?;
+        Some((order.revision, millis(elapsed)))
     };
-    found.into_iter().filter(of_any).collect()
+    rollouts.filter_map(time).collect()
 }
 
 /// Returns the boxes that are told of versions: those registered longest of all, and of the own
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -284,6 +284,20 @@
         expect_that!(first(2000), lt(first(200)));
     }
 
+    time_of_an_order_goes_on_though_every_box_restarts => {
+        // Boxes that were restarted in turn each counted on from the last record: at 22.5 s of a
+        // roll-out of 20 s they took it for 10.3 s, and a bad version was still on trial.
+        let mut knowledge = Knowledge::default();
+        knowledge.apply(Update::RolloutOrdered(order()), at(0));
+        let first = record(RolloutState::Running, 45, 2 * SECOND);
+        knowledge.apply(Update::RolloutStage(first, 11), at(0));
+        knowledge.hear_elapsed(order().revision, 20 * SECOND, at(1000));
+        knowledge.hear_elapsed(order().revision, 9 * SECOND, at(1500));
+        knowledge.hear_elapsed(99, 90 * SECOND, at(1600));
+        let elapsed = knowledge.rollout("engine").unwrap().elapsed(at(2000));
+        expect_that!(elapsed, some(eq(21 * SECOND)));
+    }
+
     box_that_has_just_started_sends_a_version_on_trial_nothing => {
         // It cannot have been told yet that another box found the version bad.
         let newcomer = VersionQuery { is_newcomer: true, pinned: Some("v2"), ..query("s") };
