--- a/src/gateway/control/store.rs
+++ b/src/gateway/control/store.rs
@@ -170,6 +170,9 @@
     pub permille: u32,
     /// The milliseconds since the order, as the leading box counted them.
     pub elapsed_ms: u64,
+    /// The same when the present stage began.
+    #[serde(default)]
+    pub stage_ms: u64,
     /// Versions that earlier roll-outs of the service found bad.
     pub rejected: Vec<String>,
 }
--- a/src/gateway/versions/rollout.rs
+++ b/src/gateway/versions/rollout.rs
@@ -39,6 +39,11 @@
 /// which too little is known is taken back: operators read that it is not in service, and
 /// nobody is left on it.
 const GIVE_UP_AT: u64 = 92;
+/// How often the time since the order is written down, in hundredths of the roll-out's time:
+/// boxes that are all killed together know nothing else of it. Where it was written at stages
+/// alone, a bad version without a proof was on trial for five seconds longer (two of fifteen
+/// days on which all boxes were killed twice). Some twenty calls a roll-out.
+const TIME_WRITTEN_EACH: u64 = 5;
 /// The most thousandths of the sessions that a first stage moves.
 const MOST_AT_FIRST: u64 = 120;
 /// Which versions of a service may serve a request.
@@ -136,9 +141,9 @@
     pub bound: ExposureBound,
 }
 
-/// Returns the time of the order at which the present stage was written down.
+/// Returns the time of the order at which the present stage began.
 pub fn stage_since(record: &RolloutRecord) -> Duration {
-    Duration::from_millis(record.elapsed_ms)
+    Duration::from_millis(record.stage_ms)
 }
 
 /// Returns the next record of a roll-out, if it has to change.
@@ -156,6 +161,7 @@
         state: RolloutState::Running,
         permille: 0,
         elapsed_ms: millis(progress.elapsed),
+        stage_ms: millis(progress.elapsed),
         rejected: rejected
             .into_iter()
             .filter(|version| *version != order.target)
@@ -180,10 +186,16 @@
     } else if progress.elapsed >= SETTLING {
         next.permille = next_stage(next.permille, hundredths, lasted, order, progress);
     }
-    let changed = current
+    let is_stage = current
+        .as_ref()
         .is_none_or(|current| current.state != next.state || current.permille != next.permille);
+    if is_stage {
+        next.stage_ms = millis(progress.elapsed);
+    }
+    let written = Duration::from_millis(next.elapsed_ms);
+    let is_time_due = hundredths >= part_of(written, order.duration) + TIME_WRITTEN_EACH;
     next.elapsed_ms = millis(progress.elapsed);
-    changed.then_some(next)
+    (is_stage || is_time_due).then_some(next)
 }
 
 /// Returns the stage that follows, or the present one for as long as it has to last or nothing
