--- a/src/gateway/control/store.rs
+++ b/src/gateway/control/store.rs
@@ -177,10 +177,13 @@
     pub rejected: Vec<String>,
 }
 
+/// All sessions, in thousandths.
+pub const ALL_SESSIONS: u32 = 1000;
+
 impl RolloutRecord {
     /// Tells whether the target was proved good: nothing less gives it all sessions.
     pub fn is_proved(&self) -> bool {
-        self.permille >= 1000
+        self.permille >= ALL_SESSIONS
     }
 }
 
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -25,7 +25,7 @@
 use crate::gateway::control::membership::leads;
 use crate::gateway::control::store::{BoxEntry, ControlStore, RolloutOrder};
 use crate::gateway::place::loads::{BoxLoad, LongRead, interval};
-use crate::gateway::versions::tally::Report;
+use crate::gateway::versions::observed::Report;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -3,6 +3,7 @@
 pub mod counts;
 pub mod exposure;
 pub mod judge;
+pub mod observed;
 pub mod rollout;
 pub mod sessions;
 pub mod tally;
--- a/src/gateway/versions/counts.rs
+++ b/src/gateway/versions/counts.rs
@@ -1,8 +1,9 @@
 //! Counts each request and answer of a service under roll-out, and judges its target.
 
 use super::exposure::Span;
+use super::observed::{Kind, Measure, Trial};
 use super::rollout::{MOVING, stage_since};
-use super::tally::{Kind, Measure, Timed, Trial, stretch_at, trial};
+use super::tally::{Timed, stretch_at, trial};
 use super::watch::{Finding, Question, Verdict};
 use crate::clock::Now;
 use crate::gateway::Gateway;
@@ -15,6 +16,10 @@
 use crate::gateway::place::reading;
 use std::time::Duration;
 
+/// How long a box that starts sends a version under trial nothing: three times the time between
+/// two words of the others on what they found.
+const NEWCOMER: Duration = Duration::from_millis(1200);
+
 impl Gateway {
     /// Counts a request that is sent, and begins to time the head of an engine's answer or a
     /// plain answer.
@@ -148,7 +153,3 @@
         now.monotonic.saturating_sub(self.started) < NEWCOMER
     }
 }
-
-/// How long a box that starts sends a version under trial nothing: three times the time between
-/// two words of the others on what they found.
-const NEWCOMER: Duration = Duration::from_millis(1200);
--- a/src/gateway/versions/exposure.rs
+++ b/src/gateway/versions/exposure.rs
@@ -1,6 +1,6 @@
 //! How far a version may be used while nothing proves that it is good, by the operators' bounds.
 
-use super::tally::Sent;
+use super::observed::Sent;
 use std::time::Duration;
 
 /// The part of the operators' share that may be spent without a proof. The rest is for what
@@ -18,8 +18,9 @@
 /// which the time to stop runs, so that it does not before the versions are compared under
 /// load: a version that slows all its answers twofold shows only there.
 const ENOUGH_AT_FIRST: f64 = 45.0;
-/// The most and the least of the first stage, in thousandths of the sessions.
-const MOST_AT_FIRST: u32 = 120;
+/// The most and the least of the first stage, in thousandths of the sessions. Boxes tell each
+/// other which of these the old version serves, so more would be more to tell.
+pub const MOST_AT_FIRST: u32 = 120;
 const LEAST_AT_FIRST: u32 = 3;
 /// How many times the share the middle stages may take, for a tenth of the time together.
 const MIDDLE_TIMES: f64 = 2.7;
--- a/src/gateway/versions/judge.rs
+++ b/src/gateway/versions/judge.rs
@@ -7,7 +7,7 @@
 //! than under "as the old ones". See `docs/design/exposure.md` and, for the figures,
 //! `docs/measurements/versions.md`.
 
-use super::tally::{Answers, Counted, Group, Kind, Measure, Pair};
+use super::observed::{Answers, Counted, Group, Kind, Measure, Pair};
 use super::times::steps_of;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
--- a/src/gateway/versions/rollout.rs
+++ b/src/gateway/versions/rollout.rs
@@ -4,18 +4,17 @@
 //! every box follows the stage it has heard of last. Whether a version is bad is found by
 //! [`super::watch`]. See `docs/design/platform.md`.
 
-use super::exposure::{ExposureBound, Span};
-use super::tally::Sent;
+use super::exposure::{ExposureBound, MOST_AT_FIRST, Span};
+use super::observed::Sent;
 use super::watch::Verdict;
 use crate::clock::{Now, millis};
 use crate::gateway::control::knowledge::Rollout;
-use crate::gateway::control::store::{RolloutOrder, RolloutRecord, RolloutState};
+use crate::gateway::control::store::{ALL_SESSIONS, RolloutOrder, RolloutRecord, RolloutState};
 use crate::gateway::place::choose::draw;
 use std::time::Duration;
 
-const THOUSAND: u64 = 1000;
-/// All sessions, in thousandths.
-const ALL: u32 = 1000;
+/// All sessions, in the type of a hash.
+const THOUSAND: u64 = ALL_SESSIONS as u64;
 /// The middle stages, in thousandths of the sessions: at the first the new engines read the
 /// prompts of the sessions that move, at the second they bear about what the old ones bear, so
 /// that the two can be compared under load. The operators' share may allow less.
@@ -44,8 +43,6 @@
 /// alone, a bad version without a proof was on trial for five seconds longer (two of fifteen
 /// days on which all boxes were killed twice). Some twenty calls a roll-out.
 const TIME_WRITTEN_EACH: u64 = 5;
-/// The most thousandths of the sessions that a first stage moves.
-const MOST_AT_FIRST: u64 = 120;
 /// Which versions of a service may serve a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum VersionRule {
@@ -123,7 +120,7 @@
 
 /// Tells whether a session, by its hash, is among those that the first stage may move.
 pub fn may_be_moved_first(session: u64) -> bool {
-    session % THOUSAND < MOST_AT_FIRST
+    session % THOUSAND < u64::from(MOST_AT_FIRST)
 }
 
 /// What the leading box knows when it takes a roll-out on.
@@ -217,7 +214,7 @@
         0 => (true, progress.bound.first_stage(progress.sent, span)),
         at if at >= compared => {
             let is_due = lasted >= COMPARED_LASTS && progress.verdict.is_good_at_stage;
-            (is_due, ALL)
+            (is_due, ALL_SESSIONS)
         }
         at if at >= moving => (lasted >= MOVING_LASTS && progress.verdict.is_good, compared),
         _ => (
--- a/src/gateway/versions/watch.rs
+++ b/src/gateway/versions/watch.rs
@@ -6,7 +6,8 @@
 
 use super::exposure::{ExposureBound, Span};
 use super::judge::{Judgement, judge};
-use super::tally::{Counted, Report, Tally};
+use super::observed::{Counted, Report};
+use super::tally::Tally;
 use crate::clock::Now;
 use crate::evidence::Counts;
 use crate::guard::{Guard, GuardPolicy};
@@ -103,13 +104,22 @@
     pub is_good_at_stage: bool,
 }
 
+/// What another box has told of a roll-out.
+#[derive(Debug, Default)]
+struct Told {
+    /// The number of its newest report.
+    number: u64,
+    counted: Counted,
+}
+
 /// What a box has seen of the versions under roll-out, its own counts and others'.
 #[derive(Debug)]
 pub struct VersionWatch {
     reporter: String,
     reports: u64,
     own: Tally,
-    others: HashMap<u64, HashMap<String, (u64, Counted)>>,
+    /// What other boxes told, by the order and by their names.
+    others: HashMap<u64, HashMap<String, Told>>,
     failures: Guard,
     doubted_since: HashMap<u64, Duration>,
     findings: HashMap<u64, Finding>,
@@ -143,10 +153,10 @@
     /// Takes another box's counts.
     pub fn take(&mut self, report: Report) {
         let reporters = self.others.entry(report.order).or_default();
-        let (number, counted) = reporters.entry(report.reporter.clone()).or_default();
-        if report.number > *number {
-            *number = report.number;
-            counted.replace(report);
+        let told = reporters.entry(report.reporter.clone()).or_default();
+        if report.number > told.number {
+            told.number = report.number;
+            told.counted.replace(report);
         }
     }
 
@@ -154,8 +164,8 @@
     pub fn counted(&self, order: u64, now: Now) -> Counted {
         let mut all = self.own.counted(order, now);
         let others = self.others.get(&order).into_iter().flatten();
-        for (_, (_, counted)) in others {
-            all.extend(counted);
+        for (_, told) in others {
+            all.extend(&told.counted);
         }
         all
     }
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -5,11 +5,11 @@
 use gatepier::gateway::control::store::{RolloutOrder, RolloutRecord, RolloutState, Update};
 use gatepier::gateway::versions::exposure::{ExposureBound, Span};
 use gatepier::gateway::versions::judge::Judgement;
+use gatepier::gateway::versions::observed::{Kind, Measure, Sent, Trial};
 use gatepier::gateway::versions::rollout::{
     Progress, VersionQuery, VersionRule, next_record, version_rule,
 };
 use gatepier::gateway::versions::sessions::Sessions;
-use gatepier::gateway::versions::tally::{Kind, Measure, Sent, Trial};
 use gatepier::gateway::versions::watch::{Finding, Question, Verdict, VersionWatch};
 use gatepier::name::VersionName;
 use googletest::prelude::*;
