--- /dev/null
+++ b/tests/common/calling.rs
@@ -0,0 +1,185 @@
+//! Callers of a fleet, and the answers that they see.
+
+use super::{Bench, RunningBox};
+use awc::Client;
+use gatepier::lab::fleet::credential_of;
+use serde_json::Value;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// An answer as a test sees it.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// The status; zero if the connection broke before one came.
+    pub status: u16,
+    /// The headers.
+    pub headers: BTreeMap<String, String>,
+    /// The body as far as it came.
+    pub body: String,
+    /// Whether the body came whole.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// Returns a header, or an empty text.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    /// Returns what the answer says about whether the request ran.
+    pub fn outcome(&self) -> &str {
+        self.header("gatepier-outcome")
+    }
+}
+
+/// What callers need of a bench; it stays as it is while processes come and go.
+pub struct CallerView {
+    routers: BTreeMap<String, SocketAddr>,
+    client: Client,
+}
+
+impl CallerView {
+    /// Returns a request to a box's router as an organisation.
+    pub fn request(
+        &self,
+        name: &str,
+        organisation: &str,
+        method: &str,
+        path: &str,
+    ) -> awc::ClientRequest {
+        router_request(&self.client, self.routers[name], organisation, method, path)
+    }
+}
+
+fn router_request(
+    client: &Client,
+    router: SocketAddr,
+    organisation: &str,
+    method: &str,
+    path: &str,
+) -> awc::ClientRequest {
+    let url = format!("http://{router}{path}");
+    let method = method.parse::<actix_http::Method>().unwrap();
+    client
+        .request(method, url)
+        .bearer_auth(credential_of(organisation))
+}
+
+/// Returns the body of a completion request.
+pub fn question(model: &str) -> Value {
+    json!({ "model": model, "messages": [{ "role": "user", "content": "What happened so far?" }] })
+}
+
+/// Returns the body of a streamed completion request.
+pub fn streamed_question(model: &str) -> Value {
+    let mut body = question(model);
+    body["stream"] = Value::from(true);
+    body
+}
+
+/// Reads an answer, however far it comes.
+pub async fn read_answer(
+    sent: Result<awc::ClientResponse, awc::error::SendRequestError>,
+) -> Answer {
+    use futures::StreamExt as _;
+    let mut response = match sent {
+        Ok(response) => response,
+        Err(_) => {
+            return Answer {
+                status: 0,
+                headers: BTreeMap::new(),
+                body: String::new(),
+                whole: false,
+            };
+        }
+    };
+    let headers = response
+        .headers()
+        .iter()
+        .map(|(name, value)| (name.to_string(), value.to_str().unwrap_or("").to_owned()))
+        .collect();
+    let mut body = Vec::new();
+    let mut whole = true;
+    while let Some(chunk) = response.next().await {
+        match chunk {
+            Ok(chunk) => body.extend_from_slice(&chunk),
+            Err(_) => {
+                whole = false;
+                break;
+            }
+        }
+    }
+    let body = String::from_utf8_lossy(&body).into_owned();
+    Answer {
+        status: response.status().as_u16(),
+        headers,
+        body,
+        whole,
+    }
+}
+
+impl Bench {
+    /// Returns what callers need of the bench.
+    pub fn caller_view(&self) -> CallerView {
+        let router = |(name, running): (&String, &RunningBox)| (name.clone(), running.files.router);
+        CallerView {
+            routers: self.boxes.iter().map(router).collect(),
+            client: gatepier::http_client::reusing_client(),
+        }
+    }
+
+    /// Returns a request to a box's router as an organisation.
+    pub fn request(
+        &self,
+        name: &str,
+        organisation: &str,
+        method: &str,
+        path: &str,
+    ) -> awc::ClientRequest {
+        router_request(
+            &self.client,
+            self.boxes[name].files.router,
+            organisation,
+            method,
+            path,
+        )
+    }
+
+    /// Asks a box for a completion.
+    pub async fn complete(&self, name: &str, organisation: &str, body: Value) -> Answer {
+        let request = self.request(name, organisation, "POST", "/v1/chat/completions");
+        read_answer(request.send_json(&body).await).await
+    }
+
+    /// Asks a box for a completion of a model, as `comics`.
+    pub async fn ask(&self, name: &str, model: &str) -> Answer {
+        self.complete(name, "comics", question(model)).await
+    }
+
+    /// Sends a bookmark, which may not be repeated, under a key.
+    pub async fn bookmark(&self, name: &str, key: &str) -> Answer {
+        let request = self
+            .request(name, "comics", "POST", "/reader-api/bookmarks")
+            .insert_header(("idempotency-key", key));
+        read_answer(request.send_body("page 7").await).await
+    }
+
+    /// Returns how often the services ran the request of a key.
+    pub fn bookmark_runs(&self, key: &str) -> usize {
+        let runs = self
+            .services
+            .iter()
+            .flat_map(|service| service.stand_in.runs());
+        runs.filter(|run| run.request_id == key).count()
+    }
+
+    /// Returns the versions that the model upstreams ran, with how often.
+    pub fn version_runs(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for run in self.models.iter().flat_map(|model| model.stand_in.runs()) {
+            *counts.entry(run.ran).or_default() += 1;
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/tests/common/starting.rs
@@ -0,0 +1,303 @@
+//! Starts a fleet with its surroundings, and changes which processes and upstreams there are.
+
+use super::{
+    BUNDLE, Bench, BenchPlan, ModelUpstream, PARTNER, PATIENCE, POLL, Process, RunningBox,
+    ServiceUpstream,
+};
+use gatepier::lab::fleet::Fleet;
+use gatepier::lab::fleet::FleetPlan;
+use gatepier::lab::fleet::Wiring;
+use gatepier::lab::model::ModelStandIn;
+use gatepier::lab::platform::ListChange;
+use gatepier::lab::platform::PlatformStandIn;
+use gatepier::lab::proxy::Proxy;
+use gatepier::lab::server;
+use gatepier::lab::service::ServiceStandIn;
+use gatepier::lab::store::StoreFaults;
+use gatepier::lab::store::StoreStandIn;
+use gatepier::live::AGENT_SERVICE;
+use gatepier::live::ListedBox;
+use gatepier::name::VersionName;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+impl Bench {
+    /// Starts a fleet, puts the bundle into force and waits until every router serves.
+    pub async fn start(plan: BenchPlan) -> Self {
+        let bench = Self::start_without_bundle(plan).await;
+        bench.put_bundle_into_force(BUNDLE).await;
+        bench.wait_ready().await;
+        bench
+    }
+
+    /// Starts a fleet whose operators have not changed anything yet.
+    pub async fn start_without_bundle(plan: BenchPlan) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let store = Arc::new(StoreStandIn::default());
+        let store_address = serve(store.clone(), 1);
+        let proxy = Proxy::default();
+        let fleet_plan = FleetPlan {
+            partner: PARTNER.to_owned(),
+            halls: plan
+                .halls
+                .iter()
+                .map(|(hall, count)| ((*hall).to_owned(), *count))
+                .collect(),
+            organisations: vec!["comics".to_owned(), "tales".to_owned()],
+            router_extra: plan.router_extra.clone(),
+            agent_extra: plan.agent_extra.clone(),
+        };
+        let fleet = Fleet::write(&fleet_plan, folder.path(), store_address).unwrap();
+        let bundle = folder.path().join("bundle.toml");
+        let mut bench = Self {
+            fleet,
+            boxes: BTreeMap::new(),
+            store,
+            platforms: BTreeMap::new(),
+            proxy,
+            models: Vec::new(),
+            services: Vec::new(),
+            client: gatepier::http_client::reusing_client(),
+            bundle,
+            store_address,
+            platform_addresses: BTreeMap::new(),
+            log: folder.path().join("log.jsonl"),
+            routers: plan.routers,
+            direct: BTreeMap::new(),
+            _folder: folder,
+        };
+        for (hall, _) in &plan.halls {
+            let platform = Arc::new(PlatformStandIn::default());
+            bench
+                .platform_addresses
+                .insert((*hall).to_owned(), serve(platform.clone(), 1));
+            bench.platforms.insert((*hall).to_owned(), platform);
+        }
+        for (hall, count) in &plan.halls {
+            for number in 1..=*count {
+                bench.add_box(&format!("{hall}-{number}"), hall).await;
+            }
+            for number in 1..=plan.models {
+                bench
+                    .add_model(&format!("{hall}-model-{number}"), hall)
+                    .await;
+            }
+            for number in 1..=plan.services {
+                bench
+                    .add_service(&format!("{hall}-reader-{number}"), hall)
+                    .await;
+            }
+        }
+        bench.fleet.write_operators(store_address).unwrap();
+        bench
+    }
+
+    /// Changes the list of every hall in the same way.
+    pub fn change_list(&self, change: &ListChange) {
+        for platform in self.platforms.values() {
+            platform.change(change.clone());
+        }
+    }
+
+    /// Adds a box, lists it and starts its processes.
+    pub async fn add_box(&mut self, name: &str, hall: &str) {
+        let platform = self.platform_addresses[hall];
+        let link = async |kind: &str, target| {
+            self.proxy
+                .open(&format!("{kind}:{name}"), target)
+                .await
+                .unwrap()
+        };
+        let wiring = Wiring {
+            store: link("store", self.store_address).await,
+            list: link("list", platform).await,
+            rater: link("rater", platform).await,
+        };
+        let files = self.fleet.add_box(name, hall, wiring).unwrap();
+        for (from, platform) in &self.platforms {
+            let address = if from == hall {
+                files.agent
+            } else {
+                self.proxy
+                    .open(&format!("{from}>{name}"), files.agent)
+                    .await
+                    .unwrap()
+            };
+            let listed = listed(name, AGENT_SERVICE, hall, address, &[]);
+            platform.change(ListChange::Put(vec![listed]));
+        }
+        let running = RunningBox {
+            files,
+            agent: None,
+            router: None,
+        };
+        self.boxes.insert(name.to_owned(), running);
+        self.start_agent(name);
+        if self.routers {
+            self.start_router(name);
+        }
+    }
+
+    /// Adds a model upstream with all versions loaded.
+    pub async fn add_model(&mut self, name: &str, hall: &str) {
+        let stand_in = Arc::new(ModelStandIn::default());
+        let address = serve(stand_in.clone(), 1);
+        self.direct.insert(name.to_owned(), address);
+        let address = self
+            .proxy
+            .open(&format!("up:{name}"), address)
+            .await
+            .unwrap();
+        let versions = ["small/s1", "small/s2", "large/l1"];
+        let listed = listed(name, "inkmind", hall, address, &versions);
+        self.change_list(&ListChange::Put(vec![listed]));
+        self.models.push(ModelUpstream {
+            name: name.to_owned(),
+            stand_in,
+        });
+    }
+
+    /// Adds a server of `reader-api`.
+    pub async fn add_service(&mut self, name: &str, hall: &str) {
+        let stand_in = Arc::new(ServiceStandIn::default());
+        let address = serve(stand_in.clone(), 1);
+        self.direct.insert(name.to_owned(), address);
+        let address = self
+            .proxy
+            .open(&format!("up:{name}"), address)
+            .await
+            .unwrap();
+        self.change_list(&ListChange::Put(vec![listed(
+            name,
+            "reader-api",
+            hall,
+            address,
+            &[],
+        )]));
+        self.services.push(ServiceUpstream {
+            name: name.to_owned(),
+            stand_in,
+        });
+    }
+
+    /// Returns the address of an upstream's stand-in itself.
+    pub fn direct(&self, name: &str) -> SocketAddr {
+        self.direct[name]
+    }
+
+    /// Returns the store's address.
+    pub fn store_address(&self) -> SocketAddr {
+        self.store_address
+    }
+
+    /// Lists a service's and a model's stand-in by their own addresses, without the proxy,
+    /// and waits until the first box uses them.
+    pub async fn list_direct(&self, service: &str, model: &str, hall: &str) {
+        let versions = ["small/s1", "small/s2", "large/l1"];
+        let boxes = vec![
+            listed(service, "reader-api", hall, self.direct(service), &[]),
+            listed(model, "inkmind", hall, self.direct(model), &versions),
+        ];
+        self.change_list(&ListChange::Put(boxes));
+        let revision = self.platforms[hall].revision();
+        self.wait_for("the list is known", async || {
+            let status = self.status_of(&format!("{hall}-1")).await;
+            status.is_some_and(|status| status["list_revision"].as_u64() == Some(revision))
+        })
+        .await;
+    }
+
+    /// Lists a server of `reader-api` that the bench does not run.
+    pub fn list_service(&self, name: &str, hall: &str, address: SocketAddr) {
+        self.change_list(&ListChange::Put(vec![listed(
+            name,
+            "reader-api",
+            hall,
+            address,
+            &[],
+        )]));
+    }
+
+    /// Waits until a box's agent has ended, and in success.
+    pub async fn wait_for_end_of_agent(&mut self, name: &str) {
+        let deadline = Instant::now() + PATIENCE;
+        let succeeded = loop {
+            if let Some(succeeded) = self.agent(name).ended() {
+                break succeeded;
+            }
+            assert!(
+                Instant::now() < deadline,
+                "the agent does not end\n{}",
+                self.log_tail()
+            );
+            actix_rt::time::sleep(POLL).await;
+        };
+        assert!(succeeded, "the agent ended in failure\n{}", self.log_tail());
+        self.boxes.get_mut(name).unwrap().agent = None;
+    }
+
+    /// Starts a box's agent.
+    pub fn start_agent(&mut self, name: &str) {
+        let running = self.boxes.get_mut(name).unwrap();
+        let binary = env!("CARGO_BIN_EXE_gatepier-agent");
+        running.agent = Some(Process::start(
+            binary,
+            &running.files.agent_settings,
+            &self.log,
+        ));
+    }
+
+    /// Starts a box's router.
+    pub fn start_router(&mut self, name: &str) {
+        let running = self.boxes.get_mut(name).unwrap();
+        let binary = env!("CARGO_BIN_EXE_gatepier-router");
+        running.router = Some(Process::start(
+            binary,
+            &running.files.router_settings,
+            &self.log,
+        ));
+    }
+
+    /// Returns a box's agent.
+    pub fn agent(&mut self, name: &str) -> &mut Process {
+        self.boxes.get_mut(name).unwrap().agent.as_mut().unwrap()
+    }
+
+    /// Returns a box's router.
+    pub fn router(&mut self, name: &str) -> &mut Process {
+        self.boxes.get_mut(name).unwrap().router.as_mut().unwrap()
+    }
+
+    /// Sets the store's faults.
+    pub fn set_store(&self, faults: StoreFaults) {
+        self.store.set_faults(faults);
+    }
+}
+
+fn any_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn version(text: &str) -> VersionName {
+    VersionName::parse(text).unwrap()
+}
+
+fn serve<S: server::StandIn>(stand_in: Arc<S>, workers: usize) -> SocketAddr {
+    let listener = server::listen(any_address()).unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(server::serve(listener, stand_in, workers).unwrap());
+    address
+}
+
+fn listed(
+    name: &str,
+    service: &str,
+    hall: &str,
+    address: SocketAddr,
+    versions: &[&str],
+) -> ListedBox {
+    let versions = versions.iter().map(|text| version(text));
+    ListedBox::live(name, service, hall, address, versions)
+}
