--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -16,9 +16,7 @@
 pub use process::Process;
 
 use awc::Client;
-use gatepier::lab::fleet::Fleet;
-use gatepier::lab::fleet::FleetBox;
-use gatepier::lab::fleet::free_address;
+use gatepier::lab::fleet::{Fleet, FleetBox, free_address};
 use gatepier::lab::model::ModelStandIn;
 use gatepier::lab::platform::PlatformStandIn;
 use gatepier::lab::proxy::Proxy;
