--- a/src/gateway/versions/observed.rs
+++ b/src/gateway/versions/observed.rs
@@ -12,6 +12,9 @@
 /// of the roll-out's time.
 const REPORTED_STRETCHES: u16 = 10;
 
+/// Stretches that are kept: two minutes, in which a version on trial is judged many times.
+const KEPT_STRETCHES: u16 = 120;
+
 /// What is timed of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Measure {
@@ -157,6 +160,14 @@
         }
         self.sent = report.sent;
         self.groups.extend(report.groups);
+        self.forget_oldest();
+    }
+
+    /// Forgets the oldest stretches of a long roll-out, so that what is kept does not grow.
+    pub fn forget_oldest(&mut self) {
+        let newest = self.groups.keys().next_back();
+        let first = newest.map_or(0, |group| group.stretch.saturating_sub(KEPT_STRETCHES));
+        self.groups.retain(|group, _| group.stretch >= first);
     }
 
     /// Adds another box's counts.
--- a/src/gateway/versions/rollout.rs
+++ b/src/gateway/versions/rollout.rs
@@ -25,9 +25,12 @@
 const MOVING_FROM: u64 = 52;
 /// How long a stage lasts at least, in hundredths of the time. The middle ones take four and a
 /// half hundredths of the requests together, so a bad version may be found as late as there.
-const MOVING_LASTS: u64 = 4;
-const COMPARED_LASTS: u64 = 8;
-const ALL_LASTS: u64 = 8;
+const MOVING_LASTS: u32 = 4;
+const COMPARED_LASTS: u32 = 8;
+const ALL_LASTS: u32 = 8;
+/// The same for each hundredth, at most: a version that has left its first stage has some four
+/// seconds to prove itself, however long the whole roll-out takes.
+const LONGEST_HUNDREDTH: Duration = Duration::from_millis(250);
 /// How long after an order no session is moved, while boxes tell each other which
 /// sessions the old version serves: two of their reports and the way of the order.
 const SETTLING: Duration = Duration::from_millis(1600);
@@ -170,14 +173,14 @@
         return None;
     }
     let hundredths = part_of(progress.elapsed, order.duration);
-    let lasted = hundredths.saturating_sub(part_of(stage_since(&next), order.duration));
+    let lasted = progress.elapsed.saturating_sub(stage_since(&next));
     let is_too_late = hundredths >= GIVE_UP_AT && !next.is_proved();
     if progress.condemned || is_too_late {
         next.state = RolloutState::Reverted;
         next.permille = 0;
         next.rejected.push(order.target.clone());
     } else if next.is_proved() {
-        if hundredths >= DONE_AT && lasted >= ALL_LASTS {
+        if hundredths >= DONE_AT && lasted >= least(ALL_LASTS, order) {
             next.state = RolloutState::Done;
         }
     } else if progress.elapsed >= SETTLING {
@@ -200,7 +203,7 @@
 fn next_stage(
     present: u32,
     hundredths: u64,
-    lasted: u64,
+    lasted: Duration,
     order: &RolloutOrder,
     progress: Progress,
 ) -> u32 {
@@ -213,10 +216,14 @@
     let (is_due, following) = match present {
         0 => (true, progress.bound.first_stage(progress.sent, span)),
         at if at >= compared => {
-            let is_due = lasted >= COMPARED_LASTS && progress.verdict.is_good_at_stage;
+            let is_due =
+                lasted >= least(COMPARED_LASTS, order) && progress.verdict.is_good_at_stage;
             (is_due, ALL_SESSIONS)
         }
-        at if at >= moving => (lasted >= MOVING_LASTS && progress.verdict.is_good, compared),
+        at if at >= moving => (
+            lasted >= least(MOVING_LASTS, order) && progress.verdict.is_good,
+            compared,
+        ),
         _ => (
             hundredths >= MOVING_FROM && progress.verdict.is_good,
             moving,
@@ -228,6 +235,11 @@
     }
 }
 
+/// Returns how long a stage of so many hundredths lasts at least.
+fn least(hundredths: u32, order: &RolloutOrder) -> Duration {
+    (order.duration / 100).min(LONGEST_HUNDREDTH) * hundredths
+}
+
 fn part_of(elapsed: Duration, whole: Duration) -> u64 {
     let whole = millis(whole).max(1);
     millis(elapsed).saturating_mul(100) / whole
--- a/src/gateway/versions/tally.rs
+++ b/src/gateway/versions/tally.rs
@@ -13,7 +13,10 @@
 
 /// The stretches of a roll-out's time. In one, answers of all boxes are some thirty where a
 /// service gets 25 requests a second for 20 s; load and trouble change from one to the next.
-pub const STRETCHES: u32 = 24;
+const STRETCHES: u32 = 24;
+/// The longest of them. A stage is judged from the stretch after its beginning on, and has some
+/// four seconds to prove itself, however long the whole roll-out takes.
+const LONGEST_STRETCH: Duration = Duration::from_secs(1);
 
 /// One box's own counts of one roll-out, and its answers under way.
 #[derive(Debug, Default)]
@@ -91,6 +94,9 @@
     pub fn keep(&self, is_in_force: impl Fn(u64) -> bool) {
         let mut owns = self.0.borrow_mut();
         owns.by_order.retain(|order, _| is_in_force(*order));
+        for own in owns.by_order.values_mut() {
+            own.counted.forget_oldest();
+        }
     }
 
     /// Returns what was counted of an order.
@@ -168,9 +174,10 @@
 
 /// Returns the stretch of a roll-out's time, the last one from its end on.
 pub fn stretch_at(elapsed: Duration, duration: Duration) -> u16 {
-    let part = elapsed.as_secs_f64() / duration.as_secs_f64().max(f64::MIN_POSITIVE);
-    // A part of the time is at most one, so the product fits.
-    (part.min(1.0) * f64::from(STRETCHES)) as u16
+    let length = (duration / STRETCHES).min(LONGEST_STRETCH);
+    let seconds = length.as_secs_f64().max(f64::MIN_POSITIVE);
+    // A roll-out of more than 65,535 seconds ends in one long stretch.
+    (elapsed.min(duration).as_secs_f64() / seconds) as u16
 }
 
 /// Returns where a request to a version stands in a service's roll-out; none if there is none
--- a/tests/gateway/trials.rs
+++ b/tests/gateway/trials.rs
@@ -24,7 +24,8 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-const DURATION: Duration = Duration::from_secs(20);
+/// The time that operators give a roll-out, in seconds, where nothing else is said.
+const DURATION: u64 = 20;
 const HEAD_MEDIAN: f64 = 0.3;
 const HEAD_SPREAD: f64 = 0.4;
 const PACE_MEDIAN: f64 = 0.03;
@@ -51,9 +52,17 @@
     /// The part of the version's requests that are slowed, and by what factor.
     slowed: f64,
     factor: f64,
+    /// The time that operators give, in seconds.
+    duration: u64,
     seed: u64,
 }
 
+impl Plan {
+    fn duration(&self) -> Duration {
+        Duration::from_secs(self.duration)
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Event {
     Request,
@@ -110,11 +119,11 @@
     }
 }
 
-fn order() -> RolloutOrder {
+fn order(plan: &Plan) -> RolloutOrder {
     RolloutOrder {
         service: "engine".to_owned(),
         target: "v2".to_owned(),
-        duration: DURATION,
+        duration: plan.duration(),
         revision: ORDER,
     }
 }
@@ -171,7 +180,7 @@
 
     fn run(mut self) -> Outcome {
         while let Some(Reverse((at, event))) = self.queue.pop() {
-            if at > DURATION {
+            if at > self.plan.duration() {
                 break;
             }
             match self.events[event] {
@@ -238,7 +247,7 @@
         let record = self.boxes[at_box].record(at)?;
         (record.state == RolloutState::Running).then(|| Trial {
             order: ORDER,
-            stretch: stretch_at(at, DURATION),
+            stretch: stretch_at(at, self.plan.duration()),
             is_new,
         })
     }
@@ -305,9 +314,9 @@
             target: &target,
             span: Span {
                 elapsed: at,
-                duration: DURATION,
+                duration: self.plan.duration(),
             },
-            since: stretch_at(stage_since(&record), DURATION) + 1,
+            since: stretch_at(stage_since(&record), self.plan.duration()) + 1,
             is_compared: record.permille >= bound().middle_stage(MOVING),
             is_proved: record.is_proved(),
         };
@@ -325,7 +334,7 @@
             sent: watch.counted(ORDER, now(at)).sent,
             bound: bound(),
         };
-        let Some(next) = next_record(&order(), self.record.as_ref(), progress) else {
+        let Some(next) = next_record(&order(&self.plan), self.record.as_ref(), progress) else {
             return;
         };
         for (number, at_box) in self.boxes.iter_mut().enumerate() {
@@ -382,6 +391,7 @@
                 rate,
                 slowed,
                 factor,
+                duration: DURATION,
                 seed,
             };
             broken += usize::from(!roll_out(plan).keeps_bounds());
@@ -427,10 +437,21 @@
     sound_version_is_done_in_time => {
         for rate in RATES {
             for seed in 0..5 {
-                let plan = Plan { boxes: 9, rate, slowed: 0.0, factor: 1.0, seed };
+                let plan = Plan { boxes: 9, rate, slowed: 0.0, factor: 1.0, duration: DURATION, seed };
                 let outcome = roll_out(plan);
                 expect_that!(outcome.state, eq(RolloutState::Done), "{plan:?}: {outcome:?}");
             }
         }
     }
+
+    version_with_five_minutes_is_judged_as_soon => {
+        // Fails where stretches grow with the roll-out's time: a stage has four seconds to prove
+        // itself, and would be judged from the next stretch of twelve seconds on.
+        for seed in 0..3 {
+            let sound = Plan { boxes: 9, rate: 25.0, slowed: 0.0, factor: 1.0, duration: 300, seed };
+            expect_that!(roll_out(sound).state, eq(RolloutState::Done));
+            let slow = Plan { slowed: 0.4, factor: 8.0, ..sound };
+            expect_that!(roll_out(slow).keeps_bounds(), eq(true));
+        }
+    }
 }
