--- a/src/gateway/control/knowledge.rs
+++ b/src/gateway/control/knowledge.rs
@@ -85,6 +85,13 @@
     heard: Duration,
 }
 
+impl ToldTime {
+    /// Returns the time since the order by now.
+    fn by(self, now: Now) -> Duration {
+        self.elapsed + now.monotonic.saturating_sub(self.heard)
+    }
+}
+
 /// A roll-out's record, and when this box learned of it.
 #[derive(Debug, Clone)]
 pub struct SeenRecord {
@@ -110,9 +117,8 @@
     /// first time: where all boxes were restarted one after the other, the time went back to
     /// that stage, and a version without a proof was on trial for ever.
     pub fn hear_elapsed(&mut self, order: u64, elapsed: Duration, now: Now) {
-        let by_now = |told: ToldTime| told.elapsed + now.monotonic.saturating_sub(told.heard);
-        let known = self.told.filter(|told| told.order == order).map(by_now);
-        if known.is_none_or(|known| known < elapsed) {
+        let known = self.told.filter(|told| told.order == order);
+        if known.is_none_or(|known| known.by(now) < elapsed) {
             self.told = Some(ToldTime {
                 order,
                 elapsed,
@@ -134,8 +140,7 @@
                 then + now.monotonic.saturating_sub(known.seen)
             });
         let told = self.told.filter(|told| told.order == order.revision);
-        let told = told.map(|told| told.elapsed + now.monotonic.saturating_sub(told.heard));
-        let known = [Some(own), recorded, told];
+        let known = [Some(own), recorded, told.map(|told| told.by(now))];
         known.into_iter().flatten().max()
     }
 }
--- a/src/gateway/versions/watch.rs
+++ b/src/gateway/versions/watch.rs
@@ -203,8 +203,9 @@
     pub fn judge(&mut self, asked: Question<'_>, bound: &ExposureBound, now: Now) -> Verdict {
         let counted = self.counted(asked.order, now);
         let judgement = judge(&counted, asked.since);
-        let failing = self.failing_route(asked, &counted);
-        let fails_little = fails_little(&counted);
+        let failures = failures_by_route(&counted);
+        let fails_little = failures.values().all(RouteCounts::is_little);
+        let failing = self.failing_route(asked, failures);
         let verdict = Verdict {
             judgement,
             is_good: judgement.all.speak_for() && fails_little,
@@ -251,9 +252,9 @@
     fn failing_route(
         &mut self,
         asked: Question<'_>,
-        counted: &Counted,
+        failures: BTreeMap<String, RouteCounts>,
     ) -> Option<(String, Counts)> {
-        for (route, counts) in failures_by_route(counted) {
+        for (route, counts) in failures {
             let tested = VersionName {
                 model: format!("{} {route}", asked.order),
                 version: asked.target.version.clone(),
@@ -302,9 +303,17 @@
             ..FAILURE_GUARD
         }
     }
+
+    /// Tells whether the version fails about as seldom as the old one, which a proof takes.
+    fn is_little(&self) -> bool {
+        let usual = self.measured().tolerated_failed;
+        let borne = usual * GOOD_FAILURE_TIMES * self.new.served as f64 + 1.0;
+        self.new.failed as f64 <= borne
+    }
 }
 
-fn failures_by_route(counted: &Counted) -> Vec<(String, RouteCounts)> {
+/// Returns the answers and failures of each route, and of all together.
+fn failures_by_route(counted: &Counted) -> BTreeMap<String, RouteCounts> {
     let mut by_route: BTreeMap<String, RouteCounts> = BTreeMap::new();
     let mut all = RouteCounts::default();
     for (group, pair) in &counted.groups {
@@ -322,16 +331,5 @@
         }
     }
     by_route.insert(ALL_ROUTES.to_owned(), all);
-    by_route.into_iter().collect()
-}
-
-/// Tells whether a version fails about as seldom as the old one, which a proof takes.
-fn fails_little(counted: &Counted) -> bool {
-    let all = failures_by_route(counted);
-    let is_little = |(_, counts): &(String, RouteCounts)| {
-        let usual = counts.measured().tolerated_failed;
-        let borne = usual * GOOD_FAILURE_TIMES * counts.new.served as f64 + 1.0;
-        counts.new.failed as f64 <= borne
-    };
-    all.iter().all(is_little)
+    by_route
 }
