--- a/tests/gateway/trials.rs
+++ b/tests/gateway/trials.rs
@@ -54,10 +54,28 @@
     factor: f64,
     /// The time that operators give, in seconds.
     duration: u64,
+    /// Whether answers have so few events that only their heads are timed.
+    is_short: bool,
+    /// How widely the times to the heads of sound answers differ.
+    head_spread: f64,
     seed: u64,
 }
 
 impl Plan {
+    /// A sound version of a service with so many requests a second, between nine boxes.
+    fn sound(rate: f64, seed: u64) -> Self {
+        Self {
+            boxes: 9,
+            rate,
+            slowed: 0.0,
+            factor: 1.0,
+            duration: DURATION,
+            is_short: false,
+            head_spread: HEAD_SPREAD,
+            seed,
+        }
+    }
+
     fn duration(&self) -> Duration {
         Duration::from_secs(self.duration)
     }
@@ -221,7 +239,7 @@
             is_slowed,
             timed,
         });
-        let head = self.draw_time(HEAD_MEDIAN, HEAD_SPREAD) * self.slowness(number);
+        let head = self.draw_time(HEAD_MEDIAN, self.plan.head_spread) * self.slowness(number);
         self.plan_event(at + Duration::from_secs_f64(head), Event::Head(number));
     }
 
@@ -258,7 +276,8 @@
         }
         let request = &self.requests[number];
         let (at_box, is_new) = (request.at_box, request.is_new);
-        let timed = self.trial(at_box, is_new, at).map(|trial| {
+        let trial = self.trial(at_box, is_new, at);
+        let timed = trial.filter(|_| !self.plan.is_short).map(|trial| {
             let tally = self.boxes[at_box].watch.tally();
             tally.begin(trial, kind(Measure::Pace), GAPS, now(at))
         });
@@ -387,12 +406,9 @@
     for rate in RATES {
         for seed in 0..SEEDS {
             let plan = Plan {
-                boxes: 9,
-                rate,
                 slowed,
                 factor,
-                duration: DURATION,
-                seed,
+                ..Plan::sound(rate, seed)
             };
             broken += usize::from(!roll_out(plan).keeps_bounds());
         }
@@ -437,18 +453,37 @@
     sound_version_is_done_in_time => {
         for rate in RATES {
             for seed in 0..5 {
-                let plan = Plan { boxes: 9, rate, slowed: 0.0, factor: 1.0, duration: DURATION, seed };
+                let plan = Plan::sound(rate, seed);
                 let outcome = roll_out(plan);
                 expect_that!(outcome.state, eq(RolloutState::Done), "{plan:?}: {outcome:?}");
             }
         }
     }
 
+    sound_version_of_short_answers_is_done_in_time => {
+        // Seen: a sound version of one box was taken back after 58 answers, of which only the
+        // heads were timed, with odds of e^-2 where e^-3 was asked. How it came about: answers
+        // that come at once differ by what else the machine does, and some sixty of them say too
+        // little by one measure, whatever the version. What caused it: the next stage was given
+        // for a proof alone, though the operators' bounds bear that stage without one.
+        for seed in 0..40 {
+            let plan = Plan {
+                boxes: 1,
+                duration: 8,
+                is_short: true,
+                head_spread: 1.0,
+                ..Plan::sound(250.0, seed)
+            };
+            let outcome = roll_out(plan);
+            expect_that!(outcome.state, eq(RolloutState::Done), "{plan:?}: {outcome:?}");
+        }
+    }
+
     version_with_five_minutes_is_judged_as_soon => {
         // Fails where stretches grow with the roll-out's time: a stage has four seconds to prove
         // itself, and would be judged from the next stretch of twelve seconds on.
         for seed in 0..3 {
-            let sound = Plan { boxes: 9, rate: 25.0, slowed: 0.0, factor: 1.0, duration: 300, seed };
+            let sound = Plan { duration: 300, ..Plan::sound(25.0, seed) };
             expect_that!(roll_out(sound).state, eq(RolloutState::Done));
             let slow = Plan { slowed: 0.4, factor: 8.0, ..sound };
             expect_that!(roll_out(slow).keeps_bounds(), eq(true));
