--- a/src/gateway/control/membership.rs
+++ b/src/gateway/control/membership.rs
@@ -174,6 +174,7 @@
                 sent_new = progress.sent.new,
                 sent_all = progress.sent.all,
                 answers = progress.verdict.judgement.answers,
+                suspects = progress.verdict.judgement.suspects,
                 under_way = progress.verdict.judgement.open,
                 against = progress.verdict.judgement.against,
                 odds = progress.verdict.judgement.all.to_string().as_str(),
--- a/src/gateway/versions/exposure.rs
+++ b/src/gateway/versions/exposure.rs
@@ -24,8 +24,10 @@
 const LEAST_AT_FIRST: u32 = 3;
 /// How many times the share the middle stages may take, for a tenth of the time together.
 const MIDDLE_TIMES: f64 = 2.7;
-/// The bad answers from which the operators' time to stop runs.
-const BAD_ANSWERS: u32 = 50;
+/// The answers that may be bad from which the operators' time to stop is taken to run: it runs
+/// from the fiftieth bad one, and a fifth of the slowed ones may not be among those that are
+/// counted as slow.
+const SUSPECTS: u32 = 40;
 /// What stopping takes of that time: the way of the counts, a look, and the word to all.
 const STOPPING: Duration = Duration::from_millis(1000);
 const THOUSAND: f64 = 1000.0;
@@ -83,9 +85,9 @@
         sent.new as f64 >= allowed * SPENT_PART
     }
 
-    /// Tells whether the time to stop would be running if all answers were bad.
-    pub fn is_doubted(&self, answers: u32) -> bool {
-        answers >= BAD_ANSWERS
+    /// Tells whether the time to stop would be running if all answers that may be bad were.
+    pub fn is_doubted(&self, suspects: u32) -> bool {
+        suspects >= SUSPECTS
     }
 
     /// Returns how long a version may go without a proof from then on.
--- a/src/gateway/versions/rollout.rs
+++ b/src/gateway/versions/rollout.rs
@@ -5,6 +5,7 @@
 //! [`super::watch`]. See `docs/design/platform.md`.
 
 use super::exposure::{ExposureBound, MOST_AT_FIRST, Span};
+use super::judge::Evidence;
 use super::observed::Sent;
 use super::watch::Verdict;
 use crate::clock::{Now, millis};
@@ -211,21 +212,22 @@
         elapsed: progress.elapsed,
         duration: order.duration,
     };
+    let verdict = progress.verdict;
     let moving = progress.bound.middle_stage(MOVING);
     let compared = progress.bound.middle_stage(COMPARED);
     let (is_due, following) = match present {
         0 => (true, progress.bound.first_stage(progress.sent, span)),
         at if at >= compared => {
             let is_due =
-                lasted >= least(COMPARED_LASTS, order) && progress.verdict.is_good_at_stage;
+                lasted >= least(COMPARED_LASTS, order) && verdict.at_stage >= Evidence::Proves;
             (is_due, ALL_SESSIONS)
         }
         at if at >= moving => (
-            lasted >= least(MOVING_LASTS, order) && progress.verdict.is_good,
+            lasted >= least(MOVING_LASTS, order) && verdict.evidence >= Evidence::Triable,
             compared,
         ),
         _ => (
-            hundredths >= MOVING_FROM && progress.verdict.is_good,
+            hundredths >= MOVING_FROM && verdict.evidence >= Evidence::Triable,
             moving,
         ),
     };
--- a/src/gateway/versions/watch.rs
+++ b/src/gateway/versions/watch.rs
@@ -5,7 +5,7 @@
 //! `docs/design/exposure.md`.
 
 use super::exposure::{ExposureBound, Span};
-use super::judge::{Judgement, judge};
+use super::judge::{Evidence, Judgement, judge};
 use super::observed::{Counted, Report};
 use super::tally::Tally;
 use crate::clock::Now;
@@ -98,10 +98,10 @@
 pub struct Verdict {
     /// What the counts say.
     pub judgement: Judgement,
-    /// Whether they speak for it.
-    pub is_good: bool,
-    /// Whether those of the present stage prove that it is as good as the old one.
-    pub is_good_at_stage: bool,
+    /// How far they allow to go on with it.
+    pub evidence: Evidence,
+    /// How far those of the present stage do.
+    pub at_stage: Evidence,
 }
 
 /// What another box has told of a roll-out.
@@ -206,16 +206,20 @@
         let failures = failures_by_route(&counted);
         let fails_little = failures.values().all(RouteCounts::is_little);
         let failing = self.failing_route(asked, failures);
+        let if_sound = |evidence| match fails_little {
+            true => evidence,
+            false => Evidence::Wanting,
+        };
         let verdict = Verdict {
             judgement,
-            is_good: judgement.all.speak_for() && fails_little,
-            is_good_at_stage: judgement.since.prove_good() && fails_little,
+            evidence: if_sound(judgement.evidence()),
+            at_stage: if_sound(judgement.evidence_at_stage()),
         };
         let is_cleared = match asked.is_compared {
-            true => verdict.is_good_at_stage,
-            false => verdict.is_good,
+            true => verdict.at_stage >= Evidence::Proves,
+            false => verdict.evidence >= Evidence::Speaks,
         };
-        let is_doubted = bound.is_doubted(judgement.answers) && !is_cleared;
+        let is_doubted = bound.is_doubted(judgement.suspects) && !is_cleared;
         let doubt = self.doubt(asked.order, is_doubted, now);
         let finding = if let Some((route, counts)) = failing {
             Some(Finding::Fails { route, counts })
@@ -275,6 +279,7 @@
         version = asked.target.version.as_str(),
         order = asked.order,
         answers = verdict.judgement.answers,
+        suspects = verdict.judgement.suspects,
         under_way = verdict.judgement.open,
         against = verdict.judgement.against,
         odds = verdict.judgement.all.to_string().as_str(),
