A proof asks whether a version slows the engines' batches as a whole

Of the paces of a version that slows two answers in ten twofold 1 to 3 in ten rank among the fastest three tenths of the old one's, of a sound version's 4 to 6 in ten; the tail of the ranks alone does not tell them.

--- a/src/gateway/versions/judge.rs
+++ b/src/gateway/versions/judge.rs
@@ -33,6 +33,20 @@
         sharpness: 40.0,
     },
 ];
+/// A bad version that slows some requests enough to slow all those that run beside them a little:
+/// the pace of most answers is among the slower half. Engines batch, so this is how a version shows
+/// that slows two answers in ten twofold: of its paces 1 to 3 in ten rank among the fastest three
+/// tenths of the old one's, of a sound version's 4 to 6 in ten (18 roll-outs of each on three
+/// deployments, while the versions bore a like load).
+const SLOWS_BATCHES: Badness = Badness {
+    slowed: 1.0,
+    sharpness: 2.0,
+};
+/// The logarithm of the odds of that at which it is not likely, and at which that is beyond doubt.
+/// At the first 1 of the same sound versions in 18 would not have been brought in, and 12 of 72
+/// weak ones would have been.
+const KEEPS_PACE_FROM: f64 = 0.0;
+const KEEPS_PACE_BEYOND_DOUBT: f64 = -8.0;
 /// How many times slower than an old answer a new one may be: a step of a third covers engines
 /// that have kept no prompts yet, and a sum over answers tells nothing smaller.
 const MARGIN: f64 = 1.3;
@@ -85,6 +99,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 struct Sum {
     odds: ByBadness,
+    /// Those of [`SLOWS_BATCHES`].
+    batches: f64,
     answers: u32,
 }
 
@@ -93,6 +109,7 @@
         for (sum, odds) in self.odds.iter_mut().zip(other.odds) {
             *sum += odds;
         }
+        self.batches += other.batches;
         self.answers += other.answers;
     }
 
@@ -100,6 +117,11 @@
     fn agrees(&self) -> bool {
         self.answers < FEWEST_TO_AGREE || self.odds[0] <= AGREES_FROM
     }
+
+    /// Tells whether the engines are not slowed as a whole, or too few answers say so.
+    fn keeps_pace(&self, from: f64) -> bool {
+        self.answers < FEWEST_TO_AGREE || self.batches <= from
+    }
 }
 
 /// Sums of log odds, by what was timed.
@@ -113,7 +135,11 @@
 impl fmt::Display for Odds {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let [head, pace, whole] = self.measures().map(|sum| sum.odds);
-        write!(f, "head {head:.1?}, pace {pace:.1?}, whole {whole:.1?}")
+        let batches = self.pace.batches;
+        write!(
+            f,
+            "head {head:.1?}, pace {pace:.1?}, batches {batches:.1}, whole {whole:.1?}"
+        )
     }
 }
 
@@ -138,17 +164,19 @@
 
     /// Returns what the odds of so many answers say of the version.
     fn evidence(&self, answers: u32) -> Evidence {
-        let is_none_of = |from: ByBadness| {
+        let is_none_of = |from: ByBadness, batches_from: f64| {
             let kinds = from.iter().enumerate();
             let mut ruled_out = kinds.map(|(kind, from)| self.sum(kind) <= *from);
-            ruled_out.all(|is_out| is_out) && self.measures().iter().all(Sum::agrees)
+            ruled_out.all(|is_out| is_out)
+                && self.measures().iter().all(Sum::agrees)
+                && self.pace.keeps_pace(batches_from)
         };
         let likeliest = self.sum(0);
         if self.worst() >= MOST_AGAINST {
             Evidence::Wanting
-        } else if is_none_of(BEYOND_DOUBT_FROM) {
+        } else if is_none_of(BEYOND_DOUBT_FROM, KEEPS_PACE_BEYOND_DOUBT) {
             Evidence::BeyondDoubt
-        } else if is_none_of(GOOD_FROM) {
+        } else if is_none_of(GOOD_FROM, KEEPS_PACE_FROM) {
             Evidence::Proves
         } else if likeliest <= SPEAKS_FROM {
             Evidence::Speaks
@@ -307,22 +335,26 @@
     }
 
     fn odds_of(&self, new: &Answers) -> Sum {
-        let odds = BAD_VERSIONS.map(|bad| {
-            let came = new.times.steps().map(|(step, count)| {
-                let rank = self.ranks.rank(step - self.margin);
-                f64::from(count) * bad.log_odds(rank)
-            });
-            let under_way = new.open.steps().map(|(step, count)| {
-                let least = self.ranks.rank(step - self.margin);
-                f64::from(count) * bad.log_odds_from(least)
-            });
-            self.weight * (came.sum::<f64>() + under_way.sum::<f64>())
-        });
         Sum {
-            odds,
+            odds: BAD_VERSIONS.map(|bad| self.odds_with(new, bad, self.margin)),
+            batches: self.odds_with(new, SLOWS_BATCHES, 0),
             answers: new.times.total(),
         }
     }
+
+    /// Returns the odds of one kind of bad version against a sound one that is slower by a margin
+    /// at the most.
+    fn odds_with(&self, new: &Answers, bad: Badness, margin: i16) -> f64 {
+        let came = new.times.steps().map(|(step, count)| {
+            let rank = self.ranks.rank(step - margin);
+            f64::from(count) * bad.log_odds(rank)
+        });
+        let under_way = new.open.steps().map(|(step, count)| {
+            let least = self.ranks.rank(step - margin);
+            f64::from(count) * bad.log_odds_from(least)
+        });
+        self.weight * (came.sum::<f64>() + under_way.sum::<f64>())
+    }
 }
 
 /// The part of the old version's answers that take less than a time, by its step.
