--- a/src/gateway/control/membership.rs
+++ b/src/gateway/control/membership.rs
@@ -9,6 +9,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::versions::rollout::{Progress, is_overdue, next_record};
 use crate::name::VersionName;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -111,6 +112,8 @@
 
 /// Takes roll-outs through their stages while this box leads.
 pub async fn lead(gw: Rc<Gateway>, store: Rc<dyn ControlStore>) {
+    // The revision of the last record that this box wrote of each service.
+    let mut written: HashMap<String, u64> = HashMap::new();
     loop {
         sleep(LEAD_INTERVAL).await;
         let place = place_in_line(&gw, Now::read());
@@ -118,22 +121,30 @@
             continue;
         }
         for service in services_under_rollout(&gw) {
-            if place == Some(0) || is_left(&gw, &service, Now::read()) {
-                advance(&gw, &*store, &service).await;
+            let own = written.get(&service).copied();
+            if place != Some(0) && !is_left(&gw, &service, own, Now::read()) {
+                continue;
+            }
+            if let Some(revision) = advance(&gw, &*store, &service).await {
+                written.insert(service, revision);
             }
         }
     }
 }
 
 /// Tells whether the box that leads leaves a roll-out as it is, though this one hears from the
-/// store.
-fn is_left(gw: &Gateway, service: &str, now: Now) -> bool {
+/// store: its record is overdue, or this box took it on when it was and has written the last one,
+/// at the revision `own`.
+fn is_left(gw: &Gateway, service: &str, own: Option<u64>, now: Now) -> bool {
     let Some((order, known, elapsed)) = standing(gw, service, now) else {
         return false;
     };
     let hears = gw.knowledge.borrow().age(now);
+    let is_own = known
+        .as_ref()
+        .is_some_and(|known| Some(known.revision) == own);
     let record = known.as_ref().map(|known| &known.record);
-    hears.is_some_and(|age| age <= FRESH) && is_overdue(&order, record, elapsed)
+    hears.is_some_and(|age| age <= FRESH) && (is_own || is_overdue(&order, record, elapsed))
 }
 
 /// Tells whether this box leads: it is the first in line.
@@ -168,20 +179,17 @@
         .collect()
 }
 
-/// Writes the next record of a roll-out if it has to change.
-async fn advance(gw: &Gateway, store: &dyn ControlStore, service: &str) {
+/// Writes the next record of a roll-out if it has to change, and returns the revision at which it
+/// was written.
+async fn advance(gw: &Gateway, store: &dyn ControlStore, service: &str) -> Option<u64> {
     let now = Now::read();
-    let Some((order, known, elapsed)) = standing(gw, service, now) else {
-        return;
-    };
+    let (order, known, elapsed) = standing(gw, service, now)?;
     let progress = progress_of(gw, &order, elapsed, now);
     let (record, expected) = match &known {
         Some(known) => (Some(&known.record), known.revision),
         None => (None, 0),
     };
-    let Some(next) = next_record(&order, record, progress) else {
-        return;
-    };
+    let next = next_record(&order, record, progress)?;
     gw.telemetry.store_called("write");
     match store.write_rollout(&next, expected).await {
         Ok(RecordWritten::At(revision)) => {
@@ -203,12 +211,17 @@
             );
             let update = Update::RolloutStage(next, revision);
             gw.knowledge.borrow_mut().apply(update, Now::read());
+            Some(revision)
         }
         Ok(RecordWritten::Conflict) => {
             log::info!(service, expected; "another box took the roll-out on");
+            None
         }
         // The watch will tell whether the write took effect.
-        Err(err) => gw.store_failed(&err, Now::read()),
+        Err(err) => {
+            gw.store_failed(&err, Now::read());
+            None
+        }
     }
 }
 
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -7,7 +7,7 @@
 use gatepier::gateway::versions::judge::{Evidence, Judgement};
 use gatepier::gateway::versions::observed::{Kind, Measure, Sent, Trial};
 use gatepier::gateway::versions::rollout::{
-    Progress, VersionQuery, VersionRule, next_record, version_rule,
+    Progress, VersionQuery, VersionRule, is_overdue, next_record, version_rule,
 };
 use gatepier::gateway::versions::sessions::Sessions;
 use gatepier::gateway::versions::watch::{Finding, Question, Verdict, VersionWatch};
@@ -319,6 +319,45 @@
         expect_that!(elapsed, some(eq(21 * SECOND)));
     }
 
+    box_that_was_restarted_does_not_take_what_it_counted_for_the_whole => {
+        // A sound version was taken back for this: a box that was restarted as the middle stages
+        // began had counted 58 of 161 requests to the new version, all boxes 96 of 487.
+        let span = Span { elapsed: 14_500 * SECOND / 1000, duration: 20 * SECOND };
+        let counted = |from| Sent { new: 58, all: 161, from: Some(from) };
+        expect_that!(bound().is_spent(counted(8 * SECOND), span), eq(false));
+        expect_that!(bound().is_spent(counted(Duration::ZERO), span), eq(true));
+    }
+
+    share_is_bounded_by_what_a_restarted_box_counted => {
+        // All boxes were restarted half-way, and every second request goes to the version since.
+        let span = Span { elapsed: 16 * SECOND, duration: 20 * SECOND };
+        let counted = Sent { new: 150, all: 300, from: Some(10 * SECOND) };
+        expect_that!(bound().is_spent(counted, span), eq(true));
+    }
+
+    counts_of_boxes_begin_with_the_first_of_them => {
+        let trial = |seconds, is_new| Trial { elapsed: seconds * SECOND, ..Counting::trial(is_new) };
+        let mut sent = Sent::default();
+        sent.count(trial(5, true));
+        sent.count(trial(6, false));
+        let mut other = Sent::default();
+        other.extend(&Sent::default());
+        expect_that!(other.from, none());
+        other.count(trial(2, true));
+        sent.extend(&other);
+        expect_that!(sent, eq(Sent { new: 2, all: 3, from: Some(2 * SECOND) }));
+    }
+
+    roll_out_is_overdue_when_the_leading_box_does_not_write => {
+        // Time is written each 1.2 s of 24 s; another second and a half may pass.
+        let first = record(RolloutState::Running, 100, 4 * SECOND);
+        expect_that!(is_overdue(&order(), Some(&first), 6 * SECOND), eq(false));
+        expect_that!(is_overdue(&order(), Some(&first), 7 * SECOND), eq(true));
+        // Nobody has written of this order yet.
+        expect_that!(is_overdue(&order(), None, SECOND), eq(false));
+        expect_that!(is_overdue(&order(), None, 2 * SECOND), eq(true));
+    }
+
     box_that_has_just_started_sends_a_version_on_trial_nothing => {
         // It cannot have been told yet that another box found the version bad.
         let newcomer = VersionQuery { is_newcomer: true, pinned: Some("v2"), ..query("s") };
@@ -567,6 +606,58 @@
         }
     }
 
+    version_that_fails_one_answer_in_ten_is_not_proved => {
+        // Fails where twice what the guard bears is taken for little: such a version was brought
+        // in on five of nine days.
+        let evidence = |fails_each: u32| {
+            let mut counting = Counting::new("box");
+            for answer in 0..100 {
+                let answer = if answer % fails_each == 7 { Answer::Failed } else { Answer::Whole };
+                counting.count_both("bookmark", answer);
+            }
+            counting.judge(0).evidence
+        };
+        expect_that!(evidence(10), lt(Evidence::Triable));
+        expect_that!(evidence(101), ge(Evidence::Proves));
+    }
+
+    version_that_slows_batches_is_not_proved => {
+        // Fails where the tail of the ranks alone is looked at: a version that slows some requests
+        // twofold slows those beside them by a tenth or two.
+        let evidence = |times: f64| {
+            let mut counting = Counting::new("box");
+            let kind = Kind { route: "recap", measure: Measure::Pace };
+            for answer in 0..60 {
+                let usual = 0.03 * (1.0 + f64::from(answer * 7 % 25) / 100.0);
+                for is_new in [false, true] {
+                    let begun = counting.watch.tally().begin(Counting::trial(is_new), kind, 1.0, at(0));
+                    begun.took(if is_new { usual * times } else { usual });
+                    counting.count(is_new, "recap", Answer::Whole);
+                }
+            }
+            counting.judge(0).evidence
+        };
+        expect_that!(evidence(1.12), lt(Evidence::Proves));
+        expect_that!(evidence(0.95), ge(Evidence::Proves));
+    }
+
+    answers_of_the_faster_half_do_not_run_the_time_to_stop => {
+        // Fails where every answer counts as bad: sound versions were taken back five seconds
+        // after their fiftieth answer, with odds of e^-20 that they are bad.
+        let mut counting = Counting::new("box");
+        for _ in 0..60 {
+            counting.count_both("recap", Answer::Whole);
+        }
+        let suspects = counting.judge(0).judgement.suspects;
+        expect_that!(suspects, all!(gt(20), lt(40)));
+        expect_that!(bound().is_doubted(suspects), eq(false));
+        for _ in 0..20 {
+            counting.count_both("recap", Answer::Slow);
+        }
+        let suspects = counting.judge(0).judgement.suspects;
+        expect_that!(bound().is_doubted(suspects), eq(true));
+    }
+
     version_that_fails_more_than_the_old_one_is_found => {
         let mut counting = Counting::new("box");
         for answer in 0..90 {
