--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -31,10 +31,11 @@
 use attempt::protocol::Headers;
 use attempt::retries::RetryWindow;
 use attempt::upstream::Upstream;
-use control::knowledge::{Knowledge, Proof, Rollout};
+use control::knowledge::{Knowledge, Proof};
 use control::mirror::Mirror;
+use control::rollout::Rollout;
 use control::store::ControlStore;
-use control::{follow, membership};
+use control::{follow, leading};
 use peers::asking::Asking;
 use peers::heard::Heard;
 use peers::hubs::{Hubs, choose_hubs};
@@ -417,7 +418,7 @@
     listen::serve_readiness(&gw, &metrics)?;
     actix_rt::spawn(follow::follow(gw.clone(), store.clone()));
     actix_rt::spawn(probe::probe_unconnectable(gw.clone()));
-    actix_rt::spawn(membership::lead(gw.clone(), store.clone()));
+    actix_rt::spawn(leading::lead(gw.clone(), store.clone()));
     actix_rt::spawn(follow::tidy(gw.clone()));
     let exchange = messages::exchange(gw.clone(), store.clone());
     actix_rt::spawn(async move {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -4,6 +4,8 @@
 pub mod first_reads;
 pub mod follow;
 pub mod knowledge;
+pub mod leading;
 pub mod membership;
 pub mod mirror;
+pub mod rollout;
 pub mod store;
--- /dev/null
+++ b/src/gateway/control/leading.rs
@@ -0,0 +1,150 @@
+//! Takes roll-outs through their stages: the box that leads, and the next in line where that one
+//! does not reach the store.
+//!
+//! Every step is a conditional write, so that a box which wrongly believes that it leads does no
+//! harm. See `docs/design/platform.md`.
+
+use super::membership::place_in_line;
+use super::store::{ControlStore, RecordWritten, RolloutOrder, Update};
+use crate::clock::Now;
+use crate::gateway::Gateway;
+use crate::gateway::versions::rollout::{Progress, is_overdue, next_record};
+use crate::name::VersionName;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// The time between two looks at the roll-outs.
+const LEAD_INTERVAL: Duration = Duration::from_millis(250);
+/// The boxes that take a roll-out on, in line: those that are told the counts of all.
+const IN_LINE: usize = 2;
+/// The age of what a box knows of the store up to which it may reach it: a watch that is not cut
+/// off proves itself several times a second.
+const FRESH: Duration = Duration::from_secs(1);
+
+/// Takes roll-outs through their stages while this box leads.
+pub async fn lead(gw: Rc<Gateway>, store: Rc<dyn ControlStore>) {
+    // The revision of the last record that this box wrote of each service.
+    let mut written: HashMap<String, u64> = HashMap::new();
+    loop {
+        sleep(LEAD_INTERVAL).await;
+        let place = place_in_line(&gw, Now::read());
+        if gw.lease.get().is_none() || place.is_none_or(|place| place >= IN_LINE) {
+            continue;
+        }
+        for service in services_under_rollout(&gw) {
+            let own = written.get(&service).copied();
+            if place != Some(0) && !is_left(&gw, &service, own, Now::read()) {
+                continue;
+            }
+            if let Some(revision) = advance(&gw, &*store, &service).await {
+                written.insert(service, revision);
+            }
+        }
+    }
+}
+
+/// Tells whether the box that leads leaves a roll-out as it is, though this one hears from the
+/// store: its record is overdue, or this box took it on when it was and has written the last one,
+/// at the revision `own`.
+fn is_left(gw: &Gateway, service: &str, own: Option<u64>, now: Now) -> bool {
+    let Some((order, known, elapsed)) = standing(gw, service, now) else {
+        return false;
+    };
+    let hears = gw.knowledge.borrow().age(now);
+    let is_own = known
+        .as_ref()
+        .is_some_and(|known| Some(known.revision) == own);
+    let record = known.as_ref().map(|known| &known.record);
+    hears.is_some_and(|age| age <= FRESH) && (is_own || is_overdue(&order, record, elapsed))
+}
+
+fn services_under_rollout(gw: &Gateway) -> Vec<String> {
+    let knowledge = gw.knowledge.borrow();
+    let has_order = |(_, rollout): &(&String, &super::rollout::Rollout)| rollout.order.is_some();
+    knowledge
+        .rollouts()
+        .iter()
+        .filter(has_order)
+        .map(|(service, _)| service.clone())
+        .collect()
+}
+
+/// Writes the next record of a roll-out if it has to change, and returns the revision at which it
+/// was written.
+async fn advance(gw: &Gateway, store: &dyn ControlStore, service: &str) -> Option<u64> {
+    let now = Now::read();
+    let (order, known, elapsed) = standing(gw, service, now)?;
+    let progress = progress_of(gw, &order, elapsed, now);
+    let (record, expected) = match &known {
+        Some(known) => (Some(&known.record), known.revision),
+        None => (None, 0),
+    };
+    let next = next_record(&order, record, progress)?;
+    gw.telemetry.store_called("write");
+    match store.write_rollout(&next, expected).await {
+        Ok(RecordWritten::At(revision)) => {
+            log::info!(
+                service,
+                version = next.target.as_str(),
+                permille = next.permille,
+                elapsed_ms = next.elapsed_ms,
+                sent_new = progress.sent.new,
+                sent_all = progress.sent.all,
+                answers = progress.verdict.judgement.answers,
+                suspects = progress.verdict.judgement.suspects,
+                under_way = progress.verdict.judgement.open,
+                against = progress.verdict.judgement.against,
+                odds = progress.verdict.judgement.all.to_string().as_str(),
+                odds_at_stage = progress.verdict.judgement.since.to_string().as_str(),
+                condemned = progress.condemned;
+                "roll-out taken on: {:?}", next.state
+            );
+            let update = Update::RolloutStage(next, revision);
+            gw.knowledge.borrow_mut().apply(update, Now::read());
+            Some(revision)
+        }
+        Ok(RecordWritten::Conflict) => {
+            log::info!(service, expected; "another box took the roll-out on");
+            None
+        }
+        // The watch will tell whether the write took effect.
+        Err(err) => {
+            gw.store_failed(&err, Now::read());
+            None
+        }
+    }
+}
+
+fn progress_of(gw: &Gateway, order: &RolloutOrder, elapsed: Duration, now: Now) -> Progress {
+    let knowledge = gw.knowledge.borrow();
+    let rollout = knowledge.rollout(&order.service);
+    let verdict = rollout.and_then(|rollout| gw.judge_version(rollout, now));
+    let verdict = verdict.unwrap_or_default();
+    Progress {
+        elapsed,
+        condemned: gw.is_condemned(order.revision),
+        verdict,
+        sent: gw.versions.borrow().counted(order.revision, now).sent,
+        bound: gw.settings().bounds.exposure,
+    }
+}
+
+type Standing = (RolloutOrder, Option<super::rollout::SeenRecord>, Duration);
+
+fn standing(gw: &Gateway, service: &str, now: Now) -> Option<Standing> {
+    let knowledge = gw.knowledge.borrow();
+    let rollout = knowledge.rollout(service)?;
+    let (order, _) = rollout.order.as_ref()?;
+    let elapsed = rollout.elapsed(now)?;
+    Some((order.clone(), rollout.record.clone(), elapsed))
+}
+
+/// Returns the name under which a roll-out's target is watched.
+pub fn target_name(order: &RolloutOrder) -> VersionName {
+    VersionName {
+        model: order.service.clone(),
+        version: order.target.clone(),
+    }
+}
--- a/src/gateway/versions/rollout.rs
+++ b/src/gateway/versions/rollout.rs
@@ -9,7 +9,7 @@
 use super::observed::Sent;
 use super::watch::Verdict;
 use crate::clock::{Now, millis};
-use crate::gateway::control::knowledge::Rollout;
+use crate::gateway::control::rollout::Rollout;
 use crate::gateway::control::store::{ALL_SESSIONS, RolloutOrder, RolloutRecord, RolloutState};
 use crate::gateway::place::choose::draw;
 use std::time::Duration;
--- a/src/gateway/versions/tally.rs
+++ b/src/gateway/versions/tally.rs
@@ -5,7 +5,7 @@
 
 use super::observed::{Answers, Counted, Group, Kind, Report, Trial};
 use crate::clock::Now;
-use crate::gateway::control::knowledge::Rollout;
+use crate::gateway::control::rollout::Rollout;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -1,7 +1,8 @@
 //! Roll-outs: which version serves whom, and when a version is found bad.
 
 use super::{at, cases};
-use gatepier::gateway::control::knowledge::{Knowledge, Rollout};
+use gatepier::gateway::control::knowledge::Knowledge;
+use gatepier::gateway::control::rollout::Rollout;
 use gatepier::gateway::control::store::{RolloutOrder, RolloutRecord, RolloutState, Update};
 use gatepier::gateway::versions::exposure::{ExposureBound, Span};
 use gatepier::gateway::versions::judge::{Evidence, Judgement};
