--- a/src/gateway/control/leading.rs
+++ b/src/gateway/control/leading.rs
@@ -90,8 +90,8 @@
                 version = next.target.as_str(),
                 permille = next.permille,
                 elapsed_ms = next.elapsed_ms,
-                sent_new = progress.sent.new,
-                sent_all = progress.sent.all,
+                sent_new = progress.verdict.sent.new,
+                sent_all = progress.verdict.sent.all,
                 answers = progress.verdict.judgement.answers,
                 suspects = progress.verdict.judgement.suspects,
                 under_way = progress.verdict.judgement.open,
@@ -126,7 +126,6 @@
         elapsed,
         condemned: gw.is_condemned(order.revision),
         verdict,
-        sent: gw.versions.borrow().counted(order.revision, now).sent,
         bound: gw.settings().bounds.exposure,
     }
 }
--- a/src/gateway/versions/rollout.rs
+++ b/src/gateway/versions/rollout.rs
@@ -6,7 +6,6 @@
 
 use super::exposure::{ExposureBound, MOST_AT_FIRST, Span};
 use super::judge::Evidence;
-use super::observed::Sent;
 use super::watch::Verdict;
 use crate::clock::{Now, millis};
 use crate::gateway::control::rollout::Rollout;
@@ -144,8 +143,6 @@
     pub condemned: bool,
     /// What is known of how it answers.
     pub verdict: Verdict,
-    /// The requests since the order.
-    pub sent: Sent,
     /// What operators allow a bad version.
     pub bound: ExposureBound,
 }
@@ -236,10 +233,10 @@
     let moving = progress.bound.middle_stage(MOVING);
     let compared = progress.bound.middle_stage(COMPARED);
     let (is_due, following) = match present {
-        0 => (true, progress.bound.first_stage(progress.sent, span)),
+        0 => (true, progress.bound.first_stage(verdict.sent, span)),
         at if at >= compared => {
             let may_grow = hundredths < PROOF_GROWS_UNTIL
-                && !progress.bound.is_nearly_spent(progress.sent, span);
+                && !progress.bound.is_nearly_spent(verdict.sent, span);
             let asked = match may_grow {
                 true => Evidence::BeyondDoubt,
                 false => Evidence::Proves,
--- a/src/gateway/versions/watch.rs
+++ b/src/gateway/versions/watch.rs
@@ -6,7 +6,7 @@
 
 use super::exposure::{ExposureBound, Span};
 use super::judge::{Evidence, Judgement, judge};
-use super::observed::{Counted, Report};
+use super::observed::{Counted, Report, Sent};
 use super::tally::Tally;
 use crate::clock::Now;
 use crate::evidence::Counts;
@@ -109,6 +109,8 @@
     pub evidence: Evidence,
     /// How far those of the present stage do.
     pub at_stage: Evidence,
+    /// The requests since the order.
+    pub sent: Sent,
 }
 
 /// What another box has told of a roll-out.
@@ -217,6 +219,7 @@
             judgement,
             evidence: judgement.evidence().min(by_failures),
             at_stage: judgement.evidence_at_stage().min(by_failures),
+            sent: counted.sent,
         };
         let is_cleared = match asked.is_compared {
             true => verdict.at_stage >= Evidence::Proves,
@@ -238,7 +241,7 @@
         if let Some(finding) = finding
             && !self.findings.contains_key(&asked.order)
         {
-            log_finding(asked, &finding, &verdict, &counted);
+            log_finding(asked, &finding, &verdict);
             self.findings.insert(asked.order, finding);
         }
         verdict
@@ -276,7 +279,7 @@
     }
 }
 
-fn log_finding(asked: Question<'_>, finding: &Finding, verdict: &Verdict, counted: &Counted) {
+fn log_finding(asked: Question<'_>, finding: &Finding, verdict: &Verdict) {
     log::warn!(
         service = asked.target.model.as_str(),
         version = asked.target.version.as_str(),
@@ -287,8 +290,8 @@
         against = verdict.judgement.against,
         odds = verdict.judgement.all.to_string().as_str(),
         odds_at_stage = verdict.judgement.since.to_string().as_str(),
-        sent_new = counted.sent.new,
-        sent_all = counted.sent.all;
+        sent_new = verdict.sent.new,
+        sent_all = verdict.sent.all;
         "version found bad: {finding}"
     );
 }
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -87,12 +87,12 @@
             judgement: Judgement::default(),
             evidence,
             at_stage: evidence,
-        },
-        // A hundred a second, of which 45 are as many as the first stage takes.
-        sent: Sent {
-            new: 0,
-            all: u64::from(seconds) * 100,
-            from: Some(Duration::ZERO),
+            // A hundred a second, of which 30 are as many as the first stage takes.
+            sent: Sent {
+                new: 0,
+                all: u64::from(seconds) * 100,
+                from: Some(Duration::ZERO),
+            },
         },
         bound: bound(),
     }
--- a/tests/gateway/trials.rs
+++ b/tests/gateway/trials.rs
@@ -351,7 +351,6 @@
             elapsed: at,
             condemned: watch.finding(ORDER).is_some(),
             verdict,
-            sent: watch.counted(ORDER, now(at)).sent,
             bound: bound(),
         };
         let Some(next) = next_record(&order(&self.plan), self.record.as_ref(), progress) else {
