--- a/src/gateway/versions/judge.rs
+++ b/src/gateway/versions/judge.rs
@@ -33,20 +33,21 @@
         sharpness: 40.0,
     },
 ];
-/// A bad version that slows some requests enough to slow all those that run beside them a little:
-/// the pace of most answers is among the slower half. Engines batch, so this is how a version shows
-/// that slows two answers in ten twofold: of its paces 1 to 3 in ten rank among the fastest three
-/// tenths of the old one's, of a sound version's 4 to 6 in ten (18 roll-outs of each on three
-/// deployments, while the versions bore a like load).
-const SLOWS_BATCHES: Badness = Badness {
+/// A bad version of which most answers are among the slower half. Engines batch, so one that slows
+/// two answers in ten twofold slows those beside them a little: of its paces 1 to 3 in ten rank
+/// among the fastest three tenths of the old one's, of a sound version's 4 to 6 in ten (18
+/// roll-outs of each on three deployments, while the versions bore a like load). It is asked of
+/// paces and of plain answers; the heads of sound new engines come late while they have kept no
+/// prompts.
+const SLOWS_MOST: Badness = Badness {
     slowed: 1.0,
     sharpness: 2.0,
 };
 /// The logarithm of the odds of that at which it is not likely, and at which that is beyond doubt.
 /// At the first 1 of the same sound versions in 18 would not have been brought in, and 12 of 72
 /// weak ones would have been.
-const KEEPS_PACE_FROM: f64 = 0.0;
-const KEEPS_PACE_BEYOND_DOUBT: f64 = -8.0;
+const KEEPS_UP_FROM: f64 = 0.0;
+const KEEPS_UP_BEYOND_DOUBT: f64 = -8.0;
 /// How many times slower than an old answer a new one may be: a step of a third covers engines
 /// that have kept no prompts yet, and a sum over answers tells nothing smaller.
 const MARGIN: f64 = 1.3;
@@ -99,8 +100,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 struct Sum {
     odds: ByBadness,
-    /// Those of [`SLOWS_BATCHES`].
-    batches: f64,
+    /// Those of [`SLOWS_MOST`].
+    most: f64,
     answers: u32,
 }
 
@@ -109,7 +110,7 @@
         for (sum, odds) in self.odds.iter_mut().zip(other.odds) {
             *sum += odds;
         }
-        self.batches += other.batches;
+        self.most += other.most;
         self.answers += other.answers;
     }
 
@@ -118,9 +119,9 @@
         self.answers < FEWEST_TO_AGREE || self.odds[0] <= AGREES_FROM
     }
 
-    /// Tells whether the engines are not slowed as a whole, or too few answers say so.
-    fn keeps_pace(&self, from: f64) -> bool {
-        self.answers < FEWEST_TO_AGREE || self.batches <= from
+    /// Tells whether most answers are not slowed, or too few say so.
+    fn keeps_up(&self, from: f64) -> bool {
+        self.answers < FEWEST_TO_AGREE || self.most <= from
     }
 }
 
@@ -135,10 +136,10 @@
 impl fmt::Display for Odds {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let [head, pace, whole] = self.measures().map(|sum| sum.odds);
-        let batches = self.pace.batches;
+        let [_, pace_most, whole_most] = self.measures().map(|sum| sum.most);
         write!(
             f,
-            "head {head:.1?}, pace {pace:.1?}, batches {batches:.1}, whole {whole:.1?}"
+            "head {head:.1?}, pace {pace:.1?} {pace_most:.1}, whole {whole:.1?} {whole_most:.1}"
         )
     }
 }
@@ -164,19 +165,20 @@
 
     /// Returns what the odds of so many answers say of the version.
     fn evidence(&self, answers: u32) -> Evidence {
-        let is_none_of = |from: ByBadness, batches_from: f64| {
+        let is_none_of = |from: ByBadness, keeps_up_from: f64| {
             let kinds = from.iter().enumerate();
             let mut ruled_out = kinds.map(|(kind, from)| self.sum(kind) <= *from);
             ruled_out.all(|is_out| is_out)
                 && self.measures().iter().all(Sum::agrees)
-                && self.pace.keeps_pace(batches_from)
+                && self.pace.keeps_up(keeps_up_from)
+                && self.whole.keeps_up(keeps_up_from)
         };
         let likeliest = self.sum(0);
         if self.worst() >= MOST_AGAINST {
             Evidence::Wanting
-        } else if is_none_of(BEYOND_DOUBT_FROM, KEEPS_PACE_BEYOND_DOUBT) {
+        } else if is_none_of(BEYOND_DOUBT_FROM, KEEPS_UP_BEYOND_DOUBT) {
             Evidence::BeyondDoubt
-        } else if is_none_of(GOOD_FROM, KEEPS_PACE_FROM) {
+        } else if is_none_of(GOOD_FROM, KEEPS_UP_FROM) {
             Evidence::Proves
         } else if likeliest <= SPEAKS_FROM {
             Evidence::Speaks
@@ -337,7 +339,7 @@
     fn odds_of(&self, new: &Answers) -> Sum {
         Sum {
             odds: BAD_VERSIONS.map(|bad| self.odds_with(new, bad, self.margin)),
-            batches: self.odds_with(new, SLOWS_BATCHES, 0),
+            most: self.odds_with(new, SLOWS_MOST, 0),
             answers: new.times.total(),
         }
     }
