--- a/src/gateway/control/leading.rs
+++ b/src/gateway/control/leading.rs
@@ -5,6 +5,7 @@
 //! harm. See `docs/design/platform.md`.
 
 use super::membership::place_in_line;
+use super::rollout::{Rollout, SeenRecord};
 use super::store::{ControlStore, RecordWritten, RolloutOrder, Update};
 use crate::clock::Now;
 use crate::gateway::Gateway;
@@ -23,7 +24,8 @@
 /// off proves itself several times a second.
 const FRESH: Duration = Duration::from_secs(1);
 
-/// Takes roll-outs through their stages while this box leads.
+/// Takes roll-outs through their stages while this box leads, or while the one that leads does
+/// not.
 pub async fn lead(gw: Rc<Gateway>, store: Rc<dyn ControlStore>) {
     // The revision of the last record that this box wrote of each service.
     let mut written: HashMap<String, u64> = HashMap::new();
@@ -52,17 +54,18 @@
     let Some((order, known, elapsed)) = standing(gw, service, now) else {
         return false;
     };
-    let hears = gw.knowledge.borrow().age(now);
+    let age = gw.knowledge.borrow().age(now);
+    let hears_from_store = age.is_some_and(|age| age <= FRESH);
     let is_own = known
         .as_ref()
         .is_some_and(|known| Some(known.revision) == own);
     let record = known.as_ref().map(|known| &known.record);
-    hears.is_some_and(|age| age <= FRESH) && (is_own || is_overdue(&order, record, elapsed))
+    hears_from_store && (is_own || is_overdue(&order, record, elapsed))
 }
 
 fn services_under_rollout(gw: &Gateway) -> Vec<String> {
     let knowledge = gw.knowledge.borrow();
-    let has_order = |(_, rollout): &(&String, &super::rollout::Rollout)| rollout.order.is_some();
+    let has_order = |(_, rollout): &(&String, &Rollout)| rollout.order.is_some();
     knowledge
         .rollouts()
         .iter()
@@ -130,7 +133,7 @@
     }
 }
 
-type Standing = (RolloutOrder, Option<super::rollout::SeenRecord>, Duration);
+type Standing = (RolloutOrder, Option<SeenRecord>, Duration);
 
 fn standing(gw: &Gateway, service: &str, now: Now) -> Option<Standing> {
     let knowledge = gw.knowledge.borrow();
--- a/src/gateway/versions/judge.rs
+++ b/src/gateway/versions/judge.rs
@@ -65,9 +65,8 @@
 /// The logarithm of the odds at which a version is none of the bad ones, all measures together:
 /// some twenty answers that rank as the old ones do, for each of them.
 const GOOD_FROM: [f64; BAD_VERSIONS.len()] = [-4.0, -2.0];
-/// The same beyond the doubt that a service's last answers before the end of its time could
-/// still remove: a weak version passes [`GOOD_FROM`] by chance once in seven, this once in a
-/// hundred and fifty.
+/// The same where more answers would change nothing: by the odds of the weaker kind a bad version
+/// passes [`GOOD_FROM`] by chance once in seven times, this once in a hundred and fifty.
 const BEYOND_DOUBT_FROM: [f64; BAD_VERSIONS.len()] = [-10.0, -5.0];
 /// The same for a stage that is judged anew, where a service gets ten requests a second and its
 /// new version twelve in all.
@@ -82,8 +81,8 @@
 const TRIABLE_ANSWERS: u32 = 16;
 const TRIABLE_THEN: f64 = 1.0;
 /// The rank from which an answer may be a slowed one. Of answers that are slowed twofold, one in
-/// five ranks lower at most, where sound ones differ by half as much again or less for two thirds
-/// of them.
+/// five ranks lower at most, where two thirds of the sound ones lie within a factor of 2.3 of their
+/// middle.
 const SUSPECT_RANK: f64 = 0.5;
 /// The same that a single measure has to say for it, if it has so many answers: where the new
 /// engines bear a little less than the old ones, a version that is twice as slow looks fast by
--- a/src/gateway/versions/rollout.rs
+++ b/src/gateway/versions/rollout.rs
@@ -14,9 +14,9 @@
 use std::time::Duration;
 
 /// How long the time of a roll-out is overdue in its record before the box that is next in line
-/// takes it on: the first one does not reach the store, though others hear of it. Of 15 sound
-/// versions 9 were taken back for want of time where the first box was cut off from the store for
-/// five seconds of twenty.
+/// takes it on: the first one does not reach the store, though others hear of it. Where the first
+/// box was cut off from the store for five seconds of twenty, none of 15 sound versions was brought
+/// in in time, and 12 are with this.
 const OVERDUE: Duration = Duration::from_millis(1500);
 /// All sessions, in the type of a hash.
 const THOUSAND: u64 = ALL_SESSIONS as u64;
