--- a/tests/days/play_rollouts.py
+++ b/tests/days/play_rollouts.py
@@ -18,7 +18,8 @@
 import re
 import subprocess
 import tempfile
-import tomllib
+
+from draw_days import write_value
 
 FOR_S, AT_S = 20.0, 2.0
 GOOD = {"kind": "rollout_good"}
@@ -63,15 +64,6 @@
 LAST_WORD = re.compile(r'(roll-out taken on: \w+|version found bad: [^"]*)')
 
 
-def write_value(value):
-    """Writes a value as TOML."""
-    if isinstance(value, dict):
-        return "{ " + ", ".join(f"{key} = {write_value(item)}" for key, item in value.items()) + " }"
-    if isinstance(value, list):
-        return "[" + ", ".join(write_value(item) for item in value) + "]"
-    return json.dumps(value)
-
-
 def write_day(file, version, trouble, service):
     """Writes a day with one roll-out beside a trouble."""
     parts = {"plan": [{**version, "service": f"@s{service}", "for_s": FOR_S, "at": AT_S}], "faults": []}
