Where a roll-out stands is looked up once a pass, and counts of suspects stay whole numbers

The second box in line looked it up twice, as a bare tuple; now a type, looked up once at one time. The tests link upstreams in one place.

--- a/src/gateway/control/leading.rs
+++ b/src/gateway/control/leading.rs
@@ -36,11 +36,15 @@
             continue;
         }
         for service in services_under_rollout(&gw) {
+            let now = Now::read();
+            let Some(standing) = Standing::of(&gw, &service, now) else {
+                continue;
+            };
             let own = written.get(&service).copied();
-            if place != Some(0) && !is_left(&gw, &service, own, Now::read()) {
+            if place != Some(0) && !is_left(&gw, &standing, own, now) {
                 continue;
             }
-            if let Some(revision) = advance(&gw, &*store, &service).await {
+            if let Some(revision) = advance(&gw, &*store, &service, standing, now).await {
                 written.insert(service, revision);
             }
         }
@@ -50,17 +54,13 @@
 /// Tells whether the box that leads leaves a roll-out as it is, though this one hears from the
 /// store: its record is overdue, or this box took it on when it was and has written the last one,
 /// at the revision `own`.
-fn is_left(gw: &Gateway, service: &str, own: Option<u64>, now: Now) -> bool {
-    let Some((order, known, elapsed)) = standing(gw, service, now) else {
-        return false;
-    };
+fn is_left(gw: &Gateway, standing: &Standing, own: Option<u64>, now: Now) -> bool {
     let age = gw.knowledge.borrow().age(now);
     let hears_from_store = age.is_some_and(|age| age <= FRESH);
-    let is_own = known
-        .as_ref()
-        .is_some_and(|known| Some(known.revision) == own);
-    let record = known.as_ref().map(|known| &known.record);
-    hears_from_store && (is_own || is_overdue(&order, record, elapsed))
+    let known = standing.known.as_ref();
+    let is_own = known.is_some_and(|known| Some(known.revision) == own);
+    let record = known.map(|known| &known.record);
+    hears_from_store && (is_own || is_overdue(&standing.order, record, standing.elapsed))
 }
 
 fn services_under_rollout(gw: &Gateway) -> Vec<String> {
@@ -76,9 +76,18 @@
 
 /// Writes the next record of a roll-out if it has to change, and returns the revision at which it
 /// was written.
-async fn advance(gw: &Gateway, store: &dyn ControlStore, service: &str) -> Option<u64> {
-    let now = Now::read();
-    let (order, known, elapsed) = standing(gw, service, now)?;
+async fn advance(
+    gw: &Gateway,
+    store: &dyn ControlStore,
+    service: &str,
+    standing: Standing,
+    now: Now,
+) -> Option<u64> {
+    let Standing {
+        order,
+        known,
+        elapsed,
+    } = standing;
     let progress = progress_of(gw, &order, elapsed, now);
     let (record, expected) = match &known {
         Some(known) => (Some(&known.record), known.revision),
@@ -133,14 +142,26 @@
     }
 }
 
-type Standing = (RolloutOrder, Option<SeenRecord>, Duration);
+/// Where a service's roll-out stands.
+struct Standing {
+    order: RolloutOrder,
+    /// The newest record, which may be of an earlier order.
+    known: Option<SeenRecord>,
+    /// The time since the order.
+    elapsed: Duration,
+}
 
-fn standing(gw: &Gateway, service: &str, now: Now) -> Option<Standing> {
-    let knowledge = gw.knowledge.borrow();
-    let rollout = knowledge.rollout(service)?;
-    let (order, _) = rollout.order.as_ref()?;
-    let elapsed = rollout.elapsed(now)?;
-    Some((order.clone(), rollout.record.clone(), elapsed))
+impl Standing {
+    fn of(gw: &Gateway, service: &str, now: Now) -> Option<Self> {
+        let knowledge = gw.knowledge.borrow();
+        let rollout = knowledge.rollout(service)?;
+        let (order, _) = rollout.order.as_ref()?;
+        Some(Self {
+            order: order.clone(),
+            known: rollout.record.clone(),
+            elapsed: rollout.elapsed(now)?,
+        })
+    }
 }
 
 /// Returns the name under which a roll-out's target is watched.
--- a/src/gateway/versions/judge.rs
+++ b/src/gateway/versions/judge.rs
@@ -253,7 +253,7 @@
     let mut judgement = Judgement::default();
     let mut running = Odds::default();
     let mut stretches: BTreeMap<u16, Odds> = BTreeMap::new();
-    let mut suspects: BTreeMap<Measure, f64> = BTreeMap::new();
+    let mut suspects: BTreeMap<Measure, u32> = BTreeMap::new();
     for (group, pair) in &counted.groups {
         if group.measure != Measure::Pace {
             judgement.answers += pair.new.times.total() + pair.new.failed;
@@ -267,7 +267,7 @@
         let stretch = stretches.entry(group.stretch).or_default();
         stretch.of(group.measure).add(compared.odds_of(&pair.new));
     }
-    judgement.suspects = suspects.into_values().fold(0.0, f64::max) as u32;
+    judgement.suspects = suspects.into_values().max().unwrap_or(0);
     for (stretch, found) in stretches {
         for measure in [Measure::Head, Measure::Pace, Measure::Whole] {
             let odds = *found.clone().of(measure);
@@ -298,8 +298,8 @@
 
 /// Returns how many of the new version's answers may be bad, those under way as far as they
 /// have taken long enough.
-fn suspects_of(new: &Answers, compared: Option<&Comparison>) -> f64 {
-    let slow = match compared {
+fn suspects_of(new: &Answers, compared: Option<&Comparison>) -> u32 {
+    let slow: u32 = match compared {
         Some(compared) => {
             let timed = new.times.steps().chain(new.open.steps());
             let slow = timed.filter(|(step, _)| compared.ranks.rank(*step) >= SUSPECT_RANK);
@@ -307,7 +307,7 @@
         }
         None => new.timed(),
     };
-    f64::from(slow + new.failed)
+    slow + new.failed
 }
 
 /// What the new version's answers of a group are compared with.
--- a/tests/common/starting.rs
+++ b/tests/common/starting.rs
@@ -143,13 +143,7 @@
     /// Adds a model upstream with all versions loaded.
     pub async fn add_model(&mut self, name: &str, hall: &str) {
         let stand_in = Arc::new(ModelStandIn::default());
-        let address = serve(stand_in.clone(), 1);
-        self.direct.insert(name.to_owned(), address);
-        let address = self
-            .proxy
-            .open(&format!("up:{name}"), address)
-            .await
-            .unwrap();
+        let address = self.link_upstream(name, serve(stand_in.clone(), 1)).await;
         let versions = ["small/s1", "small/s2", "large/l1"];
         let listed = listed(name, "inkmind", hall, address, &versions);
         self.change_list(&ListChange::Put(vec![listed]));
@@ -162,13 +156,7 @@
     /// Adds a server of `reader-api`.
     pub async fn add_service(&mut self, name: &str, hall: &str) {
         let stand_in = Arc::new(ServiceStandIn::default());
-        let address = serve(stand_in.clone(), 1);
-        self.direct.insert(name.to_owned(), address);
-        let address = self
-            .proxy
-            .open(&format!("up:{name}"), address)
-            .await
-            .unwrap();
+        let address = self.link_upstream(name, serve(stand_in.clone(), 1)).await;
         self.change_list(&ListChange::Put(vec![listed(
             name,
             "reader-api",
@@ -182,6 +170,14 @@
         });
     }
 
+    /// Remembers where an upstream's stand-in listens, and returns where boxes reach it: a link
+    /// of the proxy.
+    async fn link_upstream(&mut self, name: &str, stand_in: SocketAddr) -> SocketAddr {
+        self.direct.insert(name.to_owned(), stand_in);
+        let link = format!("up:{name}");
+        self.proxy.open(&link, stand_in).await.unwrap()
+    }
+
     /// Returns the address of an upstream's stand-in itself.
     pub fn direct(&self, name: &str) -> SocketAddr {
         self.direct[name]
