Callers that keep connections or come anew as a router is replaced: seven tests that fail, known red

What callers see at a planned stop of the standing router, on the code as it is (unloaded machine): - kept connections in use: 2 of 7 runs cut 1 to 5 of 10,000 requests, 2.0 s after the signal; - kept connections that rest, and connections taken whose request comes later: closed without a word, each run; - a request that crosses the close: no answer at all, each run; - callers that connect anew: 2 of 3 runs cut up to twelve of 15,000, with one replacement; - callers over h2: cut at the end of the drain, each run; they are never told to leave.

No change of the product yet.

--- /dev/null
+++ b/tests/common/keeping.rs
@@ -0,0 +1,96 @@
+//! Callers that keep one connection and tell what became of each request on it.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::CONNECTION;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+
+/// What became of a request on a kept connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// An answer came whole.
+    Answered {
+        /// Its status.
+        status: u16,
+        /// What it says about whether the request ran.
+        outcome: String,
+        /// Whether it asks the caller to leave the connection.
+        closes: bool,
+    },
+    /// The connection had ended before a byte of the request was written.
+    Unsent,
+    /// The connection ended with the request on its way, so nobody knows whether it ran.
+    Cut(String),
+}
+
+impl Reply {
+    /// Tells whether the caller knows what became of its request: it was served, it is known not
+    /// to have run, or it was never sent.
+    pub fn is_known(&self) -> bool {
+        match self {
+            Self::Answered { status: 200, .. } | Self::Unsent => true,
+            Self::Answered { outcome, .. } => outcome == "not-run",
+            Self::Cut(_) => false,
+        }
+    }
+
+    /// Tells whether the request was served.
+    pub fn is_served(&self) -> bool {
+        matches!(self, Self::Answered { status: 200, .. })
+    }
+}
+
+/// A connection that its caller keeps.
+pub struct KeptConnection {
+    router: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl KeptConnection {
+    /// Connects to a router.
+    pub async fn open(router: SocketAddr) -> Self {
+        let stream = TcpStream::connect(router).await.unwrap();
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+        actix_rt::spawn(async move { drop(connection.await) });
+        Self { router, sender }
+    }
+
+    /// Reads a manifest of the plain service as `comics`.
+    pub async fn read_manifest(&mut self) -> Reply {
+        let request = Request::get("/reader-api/manifest")
+            .header("host", self.router.to_string())
+            .header("authorization", "Bearer comics-key")
+            .body(Full::default())
+            .unwrap();
+        match self.sender.send_request(request).await {
+            Ok(response) => read(response).await,
+            Err(err) if err.is_canceled() => Reply::Unsent,
+            Err(err) => Reply::Cut(err.to_string()),
+        }
+    }
+}
+
+async fn read(response: Response<hyper::body::Incoming>) -> Reply {
+    let status = response.status().as_u16();
+    let text = |name: &str| {
+        let value = response.headers().get(name);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("")
+            .to_owned()
+    };
+    let outcome = text("gatepier-outcome");
+    let closes = text(CONNECTION.as_str()).eq_ignore_ascii_case("close");
+    match response.into_body().collect().await {
+        Ok(_whole) => Reply::Answered {
+            status,
+            outcome,
+            closes,
+        },
+        Err(err) => Reply::Cut(format!("the body: {err}")),
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test binary uses a part of the bench")]
 
 mod calling;
+mod keeping;
 mod operating;
 mod process;
 mod starting;
@@ -12,6 +13,8 @@
 #[allow(unused_imports, reason = "each test binary uses a part of the bench")]
 pub use calling::{Answer, CallerView, question, read_answer, streamed_question};
 #[allow(unused_imports, reason = "each test binary uses a part of the bench")]
+pub use keeping::{KeptConnection, Reply};
+#[allow(unused_imports, reason = "each test binary uses a part of the bench")]
 pub use operating::Operators;
 pub use process::Process;
 
--- a/tests/common/starting.rs
+++ b/tests/common/starting.rs
@@ -247,13 +247,27 @@
 
     /// Starts a box's router.
     pub fn start_router(&mut self, name: &str) {
-        let running = self.boxes.get_mut(name).unwrap();
+        let router = self.spawn_router(name);
+        self.boxes.get_mut(name).unwrap().router = Some(router);
+    }
+
+    /// Starts one more router on a box's addresses.
+    pub fn spawn_router(&self, name: &str) -> Process {
         let binary = env!("CARGO_BIN_EXE_gatepier-router");
-        running.router = Some(Process::start(
-            binary,
-            &running.files.router_settings,
-            &self.log,
-        ));
+        let settings = &self.boxes[name].files.router_settings;
+        Process::start(binary, settings, &self.log)
+    }
+
+    /// Starts a router on the addresses of a box that has one, and returns it once it is ready.
+    pub async fn start_successor(&self, name: &str) -> Process {
+        const READY: &str = "\"text\":\"ready\"";
+        let ready = self.log_count(READY);
+        let successor = self.spawn_router(name);
+        self.wait_for("the successor is ready", async || {
+            self.log_count(READY) > ready
+        })
+        .await;
+        successor
     }
 
     /// Returns a box's agent.
--- /dev/null
+++ b/tests/replacing.rs
@@ -0,0 +1,204 @@
+//! A router's planned stop, as callers see it that keep their connections.
+
+mod common;
+
+use common::{Answer, Bench, BenchPlan, KeptConnection, Reply, question, read_answer};
+use futures::future::join_all;
+use gatepier::http_client::reusing_client;
+use googletest::prelude::*;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+/// How long a router goes on taking connections after the signal to stop.
+const NOTICE: Duration = Duration::from_secs(2);
+
+/// A request as a caller writes it.
+const MANIFEST_REQUEST: &[u8] =
+    b"GET /reader-api/manifest HTTP/1.1\r\nhost: box\r\nauthorization: Bearer comics-key\r\n\r\n";
+
+/// Asks for a model every ten milliseconds until a moment, over a connection that is kept for
+/// as long as the router lets it, and returns the answers.
+async fn ask_on_one_connection(bench: &Bench, until: Instant) -> Vec<Answer> {
+    let client = reusing_client();
+    let url = format!(
+        "http://{}/v1/chat/completions",
+        bench.boxes["ikeja-1"].files.router
+    );
+    let mut answers = Vec::new();
+    while Instant::now() < until {
+        let request = client.post(&url).bearer_auth("comics-key");
+        answers.push(read_answer(request.send_json(&question("small")).await).await);
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    answers
+}
+
+fn drain_of_two_seconds() -> BenchPlan {
+    BenchPlan {
+        router_extra: "drain_ms = 2000\n".to_owned(),
+        ..BenchPlan::default()
+    }
+}
+
+/// Reads a manifest every ten milliseconds until a moment, over an h2 connection that is kept
+/// for as long as the router lets it, and returns what cut requests that were sent.
+async fn read_manifests_over_h2(router: SocketAddr, until: Instant) -> Vec<String> {
+    let mut cut = Vec::new();
+    let mut sender = connect_over_h2(router).await;
+    while Instant::now() < until {
+        sender = match sender.ready().await {
+            Ok(sender) => sender,
+            Err(_left) => {
+                sender = connect_over_h2(router).await;
+                continue;
+            }
+        };
+        let request = http::Request::get(format!("http://{router}/reader-api/manifest"))
+            .header("authorization", "Bearer comics-key")
+            .body(())
+            .unwrap();
+        let sent = sender.send_request(request, true);
+        let (response, _) = sent.expect("the sender is ready");
+        match response.await {
+            Ok(response) if response.status() == http::StatusCode::OK => {}
+            Ok(response) => cut.push(response.status().to_string()),
+            Err(err) => cut.push(err.to_string()),
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    cut
+}
+
+async fn connect_over_h2(router: SocketAddr) -> h2::client::SendRequest<bytes::Bytes> {
+    let stream = TcpStream::connect(router).await.unwrap();
+    let (sender, connection) = h2::client::handshake(stream).await.unwrap();
+    actix_rt::spawn(async move { drop(connection.await) });
+    sender
+}
+
+/// Reads manifests one after the other until a moment, each on a connection of its own.
+async fn read_manifests_on_new_connections(router: SocketAddr, until: Instant) -> Vec<Reply> {
+    let mut replies = Vec::new();
+    while Instant::now() < until {
+        replies.push(KeptConnection::open(router).await.read_manifest().await);
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    replies
+}
+
+cases! {
+    /// A router closed all idle connections in one moment, two seconds after the signal to stop,
+    /// with requests on their way to it, and until then told no caller that it would.
+    kept_connections_are_left_without_a_cut_as_their_router_is_replaced_in_series => async {
+        let mut bench = Bench::start(BenchPlan::default()).await;
+        let mut router = bench.boxes.get_mut("ikeja-1").unwrap().router.take().unwrap();
+        let mut replaced = Vec::new();
+        let until = Instant::now() + Duration::from_secs(12);
+        let callers = join_all((0..24).map(|_| ask_on_one_connection(&bench, until)));
+        let replacements = async {
+            for _ in 0..3 {
+                let successor = bench.start_successor("ikeja-1").await;
+                router.signal(libc::SIGTERM);
+                replaced.push(std::mem::replace(&mut router, successor));
+                actix_rt::time::sleep(Duration::from_millis(3500)).await;
+            }
+        };
+        let (answers, ()) = futures::join!(callers, replacements);
+        let answers: Vec<&Answer> = answers.iter().flatten().collect();
+        let is_cut = |answer: &&&Answer| !answer.whole || answer.status != 200;
+        let cut: Vec<_> = answers.iter().filter(is_cut).collect();
+        expect_that!(cut, is_empty(), "of {} answers", answers.len());
+    };
+
+    connection_that_rests_for_the_whole_notice_is_served_and_then_told_to_leave => async {
+        let mut bench = Bench::start(BenchPlan::default()).await;
+        let address = bench.boxes["ikeja-1"].files.router;
+        let mut kept = KeptConnection::open(address).await;
+        expect_that!(kept.read_manifest().await.is_served(), eq(true));
+        bench.router("ikeja-1").signal(libc::SIGTERM);
+        actix_rt::time::sleep(NOTICE + Duration::from_millis(500)).await;
+        let closing = Reply::Answered { status: 200, outcome: "done".to_owned(), closes: true };
+        expect_that!(kept.read_manifest().await, eq(&closing));
+        let mut router = bench.boxes.get_mut("ikeja-1").unwrap().router.take().unwrap();
+        bench.wait_for("the router has ended", async || router.ended().is_some()).await;
+        expect_that!(router.ended(), some(eq(true)));
+    };
+
+    connection_taken_before_the_notice_ends_is_served_when_its_request_comes_later => async {
+        let mut bench = Bench::start(BenchPlan::default()).await;
+        let address = bench.boxes["ikeja-1"].files.router;
+        bench.router("ikeja-1").signal(libc::SIGTERM);
+        actix_rt::time::sleep(NOTICE - Duration::from_millis(500)).await;
+        let mut taken = KeptConnection::open(address).await;
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        expect_that!(taken.read_manifest().await.is_served(), eq(true));
+    };
+
+    request_sent_as_its_resting_connection_is_closed_is_served_or_known_not_to_have_run => async {
+        const CALLERS: u32 = 400;
+        let mut bench = Bench::start(drain_of_two_seconds()).await;
+        let address = bench.boxes["ikeja-1"].files.router;
+        let mut kept = join_all((0..CALLERS).map(|_| KeptConnection::open(address))).await;
+        join_all(kept.iter_mut().map(KeptConnection::read_manifest)).await;
+        bench.router("ikeja-1").signal(libc::SIGTERM);
+        let first = Instant::now() + NOTICE + Duration::from_millis(500);
+        let ask = async |number: u32, kept: &mut KeptConnection| {
+            let at = first + Duration::from_micros(2500) * number;
+            actix_rt::time::sleep_until(at.into()).await;
+            kept.read_manifest().await
+        };
+        let replies = join_all((0..).zip(&mut kept).map(|(number, kept)| ask(number, kept))).await;
+        let unknown: Vec<&Reply> = replies.iter().filter(|reply| !reply.is_known()).collect();
+        expect_that!(unknown, is_empty());
+        expect_that!(replies[0].is_served(), eq(true), "{:?}", replies[0]);
+    };
+
+    request_that_crosses_the_close_of_its_connection_is_told_that_it_did_not_run => async {
+        let mut bench = Bench::start(drain_of_two_seconds()).await;
+        let mut caller = TcpStream::connect(bench.boxes["ikeja-1"].files.router).await.unwrap();
+        bench.router("ikeja-1").signal(libc::SIGTERM);
+        // The caller does not look at what has come before it sends, as if both had been under
+        // way at once.
+        caller.readable().await.unwrap();
+        caller.write_all(MANIFEST_REQUEST).await.unwrap();
+        let mut reply = String::new();
+        expect_that!(caller.read_to_string(&mut reply).await.is_ok(), eq(true));
+        expect_that!(reply, starts_with("HTTP/1.1 408 "));
+        expect_that!(reply.to_lowercase(), contains_substring("gatepier-outcome: not-run\r\n"));
+    };
+
+    callers_over_h2_are_not_cut_as_their_router_is_replaced => async {
+        let mut bench = Bench::start(drain_of_two_seconds()).await;
+        let router = bench.boxes.get_mut("ikeja-1").unwrap().router.take().unwrap();
+        let address = bench.boxes["ikeja-1"].files.router;
+        let until = Instant::now() + Duration::from_secs(6);
+        let callers = join_all((0..16).map(|_| read_manifests_over_h2(address, until)));
+        let replacement = async {
+            let successor = bench.start_successor("ikeja-1").await;
+            router.signal(libc::SIGTERM);
+            successor
+        };
+        let (cut, _successor) = futures::join!(callers, replacement);
+        let cut: Vec<String> = cut.into_iter().flatten().collect();
+        expect_that!(cut, is_empty());
+    };
+
+    callers_that_connect_anew_are_not_cut_as_their_router_is_replaced => async {
+        let mut bench = Bench::start(BenchPlan::default()).await;
+        let router = bench.boxes.get_mut("ikeja-1").unwrap().router.take().unwrap();
+        let address = bench.boxes["ikeja-1"].files.router;
+        let until = Instant::now() + Duration::from_secs(4);
+        let callers = join_all((0..32).map(|_| read_manifests_on_new_connections(address, until)));
+        let replacement = async {
+            let successor = bench.start_successor("ikeja-1").await;
+            router.signal(libc::SIGTERM);
+            successor
+        };
+        let (replies, _successor) = futures::join!(callers, replacement);
+        let replies: Vec<Reply> = replies.into_iter().flatten().collect();
+        let cut: Vec<&Reply> = replies.iter().filter(|reply| !reply.is_served()).collect();
+        expect_that!(cut, is_empty(), "of {} answers", replies.len());
+    };
+}
