--- a/tests/replacing.rs
+++ b/tests/replacing.rs
@@ -224,6 +224,28 @@
         expect_that!(cut, is_empty());
     };
 
+    /// A successor shares the callers' address from its start, so it gets a part of the callers
+    /// before its agent has told it of a bundle. It refused them: beside busy processes at 3 of 24
+    /// starts, with `not-ready`.
+    request_to_a_router_that_starts_waits_until_it_knows_a_bundle => async {
+        let mut bench = Bench::start(BenchPlan::default()).await;
+        let address = bench.boxes["ikeja-1"].files.router;
+        bench.agent("ikeja-1").freeze();
+        bench.router("ikeja-1").kill();
+        let started = bench.log_count("\"text\":\"started\"");
+        let _successor = bench.spawn_router("ikeja-1");
+        bench.wait_for("the successor takes callers", async || {
+            bench.log_count("\"text\":\"started\"") > started
+        }).await;
+        let mut caller = KeptConnection::open(address).await;
+        let tell = async {
+            actix_rt::time::sleep(Duration::from_millis(300)).await;
+            bench.boxes["ikeja-1"].agent.as_ref().unwrap().thaw();
+        };
+        let (reply, ()) = futures::join!(caller.read_manifest(), tell);
+        expect_that!(reply.is_served(), eq(true), "{reply:?}");
+    };
+
     /// Up to twelve of 15,000 callers that connected as a router left the shared address were cut
     /// together: those that it had taken and whose requests it had not read, and those that waited
     /// in the system's queue of its listening socket, which are reset when that is closed.
