--- a/tests/exposure.rs
+++ b/tests/exposure.rs
@@ -2,17 +2,28 @@
 
 mod common;
 
-use common::{Bench, BenchPlan};
+use common::{BUNDLE, Bench, BenchPlan, PARTNER};
+use gatepier::bundle::Bundle;
 use gatepier::change::Generation;
-use gatepier::evidence::{Counts, Evidence, EvidenceCell, Subject};
+use gatepier::clock::Now;
+use gatepier::evidence::{Counts, Evidence, EvidenceCell, Subject, Suspension};
 use gatepier::guard::{Guard, GuardPolicy};
 use gatepier::lab::model::Behaviour;
+use gatepier::lab::proxy::LinkMode;
 use gatepier::lab::store::StoreFaults;
 use gatepier::name::VersionName;
+use gatepier::routing::cascade::first_step;
+use gatepier::routing::snapshot::Snapshot;
+use gatepier::store::Store as _;
+use gatepier::store::etcd::EtcdStore;
+use gatepier::store::layout::suspension_key;
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
 
 const SEEDS: u64 = 40;
 const BOXES: usize = 8;
@@ -22,6 +33,10 @@
     VersionName::parse("small/s1").unwrap()
 }
 
+fn small_s2() -> VersionName {
+    VersionName::parse("small/s2").unwrap()
+}
+
 /// How the counts of several boxes are watched.
 #[derive(Debug, Clone, Copy)]
 enum Watch {
@@ -173,6 +188,46 @@
     expect_that!(observe(&evidence, &after), eq(true));
 }
 
+/// Cascades learn which model is good enough from the same counts. Ratings of a version from before
+/// its lift kept them from the model that operators had put back.
+#[googletest::test]
+fn ratings_from_before_a_lift_do_not_keep_a_cascade_from_its_model() {
+    let bundle = Bundle::parse(BUNDLE).unwrap();
+    let cascade = &bundle.cascades["thread"];
+    let subject = |lift| Subject {
+        version: small(),
+        organisation: "comics".to_owned(),
+        lift,
+    };
+    let rated = |good, bad| Counts {
+        served: good + bad,
+        good,
+        bad,
+        ..Counts::default()
+    };
+    let mut snapshot = Snapshot {
+        sums: Arc::new(BTreeMap::from([
+            (subject(Generation(0)), rated(0, 1000)),
+            (subject(Generation(3)), rated(200, 0)),
+        ])),
+        ..Snapshot::default()
+    };
+    let begin = |snapshot: &Snapshot| {
+        let mut rng = StdRng::seed_from_u64(1);
+        first_step(snapshot, "comics", cascade, &mut rng)
+    };
+    expect_that!(begin(&snapshot), eq(1), "the bad ratings are in force");
+    snapshot.control.lifted.insert(small(), Generation(3));
+    expect_that!(begin(&snapshot), eq(0), "the lift has left them behind");
+}
+
+/// Returns the suspension of the version that the tests break, as the store has it.
+async fn written_suspension(bench: &Bench) -> Option<Suspension> {
+    let store = EtcdStore::new(bench.store_address());
+    let found = store.get(&suspension_key(PARTNER, &small_s2())).await;
+    serde_json::from_slice(&found.ok()??.value).ok()
+}
+
 async fn suspended_everywhere(bench: &Bench) {
     bench
         .wait_for("both agents have the suspension", async || {
@@ -246,4 +301,67 @@
         }
         expect_that!(bench.version_runs()["small/s2"], eq(before));
     };
+
+    suspension_that_reaches_the_store_after_its_lift_does_not_hold => async {
+        let mut bench = Bench::start(quick_guard()).await;
+        bench.proxy.set("store:", LinkMode::Closed);
+        let failing = Behaviour { failing: 1.0, ..Behaviour::default() };
+        bench.models.iter().for_each(|model| model.stand_in.set("small/s2", failing));
+        ask_until_suspended(&bench).await;
+        suspended_everywhere(&bench).await;
+        bench.models.iter().for_each(|model| model.stand_in.set("small/s2", Behaviour::default()));
+        // Operators reach the store, the agents do not, so the lift is there first.
+        bench.operate_ok(0, &["lift", "small/s2"]).await;
+        bench.proxy.set("store:", LinkMode::Open);
+        bench.wait_generation(&["ikeja-1", "ikeja-2"], 3).await;
+        bench.wait_for("the suspension is in the store", async || {
+            written_suspension(&bench).await.is_some_and(|written| written.generation < Generation(3))
+        }).await;
+        bench.agent("ikeja-2").kill();
+        bench.start_agent("ikeja-2");
+        bench.wait_generation(&["ikeja-2"], 3).await;
+        for name in ["ikeja-1", "ikeja-2"] {
+            bench.wait_for("the version serves again", async || {
+                bench.ask(name, "small/s2").await.status == 200
+            }).await;
+        }
+        for _ in 0..20 {
+            expect_that!(bench.ask("ikeja-2", "small/s2").await.status, eq(200));
+        }
+    };
+
+    suspension_is_written_although_an_older_one_is_written_at_the_same_time => async {
+        let bench = Bench::start(quick_guard()).await;
+        bench.operate_ok(0, &["lift", "small/s2"]).await;
+        bench.wait_generation(&["ikeja-1", "ikeja-2"], 3).await;
+        let older = Suspension {
+            version: small_s2(),
+            generation: Generation(2),
+            decided_by: "ikeja-9".to_owned(),
+            at: Now::read().wall,
+            reason: "from before the lift".to_owned(),
+        };
+        let older = serde_json::to_vec(&older).unwrap();
+        let key = suspension_key(PARTNER, &small_s2());
+        let failing = Behaviour { failing: 1.0, ..Behaviour::default() };
+        bench.models.iter().for_each(|model| model.stand_in.set("small/s2", failing));
+        bench.set_store(StoreFaults { delay_ms: 300, ..StoreFaults::default() });
+        let is_written_over = Cell::new(true);
+        let write_over = async {
+            // An agent that reads the key finds it changed when it writes, 300 ms later.
+            while is_written_over.get() {
+                bench.store.write(&key, &older);
+                actix_rt::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let suspend = async {
+            ask_until_suspended(&bench).await;
+            actix_rt::time::sleep(Duration::from_secs(1)).await;
+            is_written_over.set(false);
+        };
+        futures::join!(write_over, suspend);
+        bench.wait_for("the newer suspension is in the store", async || {
+            written_suspension(&bench).await.is_some_and(|written| written.generation == Generation(3))
+        }).await;
+    };
 }
