A suspension is written even if an older one was written at the same time

Symptom: a version that the guard had taken out after a lift could come back when the agents restarted, since the store kept an older suspension that was lifted.

Cause: an agent whose conditional write met another writer's took its own for done, whatever the other had written. Found while looking for the cause of lifted versions that were suspended again; agents that waited for the store write together when it is back.

The mend: it looks at what is there now, and writes unless that is as new. Holds because it only stops at a suspension of its own generation or a later one.

--- a/src/agent/guarding.rs
+++ b/src/agent/guarding.rs
@@ -7,7 +7,7 @@
 use crate::guard::Alarm;
 use crate::name::VersionName;
 use crate::store::layout::suspension_key;
-use crate::store::{Condition, StoreResult, WriteOutcome};
+use crate::store::{Condition, StoreResult, Versioned, WriteOutcome};
 use crate::wire::message::Update;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -83,26 +83,37 @@
     }
 }
 
+/// Writes a suspension, unless the store has one that is as new.
+///
+/// Agents that waited for the store write together when it is back, and one that was behind may
+/// write first what operators have lifted since. So whoever finds that another was sooner looks
+/// again at what is there.
 async fn write_suspension(agent: &Rc<Agent>, suspension: &Suspension) -> StoreResult<()> {
     let key = suspension_key(&agent.settings.identity.partner, &suspension.version);
-    let found = agent.store.get(&key).await?;
-    let present = found
-        .as_ref()
-        .and_then(|found| serde_json::from_slice(&found.value).ok());
-    if let Some(present) = present {
-        let present: Suspension = present;
-        if present.generation >= suspension.generation {
+    let value = serde_json::to_vec(suspension).expect("a suspension has only plain fields");
+    let mut found = agent.store.get(&key).await?;
+    loop {
+        let present = found.as_ref().and_then(read_suspension);
+        if let Some(present) = present
+            && present.generation >= suspension.generation
+        {
             take_suspensions(agent, vec![present]);
             return Ok(());
         }
+        let condition = found.map_or(Condition::Absent, |found| {
+            Condition::Revision(found.revision)
+        });
+        match agent.store.write_if(&key, condition, &value).await? {
+            WriteOutcome::Written => return Ok(()),
+            WriteOutcome::Conflict(sooner) => found = sooner,
+        }
     }
-    let condition = found.map_or(Condition::Absent, |found| {
-        Condition::Revision(found.revision)
-    });
-    let value = serde_json::to_vec(suspension).expect("a suspension has only plain fields");
-    match agent.store.write_if(&key, condition, &value).await? {
-        WriteOutcome::Written | WriteOutcome::Conflict(_) => Ok(()),
-    }
+}
+
+fn read_suspension(found: &Versioned) -> Option<Suspension> {
+    let read = serde_json::from_slice(&found.value);
+    read.inspect_err(|err| log::warn!("a suspension in the store cannot be read: {err}"))
+        .ok()
 }
 
 /// Sends the counts that changed to the routers, which learn from them.
--- a/tests/exposure.rs
+++ b/tests/exposure.rs
@@ -330,6 +330,9 @@
         }
     };
 
+    /// An agent took it for done when another writer was sooner, whatever that one wrote. The store
+    /// then kept a suspension from before the lift, which says nothing, and the one in force lived
+    /// only as long as an agent that knew it.
     suspension_is_written_although_an_older_one_is_written_at_the_same_time => async {
         let bench = Bench::start(quick_guard()).await;
         bench.operate_ok(0, &["lift", "small/s2"]).await;
