Cascades learn from ratings since the newest lift alone

Symptom: after operators lifted a version's suspension, cascades kept passing over its model, at the dearer one's cost, until new ratings outweighed all old ones.

Cause: the counts from which cascades learn were summed over all lifts, as the guard's once were.

The mend: only what was rated under the newest lift counts, by the lift that each count carries.

--- a/src/change.rs
+++ b/src/change.rs
@@ -126,6 +126,14 @@
     pub lifted: BTreeMap<VersionName, Generation>,
 }
 
+impl ControlState {
+    /// Returns the generation at which a version's suspension was lifted last, the first of all if
+    /// it never was.
+    pub fn newest_lift(&self, version: &VersionName) -> Generation {
+        self.lifted.get(version).copied().unwrap_or_default()
+    }
+}
+
 /// One entry of a log: the action, who asked for it, and the whole resulting state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangeEntry {
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -79,11 +79,10 @@
 
     /// Returns what a request sent now to a version for an organisation is counted under.
     pub fn subject(&self, version: &VersionName, organisation: &str) -> Subject {
-        let lifted = &self.snapshot.load().control.lifted;
         Subject {
             version: version.clone(),
             organisation: organisation.to_owned(),
-            lift: lifted.get(version).copied().unwrap_or_default(),
+            lift: self.snapshot.load().control.newest_lift(version),
         }
     }
 
--- a/src/routing/cascade.rs
+++ b/src/routing/cascade.rs
@@ -6,9 +6,8 @@
 
 use super::snapshot::Snapshot;
 use crate::bundle::{Cascade, Gate};
-use crate::evidence::{Counts, Subject};
+use crate::evidence::Counts;
 use rand::Rng;
-use std::collections::BTreeMap;
 
 /// The fewest ratings from which a step's quality is judged.
 const FEWEST_RATINGS: u64 = 20;
@@ -27,7 +26,7 @@
     if cascade.gate == Gate::Inline {
         return 0;
     }
-    let quality = |step: &String| quality_of(&snapshot.sums, organisation, step);
+    let quality = |step: &String| quality_of(snapshot, organisation, step);
     let qualities: Vec<Option<f64>> = cascade.steps.iter().map(quality).collect();
     let learned = learned_step(&qualities, cascade);
     let explores = learned > 0 && rng.random_ratio(1, EXPLORE_ONE_IN);
@@ -50,10 +49,14 @@
 }
 
 /// Returns a cautious estimate of the part of a model's answers that are good.
-fn quality_of(sums: &BTreeMap<Subject, Counts>, organisation: &str, model: &str) -> Option<f64> {
+///
+/// As for the guard, what was rated before operators lifted a version's suspension says nothing of
+/// the version after it.
+fn quality_of(snapshot: &Snapshot, organisation: &str, model: &str) -> Option<f64> {
     let mut counts = Counts::default();
-    for (subject, found) in sums {
-        if subject.organisation == organisation && subject.version.model == model {
+    for (subject, found) in snapshot.sums.iter() {
+        let is_asked_for = subject.organisation == organisation && subject.version.model == model;
+        if is_asked_for && subject.lift == snapshot.control.newest_lift(&subject.version) {
             counts.add(found);
         }
     }
