One accept loop and one rule for callers to leave, for the router and the box

The rule that a stopping server asks callers to leave stood in the box's own code and was missing in the router. Both take connections and ask callers to leave by http_server now; agents and the balancer's questions share the loop.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 
 use crate::clock::Now;
 use crate::error::Result;
+use crate::http_server;
 use crate::metrics::Metrics;
 use crate::store::StoreError;
 use admit::listen;
@@ -87,6 +88,8 @@
     pub news: Notify,
     /// Resting connections to upstreams.
     pub connections: Connections,
+    /// The connections that callers have to this box.
+    pub callers: http_server::Connections,
     /// The budgets of repeats by service; see [`Gateway::with_retries`].
     retries: RefCell<HashMap<String, RetryWindow>>,
     /// The versions of sessions.
@@ -133,6 +136,7 @@
             asking: Asking::default(),
             news: Notify::new(),
             connections: Connections::default(),
+            callers: Default::default(),
             retries: RefCell::default(),
             loads: RefCell::default(),
             heard: RefCell::default(),
@@ -414,7 +418,7 @@
     let metrics = Metrics::new()?;
     let gw = Gateway::new(settings, headers, &metrics, Now::read());
     let stopping = listen::Stopping::catch()?;
-    listen::serve_callers(&gw)?;
+    let server = listen::serve_callers(&gw)?;
     listen::serve_readiness(&gw, &metrics)?;
     actix_rt::spawn(follow::follow(gw.clone(), store.clone()));
     actix_rt::spawn(probe::probe_unconnectable(gw.clone()));
@@ -435,6 +439,6 @@
     );
     listen::reload_on_request(gw.clone(), reload)?;
     stopping.wait().await;
-    listen::drain(&gw, &*store).await;
+    listen::drain(&gw, server, &*store).await;
     Ok(())
 }
--- a/src/gateway/admit/listen.rs
+++ b/src/gateway/admit/listen.rs
@@ -8,6 +8,8 @@
 use crate::gateway::Gateway;
 use crate::gateway::control::store::ControlStore;
 use crate::gateway::settings::GatewaySettings;
+use crate::http_server::accept::{Taken, accept};
+use crate::http_server::{Accepting, HttpServer};
 use crate::metrics::Metrics;
 use crate::strict_stream::StrictStream;
 use actix_http::{HttpService, Request, Response, StatusCode};
@@ -28,8 +30,6 @@
 const DRAIN_STEP: Duration = Duration::from_millis(50);
 /// How long written bytes may stay unacknowledged by a caller.
 const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(10);
-/// The pause after a failed accept, such as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Catches the signal to stop.
 #[derive(Debug)]
@@ -76,27 +76,18 @@
         .map_err(|err| Error::Unreachable(format!("cannot listen on {address}: {err}")))
 }
 
-/// Accepts callers' connections in the background.
-pub fn serve_callers(gw: &Rc<Gateway>) -> Result<()> {
-    let listener = listen(gw.settings().callers)?;
+/// Takes callers' connections in the background.
+pub fn serve_callers(gw: &Rc<Gateway>) -> Result<HttpServer<Accepting>> {
+    let listener = listen_shared(gw.settings().callers)?;
+    let connections = gw.callers.clone();
     let gw = gw.clone();
-    actix_rt::spawn(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, peer)) => {
-                    actix_rt::spawn(serve_connection(gw.clone(), stream, peer));
-                }
-                Err(err) => {
-                    log::warn!("a connection cannot be accepted: {err}");
-                    sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
-    });
-    Ok(())
+    HttpServer::start(listener, connections, move |taken| {
+        actix_rt::spawn(serve_connection(gw.clone(), taken));
+    })
 }
 
-async fn serve_connection(gw: Rc<Gateway>, stream: TcpStream, peer: SocketAddr) {
+async fn serve_connection(gw: Rc<Gateway>, taken: Taken) {
+    let Taken { stream, peer, open } = taken;
     prepare(&stream);
     let limits = gw
         .knowledge
@@ -121,6 +112,7 @@
         }
         Err(()) => log::error!("a connection of {peer} cannot be served"),
     }
+    drop(open);
 }
 
 fn prepare(stream: &TcpStream) {
@@ -139,13 +131,10 @@
     let listener = listen(gw.settings().readiness)?;
     let answering = gw.clone();
     actix_rt::spawn(async move {
-        loop {
-            if let Ok((stream, peer)) = listener.accept().await {
-                actix_rt::spawn(answer_balancer(answering.clone(), stream, peer));
-            } else {
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        accept(&listener, |stream, peer| {
+            actix_rt::spawn(answer_balancer(answering.clone(), stream, peer));
+        })
+        .await;
     });
     if let Err(err) = metrics.serve(gw.settings().metrics) {
         log::error!("metrics are not served: {err}");
@@ -174,9 +163,11 @@
 /// The balancer is told at once. Requests that come meanwhile are served, and their
 /// connections closed after the answer. Streams that outlast the grace are cut at its
 /// end, where callers can go on elsewhere.
-pub async fn drain(gw: &Gateway, store: &dyn ControlStore) {
+pub async fn drain(gw: &Gateway, server: HttpServer<Accepting>, store: &dyn ControlStore) {
     let began = Now::read();
     gw.stop(began);
+    // Connections are taken to the end: there is no successor on the same address.
+    let _announced = server.announce();
     log::info!(in_flight = gw.in_flight(); "stopping: requests under way are finished");
     if let Some(lease) = gw.lease.get()
         && let Err(err) = store.release(lease).await
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -37,11 +37,7 @@
         Ok(job) => serve_job(&gw, Rc::new(job)).await,
         Err(why) => refuse(&gw, &request_id, why, Ran::Nowhere, received),
     };
-    if gw.is_stopping() {
-        response
-            .head_mut()
-            .set_connection_type(actix_http::ConnectionType::Close);
-    }
+    gw.callers.ask_to_leave(&mut response);
     response
 }
 
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -11,6 +11,7 @@
 
 use crate::error::{Error, Result};
 use accept::{Taken, accept_until};
+use actix_http::{ConnectionType, Response};
 use std::net::TcpListener;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -64,9 +65,15 @@
         self.open.len()
     }
 
-    /// Tells whether the server is about to stop, so that callers should leave.
-    pub fn is_announced(&self) -> bool {
-        self.announced.is_cancelled()
+    /// Asks a caller to leave with this answer, if the server is about to stop, and tells whether
+    /// it did.
+    pub fn ask_to_leave<B>(&self, response: &mut Response<B>) -> bool {
+        let is_announced = self.announced.is_cancelled();
+        if is_announced {
+            let head = response.head_mut();
+            head.set_connection_type(ConnectionType::Close);
+        }
+        is_announced
     }
 
     /// Waits for the moment from which callers should leave.
--- a/src/http_server/accept.rs
+++ b/src/http_server/accept.rs
@@ -9,7 +9,7 @@
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 /// The pause after a failed accept, such as for want of descriptors.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// A connection that was taken and counts as open until it is dropped.
 #[derive(Debug)]
@@ -22,6 +22,19 @@
     pub open: TaskTrackerToken,
 }
 
+/// Hands each connection to `take` until the process ends.
+pub async fn accept(listener: &TcpListener, mut take: impl FnMut(TcpStream, SocketAddr)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => take(stream, peer),
+            Err(err) => {
+                log::warn!("a connection cannot be accepted: {err}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Hands each connection to `take` until `stop`, and then those that still wait to be taken.
 pub async fn accept_until(
     listener: TcpListener,
@@ -36,18 +49,9 @@
             open: connections.count_in(),
         });
     };
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, peer)) => take(stream, peer),
-            Err(err) => {
-                log::warn!("a connection cannot be accepted: {err}");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+    tokio::select! {
+        () = accept(&listener, &mut take) => {}
+        () = stop.cancelled() => {}
     }
     if let Err(err) = take_waiting(listener, take) {
         log::warn!("connections that waited to be taken are lost: {err}");
--- a/src/http_server/ending.rs
+++ b/src/http_server/ending.rs
@@ -1,7 +1,7 @@
 //! How a connection ends without leaving its caller in doubt.
 
 use super::Connections;
-use actix_http::{ConnectionType, Response};
+use actix_http::Response;
 use std::cell::Cell;
 use std::io;
 use std::time::Duration;
@@ -27,9 +27,7 @@
 
     /// Asks the caller to leave with this answer, if the server is about to stop.
     pub fn give<B>(&self, connections: &Connections, response: &mut Response<B>) {
-        if connections.is_announced() {
-            let head = response.head_mut();
-            head.set_connection_type(ConnectionType::Close);
+        if connections.ask_to_leave(response) {
             self.is_given.set(true);
         }
     }
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -4,6 +4,7 @@
 use super::message::{ControlRequest, ControlResponse, Update};
 use super::tls::FleetTls;
 use super::{WireError, decode, encode, encode_frame, read_body};
+use crate::http_server::accept::accept;
 use crate::http_server::h2::send_as_read;
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
@@ -29,17 +30,10 @@
 
 /// Accepts connections until the process ends.
 pub async fn serve<H: Handler + 'static>(listener: TcpListener, tls: FleetTls, handler: Rc<H>) {
-    loop {
-        match listener.accept().await {
-            Ok((tcp, _)) => {
-                actix_rt::spawn(serve_connection(tcp, tls.clone(), handler.clone()));
-            }
-            Err(err) => {
-                log::warn!("cannot accept a connection: {err}");
-                tokio::time::sleep(Duration::from_millis(10)).await;
-            }
-        }
-    }
+    accept(&listener, |tcp, _peer| {
+        actix_rt::spawn(serve_connection(tcp, tls.clone(), handler.clone()));
+    })
+    .await;
 }
 
 async fn serve_connection<H: Handler + 'static>(tcp: TcpStream, tls: FleetTls, handler: Rc<H>) {
