Requests that fail together make an upstream rest once

Cause: failures of requests that had been under way together counted as failures in a row, so one short fault of a busy upstream doubled its rest up to 15 s.

The mend: a request that began before the newest rest does not lengthen it. Holds because only what was sent after a rest, a probe of it, can double the next one. Tests in the library: fail together, fail one after the other.

--- a/src/router/claimed.rs
+++ b/src/router/claimed.rs
@@ -137,7 +137,7 @@
                 Err(failure) => failure.refused,
             };
             tries.push(try_record(&self.service, &upstream, &failure.message));
-            upstream.load.failed(Now::read());
+            upstream.load.failed(began, Now::read());
             tried.push(upstream.name);
             if failure.outcome != Outcome::NotRun || tried.len() >= MOST_TRIES {
                 return Err(failure);
@@ -159,7 +159,7 @@
         let body = match read_whole(&mut response, ANSWER_BYTES_LIMIT, left).await {
             Ok(body) => body,
             Err(err) => {
-                upstream.load.failed(Now::read());
+                upstream.load.failed(began, Now::read());
                 return Err(broken(&err.to_string()));
             }
         };
--- a/src/router/model_try.rs
+++ b/src/router/model_try.rs
@@ -74,7 +74,7 @@
 
     /// Records that the answer broke off.
     pub fn failed(&self, worker: &Worker) {
-        self.load.failed(Now::read());
+        self.load.failed(self.began, Now::read());
         count_failure(worker, &self.subject);
     }
 
@@ -232,7 +232,7 @@
     let request = upstream_request(worker, caller, step, version, upstream);
     let response = dispatch(request, caller, log).await.map_err(|failure| {
         if failure.refused.reason == Reason::UpstreamFailed {
-            upstream.load.failed(Now::read());
+            upstream.load.failed(began, Now::read());
             if !failure.is_unsent {
                 count_failure(worker, &subject);
             }
@@ -244,11 +244,12 @@
         .map_err(|failure| {
             let (reason, message) = match failure {
                 BeginFailure::Version(message) => {
-                    upstream.load.version_failed(version, Now::read());
+                    let now = Now::read();
+                    upstream.load.version_failed(version, began, now);
                     (Reason::UpstreamFailed, message)
                 }
                 BeginFailure::Upstream(message) => {
-                    upstream.load.failed(Now::read());
+                    upstream.load.failed(began, Now::read());
                     (Reason::UpstreamFailed, message)
                 }
                 BeginFailure::Other(reason, message) => (reason, message),
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -197,7 +197,7 @@
             .record
             .tries
             .push(try_record(service, &upstream, &failure.message));
-        upstream.load.failed(Now::read());
+        upstream.load.failed(began, Now::read());
         tried.push(upstream.name);
         let may_retry = !once && failure.reason != Reason::Deadline && tried.len() < MOST_TRIES;
         if !may_retry || !worker.shared.budget.withdraw() {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -6,5 +6,6 @@
 pub mod budget;
 pub mod cascade;
 pub mod placement;
+pub mod rest;
 pub mod snapshot;
 pub mod versions;
--- a/src/routing/placement.rs
+++ b/src/routing/placement.rs
@@ -4,20 +4,17 @@
 //! time is taken, the session's own upstream first where it is not much busier, and
 //! the own hall first where it is not full. See `docs/design/placement.md`.
 
-use crate::clock::{Now, millis};
+use super::rest::Failures;
+use crate::clock::Now;
 use crate::name::VersionName;
 use rand::Rng;
 use rand::seq::IndexedRandom as _;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// How many failures in a row make an upstream rest.
-const FAILURES_TO_EJECT: u32 = 3;
-const FIRST_REST: Duration = Duration::from_millis(500);
-const LONGEST_REST: Duration = Duration::from_secs(15);
 /// How much of the newest time goes into the running mean: one part of this.
 const MEAN_PARTS: u64 = 8;
 /// How many times the best alternative's expected time a session's own upstream may take.
@@ -44,17 +41,9 @@
 pub struct UpstreamLoad {
     outstanding: AtomicU32,
     mean_micros: AtomicU64,
-    failures: AtomicU32,
-    rests_until_ms: AtomicU64,
-    versions: Mutex<HashMap<VersionName, VersionRest>>,
-}
-
-/// How a version fares on one upstream; one that fails must not make the upstream rest
-/// for the others.
-#[derive(Debug, Clone, Copy, Default)]
-struct VersionRest {
-    failures: u32,
-    until: Duration,
+    failures: Mutex<Failures>,
+    /// By version, since one that fails must not make the upstream rest for the others.
+    versions: Mutex<HashMap<VersionName, Failures>>,
 }
 
 impl UpstreamLoad {
@@ -79,48 +68,36 @@
             mean - mean / MEAN_PARTS + took / MEAN_PARTS
         };
         self.mean_micros.store(next.max(1), Ordering::Relaxed);
-        self.failures.store(0, Ordering::Relaxed);
+        lock(&self.failures).end_row();
     }
 
-    /// Records that a request failed; after several in a row the upstream rests, the
-    /// longer the more failures there were.
-    pub fn failed(&self, now: Now) {
-        let failures = self.failures.fetch_add(1, Ordering::Relaxed) + 1;
-        if let Some(rest) = rest_after(failures) {
-            self.rests_until_ms
-                .store(millis(now.monotonic + rest), Ordering::Relaxed);
-        }
+    /// Records that a request failed which had begun at a moment; after several failures in a row
+    /// the upstream rests, the longer the more there were.
+    pub fn failed(&self, began: Duration, now: Now) {
+        lock(&self.failures).add(began, now);
     }
 
     /// Records that a version answered, whole.
     pub fn version_succeeded(&self, version: &VersionName) {
-        self.versions
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(version);
+        lock(&self.versions).remove(version);
     }
 
     /// Records that a version failed here while the upstream itself answered.
-    pub fn version_failed(&self, version: &VersionName, now: Now) {
-        let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
-        let found = versions.entry(version.clone()).or_default();
-        found.failures += 1;
-        if let Some(rest) = rest_after(found.failures) {
-            found.until = now.monotonic + rest;
-        }
+    pub fn version_failed(&self, version: &VersionName, began: Duration, now: Now) {
+        let mut versions = lock(&self.versions);
+        versions.entry(version.clone()).or_default().add(began, now);
     }
 
     fn version_rests(&self, version: &VersionName, now: Now) -> bool {
-        let versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        let versions = lock(&self.versions);
         versions
             .get(version)
-            .is_some_and(|found| now.monotonic < found.until)
+            .is_some_and(|failures| failures.rests(now))
     }
 
-    /// Tells whether the upstream rests after failures. Once the rest is over, the
-    /// next request probes it.
+    /// Tells whether the upstream rests after failures.
     pub fn rests(&self, now: Now) -> bool {
-        millis(now.monotonic) < self.rests_until_ms.load(Ordering::Relaxed)
+        lock(&self.failures).rests(now)
     }
 
     fn expected_micros(&self) -> f64 {
@@ -132,11 +109,8 @@
     }
 }
 
-/// Returns how long an upstream rests after so many failures in a row, if at all.
-fn rest_after(failures: u32) -> Option<Duration> {
-    const MOST_DOUBLINGS: u32 = 8;
-    let doublings = failures.checked_sub(FAILURES_TO_EJECT)?.min(MOST_DOUBLINGS);
-    Some((FIRST_REST * 2u32.pow(doublings)).min(LONGEST_REST))
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Counts a request out of its upstream when it ends, however it ends.
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::{Bench, BenchPlan};
+use gatepier::clock::{Now, WallTime};
 use gatepier::lab::model::Behaviour;
+use gatepier::routing::rest::Failures;
 use googletest::prelude::*;
 use std::time::{Duration, Instant};
 
@@ -29,6 +31,55 @@
     untold: usize,
 }
 
+/// A moment of the steady clock.
+fn at(millis: u64) -> Now {
+    Now {
+        monotonic: Duration::from_millis(millis),
+        wall: WallTime(0),
+    }
+}
+
+/// One short fault of a plain service's only upstream, such as a second in which it took no
+/// connection, made it rest for up to 15 s: the 48 of 400 requests under way that failed together
+/// counted as 48 failures in a row, and callers were still refused with `no-upstream` 2.5 s later.
+#[googletest::test]
+fn requests_that_fail_together_make_an_upstream_rest_once() {
+    let mut failures = Failures::default();
+    for number in 0..50 {
+        failures.add(at(number).monotonic, at(1000 + number));
+    }
+    expect_that!(failures.rests(at(1400)), eq(true));
+    expect_that!(failures.rests(at(1600)), eq(false));
+    failures.add(at(40).monotonic, at(1700));
+    expect_that!(
+        failures.rests(at(1700)),
+        eq(false),
+        "it had begun before the rest"
+    );
+}
+
+#[googletest::test]
+fn probes_that_fail_make_an_upstream_rest_longer_each_time() {
+    let mut failures = Failures::default();
+    for number in 0..3 {
+        failures.add(at(number).monotonic, at(10));
+    }
+    let mut now = 510;
+    for rest in [1000, 2000, 4000, 8000, 15_000, 15_000] {
+        expect_that!(failures.rests(at(now)), eq(false));
+        failures.add(at(now).monotonic, at(now));
+        expect_that!(failures.rests(at(now + rest - 1)), eq(true));
+        now += rest;
+    }
+    failures.end_row();
+    failures.add(at(now).monotonic, at(now));
+    expect_that!(
+        failures.rests(at(now)),
+        eq(false),
+        "two failures in a row are borne"
+    );
+}
+
 /// Sends requests in an open loop for a while.
 async fn load(bench: &Bench, organisation: &str, rate: f64, duration: Duration) -> Tally {
     let requests = (0u32..)
