--- a/src/gateway/place/loads.rs
+++ b/src/gateway/place/loads.rs
@@ -59,6 +59,13 @@
     reading_ms: u32,
 }
 
+impl LongRead {
+    /// Returns how long it takes.
+    pub fn reading(&self) -> Duration {
+        Duration::from_millis(self.reading_ms.into())
+    }
+}
+
 /// Long reads that this box began and has still to tell of.
 #[derive(Debug, Default)]
 pub struct LongReads {
@@ -145,8 +152,7 @@
         }
         let is_read_by = |upstream: &&Rc<Upstream>| upstream.short_hash() == read.upstream;
         if let Some(upstream) = knowledge.upstreams().find(is_read_by) {
-            let reading = Duration::from_millis(read.reading_ms.into());
-            upstream.add_elsewhere(reading, now);
+            upstream.add_elsewhere(read.reading(), now);
         }
     }
 
--- a/tests/gateway/passing_on.rs
+++ b/tests/gateway/passing_on.rs
@@ -1,13 +1,14 @@
 //! What boxes pass on to each other.
 
 use super::{at, cases, listed};
+use gatepier::gateway::attempt::upstream::Upstream;
 use gatepier::gateway::control::knowledge::Knowledge;
 use gatepier::gateway::control::mirror::Mirror;
 use gatepier::gateway::control::store::{BoxEntry, Item, Update};
 use gatepier::gateway::peers::hubs::choose_hubs;
 use gatepier::gateway::peers::messages::in_turn;
 use gatepier::gateway::peers::packing::PackedItem;
-use gatepier::gateway::place::loads::{BoxLoad, Loads, LongReads, interval};
+use gatepier::gateway::place::loads::{BoxLoad, Loads, LongRead, LongReads, interval};
 use googletest::prelude::*;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -159,4 +160,17 @@
         expect_that!(upstream.unread(at(250)), eq(Duration::from_millis(250)));
         expect_that!(upstream.unread(at(600)), eq(Duration::ZERO));
     }
+
+    long_reads_that_nobody_is_told_of_do_not_pile_up => {
+        // A box that cannot bind its socket to others serves on alone, and kept every long read of
+        // its life to be told one day. What is old by then says nothing any more.
+        let upstream = Upstream::new(listed("i-1", "engine", "ikeja"));
+        let untold = LongReads::default();
+        for number in 0..100_000 {
+            untold.note("this", &upstream, Duration::from_millis(200 + number));
+        }
+        let told = futures::executor::block_on(untold.next());
+        expect_that!(told.len(), le(1000));
+        expect_that!(told.last().map(LongRead::reading), some(eq(Duration::from_millis(100_199))));
+    }
 }
--- a/tests/gateway/trials.rs
+++ b/tests/gateway/trials.rs
@@ -40,6 +40,8 @@
 const LOST: f64 = 0.1;
 /// Boxes that are told of counts.
 const TOLD: usize = 2;
+/// How long boxes that were killed take to serve again.
+const RESTART: Duration = Duration::from_millis(500);
 const ORDER: u64 = 10;
 const BAD_ANSWERS: usize = 50;
 
@@ -58,6 +60,13 @@
     is_short: bool,
     /// How widely the times to the heads of sound answers differ.
     head_spread: f64,
+    /// The thousandths of the sessions from which on the version slows requests: a version may be
+    /// sound until it has load.
+    slowed_from: u32,
+    /// Of so many engines of the version one is slow, whatever the version; none for no such.
+    slow_one_of: Option<usize>,
+    /// When all boxes are killed together, in seconds.
+    killed_at: &'static [u64],
     seed: u64,
 }
 
@@ -72,6 +81,9 @@
             duration: DURATION,
             is_short: false,
             head_spread: HEAD_SPREAD,
+            slowed_from: 0,
+            slow_one_of: None,
+            killed_at: &[],
             seed,
         }
     }
@@ -88,6 +100,7 @@
     End(usize),
     Report(usize),
     Look,
+    KillAll,
 }
 
 /// A request on its way.
@@ -96,6 +109,8 @@
     is_new: bool,
     is_slowed: bool,
     timed: Option<Timed>,
+    /// The life of the boxes in which it was sent; what was under way at a kill is lost.
+    life: usize,
 }
 
 /// A box, as far as roll-outs go.
@@ -163,6 +178,10 @@
     record: Option<RolloutRecord>,
     sent_new: Vec<Duration>,
     bad_answers: Vec<Duration>,
+    /// How often all boxes have been killed.
+    life: usize,
+    /// Until when no box takes requests after a kill.
+    down_until: Duration,
 }
 
 impl World {
@@ -181,7 +200,12 @@
             record: None,
             sent_new: Vec::new(),
             bad_answers: Vec::new(),
+            life: 0,
+            down_until: Duration::ZERO,
         };
+        for killed_at in plan.killed_at {
+            world.plan_event(Duration::from_secs(*killed_at), Event::KillAll);
+        }
         world.plan_event(Duration::ZERO, Event::Request);
         world.plan_event(Duration::ZERO, Event::Look);
         for number in 0..plan.boxes {
@@ -207,6 +231,7 @@
                 Event::End(number) => self.end(number, at),
                 Event::Report(number) => self.report(number, at),
                 Event::Look => self.look(at),
+                Event::KillAll => self.kill_all(at),
             }
         }
         self.outcome()
@@ -218,13 +243,37 @@
         median * ((sum - 6.0) * spread).exp()
     }
 
+    /// Ends every box's life: with it goes what the box had counted and all that it had under way.
+    /// What the store holds is read again.
+    fn kill_all(&mut self, at: Duration) {
+        self.life += 1;
+        self.down_until = at + RESTART;
+        let life = self.life;
+        let (known_at, record) = (self.down_until, self.record.clone());
+        for (number, at_box) in self.boxes.iter_mut().enumerate() {
+            at_box.watch = VersionWatch::new(&format!("{number}.{life}"));
+            at_box.heard = record
+                .iter()
+                .map(|record| (known_at, record.clone()))
+                .collect();
+        }
+    }
+
+    /// Tells whether a request is still under way, and at a box that lives.
+    fn lives(&self, number: usize) -> bool {
+        self.requests[number].life == self.life
+    }
+
     fn request(&mut self, at: Duration) {
         let pause = -(1.0 - self.rng.random::<f64>()).ln() / self.plan.rate;
         self.plan_event(at + Duration::from_secs_f64(pause), Event::Request);
+        if at < self.down_until {
+            return;
+        }
         let at_box = self.rng.random_range(0..self.plan.boxes);
         let number = self.requests.len();
         let is_new = self.goes_to_new(at_box, number, at);
-        let is_slowed = is_new && self.rng.random_bool(self.plan.slowed);
+        let is_slowed = is_new && self.is_slowed(at_box, number, at);
         if is_new {
             self.sent_new.push(at);
         }
@@ -238,11 +287,22 @@
             is_new,
             is_slowed,
             timed,
+            life: self.life,
         });
         let head = self.draw_time(HEAD_MEDIAN, self.plan.head_spread) * self.slowness(number);
         self.plan_event(at + Duration::from_secs_f64(head), Event::Head(number));
     }
 
+    fn is_slowed(&mut self, at_box: usize, number: usize, at: Duration) -> bool {
+        let is_by_version = self.rng.random_bool(self.plan.slowed);
+        let permille = self.boxes[at_box]
+            .record(at)
+            .map_or(0, |record| record.permille);
+        let is_by_engine = |engines| draw(&format!("engine of {number}")) % engines as u64 == 0;
+        is_by_version && permille >= self.plan.slowed_from
+            || self.plan.slow_one_of.is_some_and(is_by_engine)
+    }
+
     fn slowness(&self, number: usize) -> f64 {
         match self.requests[number].is_slowed {
             true => self.plan.factor,
@@ -272,6 +332,9 @@
     }
 
     fn head(&mut self, number: usize, at: Duration) {
+        if !self.lives(number) {
+            return;
+        }
         if let Some(timed) = self.requests[number].timed.take() {
             timed.came(now(at));
         }
@@ -288,6 +351,9 @@
     }
 
     fn end(&mut self, number: usize, at: Duration) {
+        if !self.lives(number) {
+            return;
+        }
         if let Some(timed) = self.requests[number].timed.take() {
             timed.came(now(at));
         }
@@ -489,4 +555,83 @@
             expect_that!(roll_out(slow).keeps_bounds(), eq(true));
         }
     }
+
+    weak_version_that_slows_one_request_in_ten_twofold_stays_within_bounds => {
+        expect_that!(broken(0.1, 2.0), eq(0));
+    }
+
+    weak_version_that_slows_one_request_in_ten_fourfold_stays_within_bounds => {
+        expect_that!(broken(0.1, 4.0), eq(0));
+    }
+
+    weak_version_that_slows_two_requests_in_ten_twofold_stays_within_bounds => {
+        expect_that!(broken(0.2, 2.0), eq(0));
+    }
+
+    version_that_is_slow_only_with_half_of_the_sessions_stays_within_bounds => {
+        for rate in RATES {
+            for seed in 0..SEEDS {
+                let plan = Plan {
+                    slowed: 0.4,
+                    factor: 8.0,
+                    slowed_from: 500,
+                    ..Plan::sound(rate, seed)
+                };
+                expect_that!(roll_out(plan).keeps_bounds(), eq(true), "{plan:?}");
+            }
+        }
+    }
+
+    slow_version_stays_within_bounds_though_all_boxes_are_killed_twice => {
+        for rate in RATES {
+            for seed in 0..5 {
+                let plan = Plan {
+                    slowed: 0.4,
+                    factor: 8.0,
+                    killed_at: &[6, 14],
+                    ..Plan::sound(rate, seed)
+                };
+                expect_that!(roll_out(plan).keeps_bounds(), eq(true), "{plan:?}");
+            }
+        }
+    }
+
+    slow_version_is_written_back_in_time_though_all_boxes_are_killed_twice => {
+        for rate in RATES {
+            for seed in 0..5 {
+                let plan = Plan {
+                    slowed: 0.4,
+                    factor: 8.0,
+                    killed_at: &[6, 14],
+                    ..Plan::sound(rate, seed)
+                };
+                let outcome = roll_out(plan);
+                expect_that!(outcome.state, eq(RolloutState::Reverted), "{plan:?}: {outcome:?}");
+            }
+        }
+    }
+
+    sound_version_with_one_slow_engine_is_done_in_time => {
+        for rate in RATES {
+            for seed in 0..SEEDS {
+                let plan = Plan {
+                    factor: 4.0,
+                    slow_one_of: Some(4),
+                    ..Plan::sound(rate, seed)
+                };
+                let outcome = roll_out(plan);
+                expect_that!(outcome.state, eq(RolloutState::Done), "{plan:?}: {outcome:?}");
+            }
+        }
+    }
+
+    sound_version_is_done_in_time_though_all_boxes_are_killed_twice => {
+        for rate in RATES {
+            for seed in 0..SEEDS {
+                let plan = Plan { killed_at: &[6, 14], ..Plan::sound(rate, seed) };
+                let outcome = roll_out(plan);
+                expect_that!(outcome.state, eq(RolloutState::Done), "{plan:?}: {outcome:?}");
+            }
+        }
+    }
 }
