Long reads that nobody is told of do not pile up

Symptom: a box whose socket to others cannot be bound serves on alone and keeps every long read of its life, some hundred bytes each, until its memory is over. Cause: what waits to be told had no bound. The newest 256 are kept; older ones are over by the time they could be told.

--- a/src/gateway/place/loads.rs
+++ b/src/gateway/place/loads.rs
@@ -6,7 +6,7 @@
 use crate::gateway::control::knowledge::Knowledge;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -66,10 +66,14 @@
     }
 }
 
-/// Long reads that this box began and has still to tell of.
+/// The most long reads that wait to be told. A box tells them within milliseconds; where it has no
+/// way to others they would pile up, and the newest are those that are not over yet.
+const MOST_UNTOLD: usize = 256;
+
+/// Long reads that this box began and has still to tell of, oldest first.
 #[derive(Debug, Default)]
 pub struct LongReads {
-    untold: RefCell<Vec<LongRead>>,
+    untold: RefCell<VecDeque<LongRead>>,
     rung: Notify,
 }
 
@@ -79,7 +83,11 @@
         if reading < LONG_READ {
             return;
         }
-        self.untold.borrow_mut().push(LongRead {
+        let mut untold = self.untold.borrow_mut();
+        if untold.len() == MOST_UNTOLD {
+            untold.pop_front();
+        }
+        untold.push_back(LongRead {
             reporter: draw(reporter),
             upstream: upstream.short_hash(),
             reading_ms: millis(reading),
@@ -92,7 +100,7 @@
         loop {
             let untold = self.untold.take();
             if !untold.is_empty() {
-                return untold;
+                return untold.into();
             }
             self.rung.notified().await;
         }
--- a/tests/gateway/trials.rs
+++ b/tests/gateway/trials.rs
@@ -64,7 +64,7 @@
     /// sound until it has load.
     slowed_from: u32,
     /// Of so many engines of the version one is slow, whatever the version; none for no such.
-    slow_one_of: Option<usize>,
+    slow_one_of: Option<u64>,
     /// When all boxes are killed together, in seconds.
     killed_at: &'static [u64],
     seed: u64,
@@ -298,7 +298,7 @@
         let permille = self.boxes[at_box]
             .record(at)
             .map_or(0, |record| record.permille);
-        let is_by_engine = |engines| draw(&format!("engine of {number}")) % engines as u64 == 0;
+        let is_by_engine = |engines| draw(&format!("engine of {number}")).is_multiple_of(engines);
         is_by_version && permille >= self.plan.slowed_from
             || self.plan.slow_one_of.is_some_and(is_by_engine)
     }
