A stream waits for its engine where no other could go on

Symptom: a stream whose only engine was alive but paused for two and a half of the longest timely pauses was given up and asked of the same engine anew, up to the attempts of its route; with a pause that comes back its caller got no end.

Cause: whether to wait on was decided by the budget and the route alone; nobody looked whether there is another engine. Now a stream waits on while only the engine that pauses could go on and it takes connections. One that takes none is left as before.

--- a/src/gateway/answer/relay.rs
+++ b/src/gateway/answer/relay.rs
@@ -10,6 +10,7 @@
 use crate::gateway::attempt::exchange::{Answer, Piece, Tried};
 use crate::gateway::attempt::patience::Patience;
 use crate::gateway::attempt::retries::Repeat;
+use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::telemetry::StreamSummary;
 use crate::gateway::versions::tally::Timed;
 use bytes::Bytes;
@@ -167,9 +168,24 @@
         }
     }
 
-    /// Tells whether a silent upstream is still the best hope: nobody else may be asked.
+    /// Tells whether a silent upstream is still the best hope: nobody else may be asked, or nobody
+    /// else is there.
     fn should_wait_on(&self, now: Now) -> bool {
-        !self.job.left(now).is_zero() && !self.job.can_repeat(&self.gw, now)
+        let cannot_go_on = || !self.job.can_repeat(&self.gw, now) || self.is_only_hope(now);
+        !self.job.left(now).is_zero() && cannot_go_on()
+    }
+
+    /// Tells whether only the upstream that pauses could go on. It has read the prompt already, so
+    /// asking it anew would spend one of the attempts that the route allows to make it later.
+    fn is_only_hope(&self, now: Now) -> bool {
+        let Some(pausing) = self.answer.as_ref().map(Answer::upstream) else {
+            return false;
+        };
+        let candidates = self
+            .gw
+            .candidates(&self.job.service, &self.job.session, now);
+        let is_other = |upstream: &Rc<Upstream>| upstream.life() != pausing.life();
+        !pausing.needs_connection() && !candidates.iter().any(is_other)
     }
 
     fn note_pause(&mut self, now: Now) {
