A server that leaves a shared address resets nobody who connects

Cause: the system queues connections for a listening socket between the look that finds its queue empty and its close, and resets what is queued then.

The mend: a filter on the socket drops first packets of new connections, those that have begun are through within 10 ms and taken, and the socket is closed with a queue that stays empty. The caller's system sends the packet again after a second, to the successor. Holds because nothing new can enter the queue before the close. Cost: half of those that connect in the 10 ms wait a second.

--- a/src/http_server/accept.rs
+++ b/src/http_server/accept.rs
@@ -1,16 +1,21 @@
 //! Takes connections from a listening socket until it is told to stop.
 
 use super::Connections;
+use socket2::{SockFilter, SockRef};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 /// The pause after a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How long those that have begun to connect may take to be through when a listener is left: a few
+/// times the way to a caller and back. Whoever begins meanwhile is held up by a second.
+const CONNECTING: Duration = Duration::from_millis(10);
+
 /// A connection that was taken and counts as open until it is dropped.
 #[derive(Debug)]
 pub struct Taken {
@@ -53,15 +58,46 @@
         () = accept(&listener, &mut take) => {}
         () = stop.cancelled() => {}
     }
+    if let Err(err) = pass_over_newcomers(&listener) {
+        log::warn!("callers that connect now may be reset: {err}");
+    }
+    // Those that had begun to connect are through by then, and are taken.
+    let _waited = timeout(CONNECTING, accept(&listener, &mut take)).await;
     if let Err(err) = take_waiting(listener, take) {
         log::warn!("connections that waited to be taken are lost: {err}");
     }
 }
 
-/// Takes the connections that wait in the system's queue, and closes the listener.
+/// Makes the system drop the first packet of every new connection to a listener.
 ///
-/// The system resets what it still has queued when a listener is closed. So nothing may come
-/// between the look that found nothing and the close, not even another task.
+/// The system resets what is still queued when a listener is closed, and a caller that was reset
+/// cannot tell whether its request ran. One whose first packet is dropped sends it again a second
+/// later, and reaches whoever listens there by then.
+fn pass_over_newcomers(listener: &TcpListener) -> std::io::Result<()> {
+    SockRef::from(listener).attach_filter(&DROP_FIRST_PACKETS)
+}
+
+/// A filter of classic BPF over a TCP segment: drops what carries SYN without ACK.
+const DROP_FIRST_PACKETS: [SockFilter; 5] = {
+    const LOAD_BYTE: u16 = (libc::BPF_LD | libc::BPF_B | libc::BPF_ABS) as u16;
+    const AND: u16 = (libc::BPF_ALU | libc::BPF_AND | libc::BPF_K) as u16;
+    const JUMP_IF_EQUAL: u16 = (libc::BPF_JMP | libc::BPF_JEQ | libc::BPF_K) as u16;
+    const RETURN: u16 = (libc::BPF_RET | libc::BPF_K) as u16;
+    const FLAGS_AT: u32 = 13;
+    const SYN: u32 = 0x02;
+    const ACK: u32 = 0x10;
+    const DROP: u32 = 0;
+    const KEEP: u32 = u32::MAX;
+    [
+        SockFilter::new(LOAD_BYTE, 0, 0, FLAGS_AT),
+        SockFilter::new(AND, 0, 0, SYN | ACK),
+        SockFilter::new(JUMP_IF_EQUAL, 0, 1, SYN),
+        SockFilter::new(RETURN, 0, 0, DROP),
+        SockFilter::new(RETURN, 0, 0, KEEP),
+    ]
+};
+
+/// Takes the connections that wait in the system's queue, and closes the listener.
 fn take_waiting(
     listener: TcpListener,
     mut take: impl FnMut(TcpStream, SocketAddr),
