A stopping router waits for bills that no agent has taken

Cause: the wait for requests under way ended with their answers; the task that goes on trying for a minute ended with the process.

The mend: such tasks are counted, and the router waits for them within drain_ms; an error line says how many are left. One function waits for what is counted, connections and bills.

--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -141,15 +141,20 @@
     /// A connection that rests is left open for a while first: a request may be on its way.
     pub async fn finish(self, limit: Duration) -> usize {
         let Connections { open, closing, .. } = &self.connections;
-        open.close();
         let resting = RESTING_PATIENCE.min(limit / 2);
-        if timeout(resting, open.wait()).await.is_ok() {
+        if finish(open, resting).await == 0 {
             return 0;
         }
         closing.cancel();
-        match timeout(limit - resting, open.wait()).await {
-            Ok(()) => 0,
-            Err(_elapsed) => open.len(),
-        }
+        finish(open, limit - resting).await
+    }
+}
+
+/// Waits until all that is counted has ended, and returns how much has not after `limit`.
+pub async fn finish(counted: &TaskTracker, limit: Duration) -> usize {
+    counted.close();
+    match timeout(limit, counted.wait()).await {
+        Ok(()) => 0,
+        Err(_elapsed) => counted.len(),
     }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -27,7 +27,7 @@
 use crate::clock::Now;
 use crate::daemon::listen_shared;
 use crate::error::Result;
-use crate::http_server::{Connections, HttpServer};
+use crate::http_server::{Connections, HttpServer, finish};
 use crate::metrics::Metrics;
 use crate::routing::snapshot::Snapshot;
 use crate::settings::router::RouterSettings;
@@ -61,6 +61,7 @@
         reporter: format!("{}#{}", settings.identity.name, Now::read().wall.0),
         evidence: Default::default(),
         recent_finishes: Default::default(),
+        untaken_finishes: Default::default(),
         started: Now::read().monotonic,
         settings,
     });
@@ -87,10 +88,17 @@
     sleep(READINESS_LEAD).await;
     let server = server.stop_accepting().await;
     log::info!(connections = connections.count(); "no connection is taken any more");
+    let draining_since = Now::read().monotonic;
     let cut = server.finish(shared.settings.drain).await;
     if cut > 0 {
         log::warn!(cut; "the time to finish is over, connections are cut");
     }
+    let drained = Now::read().monotonic.saturating_sub(draining_since);
+    let left = shared.settings.drain.saturating_sub(drained);
+    let lost = finish(&shared.untaken_finishes, left).await;
+    if lost > 0 {
+        log::error!(lost; "no agent took the ends of these requests, their bills are lost");
+    }
     reports.abort();
     log::info!("stopped");
     Ok(())
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -24,6 +24,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
+use tokio_util::task::TaskTracker;
 
 /// How long after its start a router holds requests while it knows of no bundle. Agents tell
 /// it within some milliseconds; where none is there, callers are better refused.
@@ -60,6 +61,8 @@
     pub evidence: Mutex<HashMap<Subject, Counts>>,
     /// How the newest requests ended.
     pub recent_finishes: RecentFinishes,
+    /// Ends of requests that no agent has taken yet though their answers are out.
+    pub untaken_finishes: TaskTracker,
     /// The monotonic moment at which the router started.
     pub started: Duration,
 }
@@ -198,7 +201,9 @@
             return;
         }
         let worker = self.clone();
+        let untaken = self.shared.untaken_finishes.token();
         actix_rt::spawn(async move {
+            let _untaken = untaken;
             if timeout(FINISH_LIMIT, worker.agents.finish_at_last(&request))
                 .await
                 .is_err()
--- a/tests/replacing.rs
+++ b/tests/replacing.rs
@@ -8,7 +8,7 @@
 };
 use futures::future::join_all;
 use gatepier::daemon::listen_shared;
-use gatepier::http_client::reusing_client;
+use gatepier::http_client::{fresh_client, reusing_client};
 use gatepier::http_server::accept::Taken;
 use gatepier::http_server::{Accepting, Connections, HttpServer};
 use gatepier::lab::fleet::free_address;
@@ -373,6 +373,27 @@
         expect_that!(cut, is_empty(), "of {} answers", replies.len());
     };
 
+    /// While no agent takes a bill, an answer's end waits for three seconds and then goes out, and its
+    /// router goes on trying. One that was told to stop meanwhile ended with its last connection, and
+    /// the bill was lost with it.
+    bill_that_no_agent_has_taken_yet_keeps_a_stopping_router_alive => async {
+        let mut bench = Bench::start(BenchPlan::default()).await;
+        let names = ["ikeja-1", "ikeja-2"];
+        names.iter().for_each(|name| bench.boxes[*name].agent.as_ref().unwrap().freeze());
+        let url = format!("http://{}/v1/chat/completions", bench.boxes["ikeja-1"].files.router);
+        let request = fresh_client().post(url).bearer_auth("comics-key");
+        let answer = read_answer(request.send_json(&question("small")).await).await;
+        expect_that!(answer.status, eq(200), "{}", answer.body);
+        let mut router = bench.boxes.get_mut("ikeja-1").unwrap().router.take().unwrap();
+        router.signal(libc::SIGTERM);
+        actix_rt::time::sleep(NOTICE + Duration::from_secs(1)).await;
+        names.iter().for_each(|name| bench.boxes[*name].agent.as_ref().unwrap().thaw());
+        bench.wait_for("the router has ended", async || router.ended().is_some()).await;
+        expect_that!(router.ended(), some(eq(true)));
+        let id = answer.header("gatepier-request-id");
+        bench.wait_for("the answer is billed", async || bench.ledger().await.contains_key(id)).await;
+    };
+
     requests_that_may_not_be_repeated_are_not_in_doubt_as_an_agent_is_replaced => async {
         let mut bench = Bench::start(BenchPlan::default()).await;
         let until = Instant::now() + Duration::from_secs(6);
