--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -61,10 +61,9 @@
 /// How long before the process's end nothing is taken any more: a plain request takes a
 /// tenth of this, and some times as long at a slow upstream.
 const LAST_TAKEN_BEFORE_END: Duration = Duration::from_millis(1200);
-/// How long after its start a box holds requests while it learns the configuration. Hundreds
-/// of boxes that start together know it after some 0.4 s, and after 1.4 s if each has to read
-/// the store by itself. A refusal would cost the caller the one time that it comes back, and
-/// the boxes that it would come back to are no further.
+/// How long after its start a box holds requests while it learns the configuration, also where
+/// each of many has to read the store by itself. A refusal would cost the caller the one time that
+/// it comes back, and the boxes that it would come back to are no further.
 const FIRST_READ: Duration = Duration::from_millis(1500);
 /// The part of a caller's time for which a request waits for the configuration: the rest has
 /// to do for serving it, and for coming back after a refusal.
@@ -297,9 +296,7 @@
     /// Old knowledge is no reason against it, also where the box refuses keys for it: all
     /// boxes of a hall grow old together when the hall is cut off or the store is away, and a
     /// balancer that finds none of them ready sends their callers across the cut, where they
-    /// wait in vain. A refusal at once, with when to come back, serves them better: it raised
-    /// days with trouble by 0.007 of what callers could get on one deployment and by 0.015 on
-    /// another (15 paired days each).
+    /// wait in vain. A refusal at once, with when to come back, serves them better.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.knowledge.borrow().routes().is_some()
     }
--- a/src/gateway/attempt/protocol.rs
+++ b/src/gateway/attempt/protocol.rs
@@ -59,8 +59,7 @@
 ///
 /// The organisation's rank goes first, then the route's. Of equal ones the shortest read goes
 /// first: a prompt of the small model takes tens of milliseconds, and would wait for a second
-/// behind one of the large model. That raised what whole days were worth to callers, before
-/// prices, by 0.005 of all (36 paired days of one deployment).
+/// behind one of the large model.
 pub fn urgency(organisation: u8, route: u8, reading: Duration) -> u8 {
     let rank = organisation.saturating_mul(RANKS_PER_ORGANISATION);
     rank.saturating_add(route.min(RANKS_PER_ORGANISATION - 1))
--- a/src/gateway/attempt/retries.rs
+++ b/src/gateway/attempt/retries.rs
@@ -12,11 +12,8 @@
 /// the edge of a window do not break it.
 const SPENT_PART: f64 = 0.85;
 /// The part of the operators' slack that all boxes together spend. The rest is for boxes that
-/// start anew and do not know what their last life spent.
-///
-/// On a deployment of six boxes this gives each of them 6 repeats beyond its ratio where two
-/// were fixed before; with it, days were worth 0.008 more to callers (36 paired days), since
-/// fewer poor answers of small models are passed on for want of a repeat.
+/// start anew and do not know what their last life spent. Where it is not spent, poor answers of
+/// small models are passed on for want of a repeat.
 const SPENT_SLACK: f64 = 0.7;
 /// The most repeats that one box takes of the slack, however few boxes it knows: one that
 /// was cut off from the start knows none.
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -17,8 +17,7 @@
 /// Imagined good answers that keep one failure of a new upstream from ruling it out.
 const PRIOR_ANSWERS: f64 = 3.0;
 /// How long an upstream that did not even take a connection, or that fell silent, gets
-/// only what no other can take. A crashed upstream is back after two seconds or more on
-/// the users' days, and the list drops it after three heartbeats of 1.2 s.
+/// only what no other can take; the list drops a crashed one after three heartbeats.
 const FIRST_REST: Duration = Duration::from_millis(1200);
 /// The longest rest; each one in a row takes twice as long as the one before.
 const LONGEST_REST: Duration = Duration::from_secs(5);
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -37,7 +37,7 @@
 /// Boxes that are told of versions: the leading one and the one that would lead next.
 const TOLD_BOXES: usize = 2;
 /// Boxes that are told of a long read, so that what each gets does not grow with their
-/// number: all of the users' grown deployments, and from there on a part in turn.
+/// number; where there are more, a part of them in turn.
 const TOLD_OF_READS: usize = 96;
 /// The largest datagram; what a box has under way at a hundred upstreams takes two
 /// kilobytes.
--- a/src/gateway/place/engine_cost.rs
+++ b/src/gateway/place/engine_cost.rs
@@ -18,20 +18,15 @@
 /// A shared part of 5,400 tokens is worth a wait of 0.3 s.
 const ANEW_MS: f64 = 0.055;
 /// Milliseconds that fetching a token of a shared part from the engine that keeps it counts
-/// for. The fetch itself takes some milliseconds in all, but what is moved is priced. The
-/// dearest models of the users' deployments take 0.049 to 0.088 ms to read a token.
+/// for. The fetch itself takes some milliseconds in all, but what is moved is priced.
 ///
-/// Fetching makes engines equal for a shared part, so that the idle one can be taken. It
-/// raised what whole days were worth to callers by 0.003 to 0.009 on three deployments
-/// (paired days, `docs/measurements/decisions.md`), by less waiting and more answers of the
-/// large model.
+/// Fetching makes engines equal for a shared part, so that the idle one can be taken: callers
+/// wait less, and more of them get answers of the large model.
 const FETCHED_MS: f64 = 0.045;
 /// Milliseconds that each kilobyte of a request counts for which leaves the hall.
 ///
-/// With one engine a hall for the beginnings of models that read fast, this took a third off
-/// the bytes between halls and raised what a day was worth by 0.015 on a deployment where
-/// they are dear, and by 0.002 where they are cheap (paired days,
-/// `docs/measurements/decisions.md`).
+/// Bytes between halls are priced; models that read fast keep beginnings in each hall, so that
+/// their requests need not leave it.
 const AWAY_MS: f64 = 14.0;
 /// Milliseconds that an engine's slots count for when they are full. An engine slows down
 /// little with the number of its requests, so this matters only near the last slots.
--- a/src/gateway/place/models.rs
+++ b/src/gateway/place/models.rs
@@ -19,8 +19,7 @@
 const NEXT_MODEL_AT_LEAST: u32 = 20;
 /// The part of the objective, in hundredths, within which the larger model's first event
 /// has to be expected; a late answer earns less than a poor one that cost nothing. What the
-/// other boxes send meanwhile is not in the expected time. With 95 in place of 80, days with
-/// trouble were worth 0.005 less to callers (30 paired days of one deployment).
+/// other boxes send meanwhile is not in the expected time.
 const IN_TIME_HUNDREDTHS: u32 = 80;
 /// The part of what is left of the objective, in hundredths, that the largest model's
 /// prompts waiting ahead may take. It is ten times dearer in time than the smallest; when
--- a/src/gateway/place/reading.rs
+++ b/src/gateway/place/reading.rs
@@ -7,8 +7,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Tokens that an engine reads in a millisecond for the dearest model before anything was
-/// measured; engines that were measured read 11 to 20.
+/// Tokens that an engine reads in a millisecond for the dearest model, until it has shown.
 const USUAL_RATE: f64 = 18.0;
 /// The bounds of what is believed of a rate, in tokens a millisecond.
 const RATE_BOUNDS: (f64, f64) = (2.0, 400.0);
@@ -25,10 +24,7 @@
 
 /// The rates of a box's models.
 ///
-/// Prices alone say little of them: of three models whose prices stood as 1 to 7 to 15, the
-/// small one read 6 times as fast as the large one and the middle one 3 times, so that going
-/// by the price took the small one's reads for half as long as they were and the middle
-/// one's for 1.6 times as long (first events of 3,400 tries, four days of 34 s).
+/// Prices alone say little of them: a model at a fifteenth of the price may read six times as fast.
 #[derive(Debug, Default)]
 pub struct ReadingRates {
     by_model: RefCell<HashMap<String, Rate>>,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -55,12 +55,8 @@
     /// within the bound, on boxes that hear of nothing too.
     Refuse,
     /// Keys that were known last are served on: the operators bear that a box which hears of
-    /// nothing serves a key for longer.
-    ///
-    /// Where the store was away for eight seconds, refusing turned away 144 of the 157
-    /// requests sent in the last four of them; serving on raised what such a day was worth
-    /// by 0.13 of all that callers could have got (six boxes, six days of 30 s each in six
-    /// variants, see `docs/measurements/decisions.md`).
+    /// nothing serves a key for longer. Nearly all callers would be turned away while the store
+    /// is away for more than a few seconds.
     ServeKnown,
 }
 
--- a/src/gateway/versions/exposure.rs
+++ b/src/gateway/versions/exposure.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 /// The part of the operators' share that may be spent without a proof. The rest is for what
-/// other boxes send until they are told: at the middle stage half a second of 20 is a
-/// hundredth of the requests.
+/// other boxes send until they are told.
 const SPENT_PART: f64 = 0.9;
 /// The part from which a proof that could still grow has to do: the leading box looks four times
 /// a second, and boxes go on sending until they hear of its record.
@@ -107,9 +106,9 @@
 
     /// Returns how much of what a bad version may get the new one has had.
     ///
-    /// What was sent before a box counted is taken to be what the first stage gives at the most:
-    /// one that was restarted at the middle stage saw a third of its requests go to the new
-    /// version, and took a sound one back for that (on 5 of 15 days with restarts in turn).
+    /// What was sent before a box counted is taken to be what the first stage gives at the most. A
+    /// box that was restarted at the middle stage would otherwise take that stage's part for the
+    /// whole, and take back a sound version for it.
     fn spent_part(&self, sent: Sent, span: Span) -> f64 {
         let allowed = self.share * span.expected(sent) + self.slack;
         let missed = self.share * FIRST_PART * span.missed(sent);
--- a/src/gateway/versions/judge.rs
+++ b/src/gateway/versions/judge.rs
@@ -34,18 +34,14 @@
     },
 ];
 /// A bad version of which most answers are among the slower half. Engines batch, so one that slows
-/// two answers in ten twofold slows those beside them a little: of its paces 1 to 3 in ten rank
-/// among the fastest three tenths of the old one's, of a sound version's 4 to 6 in ten (18
-/// roll-outs of each on three deployments, while the versions bore a like load). It is asked of
-/// paces and of plain answers; the heads of sound new engines come late while they have kept no
-/// prompts.
+/// a few answers slows those beside them a little, and few of its paces are among the fastest. It is
+/// asked of paces and of plain answers; the heads of sound new engines come late while they have
+/// kept no prompts.
 const SLOWS_MOST: Badness = Badness {
     slowed: 1.0,
     sharpness: 2.0,
 };
 /// The logarithm of the odds of that at which it is not likely, and at which that is beyond doubt.
-/// At the first 1 of the same sound versions in 18 would not have been brought in, and 12 of 72
-/// weak ones would have been.
 const KEEPS_UP_FROM: f64 = 0.0;
 const KEEPS_UP_BEYOND_DOUBT: f64 = -8.0;
 /// How many times slower than an old answer a new one may be: a step of a third covers engines
@@ -53,14 +49,13 @@
 const MARGIN: f64 = 1.3;
 /// The same where the old version serves too few to compare with, so that its answers of the
 /// time when it bore the load stand for it: the load has changed since, and what is left to find
-/// is a version that turns bad late. With 1.55, sound versions were taken back after all sessions
-/// had moved (on 5 of 120 days).
+/// is a version that turns bad late.
 const LATE_MARGIN: f64 = 2.0;
 /// How many old answers for each new one make a stretch a fair comparison.
 const FEWEST_OLD_PART: f64 = 0.5;
 
-/// The logarithm of the odds from which a version is bad. Sound versions on three deployments
-/// reached 8.2 at most, in the second in which half of the sessions moved to them.
+/// The logarithm of the odds from which a version is bad: out of the reach of a sound one in the
+/// second in which half of the sessions move to it.
 const BAD_FROM: f64 = 10.0;
 /// The logarithm of the odds at which a version is none of the bad ones, all measures together:
 /// some twenty answers that rank as the old ones do, for each of them.
@@ -72,17 +67,14 @@
 /// new version twelve in all.
 const SPEAKS_FROM: f64 = -3.0;
 /// The odds of the more likely bad version with which a version may be tried under load: fewer
-/// than [`SPEAKS_FROM`] asks, since the operators' bounds bear that stage without a proof. With
-/// the latter, 16 of 40 sound versions never left their first stage where only the heads of
-/// answers are timed and differ widely (roll-outs in virtual time).
+/// than [`SPEAKS_FROM`] asks, since the operators' bounds bear that stage without a proof, and
+/// answers of which only the heads are timed may never give one.
 const TRIABLE_FROM: f64 = -1.0;
 /// The same once so many answers were counted, of which a version that slows four in ten
 /// eightfold gives odds of e^8.
 const TRIABLE_ANSWERS: u32 = 16;
 const TRIABLE_THEN: f64 = 1.0;
-/// The rank from which an answer may be a slowed one. Of answers that are slowed twofold, one in
-/// five ranks lower at most, where two thirds of the sound ones lie within a factor of 2.3 of their
-/// middle.
+/// The rank from which an answer may be a slowed one; few that are slowed twofold rank lower.
 const SUSPECT_RANK: f64 = 0.5;
 /// The same that a single measure has to say for it, if it has so many answers: where the new
 /// engines bear a little less than the old ones, a version that is twice as slow looks fast by
--- a/src/gateway/versions/rollout.rs
+++ b/src/gateway/versions/rollout.rs
@@ -14,9 +14,8 @@
 use std::time::Duration;
 
 /// How long the time of a roll-out is overdue in its record before the box that is next in line
-/// takes it on: the first one does not reach the store, though others hear of it. Where the first
-/// box was cut off from the store for five seconds of twenty, none of 15 sound versions was brought
-/// in in time, and 12 are with this.
+/// takes it on: the first one does not reach the store, though others hear of it, and a sound
+/// version would be late by as long as that lasts.
 const OVERDUE: Duration = Duration::from_millis(1500);
 /// All sessions, in the type of a hash.
 const THOUSAND: u64 = ALL_SESSIONS as u64;
@@ -30,8 +29,7 @@
 const MOVING_FROM: u64 = 52;
 /// The part of the time, in hundredths, until which the second middle stage goes on while its
 /// proof still grows: a sound version loses nothing by it, and what the operators' share leaves
-/// is better spent on telling a weak one. Measured in virtual time and on three deployments, see
-/// docs/measurements/decisions.md.
+/// is better spent on telling a weak one.
 const PROOF_GROWS_UNTIL: u64 = 78;
 /// How long a stage lasts at least, in hundredths of the time.
 const MOVING_LASTS: u32 = 4;
@@ -50,10 +48,10 @@
 /// nobody is left on it.
 const GIVE_UP_AT: u64 = 92;
 /// How often the time since the order is written down, in hundredths of the roll-out's time:
-/// boxes that are all killed together know nothing else of it. Where it was written at stages
-/// alone, a bad version without a proof was on trial for five seconds longer (two of fifteen
-/// days on which all boxes were killed twice). Some twenty calls a roll-out.
+/// boxes that are all killed together know nothing else of it, and a bad version without a proof
+/// would be on trial for longer. Some twenty calls a roll-out.
 const TIME_WRITTEN_EACH: u32 = 5;
+
 /// Which versions of a service may serve a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum VersionRule {
--- a/src/gateway/versions/tally.rs
+++ b/src/gateway/versions/tally.rs
@@ -11,8 +11,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The stretches of a roll-out's time. In one, answers of all boxes are some thirty where a
-/// service gets 25 requests a second for 20 s; load and trouble change from one to the next.
+/// The stretches of a roll-out's time: long enough for answers to compare, short enough that load
+/// and trouble are much the same throughout.
 const STRETCHES: u32 = 24;
 /// The longest of them. A stage is judged from the stretch after its beginning on, and has some
 /// four seconds to prove itself, however long the whole roll-out takes.
--- a/src/gateway/versions/watch.rs
+++ b/src/gateway/versions/watch.rs
@@ -33,8 +33,8 @@
 /// Imagined answers that keep a few answers of the old versions from telling what is usual.
 const PRIOR_ANSWERS: f64 = 20.0;
 
-/// The part of its answers that a bad version fails beyond what the old one does, at the least:
-/// the guard bears so few, and a version that failed one in ten was brought in on 5 of 9 days.
+/// The part of its answers that a bad version fails beyond what the old one does, at the least;
+/// the guard bears so few.
 const BAD_FAILURES: f64 = 0.08;
 /// How often an old version is taken to fail at the least, so that a failure or two of the new
 /// one say little.
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -71,8 +71,7 @@
     /// Waits until this router knows enough to serve, for a while after its start.
     ///
     /// A successor shares the callers' address with the router that it replaces, so it gets a
-    /// part of the callers as soon as it listens, whatever its readiness says: beside four busy
-    /// processes it refused some of them at 3 of 24 starts.
+    /// part of the callers as soon as it listens, whatever its readiness says.
     pub async fn await_first_knowledge(&self) {
         let deadline = self.started + FIRST_KNOWLEDGE;
         while !self.snapshot.load().is_ready() && Now::read().monotonic < deadline {
