--- a/tests/gateway/trials.rs
+++ b/tests/gateway/trials.rs
@@ -482,6 +482,29 @@
     broken
 }
 
+/// Plays roll-outs of a changed sound version at every rate with so many seeds.
+fn roll_out_each(seeds: u64, change: impl Fn(Plan) -> Plan) -> Vec<(Plan, Outcome)> {
+    let sound = |rate| (0..seeds).map(move |seed| Plan::sound(rate, seed));
+    let plans = RATES.into_iter().flat_map(sound).map(change);
+    plans.map(|plan| (plan, roll_out(plan))).collect()
+}
+
+/// Slows four requests in ten eightfold.
+fn slow(plan: Plan) -> Plan {
+    Plan {
+        slowed: 0.4,
+        factor: 8.0,
+        ..plan
+    }
+}
+
+fn killed_twice(plan: Plan) -> Plan {
+    Plan {
+        killed_at: &[6, 14],
+        ..plan
+    }
+}
+
 cases! {
     version_that_slows_four_requests_in_ten_eightfold_stays_within_bounds => {
         expect_that!(broken(0.4, 8.0), eq(0));
@@ -569,69 +592,33 @@
     }
 
     version_that_is_slow_only_with_half_of_the_sessions_stays_within_bounds => {
-        for rate in RATES {
-            for seed in 0..SEEDS {
-                let plan = Plan {
-                    slowed: 0.4,
-                    factor: 8.0,
-                    slowed_from: 500,
-                    ..Plan::sound(rate, seed)
-                };
-                expect_that!(roll_out(plan).keeps_bounds(), eq(true), "{plan:?}");
-            }
+        for (plan, outcome) in roll_out_each(SEEDS, |plan| Plan { slowed_from: 500, ..slow(plan) }) {
+            expect_that!(outcome.keeps_bounds(), eq(true), "{plan:?}");
         }
     }
 
     slow_version_stays_within_bounds_though_all_boxes_are_killed_twice => {
-        for rate in RATES {
-            for seed in 0..5 {
-                let plan = Plan {
-                    slowed: 0.4,
-                    factor: 8.0,
-                    killed_at: &[6, 14],
-                    ..Plan::sound(rate, seed)
-                };
-                expect_that!(roll_out(plan).keeps_bounds(), eq(true), "{plan:?}");
-            }
+        for (plan, outcome) in roll_out_each(5, |plan| killed_twice(slow(plan))) {
+            expect_that!(outcome.keeps_bounds(), eq(true), "{plan:?}");
         }
     }
 
     slow_version_is_written_back_in_time_though_all_boxes_are_killed_twice => {
-        for rate in RATES {
-            for seed in 0..5 {
-                let plan = Plan {
-                    slowed: 0.4,
-                    factor: 8.0,
-                    killed_at: &[6, 14],
-                    ..Plan::sound(rate, seed)
-                };
-                let outcome = roll_out(plan);
-                expect_that!(outcome.state, eq(RolloutState::Reverted), "{plan:?}: {outcome:?}");
-            }
+        for (plan, outcome) in roll_out_each(5, |plan| killed_twice(slow(plan))) {
+            expect_that!(outcome.state, eq(RolloutState::Reverted), "{plan:?}: {outcome:?}");
         }
     }
 
     sound_version_with_one_slow_engine_is_done_in_time => {
-        for rate in RATES {
-            for seed in 0..SEEDS {
-                let plan = Plan {
-                    factor: 4.0,
-                    slow_one_of: Some(4),
-                    ..Plan::sound(rate, seed)
-                };
-                let outcome = roll_out(plan);
-                expect_that!(outcome.state, eq(RolloutState::Done), "{plan:?}: {outcome:?}");
-            }
+        let one_slow = |plan| Plan { factor: 4.0, slow_one_of: Some(4), ..plan };
+        for (plan, outcome) in roll_out_each(SEEDS, one_slow) {
+            expect_that!(outcome.state, eq(RolloutState::Done), "{plan:?}: {outcome:?}");
         }
     }
 
     sound_version_is_done_in_time_though_all_boxes_are_killed_twice => {
-        for rate in RATES {
-            for seed in 0..SEEDS {
-                let plan = Plan { killed_at: &[6, 14], ..Plan::sound(rate, seed) };
-                let outcome = roll_out(plan);
-                expect_that!(outcome.state, eq(RolloutState::Done), "{plan:?}: {outcome:?}");
-            }
+        for (plan, outcome) in roll_out_each(SEEDS, killed_twice) {
+            expect_that!(outcome.state, eq(RolloutState::Done), "{plan:?}: {outcome:?}");
         }
     }
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -8,6 +8,33 @@
 use googletest::prelude::*;
 use serde_json::Value;
 
+/// Asks for a stream over h2 and returns the events that came, and what broke them off.
+async fn stream_over_h2(bench: &Bench) -> (String, Option<h2::Error>) {
+    let router = bench.boxes["ikeja-1"].files.router;
+    let request = http::Request::post(format!("http://{router}/v1/chat/completions"))
+        .header("authorization", "Bearer comics-key")
+        .body(())
+        .unwrap();
+    let mut sender = connect_over_h2(router).await.ready().await.unwrap();
+    let (response, mut asked) = sender.send_request(request, false).unwrap();
+    let question = streamed_question("small").to_string();
+    asked.send_data(question.into(), true).unwrap();
+    let response = response.await.unwrap();
+    assert_eq!(response.status(), http::StatusCode::OK);
+    let mut body = response.into_body();
+    let mut events = Vec::new();
+    while let Some(piece) = body.data().await {
+        match piece {
+            Ok(piece) => {
+                body.flow_control().release_capacity(piece.len()).unwrap();
+                events.extend_from_slice(&piece);
+            }
+            Err(err) => return (String::from_utf8(events).unwrap(), Some(err)),
+        }
+    }
+    (String::from_utf8(events).unwrap(), None)
+}
+
 cases! {
     allowed_version_answers => async {
         let bench = Bench::start(BenchPlan::default()).await;
@@ -65,46 +92,16 @@
 
     stream_over_h2_comes_whole => async {
         let bench = Bench::start(BenchPlan::default()).await;
-        let router = bench.boxes["ikeja-1"].files.router;
-        let request = http::Request::post(format!("http://{router}/v1/chat/completions"))
-            .header("authorization", "Bearer comics-key")
-            .body(())
-            .unwrap();
-        let sender = connect_over_h2(router).await;
-        let (response, mut asked) = sender.ready().await.unwrap().send_request(request, false).unwrap();
-        let question = streamed_question("small").to_string();
-        asked.send_data(question.into(), true).unwrap();
-        let response = response.await.unwrap();
-        expect_that!(response.status().as_u16(), eq(200));
-        let mut body = response.into_body();
-        let mut events = Vec::new();
-        while let Some(piece) = body.data().await {
-            let piece = piece.unwrap();
-            body.flow_control().release_capacity(piece.len()).unwrap();
-            events.extend_from_slice(&piece);
-        }
-        expect_that!(String::from_utf8(events).unwrap(), ends_with("data: [DONE]\n\n"));
+        let (events, end) = stream_over_h2(&bench).await;
+        expect_that!(events, ends_with("data: [DONE]\n\n"));
+        expect_that!(end.is_none(), eq(true));
     };
 
     stream_over_h2_that_breaks_off_is_reset => async {
         let bench = Bench::start(BenchPlan::default()).await;
         let breaking = Behaviour { breaking: 1.0, ..Behaviour::default() };
         bench.models.iter().for_each(|model| model.stand_in.set("small/s1", breaking));
-        let router = bench.boxes["ikeja-1"].files.router;
-        let request = http::Request::post(format!("http://{router}/v1/chat/completions"))
-            .header("authorization", "Bearer comics-key")
-            .body(())
-            .unwrap();
-        let sender = connect_over_h2(router).await;
-        let (response, mut asked) = sender.ready().await.unwrap().send_request(request, false).unwrap();
-        asked.send_data(streamed_question("small").to_string().into(), true).unwrap();
-        let mut body = response.await.unwrap().into_body();
-        let end = loop {
-            match body.data().await {
-                Some(Ok(_event)) => {}
-                end => break end,
-            }
-        };
-        expect_that!(end.is_some_and(|end| end.is_err_and(|err| err.is_reset())), eq(true));
+        let (_events, end) = stream_over_h2(&bench).await;
+        expect_that!(end.is_some_and(|err| err.is_reset()), eq(true));
     };
 }
