--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -142,16 +142,16 @@
     pub async fn finish(self, limit: Duration) -> usize {
         let Connections { open, closing, .. } = &self.connections;
         let resting = RESTING_PATIENCE.min(limit / 2);
-        if finish(open, resting).await == 0 {
+        if wait_until_ended(open, resting).await == 0 {
             return 0;
         }
         closing.cancel();
-        finish(open, limit - resting).await
+        wait_until_ended(open, limit - resting).await
     }
 }
 
 /// Waits until all that is counted has ended, and returns how much has not after `limit`.
-pub async fn finish(counted: &TaskTracker, limit: Duration) -> usize {
+pub async fn wait_until_ended(counted: &TaskTracker, limit: Duration) -> usize {
     counted.close();
     match timeout(limit, counted.wait()).await {
         Ok(()) => 0,
--- a/src/http_server/ending.rs
+++ b/src/http_server/ending.rs
@@ -37,7 +37,7 @@
 ///
 /// A caller that was not told may have sent a request that nobody will read. `last_words` is an
 /// answer that says so; no request is read after it was written, which makes it true.
-pub async fn end(mut stream: TcpStream, last_words: Option<&[u8]>) -> io::Result<()> {
+pub async fn end_connection(mut stream: TcpStream, last_words: Option<&[u8]>) -> io::Result<()> {
     if let Some(last_words) = last_words {
         stream.write_all(last_words).await?;
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -27,7 +27,7 @@
 use crate::clock::Now;
 use crate::daemon::listen_shared;
 use crate::error::Result;
-use crate::http_server::{Connections, HttpServer, finish};
+use crate::http_server::{Connections, Draining, HttpServer, wait_until_ended};
 use crate::metrics::Metrics;
 use crate::routing::snapshot::Snapshot;
 use crate::settings::router::RouterSettings;
@@ -88,18 +88,23 @@
     sleep(READINESS_LEAD).await;
     let server = server.stop_accepting().await;
     log::info!(connections = connections.count(); "no connection is taken any more");
-    let draining_since = Now::read().monotonic;
+    drain(server, &shared).await;
+    reports.abort();
+    log::info!("stopped");
+    Ok(())
+}
+
+/// Finishes what the router has: its connections, and bills that no agent has taken yet.
+async fn drain(server: HttpServer<Draining>, shared: &RouterShared) {
+    let began = Now::read().monotonic;
     let cut = server.finish(shared.settings.drain).await;
     if cut > 0 {
         log::warn!(cut; "the time to finish is over, connections are cut");
     }
-    let drained = Now::read().monotonic.saturating_sub(draining_since);
-    let left = shared.settings.drain.saturating_sub(drained);
-    let lost = finish(&shared.untaken_finishes, left).await;
+    let spent = Now::read().monotonic.saturating_sub(began);
+    let left = shared.settings.drain.saturating_sub(spent);
+    let lost = wait_until_ended(&shared.untaken_finishes, left).await;
     if lost > 0 {
         log::error!(lost; "no agent took the ends of these requests, their bills are lost");
     }
-    reports.abort();
-    log::info!("stopped");
-    Ok(())
 }
--- a/src/router/threads.rs
+++ b/src/router/threads.rs
@@ -6,7 +6,7 @@
 use crate::error::{Error, Result};
 use crate::http_server::Connections;
 use crate::http_server::accept::Taken;
-use crate::http_server::ending::end;
+use crate::http_server::ending::end_connection;
 use crate::http_server::h2;
 use crate::http_server::lent_stream::{LentStream, Loan};
 use actix_http::error::DispatchError;
@@ -30,6 +30,10 @@
 /// How long a connection may rest between two requests.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 
+/// The time between two probes of a caller that has rested for so long, and how many may be lost.
+const PROBE_INTERVAL: Duration = Duration::from_secs(10);
+const MOST_PROBES: u32 = 3;
+
 /// A connection as the HTTP library takes it.
 type Lent = (LentStream, Option<SocketAddr>);
 
@@ -144,12 +148,13 @@
     worker: Rc<Worker>,
     connections: &Connections,
 ) -> eyre::Result<()> {
-    stream.set_nodelay(true)?;
-    SockRef::from(&stream).set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEP_ALIVE))?;
+    prepare(&stream)?;
     let stream = TcpStream::from_std(stream)?;
     let detected = tokio::select! {
         protocol = timeout(KEEP_ALIVE, detect_protocol(&stream)) => protocol,
-        () = connections.closing() => return Ok(end(stream, Some(&closing_answer())).await?),
+        () = connections.closing() => {
+            return Ok(end_connection(stream, Some(&closing_answer())).await?);
+        }
     };
     let peer = stream.peer_addr()?;
     match detected {
@@ -159,10 +164,20 @@
         }
         Ok(Ok(_)) => serve_http1(stream, peer, service, connections).await,
         Ok(Err(err)) => Err(err.into()),
-        Err(_rested) => Ok(end(stream, None).await?),
+        Err(_rested) => Ok(end_connection(stream, None).await?),
     }
 }
 
+/// Sends small answers at once, and has the system ask callers that rest whether they are there.
+fn prepare(stream: &std::net::TcpStream) -> io::Result<()> {
+    let probes = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(MOST_PROBES);
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_keepalive(&probes)
+}
+
 async fn serve_http1(
     stream: TcpStream,
     peer: SocketAddr,
@@ -178,7 +193,7 @@
     };
     let is_in_doubt = connections.is_closing() && !loan.notice.is_given();
     let last_words = is_in_doubt.then(closing_answer);
-    Ok(end(stream, last_words.as_deref()).await?)
+    Ok(end_connection(stream, last_words.as_deref()).await?)
 }
 
 /// Tells by a caller's first bytes what it speaks.
