Logs tell which sends are the same request, and whether an upstream crashed under it

The lines of the incident of requests that crash upstreams could not tell apart whether one request ended all those engines, whether they ended for a reason of their own, or whether only connections were reset. Each try has the request's fingerprint now (caller, method, host, target, body), and an upstream where a run broke off is asked for a connection: refused means that it has crashed, and a line for each request that ran there says so. Nothing is decided by it yet.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -28,6 +28,7 @@
 use admit::listen;
 use admit::routes::RouteKind;
 use attempt::connect::Connections;
+use attempt::crash::{self, CrashWatch};
 use attempt::probe;
 use attempt::protocol::Headers;
 use attempt::retries::RetryWindow;
@@ -87,6 +88,8 @@
     pub news: Notify,
     /// Resting connections to upstreams.
     pub connections: Connections,
+    /// Runs that broke off, whose upstreams may have crashed.
+    pub crashes: CrashWatch,
     /// The connections that callers have to this box.
     pub callers: http_server::Connections,
     /// The budgets of repeats by service; see [`Gateway::with_retries`].
@@ -135,6 +138,7 @@
             asking: Asking::default(),
             news: Notify::new(),
             connections: Connections::default(),
+            crashes: CrashWatch::default(),
             callers: Default::default(),
             retries: RefCell::default(),
             loads: RefCell::default(),
@@ -419,6 +423,7 @@
     listen::serve_readiness(&gw, &metrics)?;
     actix_rt::spawn(follow::follow(gw.clone(), store.clone()));
     actix_rt::spawn(probe::probe_unconnectable(gw.clone()));
+    actix_rt::spawn(crash::check_upstreams(gw.clone()));
     actix_rt::spawn(leading::lead(gw.clone(), store.clone()));
     actix_rt::spawn(follow::tidy(gw.clone()));
     let exchange = messages::exchange(gw.clone(), store.clone());
--- a/src/gateway/admit/job.rs
+++ b/src/gateway/admit/job.rs
@@ -6,7 +6,10 @@
 use crate::gateway::Gateway;
 use crate::gateway::answer::refusal::Ran;
 use crate::gateway::attempt::connect::http1_types;
-use crate::gateway::attempt::exchange::{NotRun, Outgoing, Tried, TryLimits, try_upstream};
+use crate::gateway::attempt::exchange::{
+    Failure, NotRun, Outgoing, Tried, TryLimits, try_upstream,
+};
+use crate::gateway::attempt::fingerprint::Fingerprint;
 use crate::gateway::attempt::patience::Patience;
 use crate::gateway::attempt::protocol::{ANY_MODEL, urgency};
 use crate::gateway::attempt::retries::Repeat;
@@ -38,6 +41,8 @@
 pub struct Job {
     /// The caller's id of this attempt.
     pub request_id: String,
+    /// What tells that another send is the same request.
+    pub fingerprint: Fingerprint,
     /// The route.
     pub route: Arc<Route>,
     /// The version of the configuration that led to the route.
@@ -270,6 +275,9 @@
                 .borrow_mut()
                 .forget_upstream(choice.upstream.life());
         }
+        if matches!(tried, Tried::Unknown(Failure::Broken(_))) {
+            gw.run_broke_off(self.fingerprint, &choice.upstream, Now::read());
+        }
         gw.telemetry.tried(self, choice, tried, plan);
     }
 
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -9,6 +9,7 @@
 use crate::gateway::answer::relay::Relay;
 use crate::gateway::answer::stream::{self, Begun};
 use crate::gateway::attempt::connect::http1_types;
+use crate::gateway::attempt::fingerprint::{Fingerprint, Identity};
 use crate::gateway::attempt::tries::Tries;
 use crate::gateway::control::knowledge::Proof;
 use crate::gateway::place::choose::draw;
@@ -80,13 +81,22 @@
         .service_for(draw(request_id))
         .ok_or(Why::NoRoute)?
         .to_owned();
+    let target = target_of(req);
+    let fingerprint = Fingerprint::of(Identity {
+        caller: organisation.as_ref().map(|found| found.name.as_str()),
+        method: req.method().as_str(),
+        host: host(req),
+        target: &target,
+        body: &body,
+    });
     Ok(Job {
         request_id: request_id.to_owned(),
+        fingerprint,
         config_version: routes.version,
         service,
         organisation,
         method: method_of(req),
-        target: target_of(req),
+        target,
         headers: passed_headers(gw, req),
         body,
         received: received.monotonic,
@@ -148,11 +158,12 @@
 }
 
 fn find_route<'a>(req: &Request, routes: &'a RouteTable) -> Option<&'a Arc<Route>> {
-    let host = req
-        .headers()
-        .get("host")
-        .and_then(|host| host.to_str().ok());
-    routes.route(host.unwrap_or_default(), req.path())
+    routes.route(host(req), req.path())
+}
+
+fn host(req: &Request) -> &str {
+    let host = req.headers().get("host");
+    host.and_then(|host| host.to_str().ok()).unwrap_or_default()
 }
 
 async fn read_body(req: &mut Request, routes: &RouteTable, received: Now) -> Result<Bytes, Why> {
--- a/src/gateway/answer/plain.rs
+++ b/src/gateway/answer/plain.rs
@@ -117,7 +117,10 @@
                 body,
             });
         }
-        Ok(Err(reason)) => reason,
+        Ok(Err(reason)) => {
+            gw.run_broke_off(job.fingerprint, answer.upstream(), Now::read());
+            reason
+        }
         Err(_elapsed) => "out of time".to_owned(),
     };
     gw.telemetry.broke_off(job, answer.upstream(), &reason);
--- a/src/gateway/answer/relay.rs
+++ b/src/gateway/answer/relay.rs
@@ -153,8 +153,14 @@
                     self.finish();
                     return None;
                 }
-                Some(Piece::End) => "the stream ended inside an event".to_owned(),
-                Some(Piece::Broken(reason)) => reason,
+                Some(Piece::End) => {
+                    self.note_broken();
+                    "the stream ended inside an event".to_owned()
+                }
+                Some(Piece::Broken(reason)) => {
+                    self.note_broken();
+                    reason
+                }
                 None if self.should_wait_on(Now::read()) => continue,
                 None => "no event came in time".to_owned(),
             };
@@ -168,6 +174,13 @@
         }
     }
 
+    fn note_broken(&self) {
+        if let Some(answer) = &self.answer {
+            let run = self.job.fingerprint;
+            self.gw.run_broke_off(run, answer.upstream(), Now::read());
+        }
+    }
+
     /// Tells whether a silent upstream is still the best hope: nobody else may be asked, or nobody
     /// else is there.
     fn should_wait_on(&self, now: Now) -> bool {
--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -206,6 +206,7 @@
         }
         Some(Err(reason)) => {
             upstream.failed(Now::read());
+            gw.run_broke_off(job.fingerprint, &upstream, Now::read());
             reason
         }
         None => "no event came in time".to_owned(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,7 +1,9 @@
 //! One attempt of a request at one upstream, and what is known of that upstream.
 
 pub mod connect;
+pub mod crash;
 pub mod exchange;
+pub mod fingerprint;
 pub mod patience;
 pub mod probe;
 pub mod protocol;
--- /dev/null
+++ b/src/gateway/attempt/crash.rs
@@ -0,0 +1,157 @@
+//! Finds out whether an upstream crashed when runs at it broke off.
+//!
+//! A broken connection alone does not tell: connections are reset, and halls are cut off. Where
+//! an upstream's address refuses a connection right after, its process is gone, and whatever ran
+//! there may be why.
+
+use super::fingerprint::Fingerprint;
+use super::upstream::Upstream;
+use crate::clock::Now;
+use crate::gateway::Gateway;
+use crate::gateway::control::store::UpstreamLife;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+/// How long after a run broke off its upstream is asked for a connection: a process that ends
+/// closes its connections and its listening socket one after the other.
+const CHECK_DELAY: Duration = Duration::from_millis(15);
+/// How long runs that broke off are kept, to be found at their upstream's crash: the others of
+/// one crash are noticed within the time that a lost reset takes to be sent again.
+const KEPT_FOR: Duration = Duration::from_secs(2);
+
+/// The runs that broke off of late, by the life of their upstream.
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    broken: RefCell<HashMap<UpstreamLife, BrokenRuns>>,
+    rung: Notify,
+}
+
+/// The runs of one upstream that broke off.
+#[derive(Debug)]
+struct BrokenRuns {
+    upstream: Rc<Upstream>,
+    runs: Vec<Fingerprint>,
+    first: Duration,
+    state: CheckState,
+}
+
+/// How the check of an upstream stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CheckState {
+    Due,
+    UnderWay,
+    Crashed,
+}
+
+/// What a connection to an upstream told after runs there broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Found {
+    /// The address refuses connections, so the process is gone.
+    Crashed,
+    /// It takes connections: only connections were lost.
+    Alive,
+    /// Nothing answers, as behind a cut.
+    Unreachable,
+}
+
+impl Found {
+    /// Tells what the outcome of opening a connection means.
+    pub fn by<T>(opened: &io::Result<T>) -> Self {
+        match opened {
+            Ok(_) => Self::Alive,
+            Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => Self::Crashed,
+            Err(_) => Self::Unreachable,
+        }
+    }
+}
+
+impl CrashWatch {
+    /// Records that a run broke off at an upstream.
+    fn add(&self, upstream: &Rc<Upstream>, run: Fingerprint, now: Now) {
+        let mut broken = self.broken.borrow_mut();
+        broken.retain(|_, known| now.monotonic.saturating_sub(known.first) < KEPT_FOR);
+        let known = broken
+            .entry(upstream.life().clone())
+            .or_insert_with(|| BrokenRuns {
+                upstream: upstream.clone(),
+                runs: Vec::new(),
+                first: now.monotonic,
+                state: CheckState::Due,
+            });
+        known.runs.push(run);
+        self.rung.notify_one();
+    }
+
+    /// Takes the upstreams whose check is due, and the runs of those that are known to be gone.
+    fn take_due(&self) -> (Vec<Rc<Upstream>>, Vec<(Rc<Upstream>, Vec<Fingerprint>)>) {
+        let mut due = Vec::new();
+        let mut crashed = Vec::new();
+        for known in self.broken.borrow_mut().values_mut() {
+            match known.state {
+                CheckState::Due => {
+                    known.state = CheckState::UnderWay;
+                    due.push(known.upstream.clone());
+                }
+                CheckState::Crashed if !known.runs.is_empty() => {
+                    crashed.push((known.upstream.clone(), std::mem::take(&mut known.runs)));
+                }
+                CheckState::UnderWay | CheckState::Crashed => {}
+            }
+        }
+        (due, crashed)
+    }
+
+    /// Records what a check found; the runs of an upstream that lives are forgotten.
+    fn checked(&self, life: &UpstreamLife, found: Found) {
+        let mut broken = self.broken.borrow_mut();
+        match found {
+            Found::Crashed => {
+                if let Some(known) = broken.get_mut(life) {
+                    known.state = CheckState::Crashed;
+                }
+            }
+            Found::Alive | Found::Unreachable => {
+                broken.remove(life);
+            }
+        }
+        self.rung.notify_one();
+    }
+}
+
+impl Gateway {
+    /// Records that a run broke off, and has it found out whether its upstream crashed.
+    pub fn run_broke_off(&self, run: Fingerprint, upstream: &Rc<Upstream>, now: Now) {
+        self.crashes.add(upstream, run, now);
+    }
+}
+
+/// Checks upstreams where runs broke off, for as long as the process lives.
+pub async fn check_upstreams(gw: Rc<Gateway>) {
+    loop {
+        gw.crashes.rung.notified().await;
+        let (due, crashed) = gw.crashes.take_due();
+        for upstream in due {
+            actix_rt::spawn(check(gw.clone(), upstream));
+        }
+        for (upstream, runs) in crashed {
+            gw.telemetry.upstream_crashed(&upstream, &runs);
+        }
+    }
+}
+
+async fn check(gw: Rc<Gateway>, upstream: Rc<Upstream>) {
+    sleep(CHECK_DELAY).await;
+    let now = Now::read();
+    let opened = gw.connections.open(&upstream, now).await;
+    let found = Found::by(&opened);
+    if let Ok(connection) = opened {
+        gw.connections.rest(upstream.life(), connection, now);
+    }
+    gw.telemetry.checked_after_break(&upstream, found);
+    gw.crashes.checked(upstream.life(), found);
+}
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -4,7 +4,9 @@
 
 use super::admit::job::{Job, TryPlan};
 use super::answer::refusal::{Ran, Why};
+use super::attempt::crash::Found;
 use super::attempt::exchange::Tried;
+use super::attempt::fingerprint::Fingerprint;
 use super::attempt::upstream::Upstream;
 use super::control::knowledge::Change;
 use super::peers::asking::FetchError;
@@ -119,6 +121,7 @@
         let listed = upstream.listed();
         log::info!(
             request = job.request_id.as_str(),
+            fingerprint = job.fingerprint.to_string().as_str(),
             route = job.route.name.as_str(),
             config = job.config_version,
             upstream = listed.instance.as_str(),
@@ -146,6 +149,31 @@
         );
     }
 
+    /// Records what was found of an upstream where a run broke off.
+    pub fn checked_after_break(&self, upstream: &Upstream, found: Found) {
+        let instance = upstream.with_listed(|listed| listed.instance.clone());
+        let upstream = instance.as_str();
+        match found {
+            Found::Crashed => log::warn!(upstream; "the upstream has crashed"),
+            Found::Alive => {
+                log::info!(upstream; "connections were lost, the upstream takes others")
+            }
+            Found::Unreachable => log::info!(upstream; "the upstream cannot be reached"),
+        }
+    }
+
+    /// Records the requests that ran at an upstream when it crashed.
+    pub fn upstream_crashed(&self, upstream: &Upstream, runs: &[Fingerprint]) {
+        let instance = upstream.with_listed(|listed| listed.instance.clone());
+        for run in runs {
+            log::warn!(
+                upstream = instance.as_str(),
+                fingerprint = run.to_string().as_str();
+                "this request ran at an upstream that crashed"
+            );
+        }
+    }
+
     /// Records that a smaller model's answer was dropped.
     pub fn escalated(&self, job: &Job, place: usize, larger: usize, confidence: Option<u32>) {
         log::info!(
