A request that crashes upstreams is tried once more alone, then refused by every box

Cause: what a request had done was kept for one send. Each send has an id of its own, so nothing connected it with the next one or with what other boxes saw.

Evidence: with the fingerprint in each try's line, twelve sends of one request ended 14 of 14 upstreams of the stand-ins, all under one fingerprint, and each of these refused connections after. Ruled out: more tries for an id than its route allows (the logs show three at most), connections that are only reset (the address refuses others), upstreams that end by themselves.

Why this fix works: boxes pool the crashes that a request was present at, as sets that merge in any order. Three make it a suspect, which runs once more alone in the fleet; only a crash in that trial condemns it, so a request that was present at crashes of others is served, and a whole answer clears it. It holds for streams and for requests that may not be repeated, since it is decided before each try. Boxes that were restarted, joined or were cut off hear all standings in turn.

Before: 14 of 14 plain upstreams, 20 of 20 engines ended by one request; now at most 6 (three and three allowed).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -31,6 +31,7 @@
 use attempt::crash::{self, CrashWatch};
 use attempt::probe;
 use attempt::protocol::Headers;
+use attempt::quarantine::Quarantine;
 use attempt::retries::RetryWindow;
 use attempt::upstream::Upstream;
 use control::knowledge::{Knowledge, Proof};
@@ -90,6 +91,8 @@
     pub connections: Connections,
     /// Runs that broke off, whose upstreams may have crashed.
     pub crashes: CrashWatch,
+    /// Requests that crash their upstreams.
+    pub quarantine: Quarantine,
     /// The connections that callers have to this box.
     pub callers: http_server::Connections,
     /// The budgets of repeats by service; see [`Gateway::with_retries`].
@@ -139,6 +142,7 @@
             news: Notify::new(),
             connections: Connections::default(),
             crashes: CrashWatch::default(),
+            quarantine: Quarantine::default(),
             callers: Default::default(),
             retries: RefCell::default(),
             loads: RefCell::default(),
--- a/src/gateway/admit/job.rs
+++ b/src/gateway/admit/job.rs
@@ -6,24 +6,26 @@
 use crate::gateway::Gateway;
 use crate::gateway::answer::refusal::Ran;
 use crate::gateway::attempt::connect::http1_types;
+use crate::gateway::attempt::crash::BrokenRun;
 use crate::gateway::attempt::exchange::{
     Failure, NotRun, Outgoing, Tried, TryLimits, try_upstream,
 };
 use crate::gateway::attempt::fingerprint::Fingerprint;
 use crate::gateway::attempt::patience::Patience;
 use crate::gateway::attempt::protocol::{ANY_MODEL, urgency};
+use crate::gateway::attempt::quarantine::{Part, Standing};
 use crate::gateway::attempt::retries::Repeat;
 use crate::gateway::attempt::tries::Tries;
 use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::control::store::UpstreamLife;
-use crate::gateway::place::choose::{Choice, Wish, choose, compared, draw};
+use crate::gateway::place::choose::{Choice, Wish, choose, choose_for_trial, compared, draw};
 use crate::gateway::place::engine_cost::{Beginning, SharedPrompt};
 use crate::gateway::place::keepers::Spread;
 use crate::gateway::place::models::Expected;
 use crate::gateway::place::reading;
 use crate::gateway::versions::tally::Timed;
 use bytes::Bytes;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -71,10 +73,24 @@
     pub chooses_model: bool,
     /// What the tries so far prove.
     pub tries: Tries,
+    /// Whether it is on trial for the crashes that it was at.
+    pub trial: Cell<Trial>,
     /// A plain answer under way that is timed.
     pub timed: RefCell<Option<Timed>>,
 }
 
+/// The trial of a request that was at several crashes of upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Trial {
+    /// It is not on trial.
+    #[default]
+    None,
+    /// It may run once.
+    Open,
+    /// It has run, and did not come to an answer.
+    Over,
+}
+
 /// What one try asks for beyond the request itself.
 #[derive(Debug, Clone, Copy)]
 pub struct TryPlan<'a> {
@@ -97,6 +113,10 @@
     OutOfBudget,
     /// The time is over.
     OutOfTime,
+    /// It crashes the upstreams that run it.
+    Quarantined,
+    /// It may have crashed upstreams, and another send of it is on trial for at most so long.
+    OnTrial(Duration),
 }
 
 impl Job {
@@ -145,8 +165,14 @@
         if left <= ANSWER_MARGIN {
             return Err(NoTry::OutOfTime);
         }
-        let candidates = gw.candidates(&self.service, &self.session, now);
+        self.admit_suspect(gw, now)?;
+        let mut candidates = gw.candidates(&self.service, &self.session, now);
         let tried = self.tries.tried();
+        if self.is_on_trial() {
+            let seed = draw(&self.fingerprint.to_string());
+            let alone = choose_for_trial(&candidates, &tried, seed, now);
+            candidates = alone.into_iter().collect();
+        }
         let choice = self.place(gw, &candidates, &tried, plan.model, now);
         let choice = choice.ok_or(NoTry::NoUpstream)?;
         let upstream = &choice.upstream;
@@ -172,6 +198,56 @@
         Ok(tried)
     }
 
+    /// Decides whether a request that may have crashed upstreams is sent.
+    fn admit_suspect(&self, gw: &Gateway, now: Now) -> Result<(), NoTry> {
+        match (
+            gw.quarantine.standing(self.fingerprint, now),
+            self.trial.get(),
+        ) {
+            (Standing::Clear, _) => Ok(()),
+            (Standing::Quarantined, _) => Err(NoTry::Quarantined),
+            (Standing::Suspect | Standing::OnTrial(_), Trial::Open) => Ok(()),
+            (Standing::Suspect, Trial::None | Trial::Over) => {
+                gw.quarantine.begin_trial(self.fingerprint, now);
+                self.trial.set(Trial::Open);
+                Ok(())
+            }
+            (Standing::OnTrial(left), Trial::None | Trial::Over) => Err(NoTry::OnTrial(left)),
+        }
+    }
+
+    /// Tells whether the request is on trial for the crashes that it was at.
+    pub fn is_on_trial(&self) -> bool {
+        self.trial.get() == Trial::Open
+    }
+
+    /// Records that a run of the request broke off, which ends its trial.
+    pub fn broke_off(&self, gw: &Gateway, upstream: &Rc<Upstream>, now: Now) {
+        let part = match self.is_on_trial() {
+            true => Part::OnTrial,
+            false => Part::Present,
+        };
+        let run = BrokenRun {
+            request: self.fingerprint,
+            part,
+        };
+        gw.run_broke_off(run, upstream, now);
+        self.end_trial();
+    }
+
+    /// Lets another send of the request be tried where this one came to no run.
+    pub fn give_up_trial(&self, gw: &Gateway, now: Now) {
+        if self.is_on_trial() {
+            gw.quarantine.end_trial(self.fingerprint, now);
+        }
+    }
+
+    fn end_trial(&self) {
+        if self.is_on_trial() {
+            self.trial.set(Trial::Over);
+        }
+    }
+
     /// Chooses the upstream that a try with a model would go to.
     fn place(
         &self,
@@ -275,8 +351,12 @@
                 .borrow_mut()
                 .forget_upstream(choice.upstream.life());
         }
-        if matches!(tried, Tried::Unknown(Failure::Broken(_))) {
-            gw.run_broke_off(self.fingerprint, &choice.upstream, Now::read());
+        match tried {
+            Tried::Unknown(Failure::Broken(_)) => {
+                self.broke_off(gw, &choice.upstream, Now::read());
+            }
+            Tried::Unknown(_) => self.end_trial(),
+            Tried::Answered(_) | Tried::NotRun(_) => {}
         }
         gw.telemetry.tried(self, choice, tried, plan);
     }
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -36,7 +36,7 @@
         .to_owned();
     let mut response = match admit(&gw, &mut req, &request_id, received).await {
         Ok(job) => serve_job(&gw, Rc::new(job)).await,
-        Err(why) => refuse(&gw, &request_id, why, Ran::Nowhere, received),
+        Err(why) => refuse(&gw, &request_id, None, why, Ran::Nowhere, received),
     };
     gw.callers.ask_to_leave(&mut response);
     response
@@ -106,6 +106,7 @@
         chooses_model,
         route,
         tries: Tries::default(),
+        trial: Default::default(),
         timed: Default::default(),
     })
 }
@@ -202,20 +203,37 @@
             whole_response(whole)
         }
         Err(why) => {
+            job.give_up_trial(gw, Now::read());
             let received = Now {
                 monotonic: job.received,
                 ..Now::read()
             };
-            refuse(gw, &job.request_id, why, job.tries.ran(), received)
+            let fingerprint = Some(job.fingerprint);
+            refuse(
+                gw,
+                &job.request_id,
+                fingerprint,
+                why,
+                job.tries.ran(),
+                received,
+            )
         }
     }
 }
 
-fn refuse(gw: &Gateway, request: &str, why: Why, ran: Ran, received: Now) -> Response<BoxBody> {
+fn refuse(
+    gw: &Gateway,
+    request: &str,
+    fingerprint: Option<Fingerprint>,
+    why: Why,
+    ran: Ran,
+    received: Now,
+) -> Response<BoxBody> {
     let now = Now::read();
     let took = now.monotonic.saturating_sub(received.monotonic);
     let age = gw.knowledge.borrow().age(now);
-    gw.telemetry.refused(request, why, ran, age, took);
+    gw.telemetry
+        .refused(request, fingerprint, why, ran, age, took);
     refusal::answer(why, ran)
 }
 
--- a/src/gateway/answer/plain.rs
+++ b/src/gateway/answer/plain.rs
@@ -111,6 +111,7 @@
     let read = tokio::time::timeout(left, answer.read_whole(limit)).await;
     let reason = match read {
         Ok(Ok(body)) => {
+            gw.quarantine.answered(job.fingerprint, Now::read());
             return Some(WholeAnswer {
                 status: answer.status,
                 headers: answer.headers.clone(),
@@ -118,7 +119,7 @@
             });
         }
         Ok(Err(reason)) => {
-            gw.run_broke_off(job.fingerprint, answer.upstream(), Now::read());
+            job.broke_off(gw, answer.upstream(), Now::read());
             reason
         }
         Err(_elapsed) => "out of time".to_owned(),
@@ -131,6 +132,8 @@
 pub fn why(no_try: NoTry, job: &Job) -> Why {
     match no_try {
         NoTry::OutOfTime => Why::Deadline,
+        NoTry::Quarantined => Why::CrashesUpstreams,
+        NoTry::OnTrial(left) => Why::OnTrial(left),
         NoTry::NoUpstream | NoTry::OutOfBudget => job.tries.exhausted(),
     }
 }
--- a/src/gateway/answer/refusal.rs
+++ b/src/gateway/answer/refusal.rs
@@ -34,6 +34,10 @@
     Deadline,
     /// An upstream failed, and the request may not be sent again.
     UpstreamFailed,
+    /// The request crashes the upstreams that run it.
+    CrashesUpstreams,
+    /// The request was at several crashes, and another send of it is on trial for at most so long.
+    OnTrial(Duration),
 }
 
 impl Why {
@@ -52,11 +56,13 @@
             Self::Stopping => "stopping",
             Self::Deadline => "deadline",
             Self::UpstreamFailed => "upstream-failed",
+            Self::CrashesUpstreams => "crashes-upstreams",
+            Self::OnTrial(_) => "on-trial",
         }
     }
 
     /// Every reason.
-    const ALL: [Self; 12] = [
+    const ALL: [Self; 14] = [
         Self::NoConfiguration,
         Self::Stale,
         Self::NoRoute,
@@ -69,6 +75,8 @@
         Self::Stopping,
         Self::Deadline,
         Self::UpstreamFailed,
+        Self::CrashesUpstreams,
+        Self::OnTrial(Duration::ZERO),
     ];
 
     /// Returns the reason of a name, as logs hold it.
@@ -93,6 +101,12 @@
             Self::Stopping => "the box was about to end",
             Self::Deadline => "its time was over",
             Self::UpstreamFailed => "its upstream failed and it may not be sent again",
+            Self::CrashesUpstreams => {
+                "upstreams crashed that ran this request, the last one while it was on trial there"
+            }
+            Self::OnTrial(_) => {
+                "upstreams crashed that ran this request, and another send of it was on trial"
+            }
         }
     }
 
@@ -103,6 +117,7 @@
             Self::Full => Some(Duration::from_millis(150)),
             // Another box may serve it at once.
             Self::Stale | Self::Stopping => Some(Duration::from_millis(10)),
+            Self::OnTrial(left) => Some(left),
             _ => None,
         }
     }
@@ -125,6 +140,8 @@
         (Why::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
         (Why::NoBody, _) => StatusCode::REQUEST_TIMEOUT,
         (Why::ModelNamed, _) => StatusCode::MISDIRECTED_REQUEST,
+        // The same request has no better fate at another time, so callers should not repeat it.
+        (Why::CrashesUpstreams, _) => StatusCode::BAD_REQUEST,
         (Why::Deadline, Ran::Perhaps) => StatusCode::GATEWAY_TIMEOUT,
         (_, Ran::Perhaps) => StatusCode::BAD_GATEWAY,
         (_, Ran::Nowhere) => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/gateway/answer/relay.rs
+++ b/src/gateway/answer/relay.rs
@@ -176,8 +176,7 @@
 
     fn note_broken(&self) {
         if let Some(answer) = &self.answer {
-            let run = self.job.fingerprint;
-            self.gw.run_broke_off(run, answer.upstream(), Now::read());
+            self.job.broke_off(&self.gw, answer.upstream(), Now::read());
         }
     }
 
@@ -225,6 +224,7 @@
     fn finish(&mut self) {
         let now = Now::read();
         self.judge_pace(now);
+        self.gw.quarantine.answered(self.job.fingerprint, now);
         if let Some(answer) = self.answer.take() {
             answer.finish(&self.gw.connections, now);
         }
--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -146,7 +146,7 @@
     let has_room = gw.with_retries(&job.service, |window| {
         window.has_room(Repeat::Escalation, now)
     });
-    has_room && job.may_run_again()
+    has_room && job.may_run_again() && !job.is_on_trial()
 }
 
 /// Returns how long to wait for the head of an answer.
@@ -206,7 +206,7 @@
         }
         Some(Err(reason)) => {
             upstream.failed(Now::read());
-            gw.run_broke_off(job.fingerprint, &upstream, Now::read());
+            job.broke_off(gw, &upstream, Now::read());
             reason
         }
         None => "no event came in time".to_owned(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 pub mod patience;
 pub mod probe;
 pub mod protocol;
+pub mod quarantine;
 pub mod retries;
 pub mod tries;
 pub mod upstream;
--- a/src/gateway/attempt/crash.rs
+++ b/src/gateway/attempt/crash.rs
@@ -5,6 +5,7 @@
 //! there may be why.
 
 use super::fingerprint::Fingerprint;
+use super::quarantine::Part;
 use super::upstream::Upstream;
 use crate::clock::Now;
 use crate::gateway::Gateway;
@@ -35,11 +36,27 @@
 #[derive(Debug)]
 struct BrokenRuns {
     upstream: Rc<Upstream>,
-    runs: Vec<Fingerprint>,
+    runs: Vec<BrokenRun>,
     first: Duration,
     state: CheckState,
 }
 
+/// A run that broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BrokenRun {
+    /// The request.
+    pub request: Fingerprint,
+    /// Its part, should the upstream have crashed.
+    pub part: Part,
+}
+
+/// What the watch has to have done next.
+#[derive(Debug, Default)]
+struct Due {
+    checks: Vec<Rc<Upstream>>,
+    crashes: Vec<(Rc<Upstream>, Vec<BrokenRun>)>,
+}
+
 /// How the check of an upstream stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CheckState {
@@ -72,7 +89,7 @@
 
 impl CrashWatch {
     /// Records that a run broke off at an upstream.
-    fn add(&self, upstream: &Rc<Upstream>, run: Fingerprint, now: Now) {
+    fn add(&self, upstream: &Rc<Upstream>, run: BrokenRun, now: Now) {
         let mut broken = self.broken.borrow_mut();
         broken.retain(|_, known| now.monotonic.saturating_sub(known.first) < KEPT_FOR);
         let known = broken
@@ -88,58 +105,74 @@
     }
 
     /// Takes the upstreams whose check is due, and the runs of those that are known to be gone.
-    fn take_due(&self) -> (Vec<Rc<Upstream>>, Vec<(Rc<Upstream>, Vec<Fingerprint>)>) {
-        let mut due = Vec::new();
-        let mut crashed = Vec::new();
+    fn take_due(&self) -> Due {
+        let mut due = Due::default();
         for known in self.broken.borrow_mut().values_mut() {
             match known.state {
                 CheckState::Due => {
                     known.state = CheckState::UnderWay;
-                    due.push(known.upstream.clone());
+                    due.checks.push(known.upstream.clone());
                 }
                 CheckState::Crashed if !known.runs.is_empty() => {
-                    crashed.push((known.upstream.clone(), std::mem::take(&mut known.runs)));
+                    let runs = std::mem::take(&mut known.runs);
+                    due.crashes.push((known.upstream.clone(), runs));
                 }
                 CheckState::UnderWay | CheckState::Crashed => {}
             }
         }
-        (due, crashed)
+        due
     }
 
-    /// Records what a check found; the runs of an upstream that lives are forgotten.
-    fn checked(&self, life: &UpstreamLife, found: Found) {
+    /// Records what a check found; returns the runs of an upstream that has not crashed.
+    fn checked(&self, life: &UpstreamLife, found: Found) -> Vec<BrokenRun> {
         let mut broken = self.broken.borrow_mut();
         match found {
             Found::Crashed => {
                 if let Some(known) = broken.get_mut(life) {
                     known.state = CheckState::Crashed;
                 }
+                self.rung.notify_one();
+                Vec::new()
             }
-            Found::Alive | Found::Unreachable => {
-                broken.remove(life);
-            }
+            Found::Alive | Found::Unreachable => broken
+                .remove(life)
+                .map_or_else(Vec::new, |known| known.runs),
         }
-        self.rung.notify_one();
     }
 }
 
 impl Gateway {
     /// Records that a run broke off, and has it found out whether its upstream crashed.
-    pub fn run_broke_off(&self, run: Fingerprint, upstream: &Rc<Upstream>, now: Now) {
+    pub fn run_broke_off(&self, run: BrokenRun, upstream: &Rc<Upstream>, now: Now) {
         self.crashes.add(upstream, run, now);
     }
 }
 
+impl Gateway {
+    /// Records what ran at an upstream when it crashed. One that was about to leave ended as
+    /// planned, whatever ran there.
+    fn record_crash(&self, upstream: &Upstream, runs: &[BrokenRun], now: Now) {
+        if !self.knowledge.borrow().is_serving(upstream.life()) {
+            return;
+        }
+        for run in runs {
+            self.telemetry.ran_at_crash(upstream, *run);
+            let life = upstream.short_hash();
+            self.quarantine.crashed(life, run.request, run.part, now);
+        }
+    }
+}
+
 /// Checks upstreams where runs broke off, for as long as the process lives.
 pub async fn check_upstreams(gw: Rc<Gateway>) {
     loop {
         gw.crashes.rung.notified().await;
-        let (due, crashed) = gw.crashes.take_due();
-        for upstream in due {
+        let due = gw.crashes.take_due();
+        for upstream in due.checks {
             actix_rt::spawn(check(gw.clone(), upstream));
         }
-        for (upstream, runs) in crashed {
-            gw.telemetry.upstream_crashed(&upstream, &runs);
+        for (upstream, runs) in due.crashes {
+            gw.record_crash(&upstream, &runs, Now::read());
         }
     }
 }
@@ -153,5 +186,9 @@
         gw.connections.rest(upstream.life(), connection, now);
     }
     gw.telemetry.checked_after_break(&upstream, found);
-    gw.crashes.checked(upstream.life(), found);
+    for run in gw.crashes.checked(upstream.life(), found) {
+        if run.part == Part::OnTrial {
+            gw.quarantine.end_trial(run.request, now);
+        }
+    }
 }
--- a/src/gateway/control/knowledge.rs
+++ b/src/gateway/control/knowledge.rs
@@ -364,6 +364,14 @@
         self.upstreams.values()
     }
 
+    /// Tells whether this life of an upstream is listed and is not about to leave.
+    pub fn is_serving(&self, life: &UpstreamLife) -> bool {
+        let known = self.upstreams.get(&life.instance);
+        known.is_some_and(|known| {
+            known.life() == life && !known.with_listed(|listed| listed.draining)
+        })
+    }
+
     /// Removes an upstream whose address answered for another instance, unless it has started
     /// again meanwhile.
     pub fn forget_upstream(&mut self, life: &UpstreamLife) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -8,3 +8,4 @@
 pub mod messages;
 pub mod packing;
 pub mod spread;
+pub mod suspects;
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -6,6 +6,7 @@
 //! - How the versions under roll-out answered; this goes to the boxes registered longest, of
 //!   all and of the own hall, that are heard of.
 //! - Which versions a box found bad; this goes to all.
+//! - Which requests were at crashes of upstreams; this goes to all.
 //! - Which sessions the old version served just before a roll-out, so that no box moves
 //!   them in its first half.
 //!
@@ -17,9 +18,11 @@
 use super::datagram;
 use super::fetch;
 use super::hubs::{self, Question, Told};
+use super::suspects;
 use crate::clock::{Now, millis};
 use crate::error::{Error, Result};
 use crate::gateway::Gateway;
+use crate::gateway::attempt::quarantine::SuspectNews;
 use crate::gateway::control::membership::leads;
 use crate::gateway::control::rollout::Rollout;
 use crate::gateway::control::store::{ControlStore, RolloutOrder};
@@ -63,6 +66,8 @@
     OldSessions(u64, Vec<u64>),
     /// The sender begins long reads.
     LongReads(Vec<LongRead>),
+    /// What the sender knows of requests that were at crashes.
+    Suspects(SuspectNews),
 }
 
 /// Exchanges messages for as long as the process lives.
@@ -77,6 +82,9 @@
     let send_told = async |to: &[SocketAddr], told| {
         send(&gw, &socket, &PeerMessage::Told(told), to).await;
     };
+    let send_suspects = async |to: &[SocketAddr], news| {
+        send(&gw, &socket, &PeerMessage::Suspects(news), to).await;
+    };
     tokio::join!(
         receive(&gw, &store, &socket),
         report_versions(&gw, &socket),
@@ -84,6 +92,7 @@
         tell_long_reads(&gw, &socket),
         asking::ask(&gw, send_question),
         hubs::tell_news(&gw, send_told),
+        suspects::tell_suspects(&gw, send_suspects),
         fetch::serve_fetches(gw.clone(), listener),
     );
     Ok(())
@@ -132,6 +141,7 @@
                 loads.take_long_read(read, &knowledge, now);
             }
         }
+        PeerMessage::Suspects(news) => gw.quarantine.take(news, now),
         PeerMessage::OldSessions(order, sessions) => {
             gw.sessions.borrow_mut().keep_old(order, &sessions);
         }
@@ -154,6 +164,7 @@
             Self::RolloutTime(..) => "roll-out-times",
             Self::Load(_) => "load",
             Self::LongReads(_) => "long-reads",
+            Self::Suspects(_) => "suspects",
             Self::OldSessions(..) => "old-sessions",
             Self::Question(_) => "questions",
             Self::Told(_) => "told",
--- a/src/gateway/place/choose.rs
+++ b/src/gateway/place/choose.rs
@@ -92,6 +92,24 @@
     })
 }
 
+/// Chooses the upstream for a request that may crash it: where the fewest others run, and of these
+/// by the request, so that two such requests seldom meet.
+pub fn choose_for_trial(
+    candidates: &[Rc<Upstream>],
+    tried: &[UpstreamLife],
+    seed: u64,
+    now: Now,
+) -> Option<Rc<Upstream>> {
+    let untried = candidates
+        .iter()
+        .filter(|upstream| !tried.contains(upstream.life()));
+    let fewest = untried.min_by_key(|upstream| {
+        let tie = std::cmp::Reverse(rank(upstream, seed));
+        (upstream.rests(now), upstream.occupancy(now), tie)
+    })?;
+    Some(fewest.clone())
+}
+
 /// Returns what each upstream of a plain service would cost, in parts of its slots.
 fn plain_costs(candidates: &[&Rc<Upstream>], hall: &str, now: Now) -> Vec<PlaceCost> {
     let cost = |upstream: &&Rc<Upstream>| {
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -4,9 +4,10 @@
 
 use super::admit::job::{Job, TryPlan};
 use super::answer::refusal::{Ran, Why};
-use super::attempt::crash::Found;
+use super::attempt::crash::{BrokenRun, Found};
 use super::attempt::exchange::Tried;
 use super::attempt::fingerprint::Fingerprint;
+use super::attempt::quarantine::Part;
 use super::attempt::upstream::Upstream;
 use super::control::knowledge::Change;
 use super::peers::asking::FetchError;
@@ -162,16 +163,15 @@
         }
     }
 
-    /// Records the requests that ran at an upstream when it crashed.
-    pub fn upstream_crashed(&self, upstream: &Upstream, runs: &[Fingerprint]) {
+    /// Records a request that ran at an upstream when it crashed.
+    pub fn ran_at_crash(&self, upstream: &Upstream, run: BrokenRun) {
         let instance = upstream.with_listed(|listed| listed.instance.clone());
-        for run in runs {
-            log::warn!(
-                upstream = instance.as_str(),
-                fingerprint = run.to_string().as_str();
-                "this request ran at an upstream that crashed"
-            );
-        }
+        log::warn!(
+            upstream = instance.as_str(),
+            fingerprint = run.request.to_string().as_str(),
+            on_trial = run.part == Part::OnTrial;
+            "this request ran at an upstream that crashed"
+        );
     }
 
     /// Records that a smaller model's answer was dropped.
@@ -258,14 +258,17 @@
     pub fn refused(
         &self,
         request: &str,
+        fingerprint: Option<Fingerprint>,
         why: Why,
         ran: Ran,
         age: Option<Duration>,
         took: Duration,
     ) {
         self.refusals.add(1, &[KeyValue::new("reason", why.name())]);
+        let fingerprint = fingerprint.map(|found| found.to_string());
         log::warn!(
             request,
+            fingerprint = fingerprint.as_deref().unwrap_or(""),
             reason = why.name(),
             may_have_run = ran == Ran::Perhaps,
             knowledge_age_ms = age.map_or(-1, |age| i64::try_from(millis(age)).unwrap_or(-1)),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod packing;
 mod passing_on;
 mod placement;
+mod quarantine;
 mod rebirths;
 mod refusals;
 mod retries;
