Ages count the time for which a machine was suspended

The steady clock of the standard library stands still while a machine is suspended. A box that wakes up took its proof of keys, its registration, other boxes' reports, roll-out times and resting connections for as young as before. All of them are reckoned with one clock, which is the time since boot now. Timers of the runtime still fire late by that time; whatever they guard looks at the clock.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -3,6 +3,7 @@
 //! Deciding functions take a [`Now`] in place of reading a clock, so that tests
 //! and measurements can replay them. See `docs/design/overview.md`.
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -43,11 +44,29 @@
 /// now something was so, and at a process that has just started that was before its start.
 const START_OF_PROCESS: Duration = Duration::from_secs(3600);
 
+/// Returns the time since the machine was booted.
+///
+/// The standard library's [`Instant`] stands still while a machine is suspended, so a box that
+/// wakes up would take leases, keys and reports for as young as they were before.
+fn since_boot() -> Duration {
+    static FALLBACK_START: OnceLock<Instant> = OnceLock::new();
+    match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+        Ok(time) => time.into(),
+        Err(err) => {
+            let start = FALLBACK_START.get_or_init(|| {
+                log::error!("time for which the machine is suspended is not counted: {err}");
+                Instant::now()
+            });
+            start.elapsed()
+        }
+    }
+}
+
 /// The present time, on the clock that never jumps and on the wall clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Now {
-    /// Time since an hour before the process started; it never goes back, so waits and ages
-    /// use it.
+    /// Time since an hour before the process started, with the time for which the machine was
+    /// suspended; it never goes back, so waits and ages use it.
     pub monotonic: Duration,
     /// The wall clock, for dates in bundles and for the audit trail only.
     pub wall: WallTime,
@@ -56,12 +75,14 @@
 impl Now {
     /// Reads both clocks of this machine.
     pub fn read() -> Self {
-        static START: OnceLock<Instant> = OnceLock::new();
+        static START: OnceLock<Duration> = OnceLock::new();
         let wall = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
+        let clock = since_boot();
+        let start = *START.get_or_init(|| clock);
         Self {
-            monotonic: START_OF_PROCESS + START.get_or_init(Instant::now).elapsed(),
+            monotonic: START_OF_PROCESS + clock.saturating_sub(start),
             wall: WallTime(millis(wall)),
         }
     }
