The router gives up requests that crash upstreams, and agents pool what routers saw

What callers saw over the own interface: one request ended 14 of 16 engines, or 12 of 16 plain upstreams, and everybody else got 502.

Cause: the same as in the box: what a request has done was kept for one send. The router's threads and boxes share a ledger of crashes now, through their agents; the retry waits for the check of the upstream that broke off, so that one send alone knows of its third crash.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -5,6 +5,7 @@
 //! of its state is soft: it is rebuilt from the store, the peers and the routers.
 
 mod claims;
+mod crashes;
 mod drain;
 mod follow;
 mod gossip;
@@ -160,7 +161,9 @@
         });
         let list = shared.list().cloned().map(Update::Live);
         let suspended = Update::Suspended(shared.suspensions_in_force());
-        change.into_iter().chain(list).chain([suspended]).collect()
+        let crashes = Update::Crashes(shared.crash_records(Now::read()));
+        let last = [suspended, crashes];
+        change.into_iter().chain(list).chain(last).collect()
     }
 
     /// Tells whether this agent makes the store calls of its hall.
@@ -216,12 +219,14 @@
         }
     }
 
-    fn take_report(&self, report: Report) {
+    fn take_report(self: &Rc<Self>, report: Report) {
         let mut records = self.records.borrow_mut();
         for record in report.records {
             records.push(record);
         }
+        drop(records);
         self.shared.borrow_mut().evidence.merge(&report.evidence);
+        crashes::take_crashes(self, report.crashes);
     }
 }
 
--- a/src/agent/gossip.rs
+++ b/src/agent/gossip.rs
@@ -5,6 +5,7 @@
 //! by any road thus catches up, also when the store is away.
 
 use super::Agent;
+use super::crashes::take_crashes;
 use super::follow::{BundleSource, take_entry, take_list, take_suspensions};
 use super::placement::{WATCHED_HUBS, hub_order};
 use crate::claim::view::View;
@@ -157,13 +158,15 @@
     agent.comparing.borrow_mut().remove(&address);
 }
 
-fn note_summary(agent: &Agent, theirs: &Summary, now: Now) {
+fn note_summary(agent: &Rc<Agent>, theirs: &Summary, now: Now) {
     agent.peers.note(&theirs.member, theirs.stopping, now);
     let mut shared = agent.shared.borrow_mut();
     if let Some(age) = theirs.store_age_ms {
         shared.note_store(now.monotonic.saturating_sub(Duration::from_millis(age)));
     }
     shared.evidence.merge(&theirs.evidence);
+    drop(shared);
+    take_crashes(agent, theirs.crashes.clone());
 }
 
 async fn absorb(agent: &Rc<Agent>, newer: Newer, from: SocketAddr) {
--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -3,6 +3,7 @@
 use crate::change::{ChangeEntry, Generation, SignedEntry, supersedes};
 use crate::claim::view::{Member, ShardId, View};
 use crate::clock::{Now, WallTime};
+use crate::crash_ledger::{CrashLedger, CrashRecord};
 use crate::evidence::{Evidence, Suspension};
 use crate::live::LiveList;
 use crate::name::VersionName;
@@ -14,6 +15,9 @@
 /// The greatest number of evidence cells in one comparison of two agents.
 const EVIDENCE_CELLS_PER_MESSAGE: usize = 16;
 
+/// The greatest number of records of crashes in one comparison, and in what a router is told first.
+const CRASH_RECORDS_PER_MESSAGE: usize = 16;
+
 /// The newest entry of the change log, with the bundle that it puts into force.
 #[derive(Debug, Clone)]
 pub struct Applied {
@@ -34,6 +38,8 @@
     suspensions: BTreeMap<VersionName, Suspension>,
     /// The counts of all routers.
     pub evidence: Evidence,
+    /// The requests that were at crashes of upstreams.
+    pub crashes: CrashLedger,
     store_heard: Option<Duration>,
 }
 
@@ -169,10 +175,16 @@
             store_age_ms: store_age.and_then(|age| u64::try_from(age.as_millis()).ok()),
             stopping,
             evidence,
+            crashes: self.crash_records(now),
         };
         (summary, next)
     }
 
+    /// Returns what others are told of crashes.
+    pub fn crash_records(&self, now: Now) -> Vec<CrashRecord> {
+        self.crashes.most_telling(CRASH_RECORDS_PER_MESSAGE, now)
+    }
+
     /// Returns what is known here and not to a peer that sent its summary.
     pub fn newer_than(&self, theirs: &Summary) -> Newer {
         let entry = self.applied.as_ref();
--- a/src/gateway/admit/job.rs
+++ b/src/gateway/admit/job.rs
@@ -3,6 +3,8 @@
 use super::prompt::Prompt;
 use super::routes::{Organisation, Route};
 use crate::clock::Now;
+use crate::crash_ledger::{Part, Standing};
+use crate::fingerprint::Fingerprint;
 use crate::gateway::Gateway;
 use crate::gateway::answer::refusal::Ran;
 use crate::gateway::attempt::connect::http1_types;
@@ -10,10 +12,8 @@
 use crate::gateway::attempt::exchange::{
     Failure, NotRun, Outgoing, Tried, TryLimits, try_upstream,
 };
-use crate::gateway::attempt::fingerprint::Fingerprint;
 use crate::gateway::attempt::patience::Patience;
 use crate::gateway::attempt::protocol::{ANY_MODEL, urgency};
-use crate::gateway::attempt::quarantine::{Part, Standing};
 use crate::gateway::attempt::retries::Repeat;
 use crate::gateway::attempt::tries::Tries;
 use crate::gateway::attempt::upstream::Upstream;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,7 +3,6 @@
 pub mod connect;
 pub mod crash;
 pub mod exchange;
-pub mod fingerprint;
 pub mod patience;
 pub mod probe;
 pub mod protocol;
--- a/src/gateway/attempt/crash.rs
+++ b/src/gateway/attempt/crash.rs
@@ -4,15 +4,14 @@
 //! an upstream's address refuses a connection right after, its process is gone, and whatever ran
 //! there may be why.
 
-use super::fingerprint::Fingerprint;
-use super::quarantine::Part;
 use super::upstream::Upstream;
 use crate::clock::Now;
+use crate::crash_ledger::{AfterBreak, Part};
+use crate::fingerprint::Fingerprint;
 use crate::gateway::Gateway;
 use crate::gateway::control::store::UpstreamLife;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -65,28 +64,6 @@
     Crashed,
 }
 
-/// What a connection to an upstream told after runs there broke off.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Found {
-    /// The address refuses connections, so the process is gone.
-    Crashed,
-    /// It takes connections: only connections were lost.
-    Alive,
-    /// Nothing answers, as behind a cut.
-    Unreachable,
-}
-
-impl Found {
-    /// Tells what the outcome of opening a connection means.
-    pub fn by<T>(opened: &io::Result<T>) -> Self {
-        match opened {
-            Ok(_) => Self::Alive,
-            Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => Self::Crashed,
-            Err(_) => Self::Unreachable,
-        }
-    }
-}
-
 impl CrashWatch {
     /// Records that a run broke off at an upstream.
     fn add(&self, upstream: &Rc<Upstream>, run: BrokenRun, now: Now) {
@@ -124,17 +101,17 @@
     }
 
     /// Records what a check found; returns the runs of an upstream that has not crashed.
-    fn checked(&self, life: &UpstreamLife, found: Found) -> Vec<BrokenRun> {
+    fn checked(&self, life: &UpstreamLife, found: AfterBreak) -> Vec<BrokenRun> {
         let mut broken = self.broken.borrow_mut();
         match found {
-            Found::Crashed => {
+            AfterBreak::Crashed => {
                 if let Some(known) = broken.get_mut(life) {
                     known.state = CheckState::Crashed;
                 }
                 self.rung.notify_one();
                 Vec::new()
             }
-            Found::Alive | Found::Unreachable => broken
+            AfterBreak::Alive | AfterBreak::Unreachable => broken
                 .remove(life)
                 .map_or_else(Vec::new, |known| known.runs),
         }
@@ -181,7 +158,7 @@
     sleep(CHECK_DELAY).await;
     let now = Now::read();
     let opened = gw.connections.open(&upstream, now).await;
-    let found = Found::by(&opened);
+    let found = AfterBreak::by(&opened);
     if let Ok(connection) = opened {
         gw.connections.rest(upstream.life(), connection, now);
     }
--- a/src/gateway/peers/suspects.rs
+++ b/src/gateway/peers/suspects.rs
@@ -4,8 +4,9 @@
 //! so that boxes which were restarted, have joined or were cut off learn it too.
 
 use crate::clock::Now;
+use crate::crash_ledger::CrashRecord;
 use crate::gateway::Gateway;
-use crate::gateway::attempt::quarantine::{CrashRecord, SuspectNews};
+use crate::gateway::attempt::quarantine::SuspectNews;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -4,15 +4,15 @@
 
 use super::admit::job::{Job, TryPlan};
 use super::answer::refusal::{Ran, Why};
-use super::attempt::crash::{BrokenRun, Found};
+use super::attempt::crash::BrokenRun;
 use super::attempt::exchange::Tried;
-use super::attempt::fingerprint::Fingerprint;
-use super::attempt::quarantine::Part;
 use super::attempt::upstream::Upstream;
 use super::control::knowledge::Change;
 use super::peers::asking::FetchError;
 use super::place::choose::Choice;
 use crate::clock::{Now, millis};
+use crate::crash_ledger::{AfterBreak, Part};
+use crate::fingerprint::Fingerprint;
 use crate::metrics::Metrics;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
@@ -151,15 +151,15 @@
     }
 
     /// Records what was found of an upstream where a run broke off.
-    pub fn checked_after_break(&self, upstream: &Upstream, found: Found) {
+    pub fn checked_after_break(&self, upstream: &Upstream, found: AfterBreak) {
         let instance = upstream.with_listed(|listed| listed.instance.clone());
         let upstream = instance.as_str();
         match found {
-            Found::Crashed => log::warn!(upstream; "the upstream has crashed"),
-            Found::Alive => {
+            AfterBreak::Crashed => log::warn!(upstream; "the upstream has crashed"),
+            AfterBreak::Alive => {
                 log::info!(upstream; "connections were lost, the upstream takes others")
             }
-            Found::Unreachable => log::info!(upstream; "the upstream cannot be reached"),
+            AfterBreak::Unreachable => log::info!(upstream; "the upstream cannot be reached"),
         }
     }
 
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -152,6 +152,10 @@
     ClaimsLost,
     /// The upstream failed.
     UpstreamFailed,
+    /// Upstreams crash that run this request.
+    CrashesUpstreams,
+    /// Upstreams crashed that ran this request, and another send of it is tried alone.
+    OnTrial,
     /// The router has not heard from its agent yet.
     NotReady,
     /// The router closes the connection, and reads nothing on it any more.
@@ -175,6 +179,8 @@
             Self::AlreadyDone => "already-done",
             Self::ClaimsLost => "claims-lost",
             Self::UpstreamFailed => "upstream-failed",
+            Self::CrashesUpstreams => "crashes-upstreams",
+            Self::OnTrial => "on-trial",
             Self::NotReady => "not-ready",
             Self::ConnectionClosed => "connection-closed",
         }
@@ -184,7 +190,7 @@
     pub fn status(self) -> u16 {
         match self {
             Self::NoCredential => 401,
-            Self::BadRequest => 400,
+            Self::BadRequest | Self::CrashesUpstreams => 400,
             Self::TooLarge => 413,
             Self::NotAllowed => 403,
             Self::ConnectionClosed => 408,
@@ -196,6 +202,7 @@
             | Self::NoUpstream
             | Self::NoClaim
             | Self::ClaimsLost
+            | Self::OnTrial
             | Self::NotReady => 503,
         }
     }
@@ -204,10 +211,10 @@
     pub fn retry_after_seconds(self) -> Option<u64> {
         match self {
             Self::NoCredential | Self::BadRequest | Self::TooLarge | Self::NotAllowed => None,
-            Self::AlreadyDone => None,
+            Self::AlreadyDone | Self::CrashesUpstreams => None,
             Self::ConnectionClosed => Some(0),
             Self::NoVersion | Self::ClaimsLost => Some(30),
-            Self::NoUpstream | Self::AlreadyRunning | Self::NoClaim => Some(2),
+            Self::NoUpstream | Self::AlreadyRunning | Self::NoClaim | Self::OnTrial => Some(2),
             Self::Overloaded | Self::Deadline | Self::UpstreamFailed | Self::NotReady => Some(1),
         }
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -9,6 +9,7 @@
 mod body;
 mod claimed;
 pub mod context;
+pub mod crash_guard;
 mod dispatch;
 pub mod entry;
 mod finishes;
@@ -61,6 +62,7 @@
         reporter: format!("{}#{}", settings.identity.name, Now::read().wall.0),
         evidence: Default::default(),
         recent_finishes: Default::default(),
+        suspects: Default::default(),
         untaken_finishes: Default::default(),
         started: Now::read().monotonic,
         settings,
--- a/src/router/claimed.rs
+++ b/src/router/claimed.rs
@@ -3,8 +3,9 @@
 use super::answer::{OUTCOME_HEADER, REPEATED_HEADER, REQUEST_ID_HEADER};
 use super::body::{ANSWER_BYTES_LIMIT, BodyError, UpstreamResponse, read_whole};
 use super::context::{Caller, Worker, refuse};
+use super::crash_guard::CrashGuard;
 use super::dispatch::dispatch;
-use super::plain::{ForwardHead, place, response_head, try_record};
+use super::plain::{ForwardHead, fingerprint, place, response_head, try_record};
 use super::trace::Trace;
 use crate::bundle::Service;
 use crate::claim::{AttemptId, Bill, ClaimReply, Finish, KEPT_ANSWER_BYTES_LIMIT, KeptAnswer};
@@ -29,6 +30,7 @@
     head: ForwardHead,
     body: Bytes,
     bill: Option<Bill>,
+    crashes: Rc<CrashGuard>,
 }
 
 /// Serves a request that may not be repeated.
@@ -52,7 +54,9 @@
         cost_micros: found.cost_micros,
         at: caller.received.wall,
     });
+    let request = fingerprint(caller, req, &body);
     let claimed = Claimed {
+        crashes: CrashGuard::new(&worker.shared, request),
         worker: worker.clone(),
         caller: caller.clone(),
         service: service.to_owned(),
@@ -114,6 +118,7 @@
         let mut tried = Vec::new();
         let mut last = None;
         loop {
+            self.crashes.admit(&log, Now::read())?;
             let upstream = match place(&self.worker, &self.service, &tried, &log) {
                 Ok(upstream) => upstream,
                 Err(refused) => return Err(last.unwrap_or(refused)),
@@ -134,7 +139,13 @@
                         _guard: guard,
                     });
                 }
-                Err(failure) => failure.refused,
+                Err(failed) => {
+                    if !failed.is_unsent {
+                        let (name, address) = (&upstream.name, upstream.address);
+                        self.crashes.broke_off(name, address).await;
+                    }
+                    failed.refused
+                }
             };
             tries.push(try_record(&self.service, &upstream, &failure.message));
             upstream.load.failed(began, Now::read());
@@ -160,12 +171,16 @@
             Ok(body) => body,
             Err(err) => {
                 upstream.load.failed(began, Now::read());
+                self.crashes
+                    .broke_off(&upstream.name, upstream.address)
+                    .await;
                 return Err(broken(&err.to_string()));
             }
         };
         upstream
             .load
             .succeeded(Now::read().monotonic.saturating_sub(began));
+        self.crashes.answered(Now::read());
         let bill = self.bill.filter(|_| response.status().is_success());
         let finish = Finish {
             answer: keep(&response, &body),
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -1,6 +1,7 @@
 //! What the router's threads share, and what each thread has of its own.
 
 use super::agents::AgentCalls;
+use super::crash_guard::Suspects;
 use super::finishes::RecentFinishes;
 use super::telemetry::RouterMetrics;
 use crate::claim::{AttemptId, ClaimKey, ClaimReply, Finish};
@@ -61,6 +62,8 @@
     pub evidence: Mutex<HashMap<Subject, Counts>>,
     /// How the newest requests ended.
     pub recent_finishes: RecentFinishes,
+    /// Requests that were at crashes of upstreams.
+    pub suspects: Suspects,
     /// Ends of requests that no agent has taken yet though their answers are out.
     pub untaken_finishes: TaskTracker,
     /// The monotonic moment at which the router started.
--- a/src/router/link.rs
+++ b/src/router/link.rs
@@ -74,6 +74,7 @@
             None => return Ok(()),
             Some(Update::Alive) => {}
             Some(Update::ClaimsLost) => resend_finishes(shared),
+            Some(Update::Crashes(records)) => shared.suspects.take(&records, Now::read()),
             Some(update) => take(shared, metrics, update, evidence),
         }
     }
@@ -114,7 +115,7 @@
     match update {
         Update::Change { entry, bundle } => take_change(next, &entry, bundle),
         Update::Live(list) => next.take_list(&list),
-        Update::Alive | Update::ClaimsLost => {}
+        Update::Alive | Update::ClaimsLost | Update::Crashes(_) => {}
         Update::Suspended(suspended) => {
             next.suspended = suspended.into_iter().map(|found| found.version).collect();
         }
@@ -158,10 +159,11 @@
     let client = WireClient::new(shared.settings.agent, shared.tls.clone());
     let mut heard = Now::read().monotonic;
     loop {
-        sleep(REPORT_PERIOD).await;
+        let _ = timeout(REPORT_PERIOD, shared.suspects.changed.notified()).await;
         let report = Report {
             records: take_records(&mut records).await,
             evidence: shared.evidence_cells(),
+            crashes: shared.suspects.records(Now::read()),
         };
         // A lost report costs explanations only; the counts come again with the next.
         if client
--- a/src/router/model.rs
+++ b/src/router/model.rs
@@ -4,6 +4,7 @@
 use super::billing::{Cost, bill};
 use super::body::{BodyError, BodySender, read_whole, relayed_body};
 use super::context::{Caller, Worker, refuse};
+use super::crash_guard::CrashGuard;
 use super::model_relay::Relay;
 use super::model_try::{Step, StepAnswer, try_step};
 use super::rating::{is_sampled, rate_inline, rate_later};
@@ -11,6 +12,7 @@
 use super::trace::Trace;
 use crate::bundle::{Bundle, Cascade, Gate};
 use crate::clock::Now;
+use crate::fingerprint::{Fingerprint, Identity};
 use crate::name::VersionName;
 use crate::outcome::{DispatchLog, Outcome, Reason, Refused};
 use crate::routing::admission::Admitted;
@@ -37,6 +39,8 @@
     pub stream: bool,
     /// The model, cascade or version asked for.
     pub asked_for: String,
+    /// What tells that another send is the same request.
+    pub fingerprint: Fingerprint,
 }
 
 /// The models that may serve a request, in order.
@@ -105,6 +109,13 @@
         };
         not_run(reason, err.to_string())
     })?;
+    let fingerprint = Fingerprint::of(Identity {
+        caller: Some(&caller.organisation),
+        method: req.method().as_str(),
+        host: "",
+        target: req.path(),
+        body: &body,
+    });
     let body: Map<String, Value> = serde_json::from_slice(&body).map_err(|err| {
         not_run(
             Reason::BadRequest,
@@ -119,6 +130,7 @@
         body,
         stream,
         asked_for,
+        fingerprint,
     })
 }
 
@@ -236,6 +248,7 @@
     let first = plan.cascade.as_ref().map_or(0, |cascade| {
         first_step(&snapshot, &caller.organisation, cascade, &mut rand::rng())
     });
+    let guard = CrashGuard::new(&worker.shared, asked.fingerprint);
     let mut log = DispatchLog::default();
     let mut cost = Cost::default();
     let mut last_refusal = None;
@@ -249,6 +262,7 @@
             request: &asked,
             session: &session,
             stream: asked.stream && !holds,
+            guard: &guard,
         };
         let answer = match try_step(worker, caller, step, &mut log, trace).await {
             Ok(answer) => answer,
--- a/src/router/model_try.rs
+++ b/src/router/model_try.rs
@@ -3,6 +3,7 @@
 
 use super::body::UpstreamResponse;
 use super::context::{Caller, Worker, refuse};
+use super::crash_guard::{CrashGuard, check_aside};
 use super::dispatch::dispatch;
 use super::headers::{ORGANISATION_HEADER, UPSTREAM_ID_HEADER};
 use super::model::ModelRequest;
@@ -12,9 +13,7 @@
 use crate::name::VersionName;
 use crate::outcome::{DispatchLog, Outcome, Reason, Refused};
 use crate::record::TryRecord;
-use crate::routing::placement::{
-    LoadGuard, PlacementQuery, Upstream, UpstreamLoad, choose_upstream,
-};
+use crate::routing::placement::{LoadGuard, PlacementQuery, Upstream, choose_upstream};
 use crate::routing::versions::{VersionChoice, choose_version, ruled_out};
 use crate::session::Session;
 use actix_http::StatusCode;
@@ -24,7 +23,6 @@
 use futures::StreamExt as _;
 use serde_json::{Value, json};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -43,6 +41,8 @@
     pub session: &'a Session,
     /// Whether the upstream is asked for a stream.
     pub stream: bool,
+    /// What keeps a request that crashes upstreams from being sent on.
+    pub guard: &'a Rc<CrashGuard>,
 }
 
 /// An answer that has begun to come.
@@ -55,8 +55,9 @@
     pub response: UpstreamResponse,
     /// The first bytes of a streamed answer.
     pub first: Option<Bytes>,
-    load: Arc<UpstreamLoad>,
-    _guard: LoadGuard,
+    upstream: Upstream,
+    crashes: Rc<CrashGuard>,
+    _load: LoadGuard,
     began: Duration,
 }
 
@@ -64,8 +65,10 @@
     /// Records that the answer is whole.
     pub fn succeeded(&self, worker: &Worker) {
         let took = Now::read().monotonic.saturating_sub(self.began);
-        self.load.succeeded(took);
-        self.load.version_succeeded(&self.version);
+        let load = &self.upstream.load;
+        load.succeeded(took);
+        load.version_succeeded(&self.version);
+        self.crashes.answered(Now::read());
         worker.shared.budget.deposit();
         worker
             .shared
@@ -74,7 +77,8 @@
 
     /// Records that the answer broke off.
     pub fn failed(&self, worker: &Worker) {
-        self.load.failed(self.began, Now::read());
+        self.upstream.load.failed(self.began, Now::read());
+        check_aside(&self.crashes, &self.upstream);
         count_failure(worker, &self.subject);
     }
 
@@ -109,6 +113,7 @@
         if !tried.is_empty() && !worker.shared.budget.withdraw() {
             break;
         }
+        step.guard.admit(log, Now::read())?;
         // Chosen anew for each try: what was withdrawn meanwhile must not run.
         let version = choose(worker, caller, step, log, trace)?;
         let upstream = match place(worker, step, &version, &tried, log) {
@@ -228,20 +233,27 @@
 ) -> Result<StepAnswer, Refused> {
     let began = Now::read().monotonic;
     let subject = worker.shared.subject(version, &caller.organisation);
-    let guard = upstream.load.enter();
+    let load = upstream.load.enter();
     let request = upstream_request(worker, caller, step, version, upstream);
-    let response = dispatch(request, caller, log).await.map_err(|failure| {
-        if failure.refused.reason == Reason::UpstreamFailed {
-            upstream.load.failed(began, Now::read());
-            if !failure.is_unsent {
-                count_failure(worker, &subject);
+    let response = match dispatch(request, caller, log).await {
+        Ok(response) => response,
+        Err(failure) => {
+            if failure.refused.reason == Reason::UpstreamFailed {
+                upstream.load.failed(began, Now::read());
+                if !failure.is_unsent {
+                    count_failure(worker, &subject);
+                    step.guard.broke_off(&upstream.name, upstream.address).await;
+                }
             }
+            return Err(failure.refused);
         }
-        failure.refused
-    })?;
-    let (response, first) = begin_answer(caller, step, response)
-        .await
-        .map_err(|failure| {
+    };
+    let (response, first) = match begin_answer(caller, step, response).await {
+        Ok(begun) => begun,
+        Err(failure) => {
+            if matches!(failure, BeginFailure::Upstream(_)) {
+                step.guard.broke_off(&upstream.name, upstream.address).await;
+            }
             let (reason, message) = match failure {
                 BeginFailure::Version(message) => {
                     let now = Now::read();
@@ -257,16 +269,17 @@
             if reason == Reason::UpstreamFailed {
                 count_failure(worker, &subject);
             }
-            refuse(Outcome::Unknown, reason, message)
-        })?;
-    let load = upstream.load.clone();
+            return Err(refuse(Outcome::Unknown, reason, message));
+        }
+    };
     Ok(StepAnswer {
         version: version.clone(),
         subject,
         response,
         first,
-        load,
-        _guard: guard,
+        upstream: upstream.clone(),
+        crashes: step.guard.clone(),
+        _load: load,
         began,
     })
 }
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -4,11 +4,13 @@
 use super::body::{BodyError, UpstreamResponse};
 use super::claimed::serve_claimed;
 use super::context::{Caller, Worker, refuse};
-use super::dispatch::dispatch;
+use super::crash_guard::{CrashGuard, check_aside};
+use super::dispatch::{DispatchFailure, dispatch};
 use super::headers::{ORGANISATION_HEADER, UPSTREAM_ID_HEADER, end_to_end};
 use super::trace::Trace;
 use crate::bundle::Service;
 use crate::clock::Now;
+use crate::fingerprint::{Fingerprint, Identity};
 use crate::outcome::{DispatchLog, Outcome, Reason, Refused};
 use crate::record::TryRecord;
 use crate::routing::placement::{LoadGuard, PlacementQuery, Upstream, choose_upstream};
@@ -17,7 +19,8 @@
 use actix_http::{HttpMessage as _, Method, Payload, Request, Response, ResponseBuilder};
 use awc::{Client, ClientRequest};
 use bytes::Bytes;
-use futures::{Stream, StreamExt as _};
+use futures::future::ready;
+use futures::{Stream, StreamExt as _, stream};
 use std::rc::Rc;
 
 const MOST_TRIES: usize = 3;
@@ -158,6 +161,20 @@
     res
 }
 
+/// Tells a request apart from others by what the router has of it.
+pub fn fingerprint(caller: &Caller, req: &Request, body: &[u8]) -> Fingerprint {
+    Fingerprint::of(Identity {
+        caller: Some(&caller.organisation),
+        method: req.method().as_str(),
+        host: "",
+        target: req
+            .uri()
+            .path_and_query()
+            .map_or("/", |target| target.as_str()),
+        body,
+    })
+}
+
 async fn pass_through(
     worker: &Rc<Worker>,
     caller: &Caller,
@@ -168,8 +185,15 @@
     let mut log = DispatchLog::default();
     let mut tried = Vec::new();
     let once = has_body(req.headers());
+    // A body that passes through as it comes is not known, so each send stands for itself.
+    let body = match once {
+        true => caller.request_id.as_bytes(),
+        false => &[],
+    };
+    let crashes = CrashGuard::new(&worker.shared, fingerprint(caller, req, body));
     let mut last = None;
     loop {
+        crashes.admit(&log, Now::read())?;
         let upstream = match place(worker, service, &tried, &log) {
             Ok(upstream) => upstream,
             Err(refused) => return Err(last.unwrap_or(refused)),
@@ -177,7 +201,7 @@
         let guard = upstream.load.enter();
         let began = Now::read().monotonic;
         let payload = req.take_payload();
-        let failure = match send(worker, caller, req, payload, &upstream, &mut log).await {
+        let failed = match send(worker, caller, req, payload, &upstream, &mut log).await {
             Ok(response) => {
                 trace
                     .record
@@ -189,10 +213,19 @@
                     .load
                     .succeeded(Now::read().monotonic.saturating_sub(began));
                 worker.shared.budget.deposit();
-                return Ok(relay(caller, response, guard));
+                let watched = Watched {
+                    upstream,
+                    crashes,
+                    _load: guard,
+                };
+                return Ok(relay(caller, response, watched));
             }
-            Err(failure) => failure,
+            Err(failed) => failed,
         };
+        if !failed.is_unsent {
+            crashes.broke_off(&upstream.name, upstream.address).await;
+        }
+        let failure = failed.refused;
         trace
             .record
             .tries
@@ -214,7 +247,7 @@
     payload: Payload,
     upstream: &Upstream,
     log: &mut DispatchLog,
-) -> Result<UpstreamResponse, Refused> {
+) -> Result<UpstreamResponse, DispatchFailure> {
     let out = ForwardHead::of(req).request(&worker.client, caller, upstream);
     let limit = worker.shared.settings.body_limit;
     let sent = if has_body(req.headers()) {
@@ -226,9 +259,7 @@
     } else {
         out.send()
     };
-    dispatch(sent, caller, log)
-        .await
-        .map_err(|failure| failure.refused)
+    dispatch(sent, caller, log).await
 }
 
 /// Passes a body on as it comes, and breaks it off beyond the limit.
@@ -245,14 +276,31 @@
     })
 }
 
+/// An answer that is passed on while it comes.
+struct Watched {
+    upstream: Upstream,
+    crashes: Rc<CrashGuard>,
+    _load: LoadGuard,
+}
+
 /// Passes an answer on as it comes; the upstream counts as busy until its end.
-fn relay(caller: &Caller, response: UpstreamResponse, guard: LoadGuard) -> Response<BoxBody> {
+fn relay(caller: &Caller, response: UpstreamResponse, watched: Watched) -> Response<BoxBody> {
     let length = announced_length(response.headers());
     let mut res = response_head(caller, &response);
     res.insert_header((OUTCOME_HEADER, Outcome::Done.to_string()));
-    let body = response.map(move |chunk| {
-        let _busy = &guard;
-        chunk
+    let mut is_whole = true;
+    let pieces = response.map(Some).chain(stream::once(ready(None)));
+    let body = pieces.filter_map(move |piece| {
+        match &piece {
+            Some(Ok(_)) => {}
+            Some(Err(_)) => {
+                is_whole = false;
+                check_aside(&watched.crashes, &watched.upstream);
+            }
+            None if is_whole => watched.crashes.answered(Now::read()),
+            None => {}
+        }
+        ready(piece)
     });
     let body = match length {
         Some(length) => SizedStream::new(length, body).boxed(),
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -4,6 +4,7 @@
 use crate::claim::message::{Refusal, ReplicaMessage};
 use crate::claim::view::{Member, ShardId, View};
 use crate::claim::{AttemptId, ClaimKey, ClaimReply, Finish};
+use crate::crash_ledger::CrashRecord;
 use crate::evidence::{EvidenceCell, Suspension};
 use crate::live::LiveList;
 use crate::record::DecisionRecord;
@@ -101,6 +102,8 @@
     pub stopping: bool,
     /// Counts that changed since the agent last spoke to this peer.
     pub evidence: Vec<EvidenceCell>,
+    /// Requests that were at crashes of upstreams.
+    pub crashes: Vec<CrashRecord>,
 }
 
 /// What one agent has newer than another. Everything in it may be repeated or
@@ -126,6 +129,8 @@
     pub records: Vec<DecisionRecord>,
     /// What was seen of versions, as sums since the router started.
     pub evidence: Vec<EvidenceCell>,
+    /// Requests that were at crashes of upstreams.
+    pub crashes: Vec<CrashRecord>,
 }
 
 /// What an agent tells its routers. Each part stands alone and replaces the former.
@@ -149,6 +154,8 @@
     /// Claims and bills were lost with the agents that held them; the routers tell the
     /// ends of their newest requests once more.
     ClaimsLost,
+    /// What was heard of requests that were at crashes of upstreams.
+    Crashes(Vec<CrashRecord>),
 }
 
 /// How an agent stands, for `gatepier status`.
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -2,10 +2,8 @@
 
 use super::{at, cases};
 use gatepier::clock::Now;
-use gatepier::gateway::attempt::fingerprint::{Fingerprint, Identity};
-use gatepier::gateway::attempt::quarantine::{
-    CrashLedger, CrashRecord, MOST_REQUESTS, Part, Standing,
-};
+use gatepier::crash_ledger::{CrashLedger, CrashRecord, MOST_REQUESTS, Part, Standing};
+use gatepier::fingerprint::{Fingerprint, Identity};
 use googletest::prelude::*;
 
 const REQUEST: Fingerprint = Fingerprint(1);
