News that wait to be told to other boxes have one queue: long reads and crashes use it

The bound and the wait for news stood twice. No behaviour changes but that of crashes the oldest news give way and not the newest, as of long reads.

--- a/src/gateway/attempt/quarantine.rs
+++ b/src/gateway/attempt/quarantine.rs
@@ -5,16 +5,16 @@
 use crate::clock::Now;
 use crate::crash_ledger::{CrashLedger, CrashRecord, LifeHash, Part, Standing};
 use crate::fingerprint::Fingerprint;
+use crate::gateway::peers::outbox::Outbox;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
-use tokio::sync::Notify;
 
 /// The ledger of a box, and what other boxes have still to be told of it.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     ledger: RefCell<CrashLedger>,
-    untold: RefCell<Vec<SuspectNews>>,
-    rung: Notify,
+    /// What other boxes have still to be told.
+    pub news: Outbox<SuspectNews>,
 }
 
 /// What boxes tell each other of requests that were at crashes.
@@ -28,10 +28,6 @@
     TrialEnded(Fingerprint),
 }
 
-/// The most news that wait to be told; what is left out reaches the others with the next round of
-/// all that is known.
-const MOST_UNTOLD: usize = 256;
-
 impl Quarantine {
     /// Returns what may be done with a request.
     pub fn standing(&self, request: Fingerprint, now: Now) -> Standing {
@@ -98,17 +94,6 @@
         self.ledger.borrow().to_tell(now)
     }
 
-    /// Waits for news that this box has to tell.
-    pub async fn next_news(&self) -> Vec<SuspectNews> {
-        loop {
-            let untold = self.untold.take();
-            if !untold.is_empty() {
-                return untold;
-            }
-            self.rung.notified().await;
-        }
-    }
-
     /// Changes the ledger, logs what became of a request by it, and keeps the news to be told.
     fn change(
         &self,
@@ -125,12 +110,8 @@
             let fingerprint = fingerprint.as_str();
             log::warn!(fingerprint, source; "{}", standing.describe());
         }
-        let mut untold = self.untold.borrow_mut();
-        if let Some(news) = news
-            && untold.len() < MOST_UNTOLD
-        {
-            untold.push(news);
-            self.rung.notify_one();
+        if let Some(news) = news {
+            self.news.push(news);
         }
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,6 +6,7 @@
 pub mod heard;
 pub mod hubs;
 pub mod messages;
+pub mod outbox;
 pub mod packing;
 pub mod spread;
 pub mod suspects;
--- a/src/gateway/peers/suspects.rs
+++ b/src/gateway/peers/suspects.rs
@@ -25,7 +25,7 @@
 
 async fn tell_news(gw: &Gateway, send: &impl AsyncFn(&[SocketAddr], SuspectNews)) {
     loop {
-        let news = gw.quarantine.next_news().await;
+        let news = gw.quarantine.news.next().await;
         let others = others(gw);
         for news in batch(news) {
             send(&others, news).await;
--- a/src/gateway/place/loads.rs
+++ b/src/gateway/place/loads.rs
@@ -4,12 +4,11 @@
 use crate::clock::Now;
 use crate::gateway::attempt::upstream::{Elsewhere, Upstream};
 use crate::gateway::control::knowledge::Knowledge;
+use crate::gateway::peers::outbox::Outbox;
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
 
 /// The shortest time between two reports of a box; requests wait about as long to be read.
 const SHORTEST_INTERVAL: Duration = Duration::from_millis(120);
@@ -66,16 +65,9 @@
     }
 }
 
-/// The most long reads that wait to be told. A box tells them within milliseconds; where it has no
-/// way to others they would pile up, and the newest are those that are not over yet.
-const MOST_UNTOLD: usize = 256;
-
-/// Long reads that this box began and has still to tell of, oldest first.
+/// Long reads that this box began and has still to tell of.
 #[derive(Debug, Default)]
-pub struct LongReads {
-    untold: RefCell<VecDeque<LongRead>>,
-    rung: Notify,
-}
+pub struct LongReads(Outbox<LongRead>);
 
 impl LongReads {
     /// Notes a read that begins, if it is long enough to tell of.
@@ -83,27 +75,16 @@
         if reading < LONG_READ {
             return;
         }
-        let mut untold = self.untold.borrow_mut();
-        if untold.len() == MOST_UNTOLD {
-            untold.pop_front();
-        }
-        untold.push_back(LongRead {
+        self.0.push(LongRead {
             reporter: draw(reporter),
             upstream: upstream.short_hash(),
             reading_ms: millis(reading),
         });
-        self.rung.notify_one();
     }
 
     /// Waits for reads to tell of.
     pub async fn next(&self) -> Vec<LongRead> {
-        loop {
-            let untold = self.untold.take();
-            if !untold.is_empty() {
-                return untold.into();
-            }
-            self.rung.notified().await;
-        }
+        self.0.next().await
     }
 }
 
