An upstream that says in an answer that it leaves gets nothing more

Cause: a box knew of an upstream's end from the store alone, and the store took it only twelve seconds after the upstream had said so.

Why this fix works: the sign is read from each head that belongs to the request, before anything is done with the answer, and binds that life of the upstream for good, since entries of the store may be late. It is kept beside the list, so a life that is dropped and listed again stays out. The other boxes are told by a datagram.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -43,11 +43,13 @@
 use peers::heard::Heard;
 use peers::hubs::{Hubs, choose_hubs};
 use peers::messages;
+use peers::outbox::Outbox;
 use place::loads::{Loads, LongReads};
 use place::reading::{ModelPace, ReadingRates};
 use settings::GatewaySettings;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use telemetry::Telemetry;
@@ -93,6 +95,8 @@
     pub crashes: CrashWatch,
     /// Requests that crash their upstreams.
     pub quarantine: Quarantine,
+    /// Upstreams that have said that they leave, by their hashes, to be told to other boxes.
+    pub leaving: Outbox<u32>,
     /// The connections that callers have to this box.
     pub callers: http_server::Connections,
     /// The budgets of repeats by service; see [`Gateway::with_retries`].
@@ -143,6 +147,7 @@
             connections: Connections::default(),
             crashes: CrashWatch::default(),
             quarantine: Quarantine::default(),
+            leaving: Outbox::default(),
             callers: Default::default(),
             retries: RefCell::default(),
             loads: RefCell::default(),
@@ -338,6 +343,15 @@
         hubs.is_empty() || hubs.iter().any(|hub| hub.address == own)
     }
 
+    /// Returns the addresses of the other registered boxes, those registered longest first.
+    pub fn other_boxes(&self) -> Vec<SocketAddr> {
+        let own = self.settings().peers;
+        let knowledge = self.knowledge.borrow();
+        let boxes = knowledge.boxes_by_age().into_iter();
+        let addresses = boxes.map(|entry| entry.address);
+        addresses.filter(|address| *address != own).collect()
+    }
+
     /// Counts a request in until the guard is dropped.
     pub fn count_in(&self) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
--- a/src/gateway/admit/job.rs
+++ b/src/gateway/admit/job.rs
@@ -346,6 +346,9 @@
 
     fn record(&self, gw: &Gateway, choice: &Choice, tried: &Tried, plan: TryPlan<'_>) {
         self.tries.record(tried);
+        if choice.upstream.says_it_leaves() {
+            gw.hear_leaving(&choice.upstream, Now::read());
+        }
         if matches!(tried, Tried::NotRun(NotRun::OtherInstance)) {
             gw.knowledge
                 .borrow_mut()
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -18,6 +18,8 @@
 use std::time::Duration;
 
 const MISDIRECTED: u16 = 421;
+/// The value by which an upstream says that it does not leave.
+const NOT_LEAVING: &str = "0";
 
 /// A request as one upstream is to get it.
 #[derive(Debug)]
@@ -50,6 +52,8 @@
 pub enum NotRun {
     /// No connection came about, so no byte was written.
     NoConnection(String),
+    /// The upstream said to another request that it wants no more, before a byte was written.
+    NotWanted,
     /// The upstream said that it did not run the request.
     Refused(u16),
     /// Another instance has the address.
@@ -71,6 +75,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NoConnection(reason) => write!(f, "no connection: {reason}"),
+            Self::NotWanted => f.write_str("it wants no more requests"),
             Self::Refused(status) => write!(f, "refused with {status}"),
             Self::OtherInstance => f.write_str("another instance has the address"),
         }
@@ -223,6 +228,9 @@
             }
         },
     };
+    if upstream.says_it_leaves() {
+        return Tried::NotRun(NotRun::NotWanted);
+    }
     let request_id = out.request_id.clone();
     let req = match build(out) {
         Ok(req) => req,
@@ -257,9 +265,13 @@
         return Tried::Unknown(Failure::ForeignAnswer("it names another request"));
     }
     let status = parts.status.as_u16();
+    // Another instance speaks for itself.
     if status == MISDIRECTED {
         return Tried::NotRun(NotRun::OtherInstance);
     }
+    if text(&headers.leaving).is_some_and(|value| value.trim() != NOT_LEAVING) {
+        upstream.said_it_leaves();
+    }
     if text(&headers.not_executed).is_some() {
         return Tried::NotRun(NotRun::Refused(status));
     }
--- a/src/gateway/attempt/protocol.rs
+++ b/src/gateway/attempt/protocol.rs
@@ -23,6 +23,8 @@
     pub not_executed: HeaderName,
     /// The upstream's signature of an answer.
     pub signature: HeaderName,
+    /// The upstream's statement that it takes no more work and will end.
+    pub leaving: HeaderName,
     /// The upstream's running and waiting requests and its slots.
     pub load: HeaderName,
     /// The model that is to answer.
--- a/src/gateway/attempt/tries.rs
+++ b/src/gateway/attempt/tries.rs
@@ -20,12 +20,15 @@
 impl Tries {
     /// Records what came of a try.
     pub fn record(&self, tried: &Tried) {
-        if !matches!(tried, Tried::NotRun(NotRun::NoConnection(_))) {
+        if !matches!(
+            tried,
+            Tried::NotRun(NotRun::NoConnection(_) | NotRun::NotWanted)
+        ) {
             self.sent.set(self.sent.get() + 1);
         }
         match tried {
             Tried::NotRun(NotRun::Refused(_)) => self.refused.set(true),
-            Tried::NotRun(NotRun::OtherInstance | NotRun::NoConnection(_)) => {}
+            Tried::NotRun(NotRun::OtherInstance | NotRun::NoConnection(_) | NotRun::NotWanted) => {}
             Tried::Answered(_) | Tried::Unknown(_) => {
                 self.runs.set(self.runs.get() + 1);
                 self.may_have_run.set(true);
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -48,6 +48,7 @@
     unread: Rc<Cell<Duration>>,
     elsewhere: Cell<Elsewhere>,
     heard_at: Cell<Duration>,
+    says_it_leaves: Cell<bool>,
 }
 
 /// What other boxes have under way at an upstream, as they told it last.
@@ -130,6 +131,7 @@
             unread: Rc::default(),
             elsewhere: Cell::default(),
             heard_at: Cell::default(),
+            says_it_leaves: Cell::default(),
         })
     }
 
@@ -308,6 +310,16 @@
         health.unconnectable || now.monotonic < health.rests_until
     }
 
+    /// Records that an answer of the upstream said that it leaves.
+    pub fn said_it_leaves(&self) {
+        self.says_it_leaves.set(true);
+    }
+
+    /// Tells whether an answer of the upstream said that it leaves.
+    pub fn says_it_leaves(&self) -> bool {
+        self.says_it_leaves.get()
+    }
+
     /// Records that something came from the upstream.
     pub fn heard(&self, now: Now) {
         self.heard_at.set(now.monotonic);
--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -107,6 +107,7 @@
                 .learned(&change, "lapse", gw.mirror.borrow().revision());
         }
         gw.telemetry.aged(knowledge.age(now), knowledge.lag(now));
+        knowledge.forget_leaving(now);
         gw.telemetry.faulty_upstreams(knowledge.faulty_count());
         drop(knowledge);
         gw.connections.close_stale(now);
--- a/src/gateway/control/knowledge.rs
+++ b/src/gateway/control/knowledge.rs
@@ -35,6 +35,8 @@
     confirmed: Option<Duration>,
     newer: Option<Newer>,
     store_unsettled_until: Option<Duration>,
+    /// The lives of upstreams that have said in an answer that they leave, and when.
+    leaving: HashMap<UpstreamLife, Duration>,
 }
 
 /// Something that exists and that this box does not have yet.
@@ -51,6 +53,10 @@
 /// half questions. A box that was cut off serves on by what it has.
 const HEARD_LIFETIME: Duration = Duration::from_secs(1);
 
+/// How long it is remembered that an upstream leaves which is not listed any more: a late entry of
+/// its life may still come.
+const LEAVING_REMEMBERED: Duration = Duration::from_secs(600);
+
 /// What a box may say by the configuration that it has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Proof {
@@ -194,8 +200,7 @@
         let Some(known) = self.upstreams.get(instance) else {
             return Change::Nothing;
         };
-        let draining = known.with_listed(|listed| listed.draining);
-        if self.store_is_unsettled(now) && !draining {
+        if self.store_is_unsettled(now) && !self.is_about_to_leave(known) {
             let is_new = known.lapsed_at().is_none();
             known.lapse(now);
             return match is_new {
@@ -352,9 +357,8 @@
         let is_settled = !self.store_is_unsettled(now);
         let is_open = |upstream: &&Rc<Upstream>| {
             let is_gone = is_settled && upstream.lapsed_at().is_some();
-            let serves =
-                upstream.with_listed(|listed| listed.service == service && !listed.draining);
-            serves && !is_gone
+            let serves = upstream.with_listed(|listed| listed.service == service);
+            serves && !is_gone && !self.is_about_to_leave(upstream)
         };
         self.upstreams.values().filter(is_open).cloned().collect()
     }
@@ -367,9 +371,29 @@
     /// Tells whether this life of an upstream is listed and is not about to leave.
     pub fn is_serving(&self, life: &UpstreamLife) -> bool {
         let known = self.upstreams.get(&life.instance);
-        known.is_some_and(|known| {
-            known.life() == life && !known.with_listed(|listed| listed.draining)
-        })
+        known.is_some_and(|known| known.life() == life && !self.is_about_to_leave(known))
+    }
+
+    /// Tells whether an upstream says that it leaves, by its entry or by an answer.
+    fn is_about_to_leave(&self, upstream: &Upstream) -> bool {
+        let is_draining = upstream.with_listed(|listed| listed.draining);
+        is_draining || self.leaving.contains_key(upstream.life())
+    }
+
+    /// Records that this life of an upstream has said in an answer that it leaves; no entry takes
+    /// that back. Tells whether it is new.
+    pub fn note_leaving(&mut self, life: &UpstreamLife, now: Now) -> bool {
+        self.leaving.insert(life.clone(), now.monotonic).is_none()
+    }
+
+    /// Forgets upstreams that have left long ago.
+    pub fn forget_leaving(&mut self, now: Now) {
+        let upstreams = &self.upstreams;
+        self.leaving.retain(|life, noted| {
+            let known = upstreams.get(&life.instance);
+            let is_listed = known.is_some_and(|known| known.life() == life);
+            is_listed || now.monotonic.saturating_sub(*noted) < LEAVING_REMEMBERED
+        });
     }
 
     /// Removes an upstream whose address answered for another instance, unless it has started
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,6 +5,7 @@
 pub mod fetch;
 pub mod heard;
 pub mod hubs;
+pub mod leaving;
 pub mod messages;
 pub mod outbox;
 pub mod packing;
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -6,6 +6,7 @@
 //! - How the versions under roll-out answered; this goes to the boxes registered longest, of
 //!   all and of the own hall, that are heard of.
 //! - Which versions a box found bad; this goes to all.
+//! - Which upstreams have said in an answer that they leave; this goes to all.
 //! - Which requests were at crashes of upstreams; this goes to all.
 //! - Which sessions the old version served just before a roll-out, so that no box moves
 //!   them in its first half.
@@ -18,6 +19,7 @@
 use super::datagram;
 use super::fetch;
 use super::hubs::{self, Question, Told};
+use super::leaving;
 use super::suspects;
 use crate::clock::{Now, millis};
 use crate::error::{Error, Result};
@@ -68,6 +70,8 @@
     LongReads(Vec<LongRead>),
     /// What the sender knows of requests that were at crashes.
     Suspects(SuspectNews),
+    /// Upstreams have said that they leave, by their hashes.
+    Leaving(Vec<u32>),
 }
 
 /// Exchanges messages for as long as the process lives.
@@ -85,6 +89,9 @@
     let send_suspects = async |to: &[SocketAddr], news| {
         send(&gw, &socket, &PeerMessage::Suspects(news), to).await;
     };
+    let send_leaving = async |to: &[SocketAddr], hashes| {
+        send(&gw, &socket, &PeerMessage::Leaving(hashes), to).await;
+    };
     tokio::join!(
         receive(&gw, &store, &socket),
         report_versions(&gw, &socket),
@@ -93,6 +100,7 @@
         asking::ask(&gw, send_question),
         hubs::tell_news(&gw, send_told),
         suspects::tell_suspects(&gw, send_suspects),
+        leaving::tell_leaving(&gw, send_leaving),
         fetch::serve_fetches(gw.clone(), listener),
     );
     Ok(())
@@ -142,6 +150,7 @@
             }
         }
         PeerMessage::Suspects(news) => gw.quarantine.take(news, now),
+        PeerMessage::Leaving(hashes) => gw.take_leaving(&hashes, now),
         PeerMessage::OldSessions(order, sessions) => {
             gw.sessions.borrow_mut().keep_old(order, &sessions);
         }
@@ -165,6 +174,7 @@
             Self::Load(_) => "load",
             Self::LongReads(_) => "long-reads",
             Self::Suspects(_) => "suspects",
+            Self::Leaving(_) => "leaving",
             Self::OldSessions(..) => "old-sessions",
             Self::Question(_) => "questions",
             Self::Told(_) => "told",
@@ -203,18 +213,18 @@
             let message = PeerMessage::RolloutTime(order, elapsed_ms);
             // Whoever leads hears it from all, and all from whoever leads.
             let told = match leads(gw, Now::read()) {
-                true => longest_registered(gw, usize::MAX),
+                true => gw.other_boxes(),
                 false => told_of_versions(gw, Now::read()),
             };
             send(gw, socket, &message, &told).await;
         }
         for order in found_here(gw) {
             let message = PeerMessage::FoundBad(order);
-            send(gw, socket, &message, &longest_registered(gw, usize::MAX)).await;
+            send(gw, socket, &message, &gw.other_boxes()).await;
         }
         for (order, sessions) in old_sessions(gw, Now::read()) {
             let message = PeerMessage::OldSessions(order, sessions);
-            send(gw, socket, &message, &longest_registered(gw, usize::MAX)).await;
+            send(gw, socket, &message, &gw.other_boxes()).await;
         }
     }
 }
@@ -264,7 +274,7 @@
         told.push(entry.address);
     }
     match told.is_empty() {
-        true => longest_registered(gw, TOLD_BOXES),
+        true => gw.other_boxes().into_iter().take(TOLD_BOXES).collect(),
         false => told,
     }
 }
@@ -290,7 +300,7 @@
 async fn report_load(gw: &Gateway, socket: &UdpSocket) {
     let mut was_idle = true;
     loop {
-        let others = longest_registered(gw, usize::MAX);
+        let others = gw.other_boxes();
         sleep(interval(others.len())).await;
         let load = BoxLoad::of(&gw.life, &gw.knowledge.borrow());
         let is_idle = load.is_idle();
@@ -311,7 +321,7 @@
     let mut turn = 0;
     loop {
         let reads = gw.long_reads.next().await;
-        let others = in_turn(longest_registered(gw, usize::MAX), TOLD_OF_READS, &mut turn);
+        let others = in_turn(gw.other_boxes(), TOLD_OF_READS, &mut turn);
         send(gw, socket, &PeerMessage::LongReads(reads), &others).await;
     }
 }
@@ -326,15 +336,3 @@
     }
     boxes
 }
-
-/// Returns the addresses of so many other boxes, those registered longest first.
-fn longest_registered(gw: &Gateway, most: usize) -> Vec<SocketAddr> {
-    let own = gw.settings().peers;
-    let knowledge = gw.knowledge.borrow();
-    let boxes = knowledge.boxes_by_age().into_iter();
-    boxes
-        .filter(|entry| entry.address != own)
-        .take(most)
-        .map(|entry| entry.address)
-        .collect()
-}
--- a/src/gateway/peers/suspects.rs
+++ b/src/gateway/peers/suspects.rs
@@ -26,7 +26,7 @@
 async fn tell_news(gw: &Gateway, send: &impl AsyncFn(&[SocketAddr], SuspectNews)) {
     loop {
         let news = gw.quarantine.news.next().await;
-        let others = others(gw);
+        let others = gw.other_boxes();
         for news in batch(news) {
             send(&others, news).await;
         }
@@ -55,7 +55,7 @@
         sleep(ROUND_INTERVAL).await;
         let joined = newly_registered(gw, &mut known);
         let records = gw.quarantine.to_tell(Now::read());
-        let others = others(gw);
+        let others = gw.other_boxes();
         if records.is_empty() || others.is_empty() {
             continue;
         }
@@ -84,10 +84,3 @@
     *known = knowledge.boxes().map(|entry| entry.name.clone()).collect();
     joined
 }
-
-fn others(gw: &Gateway) -> Vec<SocketAddr> {
-    let own = gw.settings().peers;
-    let knowledge = gw.knowledge.borrow();
-    let others = knowledge.boxes().map(|entry| entry.address);
-    others.filter(|address| *address != own).collect()
-}
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -174,6 +174,13 @@
         );
     }
 
+    /// Records that an upstream has said in an answer that it leaves, here or to another box.
+    pub fn upstream_leaves(&self, upstream: &Upstream, source: &str) {
+        let instance = upstream.with_listed(|listed| listed.instance.clone());
+        let upstream = instance.as_str();
+        log::info!(upstream, source; "the upstream has said that it leaves, nothing more is sent there");
+    }
+
     /// Records that a smaller model's answer was dropped.
     pub fn escalated(&self, job: &Job, place: usize, larger: usize, confidence: Option<u32>) {
         log::info!(
--- a/tests/gateway/rebirths.rs
+++ b/tests/gateway/rebirths.rs
@@ -254,4 +254,32 @@
             }
         }
     }
+
+    // Guards against entries that bring back an upstream which has said that it leaves.
+    life_that_leaves_by_its_word_is_never_open_again => {
+        let mut knowledge = Knowledge::default();
+        list(&mut knowledge, born(1));
+        let life = born(1).life();
+        expect_that!(knowledge.note_leaving(&life, at(0)), eq(true));
+        expect_that!(knowledge.note_leaving(&life, at(1)), eq(false));
+        expect_that!(open(&knowledge), is_empty());
+        knowledge.apply(faulty("i-1"), at(2));
+        list(&mut knowledge, born(1));
+        expect_that!(open(&knowledge), is_empty());
+        knowledge.apply(Update::UpstreamGone("i-1".to_owned()), at(3));
+        knowledge.forget_leaving(at(10_000));
+        list(&mut knowledge, born(1));
+        expect_that!(open(&knowledge), is_empty());
+        expect_that!(knowledge.is_serving(&life), eq(false));
+        list(&mut knowledge, born(2));
+        expect_that!(open(&knowledge).len(), eq(1));
+    }
+
+    lives_that_left_long_ago_are_forgotten => {
+        let mut knowledge = Knowledge::default();
+        let life = born(1).life();
+        knowledge.note_leaving(&life, at(0));
+        knowledge.forget_leaving(at(601_000));
+        expect_that!(knowledge.note_leaving(&life, at(601_000)), eq(true));
+    }
 }
--- a/tests/spreading.rs
+++ b/tests/spreading.rs
@@ -132,6 +132,7 @@
         expect_instance: name("x-expect"),
         not_executed: name("x-not-run"),
         signature: name("x-signature"),
+        leaving: name("x-leaving"),
         load: name("x-load"),
         model: name("x-model"),
         prompt_parts: name("x-prompt"),
