An upstream that asks for rest is left alone by the box that it asked

Cause: Retry-After of a refusal was not read; the rests of a box were only those that it gives itself.

Evidence: six tests in which the next requests reached the upstream at once, 1,467 within a second of the rest; callers were told to come back in 0.15 s where the first upstream had rested after 5 s.

Why this fix works: the rest is kept with that life of the upstream, the latest end holds, and the candidates of a request, which all tries, larger models and resumed streams choose from, leave out who rests.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -174,8 +174,24 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
-    /// Returns the upstreams of a service that may serve a session's request.
+    /// Returns the upstreams of a service that may serve a session's request now.
     pub fn candidates(&self, service: &str, session: &str, now: Now) -> Vec<Rc<Upstream>> {
+        let mut allowed = self.allowed_upstreams(service, session, now);
+        allowed.retain(|upstream| upstream.asked_rest_left(now).is_none());
+        allowed
+    }
+
+    /// Returns when the first of the upstreams that may serve a session's request has rested; none
+    /// if there is none, or one that takes requests now.
+    pub fn rest_left(&self, service: &str, session: &str, now: Now) -> Option<Duration> {
+        let allowed = self.allowed_upstreams(service, session, now);
+        let rests = allowed.iter().map(|upstream| upstream.asked_rest_left(now));
+        // An upstream that does not rest has no time left, and that is the least.
+        rests.min().flatten()
+    }
+
+    /// Returns the upstreams of a service that may serve a session's request once they have rested.
+    fn allowed_upstreams(&self, service: &str, session: &str, now: Now) -> Vec<Rc<Upstream>> {
         let knowledge = self.knowledge.borrow();
         let mut open = knowledge.open_upstreams(service, now);
         let rollout = knowledge.rollout(service);
--- a/src/gateway/admit/job.rs
+++ b/src/gateway/admit/job.rs
@@ -109,6 +109,8 @@
 pub enum NoTry {
     /// No upstream is left to ask.
     NoUpstream,
+    /// All upstreams have asked this box for rest, and the first one has rested after so long.
+    Resting(Duration),
     /// The request may not be sent once more.
     OutOfBudget,
     /// The time is over.
@@ -149,10 +151,13 @@
     /// Tells whether a request that no upstream took should be offered once more after a
     /// pause, and not refused.
     pub fn should_wait(&self, gw: &Gateway, pause: Duration, now: Now) -> bool {
+        self.can_wait(pause, now) && !gw.candidates(&self.service, &self.session, now).is_empty()
+    }
+
+    /// Tells whether a pause leaves the request among those that are still offered.
+    pub fn can_wait(&self, pause: Duration, now: Now) -> bool {
         let waited = now.monotonic.saturating_sub(self.received);
-        self.may_run_again()
-            && waited + pause < self.route.objective / OFFER_PART
-            && !gw.candidates(&self.service, &self.session, now).is_empty()
+        self.may_run_again() && waited + pause < self.route.objective / OFFER_PART
     }
 
     /// Chooses an upstream and makes one try there.
@@ -174,7 +179,7 @@
             candidates = alone.into_iter().collect();
         }
         let choice = self.place(gw, &candidates, &tried, plan.model, now);
-        let choice = choice.ok_or(NoTry::NoUpstream)?;
+        let choice = choice.ok_or_else(|| self.no_upstream(gw, now))?;
         let upstream = &choice.upstream;
         if !self.pay(gw, plan.repeat, now) {
             return Err(NoTry::OutOfBudget);
@@ -198,6 +203,12 @@
         Ok(tried)
     }
 
+    /// Tells why no upstream can be asked.
+    fn no_upstream(&self, gw: &Gateway, now: Now) -> NoTry {
+        let rest = gw.rest_left(&self.service, &self.session, now);
+        rest.map_or(NoTry::NoUpstream, NoTry::Resting)
+    }
+
     /// Decides whether a request that may have crashed upstreams is sent.
     fn admit_suspect(&self, gw: &Gateway, now: Now) -> Result<(), NoTry> {
         match (
--- a/src/gateway/answer/plain.rs
+++ b/src/gateway/answer/plain.rs
@@ -9,6 +9,7 @@
 use crate::gateway::attempt::exchange::{Answer, Tried};
 use crate::gateway::attempt::patience::Patience;
 use crate::gateway::attempt::retries::Repeat;
+use crate::gateway::place::choose::draw;
 use bytes::Bytes;
 use std::time::Duration;
 
@@ -57,6 +58,10 @@
                 tokio::time::sleep(RETRY_PAUSE).await;
                 job.tries.allow_all();
             }
+            Err(NoTry::Resting(left)) if job.can_wait(left, Now::read()) => {
+                tokio::time::sleep(left).await;
+                job.tries.allow_all();
+            }
             Err(no_try) => return failed_answer.ok_or_else(|| why(no_try, job)),
         }
         if !job.may_run_again() {
@@ -134,6 +139,19 @@
         NoTry::OutOfTime => Why::Deadline,
         NoTry::Quarantined => Why::CrashesUpstreams,
         NoTry::OnTrial(left) => Why::OnTrial(left),
+        NoTry::Resting(left) => Why::Resting(left + spread(&job.request_id, left)),
         NoTry::NoUpstream | NoTry::OutOfBudget => job.tries.exhausted(),
     }
 }
+
+/// The longest time by which callers are spread that may come back at the same moment.
+const LONGEST_SPREAD: Duration = Duration::from_millis(500);
+
+/// Returns by how much later than others a caller should come back, so that those who were told to
+/// wait for the same moment do not all come in it.
+fn spread(request_id: &str, wait: Duration) -> Duration {
+    const PART: u32 = 4;
+    let longest = (wait / PART).min(LONGEST_SPREAD);
+    let part = (draw(request_id) % 1000) as f64 / 1000.0;
+    longest.mul_f64(part)
+}
--- a/src/gateway/answer/refusal.rs
+++ b/src/gateway/answer/refusal.rs
@@ -34,6 +34,8 @@
     Deadline,
     /// An upstream failed, and the request may not be sent again.
     UpstreamFailed,
+    /// All upstreams have asked this box for rest, and the first one takes requests after so long.
+    Resting(Duration),
     /// The request crashes the upstreams that run it.
     CrashesUpstreams,
     /// The request was at several crashes, and another send of it is on trial for at most so long.
@@ -56,13 +58,14 @@
             Self::Stopping => "stopping",
             Self::Deadline => "deadline",
             Self::UpstreamFailed => "upstream-failed",
+            Self::Resting(_) => "resting",
             Self::CrashesUpstreams => "crashes-upstreams",
             Self::OnTrial(_) => "on-trial",
         }
     }
 
     /// Every reason.
-    const ALL: [Self; 14] = [
+    const ALL: [Self; 15] = [
         Self::NoConfiguration,
         Self::Stale,
         Self::NoRoute,
@@ -75,6 +78,7 @@
         Self::Stopping,
         Self::Deadline,
         Self::UpstreamFailed,
+        Self::Resting(Duration::ZERO),
         Self::CrashesUpstreams,
         Self::OnTrial(Duration::ZERO),
     ];
@@ -101,6 +105,7 @@
             Self::Stopping => "the box was about to end",
             Self::Deadline => "its time was over",
             Self::UpstreamFailed => "its upstream failed and it may not be sent again",
+            Self::Resting(_) => "every upstream of the service had asked this box for rest",
             Self::CrashesUpstreams => {
                 "upstreams crashed that ran this request, the last one while it was on trial there"
             }
@@ -117,7 +122,7 @@
             Self::Full => Some(Duration::from_millis(150)),
             // Another box may serve it at once.
             Self::Stale | Self::Stopping => Some(Duration::from_millis(10)),
-            Self::OnTrial(left) => Some(left),
+            Self::OnTrial(left) | Self::Resting(left) => Some(left),
             _ => None,
         }
     }
--- a/src/gateway/answer/relay.rs
+++ b/src/gateway/answer/relay.rs
@@ -277,10 +277,20 @@
                     tokio::time::sleep(RESUME_PAUSE).await;
                     self.job.tries.allow_all();
                 }
+                Err(NoTry::Resting(left)) if self.can_pause(left) => {
+                    tokio::time::sleep(left).await;
+                    self.job.tries.allow_all();
+                }
                 Err(_) => return Err(BrokeOff(reason)),
             }
         }
     }
+
+    /// Tells whether the caller bears a pause: no longer than one between two events.
+    fn can_pause(&self, pause: Duration) -> bool {
+        let gap = self.job.route.kind.stream_gap().unwrap_or_default();
+        pause < gap.min(self.job.left(Now::read()))
+    }
 }
 
 /// Returns how long a pause may be before another upstream is asked to go on.
--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -92,6 +92,11 @@
                 job.tries.allow_all();
                 continue;
             }
+            Err(NoTry::Resting(left)) if job.can_wait(left, Now::read()) => {
+                tokio::time::sleep(left).await;
+                job.tries.allow_all();
+                continue;
+            }
             Err(no_try) => return failure.map(Begun::Failed).ok_or_else(|| why(no_try, job)),
         }
         if !job.may_run_again() {
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -135,7 +135,8 @@
             ahead_ms = millis(choice.ahead),
             reading_ms = millis(choice.reading),
             beginning = choice.beginning.name(),
-            outstanding = upstream.outstanding();
+            outstanding = upstream.outstanding(),
+            rest_ms = upstream.asked_rest_left(Now::read()).map_or(0, millis);
             "try: {}", tried.describe()
         );
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod operate;
 pub mod outcome;
 pub mod record;
+pub mod retry_after;
 pub mod router;
 pub mod routing;
 pub mod session;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod quarantine;
 mod rebirths;
 mod refusals;
+mod rests;
 mod retries;
 mod rollouts;
 mod routes;
