--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,6 +7,7 @@
 mod keeping;
 mod operating;
 mod process;
+pub mod scripted;
 mod starting;
 mod watching;
 
