The router leaves upstreams alone that leave or ask for rest

What callers saw over the own interface: every next request went to an upstream that had just said that it leaves, or asked for 30 s of rest; where all rested they were told to come back in 1 to 2 s.

Cause: the same as in the box: of an answer's head the router read the request's id alone.

Why this fix works: the signs are read where every answer's head comes in, and the choice leaves out who has given one. The rest is one type for both paths. The test that passed before did so by chance: two upstreams of which the unmeasured one was not chosen; the tests list the signing upstream alone first now, which is as strict.

--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -5,6 +5,7 @@
 use crate::gateway::control::store::{ListedUpstream, UpstreamLife};
 use crate::gateway::place::choose::draw;
 use crate::routing::placement::{LoadGuard, UpstreamLoad};
+use crate::routing::rest::AskedRest;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,12 +27,6 @@
 /// How long a report of load is trusted; upstreams serve from two requests a second up.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 
-/// Requests that an upstream gets at a time after a rest that it asked for, until it has taken one:
-/// all that waited for the end of the rest would else come at the same moment.
-const REQUESTS_AFTER_REST: u32 = 2;
-/// How soon an upstream that has just rested may take more.
-const NEXT_AFTER_REST: Duration = Duration::from_millis(150);
-
 /// Fullness that a failure rate of one counts for, so that an upstream which fails some
 /// of its requests loses to any that is not nearly full.
 const FAILURE_WEIGHT: f64 = 4.0;
@@ -55,13 +50,7 @@
     elsewhere: Cell<Elsewhere>,
     heard_at: Cell<Duration>,
     says_it_leaves: Cell<bool>,
-    asked_rest: Cell<Option<AskedRest>>,
-}
-
-/// A rest that the upstream asked this box for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct AskedRest {
-    until: Duration,
+    asked_rest: Cell<AskedRest>,
 }
 
 /// What other boxes have under way at an upstream, as they told it last.
@@ -334,39 +323,29 @@
         self.says_it_leaves.get()
     }
 
-    /// Records that the upstream wants nothing from this box for so long. Of several rests the one
-    /// that ends last holds.
+    /// Records that the upstream wants nothing from this box for so long.
     pub fn asked_for_rest(&self, rest: Duration, now: Now) {
-        let until = now.monotonic + rest;
-        let known = self.asked_rest.get().map_or(until, |known| known.until);
-        self.asked_rest.set(Some(AskedRest {
-            until: known.max(until),
-        }));
+        let mut asked = self.asked_rest.get();
+        asked.ask(rest, now);
+        self.asked_rest.set(asked);
     }
 
-    /// Records that the upstream took a request, which ends the care after its rest.
+    /// Records that the upstream took a request.
     pub fn took_request(&self, now: Now) {
-        let is_over = |asked: AskedRest| now.monotonic >= asked.until;
-        if self.asked_rest.get().is_some_and(is_over) {
-            self.asked_rest.set(None);
-        }
+        let mut asked = self.asked_rest.get();
+        asked.took_request(now);
+        self.asked_rest.set(asked);
     }
 
     /// Tells whether a rest goes on that the upstream asked for.
     pub fn is_resting_as_asked(&self, now: Now) -> bool {
-        let asked = self.asked_rest.get();
-        asked.is_some_and(|asked| now.monotonic < asked.until)
+        self.asked_rest.get().goes_on(now)
     }
 
     /// Returns how long the upstream takes no request of this box because it asked for rest; none
     /// if it takes one now.
     pub fn asked_rest_left(&self, now: Now) -> Option<Duration> {
-        let asked = self.asked_rest.get()?;
-        let left = asked.until.saturating_sub(now.monotonic);
-        match left.is_zero() {
-            false => Some(left),
-            true => (self.outstanding() >= REQUESTS_AFTER_REST).then_some(NEXT_AFTER_REST),
-        }
+        self.asked_rest.get().left(self.outstanding(), now)
     }
 
     /// Records that something came from the upstream.
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::marker::PhantomData;
+use std::time::Duration;
 
 /// Whether a request ran, as far as is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -152,6 +153,8 @@
     ClaimsLost,
     /// The upstream failed.
     UpstreamFailed,
+    /// Every upstream that could serve has asked this router for rest.
+    Resting,
     /// Upstreams crash that run this request.
     CrashesUpstreams,
     /// Upstreams crashed that ran this request, and another send of it is tried alone.
@@ -179,6 +182,7 @@
             Self::AlreadyDone => "already-done",
             Self::ClaimsLost => "claims-lost",
             Self::UpstreamFailed => "upstream-failed",
+            Self::Resting => "resting",
             Self::CrashesUpstreams => "crashes-upstreams",
             Self::OnTrial => "on-trial",
             Self::NotReady => "not-ready",
@@ -203,6 +207,7 @@
             | Self::NoClaim
             | Self::ClaimsLost
             | Self::OnTrial
+            | Self::Resting
             | Self::NotReady => 503,
         }
     }
@@ -215,7 +220,11 @@
             Self::ConnectionClosed => Some(0),
             Self::NoVersion | Self::ClaimsLost => Some(30),
             Self::NoUpstream | Self::AlreadyRunning | Self::NoClaim | Self::OnTrial => Some(2),
-            Self::Overloaded | Self::Deadline | Self::UpstreamFailed | Self::NotReady => Some(1),
+            Self::Resting
+            | Self::Overloaded
+            | Self::Deadline
+            | Self::UpstreamFailed
+            | Self::NotReady => Some(1),
         }
     }
 }
@@ -229,4 +238,17 @@
     pub reason: Reason,
     /// A sentence for people.
     pub message: String,
+    /// When it makes sense to come back, where more is known than the reason tells.
+    pub come_back_after: Option<Duration>,
+}
+
+impl Refused {
+    /// Returns after how many whole seconds it makes sense to come back, if it ever does.
+    pub fn retry_after_seconds(&self) -> Option<u64> {
+        let known = self.come_back_after.map(|after| after.as_secs_f64().ceil());
+        match known {
+            Some(seconds) => Some(seconds as u64),
+            None => self.reason.retry_after_seconds(),
+        }
+    }
 }
--- a/src/router/answer.rs
+++ b/src/router/answer.rs
@@ -23,7 +23,7 @@
     let status = StatusCode::from_u16(refused.reason.status());
     let mut res = Response::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
     res.insert_header((OUTCOME_HEADER, refused.outcome.to_string()));
-    if let Some(seconds) = refused.reason.retry_after_seconds() {
+    if let Some(seconds) = refused.retry_after_seconds() {
         res.insert_header((RETRY_AFTER, seconds.to_string()));
     }
     if let Some(value) = request_id.and_then(|id| HeaderValue::from_str(id).ok()) {
@@ -41,6 +41,7 @@
         outcome: Outcome::NotRun,
         reason: Reason::ConnectionClosed,
         message: "the router stops; send the request on another connection".to_owned(),
+        come_back_after: None,
     };
     let body = refusal_body(&refused).to_string();
     let response = refusal(&refused, None);
@@ -63,7 +64,7 @@
             "code": refused.reason.name(),
         },
         "outcome": refused.outcome,
-        "retry_after": refused.reason.retry_after_seconds(),
+        "retry_after": refused.retry_after_seconds(),
     })
 }
 
--- a/src/router/claimed.rs
+++ b/src/router/claimed.rs
@@ -129,7 +129,7 @@
                 .head
                 .request(&self.worker.fresh, &self.caller, &upstream);
             let request = out.send_body(self.body.clone());
-            let failure = match dispatch(request, &self.caller, &mut log).await {
+            let failure = match dispatch(request, &self.caller, &upstream, &mut log).await {
                 Ok(response) => {
                     tries.push(try_record(&self.service, &upstream, "answered"));
                     return Ok(Sent {
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -250,5 +250,18 @@
         outcome,
         reason,
         message: message.into(),
+        come_back_after: None,
+    }
+}
+
+/// Refuses a request because every upstream that could serve it has asked for rest.
+pub fn refuse_for_rest(outcome: Outcome, left: Duration) -> Refused {
+    Refused {
+        come_back_after: Some(left),
+        ..refuse(
+            outcome,
+            Reason::Resting,
+            "all upstreams have asked for rest",
+        )
     }
 }
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -5,8 +5,13 @@
 
 use super::body::UpstreamResponse;
 use super::context::{Caller, refuse};
-use crate::clock::Now;
+use super::headers::LEAVING_HEADER;
+use crate::clock::{Now, millis};
 use crate::outcome::{ConnectFailed, DispatchLog, Reason, Refused};
+use crate::retry_after;
+use crate::routing::placement::Upstream;
+use actix_http::StatusCode;
+use actix_http::header::RETRY_AFTER;
 use awc::SendClientRequest;
 use tokio::time::timeout;
 
@@ -23,6 +28,7 @@
 pub async fn dispatch(
     request: SendClientRequest,
     caller: &Caller,
+    upstream: &Upstream,
     log: &mut DispatchLog,
 ) -> Result<UpstreamResponse, DispatchFailure> {
     let sending = log.begin();
@@ -30,6 +36,7 @@
     let (reason, message, proof) = match answered {
         Ok(Ok(response)) => {
             log.keep(sending);
+            read_signs(&response, upstream, Now::read());
             return Ok(response);
         }
         Ok(Err(err)) => (
@@ -47,3 +54,40 @@
     let refused = refuse(log.refusal_outcome(), reason, message);
     Err(DispatchFailure { refused, is_unsent })
 }
+
+/// Takes from an answer whether its upstream leaves, or wants nothing for a while.
+fn read_signs(response: &UpstreamResponse, upstream: &Upstream, now: Now) {
+    let text = |name: &str| {
+        let value = response.headers().get(name)?;
+        value.to_str().ok()
+    };
+    let name = upstream.name.as_str();
+    if text(LEAVING_HEADER).is_some_and(|value| value.trim() != "0") {
+        log::info!(upstream = name; "the upstream has said that it leaves, nothing more is sent there");
+        upstream.load.said_it_leaves();
+    }
+    if !is_refusal(response.status()) {
+        upstream.load.took_request(now);
+        return;
+    }
+    let Some(asked) = text(RETRY_AFTER.as_str()) else {
+        return;
+    };
+    match retry_after::parse(asked, now.wall) {
+        Some(rest) => {
+            let rest_ms = millis(rest);
+            log::info!(upstream = name, rest_ms; "the upstream asks for rest");
+            upstream.load.asked_for_rest(rest, now);
+        }
+        None => log::debug!(upstream = name; "the upstream asked for no rest by `{asked}`"),
+    }
+}
+
+/// Tells whether an upstream turned a request away for its own load.
+pub fn is_refusal(status: StatusCode) -> bool {
+    [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ]
+    .contains(&status)
+}
--- a/src/router/model_try.rs
+++ b/src/router/model_try.rs
@@ -2,7 +2,7 @@
 //! another one where that is allowed.
 
 use super::body::UpstreamResponse;
-use super::context::{Caller, Worker, refuse};
+use super::context::{Caller, Worker, refuse, refuse_for_rest};
 use super::crash_guard::{CrashGuard, check_aside};
 use super::dispatch::dispatch;
 use super::headers::{ORGANISATION_HEADER, UPSTREAM_ID_HEADER};
@@ -13,7 +13,9 @@
 use crate::name::VersionName;
 use crate::outcome::{DispatchLog, Outcome, Reason, Refused};
 use crate::record::TryRecord;
-use crate::routing::placement::{LoadGuard, PlacementQuery, Upstream, choose_upstream};
+use crate::routing::placement::{
+    LoadGuard, PlacementQuery, Upstream, choose_upstream, first_rested,
+};
 use crate::routing::versions::{VersionChoice, choose_version, ruled_out};
 use crate::session::Session;
 use actix_http::StatusCode;
@@ -210,6 +212,9 @@
     };
     let chosen = choose_upstream(&candidates, query, Now::read(), &mut rand::rng());
     chosen.cloned().ok_or_else(|| {
+        if let Some(left) = first_rested(&candidates, Now::read()) {
+            return refuse_for_rest(log.refusal_outcome(), left);
+        }
         let full = candidates
             .iter()
             .any(|found| found.load.outstanding() >= query.limit);
@@ -235,7 +240,7 @@
     let subject = worker.shared.subject(version, &caller.organisation);
     let load = upstream.load.enter();
     let request = upstream_request(worker, caller, step, version, upstream);
-    let response = match dispatch(request, caller, log).await {
+    let response = match dispatch(request, caller, upstream, log).await {
         Ok(response) => response,
         Err(failure) => {
             if failure.refused.reason == Reason::UpstreamFailed {
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -3,7 +3,7 @@
 use super::answer::{OUTCOME_HEADER, REQUEST_ID_HEADER, refusal_to};
 use super::body::{BodyError, UpstreamResponse};
 use super::claimed::serve_claimed;
-use super::context::{Caller, Worker, refuse};
+use super::context::{Caller, Worker, refuse, refuse_for_rest};
 use super::crash_guard::{CrashGuard, check_aside};
 use super::dispatch::{DispatchFailure, dispatch};
 use super::headers::{ORGANISATION_HEADER, UPSTREAM_ID_HEADER, end_to_end};
@@ -13,7 +13,9 @@
 use crate::fingerprint::{Fingerprint, Identity};
 use crate::outcome::{DispatchLog, Outcome, Reason, Refused};
 use crate::record::TryRecord;
-use crate::routing::placement::{LoadGuard, PlacementQuery, Upstream, choose_upstream};
+use crate::routing::placement::{
+    LoadGuard, PlacementQuery, Upstream, choose_upstream, first_rested,
+};
 use actix_http::body::{BodyStream, BoxBody, MessageBody as _, SizedStream};
 use actix_http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use actix_http::{HttpMessage as _, Method, Payload, Request, Response, ResponseBuilder};
@@ -103,6 +105,9 @@
     };
     let chosen = choose_upstream(&candidates, query, Now::read(), &mut rand::rng());
     chosen.cloned().ok_or_else(|| {
+        if let Some(left) = first_rested(&candidates, Now::read()) {
+            return refuse_for_rest(log.refusal_outcome(), left);
+        }
         let message = format!("no upstream of `{service}` takes work now");
         refuse(log.refusal_outcome(), Reason::NoUpstream, message)
     })
@@ -259,7 +264,7 @@
     } else {
         out.send()
     };
-    dispatch(sent, caller, log).await
+    dispatch(sent, caller, upstream, log).await
 }
 
 /// Passes a body on as it comes, and breaks it off beyond the limit.
--- a/src/routing/placement.rs
+++ b/src/routing/placement.rs
@@ -4,14 +4,14 @@
 //! time is taken, the session's own upstream first where it is not much busier, and
 //! the own hall first where it is not full. See `docs/design/placement.md`.
 
-use super::rest::Failures;
+use super::rest::{AskedRest, Failures};
 use crate::clock::Now;
 use crate::name::VersionName;
 use rand::Rng;
 use rand::seq::IndexedRandom as _;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -42,11 +42,34 @@
     outstanding: AtomicU32,
     mean_micros: AtomicU64,
     failures: Mutex<Failures>,
+    asked_rest: Mutex<AskedRest>,
+    says_it_leaves: AtomicBool,
     /// By version, since one that fails must not make the upstream rest for the others.
     versions: Mutex<HashMap<VersionName, Failures>>,
 }
 
 impl UpstreamLoad {
+    /// Records that an answer of the upstream said that it leaves; nothing takes that back.
+    pub fn said_it_leaves(&self) {
+        self.says_it_leaves.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the upstream wants nothing from this router for so long.
+    pub fn asked_for_rest(&self, rest: Duration, now: Now) {
+        lock(&self.asked_rest).ask(rest, now);
+    }
+
+    /// Records that the upstream took a request.
+    pub fn took_request(&self, now: Now) {
+        lock(&self.asked_rest).took_request(now);
+    }
+
+    /// Returns how long the upstream takes no request because it asked for rest; none if it takes
+    /// one now.
+    pub fn asked_rest_left(&self, now: Now) -> Option<Duration> {
+        lock(&self.asked_rest).left(self.outstanding(), now)
+    }
+
     /// Returns the requests of this router that the upstream has not answered.
     pub fn outstanding(&self) -> u32 {
         self.outstanding.load(Ordering::Relaxed)
@@ -140,6 +163,17 @@
     pub tried: &'a [String],
 }
 
+/// Returns when the first of some upstreams has rested as it asked; none if one takes requests now,
+/// or none is left.
+pub fn first_rested(candidates: &[&Upstream], now: Now) -> Option<Duration> {
+    let staying = candidates
+        .iter()
+        .filter(|upstream| !upstream.load.says_it_leaves.load(Ordering::Relaxed));
+    // An upstream that does not rest has no time left, and that is the least.
+    let rests = staying.map(|upstream| upstream.load.asked_rest_left(now));
+    rests.min().flatten()
+}
+
 /// Chooses an upstream among candidates.
 pub fn choose_upstream<'a>(
     candidates: &[&'a Upstream],
@@ -150,6 +184,8 @@
     let usable = |upstream: &&&Upstream| {
         upstream.load.outstanding() < query.limit
             && !upstream.load.rests(now)
+            && !upstream.load.says_it_leaves.load(Ordering::Relaxed)
+            && upstream.load.asked_rest_left(now).is_none()
             && !query
                 .version
                 .is_some_and(|version| upstream.load.version_rests(version, now))
--- a/src/routing/rest.rs
+++ b/src/routing/rest.rs
@@ -1,4 +1,4 @@
-//! How long an upstream rests after failures.
+//! How long an upstream rests: after failures, and because it asked for it.
 
 use crate::clock::Now;
 use std::time::Duration;
@@ -59,3 +59,44 @@
     let doublings = failures.checked_sub(FAILURES_TO_EJECT)?.min(MOST_DOUBLINGS);
     Some((FIRST_REST * 2u32.pow(doublings)).min(LONGEST_REST))
 }
+
+/// Requests that an upstream gets at a time after a rest that it asked for, until it has taken one:
+/// all that waited for the end of the rest would else come at the same moment.
+const REQUESTS_AFTER_REST: u32 = 2;
+/// How soon an upstream that has just rested may take more.
+const NEXT_AFTER_REST: Duration = Duration::from_millis(150);
+
+/// The rest that an upstream asked this process for, if it did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct AskedRest(Option<Duration>);
+
+impl AskedRest {
+    /// Records that the upstream wants nothing for so long. Of several rests the one that ends last
+    /// holds.
+    pub fn ask(&mut self, rest: Duration, now: Now) {
+        let until = now.monotonic + rest;
+        self.0 = self.0.max(Some(until));
+    }
+
+    /// Records that the upstream took a request, which ends the care after its rest.
+    pub fn took_request(&mut self, now: Now) {
+        if !self.goes_on(now) {
+            self.0 = None;
+        }
+    }
+
+    /// Tells whether the rest goes on.
+    pub fn goes_on(self, now: Now) -> bool {
+        self.0.is_some_and(|until| now.monotonic < until)
+    }
+
+    /// Returns how long the upstream, with so many requests under way, takes no other; none if it
+    /// takes one now.
+    pub fn left(self, outstanding: u32, now: Now) -> Option<Duration> {
+        let left = self.0?.saturating_sub(now.monotonic);
+        match left.is_zero() {
+            false => Some(left),
+            true => (outstanding >= REQUESTS_AFTER_REST).then_some(NEXT_AFTER_REST),
+        }
+    }
+}
--- a/src/routing/snapshot.rs
+++ b/src/routing/snapshot.rs
@@ -35,11 +35,13 @@
         self.bundle.is_some() && self.has_list
     }
 
-    /// Takes a live list; the loads of upstreams that stay are kept.
+    /// Takes a live list; the loads of upstreams that stay are kept. One at another address is
+    /// another upstream, though it has the name of one before.
     pub fn take_list(&mut self, list: &LiveList) {
-        let mut loads: HashMap<String, Arc<UpstreamLoad>> = HashMap::new();
+        let mut loads: HashMap<(String, SocketAddr), Arc<UpstreamLoad>> = HashMap::new();
         for upstream in self.upstreams.values().flatten() {
-            loads.insert(upstream.name.clone(), upstream.load.clone());
+            let place = (upstream.name.clone(), upstream.address);
+            loads.insert(place, upstream.load.clone());
         }
         self.upstreams.clear();
         for listed in list
@@ -47,7 +49,8 @@
             .iter()
             .filter(|listed| listed.state == BoxState::Live)
         {
-            let load = loads.remove(&listed.name).unwrap_or_default();
+            let place = (listed.name.clone(), listed.address);
+            let load = loads.remove(&place).unwrap_or_default();
             let upstream = Upstream {
                 name: listed.name.clone(),
                 hall: listed.hall.clone(),
--- a/tests/leaving_and_rest.rs
+++ b/tests/leaving_and_rest.rs
@@ -41,14 +41,16 @@
     }
 }
 
-/// Lets one of two upstreams give a sign in its first answer, and checks that nothing more reaches
-/// it.
+/// Lets an upstream give a sign in its first answer, lists another one beside it, and checks that
+/// nothing more reaches the first.
 async fn expect_left_alone((service, versions): (&str, &[&str]), sign: fn() -> Reaction) {
     let bench = Bench::start_without_upstreams().await;
     let signing = ScriptedUpstream::start(move |_| sign()).await;
     let other = ScriptedUpstream::start(|_| answer(200, &[])).await;
-    bench.list_scripted(service, versions, &[&signing, &other]);
+    bench.list_scripted(service, versions, &[&signing]);
     until_reached(&bench, service, &signing).await;
+    bench.list_scripted(service, versions, &[&signing, &other]);
+    until_reached(&bench, service, &other).await;
     for _ in 0..REQUESTS {
         send(&bench, service).await;
     }
