--- a/tests/replacing.rs
+++ b/tests/replacing.rs
@@ -29,6 +29,9 @@
 /// Threads that connect as fast as they can.
 const CONNECTING_THREADS: usize = 16;
 /// A request as a caller writes it.
+/// What a caller may wait for a connection, however routers are replaced.
+const LONGEST_CONNECTING: Duration = Duration::from_millis(100);
+
 const MANIFEST_REQUEST: &[u8] =
     b"GET /reader-api/manifest HTTP/1.1\r\nhost: box\r\nauthorization: Bearer comics-key\r\n\r\n";
 
@@ -150,6 +153,19 @@
     unanswered
 }
 
+/// Connects again and again until a moment, and returns how long the slowest connection took.
+async fn longest_connecting(router: SocketAddr, until: Instant) -> Duration {
+    let mut longest = Duration::ZERO;
+    while Instant::now() < until {
+        let began = Instant::now();
+        let connection = KeptConnection::open(router).await;
+        longest = longest.max(began.elapsed());
+        drop(connection);
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    longest
+}
+
 /// Reads manifests one after the other until a moment, each on a connection of its own.
 async fn read_manifests_on_new_connections(router: SocketAddr, until: Instant) -> Vec<Reply> {
     let mut replies = Vec::new();
@@ -373,6 +389,30 @@
         expect_that!(cut, is_empty(), "of {} answers", replies.len());
     };
 
+    /// Callers that connect while a router leaves the shared address have their first packet dropped,
+    /// and the system sends it again after a second; one that waits less fails.
+    callers_that_connect_anew_do_not_wait_as_routers_are_replaced_in_series => async {
+        const REPLACEMENTS: usize = 3;
+        const BETWEEN: Duration = Duration::from_millis(3500);
+        let mut bench = Bench::start(BenchPlan::default()).await;
+        let mut router = bench.boxes.get_mut("ikeja-1").unwrap().router.take().unwrap();
+        let address = bench.boxes["ikeja-1"].files.router;
+        let until = Instant::now() + BETWEEN * REPLACEMENTS as u32;
+        let callers = join_all((0..24).map(|_| longest_connecting(address, until)));
+        let mut replaced = Vec::new();
+        let replacements = async {
+            for _ in 0..REPLACEMENTS {
+                let successor = bench.start_successor("ikeja-1").await;
+                router.signal(libc::SIGTERM);
+                replaced.push(std::mem::replace(&mut router, successor));
+                actix_rt::time::sleep(BETWEEN).await;
+            }
+        };
+        let (longest, ()) = futures::join!(callers, replacements);
+        let held_up = longest.iter().filter(|longest| **longest >= LONGEST_CONNECTING);
+        expect_that!(held_up.count(), eq(0), "{longest:?}");
+    };
+
     /// While no agent takes a bill, an answer's end waits for three seconds and then goes out, and its
     /// router goes on trying. One that was told to stop meanwhile ended with its last connection, and
     /// the bill was lost with it.
