--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -9,8 +9,8 @@
 use super::protocol::{Headers, parse_load};
 use super::upstream::{Unread, Upstream};
 use crate::clock::Now;
-use crate::retry_after;
 use crate::routing::placement::LoadGuard;
+use crate::routing::signs::{SignHeaders, Signs};
 use bytes::Bytes;
 use http::header::RETRY_AFTER;
 use http_body_util::{BodyExt as _, Full};
@@ -20,10 +20,6 @@
 use std::time::Duration;
 
 const MISDIRECTED: u16 = 421;
-const TOO_MANY_REQUESTS: u16 = 429;
-const UNAVAILABLE: u16 = 503;
-/// The value by which an upstream says that it does not leave.
-const NOT_LEAVING: &str = "0";
 
 /// A request as one upstream is to get it.
 #[derive(Debug)]
@@ -273,19 +269,11 @@
     if status == MISDIRECTED {
         return Tried::NotRun(NotRun::OtherInstance);
     }
-    if text(&headers.leaving).is_some_and(|value| value.trim() != NOT_LEAVING) {
-        upstream.said_it_leaves();
-    }
-    match (status, text(&RETRY_AFTER)) {
-        (UNAVAILABLE | TOO_MANY_REQUESTS, Some(asked)) => {
-            match retry_after::parse(asked, now.wall) {
-                Some(rest) => upstream.asked_for_rest(rest, now),
-                None => log::debug!("an upstream asked for no rest by `{asked}`"),
-            }
-        }
-        (UNAVAILABLE | TOO_MANY_REQUESTS, None) => {}
-        _ => upstream.took_request(now),
-    }
+    let signs = SignHeaders {
+        leaving: text(&headers.leaving),
+        retry_after: text(&RETRY_AFTER),
+    };
+    upstream.take_signs(Signs::read(status, signs, now.wall), now);
     if text(&headers.not_executed).is_some() {
         return Tried::NotRun(NotRun::Refused(status));
     }
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -6,6 +6,7 @@
 use crate::gateway::place::choose::draw;
 use crate::routing::placement::{LoadGuard, UpstreamLoad};
 use crate::routing::rest::AskedRest;
+use crate::routing::signs::Signs;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -313,9 +314,17 @@
         health.unconnectable || now.monotonic < health.rests_until
     }
 
-    /// Records that an answer of the upstream said that it leaves.
-    pub fn said_it_leaves(&self) {
-        self.says_it_leaves.set(true);
+    /// Takes what the head of an answer says; that it leaves is never taken back.
+    pub fn take_signs(&self, signs: Signs, now: Now) {
+        if signs.leaves {
+            self.says_it_leaves.set(true);
+        }
+        if let Some(rest) = signs.rest {
+            self.asked_for_rest(rest, now);
+        }
+        if !signs.is_refusal {
+            self.took_request(now);
+        }
     }
 
     /// Tells whether an answer of the upstream said that it leaves.
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -8,9 +8,8 @@
 use super::headers::LEAVING_HEADER;
 use crate::clock::{Now, millis};
 use crate::outcome::{ConnectFailed, DispatchLog, Reason, Refused};
-use crate::retry_after;
 use crate::routing::placement::Upstream;
-use actix_http::StatusCode;
+use crate::routing::signs::{SignHeaders, Signs};
 use actix_http::header::RETRY_AFTER;
 use awc::SendClientRequest;
 use tokio::time::timeout;
@@ -61,33 +60,17 @@
         let value = response.headers().get(name)?;
         value.to_str().ok()
     };
+    let headers = SignHeaders {
+        leaving: text(LEAVING_HEADER),
+        retry_after: text(RETRY_AFTER.as_str()),
+    };
+    let signs = Signs::read(response.status().as_u16(), headers, now.wall);
     let name = upstream.name.as_str();
-    if text(LEAVING_HEADER).is_some_and(|value| value.trim() != "0") {
+    if signs.leaves {
         log::info!(upstream = name; "the upstream has said that it leaves, nothing more is sent there");
-        upstream.load.said_it_leaves();
-    }
-    if !is_refusal(response.status()) {
-        upstream.load.took_request(now);
-        return;
     }
-    let Some(asked) = text(RETRY_AFTER.as_str()) else {
-        return;
-    };
-    match retry_after::parse(asked, now.wall) {
-        Some(rest) => {
-            let rest_ms = millis(rest);
-            log::info!(upstream = name, rest_ms; "the upstream asks for rest");
-            upstream.load.asked_for_rest(rest, now);
-        }
-        None => log::debug!(upstream = name; "the upstream asked for no rest by `{asked}`"),
+    if let Some(rest) = signs.rest {
+        log::info!(upstream = name, rest_ms = millis(rest); "the upstream asks for rest");
     }
-}
-
-/// Tells whether an upstream turned a request away for its own load.
-pub fn is_refusal(status: StatusCode) -> bool {
-    [
-        StatusCode::SERVICE_UNAVAILABLE,
-        StatusCode::TOO_MANY_REQUESTS,
-    ]
-    .contains(&status)
+    upstream.load.take_signs(signs, now);
 }
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -7,5 +7,6 @@
 pub mod cascade;
 pub mod placement;
 pub mod rest;
+pub mod signs;
 pub mod snapshot;
 pub mod versions;
--- a/src/routing/placement.rs
+++ b/src/routing/placement.rs
@@ -5,6 +5,7 @@
 //! the own hall first where it is not full. See `docs/design/placement.md`.
 
 use super::rest::{AskedRest, Failures};
+use super::signs::Signs;
 use crate::clock::Now;
 use crate::name::VersionName;
 use rand::Rng;
@@ -49,19 +50,18 @@
 }
 
 impl UpstreamLoad {
-    /// Records that an answer of the upstream said that it leaves; nothing takes that back.
-    pub fn said_it_leaves(&self) {
-        self.says_it_leaves.store(true, Ordering::Relaxed);
-    }
-
-    /// Records that the upstream wants nothing from this router for so long.
-    pub fn asked_for_rest(&self, rest: Duration, now: Now) {
-        lock(&self.asked_rest).ask(rest, now);
-    }
-
-    /// Records that the upstream took a request.
-    pub fn took_request(&self, now: Now) {
-        lock(&self.asked_rest).took_request(now);
+    /// Takes what the head of an answer says; that it leaves is never taken back.
+    pub fn take_signs(&self, signs: Signs, now: Now) {
+        if signs.leaves {
+            self.says_it_leaves.store(true, Ordering::Relaxed);
+        }
+        let mut asked = lock(&self.asked_rest);
+        if let Some(rest) = signs.rest {
+            asked.ask(rest, now);
+        }
+        if !signs.is_refusal {
+            asked.took_request(now);
+        }
     }
 
     /// Returns how long the upstream takes no request because it asked for rest; none if it takes
