--- a/src/gateway/admit/job.rs
+++ b/src/gateway/admit/job.rs
@@ -87,7 +87,7 @@
     None,
     /// It may run once.
     Open,
-    /// It has run, and did not come to an answer.
+    /// It has run and came to no answer; whether its upstream crashed is being found out.
     Over,
 }
 
@@ -217,6 +217,7 @@
         ) {
             (Standing::Clear, _) => Ok(()),
             (Standing::Quarantined, _) => Err(NoTry::Quarantined),
+            // The trial is this request's own, and no upstream has run it yet.
             (Standing::Suspect | Standing::OnTrial(_), Trial::Open) => Ok(()),
             (Standing::Suspect, Trial::None | Trial::Over) => {
                 gw.quarantine.begin_trial(self.fingerprint, now);
--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -147,6 +147,8 @@
     value.to_str().ok()?.trim().parse().ok()
 }
 
+/// Tells whether a larger model may be asked. A request on trial runs once: a second run would be
+/// one more upstream that it may crash.
 fn may_escalate(gw: &Gateway, job: &Job, now: Now) -> bool {
     let has_room = gw.with_retries(&job.service, |window| {
         window.has_room(Repeat::Escalation, now)
--- a/src/gateway/attempt/crash.rs
+++ b/src/gateway/attempt/crash.rs
@@ -119,13 +119,11 @@
 }
 
 impl Gateway {
-    /// Records that a run broke off, and has it found out whether its upstream crashed.
+    /// Records that a run broke off, and has its upstream checked for a crash.
     pub fn run_broke_off(&self, run: BrokenRun, upstream: &Rc<Upstream>, now: Now) {
         self.crashes.add(upstream, run, now);
     }
-}
 
-impl Gateway {
     /// Records what ran at an upstream when it crashed. One that was about to leave ended as
     /// planned, whatever ran there.
     fn record_crash(&self, upstream: &Upstream, runs: &[BrokenRun], now: Now) {
