Evacuated halls get nothing new, and upstreams that warm up get what they bear

Cause: nothing read the operators' orders on halls, nor what upstreams say of their start. Ruled out: late orders, since no box had any.

Orders go the ways by which all items of the store do, so boxes that start or that the store turns away learn them from others. A hall that is given back counts as cold, since nobody has asked its upstreams. While an upstream warms up, as many boxes as it bears requests a second take turns, chosen by hashing, without a message; boxes that are new wait for two seconds.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -33,10 +33,8 @@
 use attempt::protocol::Headers;
 use attempt::quarantine::Quarantine;
 use attempt::retries::RetryWindow;
-use attempt::upstream::Upstream;
 use control::knowledge::{Knowledge, Proof};
 use control::mirror::Mirror;
-use control::rollout::Rollout;
 use control::store::ControlStore;
 use control::{follow, leading};
 use peers::asking::Asking;
@@ -54,7 +52,6 @@
 use std::time::Duration;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
-use versions::rollout::{VersionQuery, VersionRule, version_rule};
 use versions::sessions::Sessions;
 use versions::watch::VersionWatch;
 
@@ -174,59 +171,6 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
-    /// Returns the upstreams of a service that may serve a session's request now.
-    pub fn candidates(&self, service: &str, session: &str, now: Now) -> Vec<Rc<Upstream>> {
-        let mut allowed = self.allowed_upstreams(service, session, now);
-        allowed.retain(|upstream| upstream.asked_rest_left(now).is_none());
-        allowed
-    }
-
-    /// Returns when the first of the upstreams that may serve a session's request has rested; none
-    /// if there is none, or one that takes requests now.
-    pub fn rest_left(&self, service: &str, session: &str, now: Now) -> Option<Duration> {
-        let allowed = self.allowed_upstreams(service, session, now);
-        let rests = allowed.iter().map(|upstream| upstream.asked_rest_left(now));
-        // An upstream that does not rest has no time left, and that is the least.
-        rests.min().flatten()
-    }
-
-    /// Returns the upstreams of a service that may serve a session's request once they have rested.
-    fn allowed_upstreams(&self, service: &str, session: &str, now: Now) -> Vec<Rc<Upstream>> {
-        let knowledge = self.knowledge.borrow();
-        let mut open = knowledge.open_upstreams(service, now);
-        let rollout = knowledge.rollout(service);
-        if rollout.is_none() {
-            return open;
-        }
-        let sessions = self.sessions.borrow();
-        let order_revision = rollout
-            .and_then(|rollout| rollout.order.as_ref())
-            .map_or(0, |(order, _)| order.revision);
-        let query = VersionQuery {
-            session,
-            pinned: sessions.version(session, now),
-            stays_old: sessions.stays_old(session, order_revision),
-            condemned: self.is_condemned(order_revision),
-            is_newcomer: self.is_newcomer(now),
-        };
-        let rule = version_rule(rollout, query, now);
-        let allowed: Vec<Rc<Upstream>> = open
-            .iter()
-            .filter(|upstream| upstream.with_listed(|listed| rule.allows(&listed.version)))
-            .cloned()
-            .collect();
-        match rule {
-            VersionRule::Prefer(_) if allowed.is_empty() => {
-                open.retain(|upstream| {
-                    let rejected = VersionRule::AnyBut(rejected_versions(rollout));
-                    upstream.with_listed(|listed| rejected.allows(&listed.version))
-                });
-                open
-            }
-            VersionRule::Prefer(_) | VersionRule::AnyBut(_) => allowed,
-        }
-    }
-
     /// Returns how long an engine of a service reads so many tokens for a model.
     pub fn reading_time(&self, service: &str, model: Option<&str>, tokens: f64) -> Duration {
         self.with_pace(service, model, |pace| self.reading.time(pace, tokens))
@@ -384,6 +328,11 @@
         self.stopping_since.set(Some(now.monotonic));
     }
 
+    /// Returns how long the box has been up.
+    pub fn up_for(&self, now: Now) -> Duration {
+        now.monotonic.saturating_sub(self.started)
+    }
+
     /// Tells whether the process is about to end.
     pub fn is_stopping(&self) -> bool {
         self.stopping_since.get().is_some()
@@ -404,12 +353,6 @@
     }
 }
 
-fn rejected_versions(rollout: Option<&Rollout>) -> Vec<String> {
-    rollout
-        .and_then(|rollout| rollout.record.as_ref())
-        .map_or_else(Vec::new, |known| known.record.rejected.clone())
-}
-
 /// A request that waits for the first configuration.
 #[derive(Debug, Clone, Copy)]
 pub struct FirstWait {
--- a/src/gateway/admit/job.rs
+++ b/src/gateway/admit/job.rs
@@ -18,6 +18,7 @@
 use crate::gateway::attempt::tries::Tries;
 use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::control::store::UpstreamLife;
+use crate::gateway::place::candidates::Pause;
 use crate::gateway::place::choose::{Choice, Wish, choose, choose_for_trial, compared, draw};
 use crate::gateway::place::engine_cost::{Beginning, SharedPrompt};
 use crate::gateway::place::keepers::Spread;
@@ -109,8 +110,10 @@
 pub enum NoTry {
     /// No upstream is left to ask.
     NoUpstream,
-    /// All upstreams have asked this box for rest, and the first one has rested after so long.
-    Resting(Duration),
+    /// No upstream takes a request of this box now, and the first one will after a while.
+    Paused(Pause),
+    /// Operators have evacuated the halls of all upstreams.
+    Evacuated,
     /// The request may not be sent once more.
     OutOfBudget,
     /// The time is over.
@@ -185,6 +188,7 @@
             return Err(NoTry::OutOfBudget);
         }
         self.tries.exclude(upstream);
+        upstream.take_turn(now);
         let limits = TryLimits {
             head: plan.head.within(left),
             reading: choice.reading,
@@ -205,8 +209,11 @@
 
     /// Tells why no upstream can be asked.
     fn no_upstream(&self, gw: &Gateway, now: Now) -> NoTry {
-        let rest = gw.rest_left(&self.service, &self.session, now);
-        rest.map_or(NoTry::NoUpstream, NoTry::Resting)
+        if gw.is_evacuated(&self.service) {
+            return NoTry::Evacuated;
+        }
+        let pause = gw.shortest_pause(&self.service, &self.session, now);
+        pause.map_or(NoTry::NoUpstream, NoTry::Paused)
     }
 
     /// Decides whether a request that may have crashed upstreams is sent.
--- a/src/gateway/admit/routes.rs
+++ b/src/gateway/admit/routes.rs
@@ -4,6 +4,7 @@
 //! as a whole and never edited, so that a request sees one version from start to end.
 //! See `docs/design/platform.md`.
 
+use crate::gateway::place::warm_up::WarmUp;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -91,6 +92,8 @@
 pub struct Service {
     /// What its model engines can do; none for plain services.
     pub engine: Option<Engine>,
+    /// What its upstreams bear after a start; none where they bear all at once.
+    pub warm_up: Option<WarmUp>,
 }
 
 /// What the model engines of a service can do.
--- a/src/gateway/answer/plain.rs
+++ b/src/gateway/answer/plain.rs
@@ -1,6 +1,6 @@
 //! Requests whose answer is passed on whole.
 
-use super::refusal::Why;
+use super::refusal::{Ran, Why};
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::admit::job::{Job, NoTry, TryPlan};
@@ -9,6 +9,7 @@
 use crate::gateway::attempt::exchange::{Answer, Tried};
 use crate::gateway::attempt::patience::Patience;
 use crate::gateway::attempt::retries::Repeat;
+use crate::gateway::place::candidates::Pause;
 use crate::gateway::place::choose::draw;
 use bytes::Bytes;
 use std::time::Duration;
@@ -58,8 +59,8 @@
                 tokio::time::sleep(RETRY_PAUSE).await;
                 job.tries.allow_all();
             }
-            Err(NoTry::Resting(left)) if job.can_wait(left, Now::read()) => {
-                tokio::time::sleep(left).await;
+            Err(NoTry::Paused(pause)) if job.can_wait(pause.left(), Now::read()) => {
+                tokio::time::sleep(pause.left()).await;
                 job.tries.allow_all();
             }
             Err(no_try) => return failed_answer.ok_or_else(|| why(no_try, job)),
@@ -139,8 +140,12 @@
         NoTry::OutOfTime => Why::Deadline,
         NoTry::Quarantined => Why::CrashesUpstreams,
         NoTry::OnTrial(left) => Why::OnTrial(left),
-        NoTry::Resting(left) => Why::Resting(left + spread(&job.request_id, left)),
-        NoTry::NoUpstream | NoTry::OutOfBudget => job.tries.exhausted(),
+        NoTry::Paused(Pause::Resting(left)) => Why::Resting(left + spread(&job.request_id, left)),
+        NoTry::Paused(Pause::WarmingUp(left)) => {
+            Why::WarmingUp(left + spread(&job.request_id, left))
+        }
+        NoTry::Evacuated if job.tries.ran() == Ran::Nowhere => Why::Evacuated,
+        NoTry::NoUpstream | NoTry::OutOfBudget | NoTry::Evacuated => job.tries.exhausted(),
     }
 }
 
--- a/src/gateway/answer/refusal.rs
+++ b/src/gateway/answer/refusal.rs
@@ -36,6 +36,10 @@
     UpstreamFailed,
     /// All upstreams have asked this box for rest, and the first one takes requests after so long.
     Resting(Duration),
+    /// All upstreams warm up, and this box may send to one of them after so long.
+    WarmingUp(Duration),
+    /// Operators have evacuated the halls of all upstreams.
+    Evacuated,
     /// The request crashes the upstreams that run it.
     CrashesUpstreams,
     /// The request was at several crashes, and another send of it is on trial for at most so long.
@@ -59,13 +63,15 @@
             Self::Deadline => "deadline",
             Self::UpstreamFailed => "upstream-failed",
             Self::Resting(_) => "resting",
+            Self::WarmingUp(_) => "warming-up",
+            Self::Evacuated => "evacuated",
             Self::CrashesUpstreams => "crashes-upstreams",
             Self::OnTrial(_) => "on-trial",
         }
     }
 
     /// Every reason.
-    const ALL: [Self; 15] = [
+    const ALL: [Self; 17] = [
         Self::NoConfiguration,
         Self::Stale,
         Self::NoRoute,
@@ -79,6 +85,8 @@
         Self::Deadline,
         Self::UpstreamFailed,
         Self::Resting(Duration::ZERO),
+        Self::WarmingUp(Duration::ZERO),
+        Self::Evacuated,
         Self::CrashesUpstreams,
         Self::OnTrial(Duration::ZERO),
     ];
@@ -106,6 +114,10 @@
             Self::Deadline => "its time was over",
             Self::UpstreamFailed => "its upstream failed and it may not be sent again",
             Self::Resting(_) => "every upstream of the service had asked this box for rest",
+            Self::WarmingUp(_) => {
+                "every upstream of the service was warming up and bore no more requests"
+            }
+            Self::Evacuated => "operators had evacuated the halls of all upstreams of the service",
             Self::CrashesUpstreams => {
                 "upstreams crashed that ran this request, the last one while it was on trial there"
             }
@@ -122,12 +134,19 @@
             Self::Full => Some(Duration::from_millis(150)),
             // Another box may serve it at once.
             Self::Stale | Self::Stopping => Some(Duration::from_millis(10)),
+            // Halls are given back after seconds at the earliest.
+            Self::Evacuated => Some(Duration::from_secs(1)),
             Self::OnTrial(left) | Self::Resting(left) => Some(left),
+            // Another box may have a turn sooner.
+            Self::WarmingUp(left) => Some(left.min(NEXT_TURN)),
             _ => None,
         }
     }
 }
 
+/// The longest time until some box has a turn at an upstream that warms up.
+const NEXT_TURN: Duration = Duration::from_millis(500);
+
 /// Whether any try of a request may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ran {
--- a/src/gateway/answer/relay.rs
+++ b/src/gateway/answer/relay.rs
@@ -277,8 +277,8 @@
                     tokio::time::sleep(RESUME_PAUSE).await;
                     self.job.tries.allow_all();
                 }
-                Err(NoTry::Resting(left)) if self.can_pause(left) => {
-                    tokio::time::sleep(left).await;
+                Err(NoTry::Paused(pause)) if self.can_pause(pause.left()) => {
+                    tokio::time::sleep(pause.left()).await;
                     self.job.tries.allow_all();
                 }
                 Err(_) => return Err(BrokeOff(reason)),
--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -92,8 +92,8 @@
                 job.tries.allow_all();
                 continue;
             }
-            Err(NoTry::Resting(left)) if job.can_wait(left, Now::read()) => {
-                tokio::time::sleep(left).await;
+            Err(NoTry::Paused(pause)) if job.can_wait(pause.left(), Now::read()) => {
+                tokio::time::sleep(pause.left()).await;
                 job.tries.allow_all();
                 continue;
             }
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -52,7 +52,8 @@
 pub enum NotRun {
     /// No connection came about, so no byte was written.
     NoConnection(String),
-    /// The upstream said to another request that it wants no more, before a byte was written.
+    /// The upstream said to another request that it wants no more, or operators evacuated its hall,
+    /// before a byte was written.
     NotWanted,
     /// The upstream said that it did not run the request.
     Refused(u16),
@@ -228,7 +229,8 @@
             }
         },
     };
-    if upstream.says_it_leaves() || upstream.is_resting_as_asked(Now::read()) {
+    let is_wanted = !upstream.says_it_leaves() && !upstream.is_evacuated();
+    if !is_wanted || upstream.is_resting_as_asked(Now::read()) {
         return Tried::NotRun(NotRun::NotWanted);
     }
     let request_id = out.request_id.clone();
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -4,6 +4,7 @@
 use crate::clock::Now;
 use crate::gateway::control::store::{ListedUpstream, UpstreamLife};
 use crate::gateway::place::choose::draw;
+use crate::gateway::place::warm_up::{Fleet, WarmUp, WarmingUp};
 use crate::routing::placement::{LoadGuard, UpstreamLoad};
 use crate::routing::rest::AskedRest;
 use crate::routing::signs::Signs;
@@ -52,6 +53,8 @@
     heard_at: Cell<Duration>,
     says_it_leaves: Cell<bool>,
     asked_rest: Cell<AskedRest>,
+    warming_up: Cell<WarmingUp>,
+    is_evacuated: Cell<bool>,
 }
 
 /// What other boxes have under way at an upstream, as they told it last.
@@ -136,6 +139,8 @@
             heard_at: Cell::default(),
             says_it_leaves: Cell::default(),
             asked_rest: Cell::default(),
+            warming_up: Cell::default(),
+            is_evacuated: Cell::default(),
         })
     }
 
@@ -357,6 +362,44 @@
         self.asked_rest.get().left(self.outstanding(), now)
     }
 
+    /// Records that the upstream warms up for so long from now on.
+    pub fn begin_warm_up(&self, lasts: Duration, now: Now) {
+        let mut warming_up = self.warming_up.get();
+        warming_up.begin(lasts, now);
+        self.warming_up.set(warming_up);
+    }
+
+    /// Tells whether the upstream warms up.
+    pub fn is_warming_up(&self, now: Now) -> bool {
+        self.warming_up.get().goes_on(now)
+    }
+
+    /// Returns how long this box has to wait before it may send a request to the upstream, which
+    /// warms up; none if it may now.
+    pub fn turn_left(&self, warm_up: WarmUp, fleet: Fleet<'_>, now: Now) -> Option<Duration> {
+        let mut warming_up = self.warming_up.get();
+        let left = warming_up.wait(self.short_hash, warm_up, fleet, now);
+        self.warming_up.set(warming_up);
+        left
+    }
+
+    /// Records that a request is about to go out.
+    pub fn take_turn(&self, now: Now) {
+        let mut warming_up = self.warming_up.get();
+        warming_up.sent(now);
+        self.warming_up.set(warming_up);
+    }
+
+    /// Records whether the operators have evacuated the upstream's hall.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        self.is_evacuated.set(is_evacuated);
+    }
+
+    /// Tells whether the operators have evacuated the upstream's hall.
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated.get()
+    }
+
     /// Records that something came from the upstream.
     pub fn heard(&self, now: Now) {
         self.heard_at.set(now.monotonic);
--- a/src/gateway/control/knowledge.rs
+++ b/src/gateway/control/knowledge.rs
@@ -8,8 +8,9 @@
 use crate::clock::Now;
 use crate::gateway::admit::routes::RouteTable;
 use crate::gateway::attempt::upstream::Upstream;
+use crate::gateway::place::warm_up::WarmUp;
 use crate::gateway::settings::Bounds;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,6 +38,8 @@
     store_unsettled_until: Option<Duration>,
     /// The lives of upstreams that have said in an answer that they leave, and when.
     leaving: HashMap<UpstreamLife, Duration>,
+    /// The halls to whose upstreams the operators want nothing more sent.
+    evacuated: BTreeSet<String>,
 }
 
 /// Something that exists and that this box does not have yet.
@@ -88,6 +91,10 @@
     UpstreamRemoved(String),
     /// An upstream's entry is missing while the store is unsettled.
     UpstreamLapsed(String),
+    /// The operators have evacuated this hall.
+    HallEvacuated(String),
+    /// The operators have given this hall back.
+    HallReturned(String),
     /// A roll-out of this service was ordered, taken on or cancelled.
     Rollout(String),
     /// A box has registered.
@@ -122,7 +129,7 @@
     pub fn apply(&mut self, update: Update, now: Now) -> Change {
         match update {
             Update::Routes(routes) => self.take_routes(routes),
-            Update::Upstream(listed) => self.take_upstream(*listed),
+            Update::Upstream(listed) => self.take_upstream(*listed, now),
             Update::UpstreamGone(instance) => self.drop_upstream(&instance, now),
             Update::UpstreamFaulty { instance, reason } => self.take_faulty(instance, reason),
             Update::RolloutOrdered(order) => self.take_order(order, now),
@@ -131,6 +138,8 @@
                 Change::Rollout(service)
             }
             Update::RolloutStage(record, revision) => self.take_record(record, revision, now),
+            Update::HallEvacuated(hall) => self.evacuate(hall),
+            Update::HallReturned(hall) => self.give_back(hall, now),
             Update::Box(entry) => self.take_box(entry),
             Update::BoxGone(name) => match self.boxes.remove(&name) {
                 Some(_) => Change::BoxGone(name),
@@ -150,13 +159,27 @@
         Change::Routes(version)
     }
 
+    fn take_upstream(&mut self, listed: ListedUpstream, now: Now) -> Change {
+        let instance = listed.instance.clone();
+        let is_evacuated = self.evacuated.contains(&listed.hall);
+        let warm_up_left = listed.warm_up_left;
+        let change = self.take_entry(listed);
+        if let Some(upstream) = self.upstreams.get(&instance)
+            && change != Change::Nothing
+        {
+            upstream.set_evacuated(is_evacuated);
+            upstream.begin_warm_up(warm_up_left, now);
+        }
+        change
+    }
+
     /// Takes an upstream's entry, which is newer than the one known.
     ///
     /// What was remembered of the upstream stays only if the entry is of the same life. Which
     /// of two entries is newer is the store's revision to tell and not the time of birth: an
     /// upstream's clock may be wrong, and an entry with a birth far in the future, by another
     /// writer, would else keep the upstream's own entries out for good.
-    fn take_upstream(&mut self, listed: ListedUpstream) -> Change {
+    fn take_entry(&mut self, listed: ListedUpstream) -> Change {
         let instance = listed.instance.clone();
         let known = self.upstreams.get(&instance);
         if listed.born.is_none() && known.is_some_and(|known| known.life().born.is_some()) {
@@ -212,6 +235,43 @@
         Change::UpstreamRemoved(instance.to_owned())
     }
 
+    fn evacuate(&mut self, hall: String) -> Change {
+        if !self.evacuated.insert(hall.clone()) {
+            return Change::Nothing;
+        }
+        for upstream in self.upstreams_of_hall(&hall) {
+            upstream.set_evacuated(true);
+        }
+        Change::HallEvacuated(hall)
+    }
+
+    /// Takes a hall's upstreams into use again. Nobody has asked them for a while, so they may
+    /// have turned cold since they last said anything.
+    fn give_back(&mut self, hall: String, now: Now) -> Change {
+        if !self.evacuated.remove(&hall) {
+            return Change::Nothing;
+        }
+        for upstream in self.upstreams_of_hall(&hall) {
+            upstream.set_evacuated(false);
+            let service = upstream.with_listed(|listed| listed.service.clone());
+            if let Some(warm_up) = self.warm_up(&service) {
+                upstream.begin_warm_up(warm_up.lasts, now);
+            }
+        }
+        Change::HallReturned(hall)
+    }
+
+    fn upstreams_of_hall<'a>(&'a self, hall: &'a str) -> impl Iterator<Item = &'a Rc<Upstream>> {
+        let is_there =
+            move |upstream: &&Rc<Upstream>| upstream.with_listed(|listed| listed.hall == hall);
+        self.upstreams.values().filter(is_there)
+    }
+
+    /// Returns what the upstreams of a service bear while they warm up; none if they bear all.
+    pub fn warm_up(&self, service: &str) -> Option<WarmUp> {
+        self.routes.as_ref()?.services.get(service)?.warm_up
+    }
+
     fn take_order(&mut self, order: RolloutOrder, now: Now) -> Change {
         let service = order.service.clone();
         let rollout = self.rollouts.entry(service.clone()).or_default();
@@ -358,7 +418,7 @@
         let is_open = |upstream: &&Rc<Upstream>| {
             let is_gone = is_settled && upstream.lapsed_at().is_some();
             let serves = upstream.with_listed(|listed| listed.service == service);
-            serves && !is_gone && !self.is_about_to_leave(upstream)
+            serves && !is_gone && !upstream.is_evacuated() && !self.is_about_to_leave(upstream)
         };
         self.upstreams.values().filter(is_open).cloned().collect()
     }
--- a/src/gateway/control/store.rs
+++ b/src/gateway/control/store.rs
@@ -65,6 +65,10 @@
     RolloutCancelled(String),
     /// How far the leading box has taken a roll-out.
     RolloutStage(RolloutRecord, u64),
+    /// The operators want nothing more sent to the upstreams of this hall.
+    HallEvacuated(String),
+    /// The upstreams of this hall may be used again.
+    HallReturned(String),
     /// A box of the fleet, in its newest state.
     Box(BoxEntry),
     /// The box of this name is not registered any more.
@@ -98,6 +102,8 @@
     pub slots: u32,
     /// Whether it is about to leave and takes no new work.
     pub draining: bool,
+    /// How much longer it warms up, by its own word when it wrote this; zero once it is warm.
+    pub warm_up_left: Duration,
 }
 
 impl ListedUpstream {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod starting;
 mod streams;
 mod trials;
+mod warm_up;
 
 use gatepier::clock::{Now, WallTime};
 use gatepier::gateway::control::store::ListedUpstream;
@@ -53,5 +54,6 @@
         slots: 4,
         born: None,
         draining: false,
+        warm_up_left: Duration::ZERO,
     }
 }
