A narrow box is no reader for a hall that has wide ones

Cause: three boxes of a hall read the store for the others, and the hall has two with wide links; the third read 400 kB over 10 Mbit/s, and a third of the hall waited for it. Ruled out: the store, which answered the wide ones at once, and unpacking.

Readers are now those whose links are within a quarter of the widest, two at least, and the wide ones are asked first.

--- a/src/gateway/control/first_reads.rs
+++ b/src/gateway/control/first_reads.rs
@@ -23,6 +23,11 @@
 /// Boxes of a hall that read the store at once: one may be dead and one slow. In six halls
 /// they read 11 MB, a tenth of a second of the store's link.
 const READERS: usize = 3;
+/// The fewest readers of a hall with as many boxes: one may be dead.
+const LEAST_READERS: usize = 2;
+/// How many times narrower than the widest link that of a reader may be. Everything takes a narrow
+/// box of 10 Mbit/s half a second to read, and a wide one of 200 a few milliseconds.
+const TIMES_NARROWER: u32 = 4;
 /// The time after which the first of the others reads the store by itself. The readers take
 /// some 0.1 s to read and as long to unpack it with an eighth of a core.
 const FIRST_TURN: Duration = Duration::from_millis(300);
@@ -79,23 +84,55 @@
         .map(|(address, link)| (Reverse(link), address))
         .collect();
     order.sort_unstable();
+    let readers = reader_count(&order);
     let order: Vec<SocketAddr> = order.into_iter().map(|(_, address)| address).collect();
     let place = order.iter().position(|address| *address == own.address);
     let place = place.unwrap_or(order.len());
-    if place < READERS {
+    if place < readers.reading {
         return FirstRead::Store;
     }
-    let mut readers = order;
-    readers.truncate(READERS);
-    // In turn, so that each reader has as many to tell.
-    readers.rotate_left(place % READERS);
-    let turns_before = u32::try_from(place - READERS).unwrap_or(u32::MAX);
+    let turns_before = u32::try_from(place - readers.reading).unwrap_or(u32::MAX);
+    let mut asked = order;
+    asked.truncate(readers.reading);
+    // In turn, so that each reader has as many to tell; the narrow ones are asked last.
+    let (wide, _narrow) = asked.split_at_mut(readers.wide);
+    wide.rotate_left(place % readers.wide);
     FirstRead::Boxes {
-        readers,
+        readers: asked,
         turn: FIRST_TURN + CALLS_OF_A_READER * call_took + turns_before * TURN_INTERVAL,
     }
 }
 
+/// The boxes of a hall that read the store at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct ReaderCount {
+    /// All of them, one at least.
+    reading: usize,
+    /// Those among them whose links are about as wide as the widest one.
+    wide: usize,
+}
+
+/// Returns how many boxes of a hall read the store at once, by their links, the widest first.
+///
+/// A narrow one takes many times as long as a wide one, and whoever asks it waits for that, so it
+/// is a reader only where there would be one alone.
+fn reader_count(order: &[(Reverse<u32>, SocketAddr)]) -> ReaderCount {
+    let widest = order.first().map_or(0, |(Reverse(link), _)| *link);
+    let is_wide = |(Reverse(link), _): &&(Reverse<u32>, SocketAddr)| {
+        link.saturating_mul(TIMES_NARROWER) > widest || widest == 0
+    };
+    let wide = order
+        .iter()
+        .take(READERS)
+        .take_while(is_wide)
+        .count()
+        .max(1);
+    ReaderCount {
+        reading: wide.max(LEAST_READERS).min(order.len().max(1)),
+        wide,
+    }
+}
+
 /// The boxes of the own hall, as the store told them.
 #[derive(Debug)]
 pub struct Hall {
--- a/tests/gateway/starting.rs
+++ b/tests/gateway/starting.rs
@@ -202,6 +202,45 @@
         expect_that!(matches!(plan_of(10), FirstRead::Boxes { .. }), eq(true));
     }
 
+    // Load: the fleet comes back together, and a hall has fewer wide links than readers. A third of
+    // its boxes waited for a narrow reader, half a second in place of a few milliseconds.
+    nobody_waits_for_a_narrow_reader_where_wide_ones_are => {
+        let hall: Vec<BoxEntry> = (0..21)
+            .map(|number| BoxEntry {
+                name: format!("box-{number}"),
+                hall: "hall-0".to_owned(),
+                address: address(number),
+                link_mbps: if number < 2 { 200 } else { 10 },
+                registered: 1,
+            })
+            .collect();
+        let plans = plans(&hall, CALL);
+        let wide = [address(0), address(1)];
+        let reading = plans.values().filter(|plan| **plan == FirstRead::Store).count();
+        expect_that!(reading, eq(2));
+        let of_first = |address: &SocketAddr| {
+            let asks = |plan: &&FirstRead| matches!(plan, FirstRead::Boxes { readers, .. } if readers[0] == *address);
+            plans.values().filter(asks).count()
+        };
+        expect_that!(wide.map(|address| of_first(&address)), elements_are![ge(9), ge(9)]);
+    }
+
+    only_wide_box_of_a_hall_is_asked_first => {
+        let mut hall: Vec<BoxEntry> = fleet(60).into_iter().filter(|entry| entry.hall == "hall-0").collect();
+        for entry in &mut hall {
+            entry.link_mbps = 10;
+        }
+        hall[3].link_mbps = 1000;
+        let plans = plans(&hall, CALL);
+        let first_asked = plans.values().filter_map(|plan| match plan {
+            FirstRead::Store => None,
+            FirstRead::Boxes { readers, .. } => Some(readers[0]),
+        });
+        let first_asked: Vec<SocketAddr> = first_asked.collect();
+        expect_that!(first_asked, each(eq(&hall[3].address)));
+        expect_that!(first_asked.len(), eq(hall.len() - 2), "another one reads too, if that one is dead");
+    }
+
     former_lives_of_a_box_count_once => {
         let entry = &fleet(1)[0];
         let lives: Vec<BoxEntry> = (0..9)
