--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -374,6 +374,11 @@
         self.warming_up.get().goes_on(now)
     }
 
+    /// Returns how much longer the upstream warms up; zero once it is warm.
+    pub fn warm_up_left(&self, now: Now) -> Duration {
+        self.warming_up.get().left(now)
+    }
+
     /// Returns how long this box has to wait before it may send a request to the upstream, which
     /// warms up; none if it may now.
     pub fn turn_left(&self, warm_up: WarmUp, fleet: Fleet<'_>, now: Now) -> Option<Duration> {
--- a/src/gateway/place/warm_up.rs
+++ b/src/gateway/place/warm_up.rs
@@ -63,9 +63,15 @@
         self.until = self.until.max(Some(now.monotonic + lasts));
     }
 
+    /// Returns how much longer the upstream warms up; zero once it is warm.
+    pub fn left(self, now: Now) -> Duration {
+        let until = self.until.unwrap_or_default();
+        until.saturating_sub(now.monotonic)
+    }
+
     /// Tells whether the upstream warms up.
     pub fn goes_on(self, now: Now) -> bool {
-        self.until.is_some_and(|until| now.monotonic < until)
+        !self.left(now).is_zero()
     }
 
     /// Returns how long the box has to wait before it may send the upstream a request; none if it
@@ -77,8 +83,10 @@
         fleet: Fleet<'_>,
         now: Now,
     ) -> Option<Duration> {
-        let until = self.until.filter(|until| now.monotonic < *until)?;
-        let warm_in = until - now.monotonic;
+        if !self.goes_on(now) {
+            return None;
+        }
+        let warm_in = self.left(now);
         let settled_in = SETTLING.saturating_sub(fleet.up_for);
         let Some(every) = self.share(upstream, warm_up, fleet, now) else {
             return Some(warm_in);
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -136,7 +136,8 @@
             reading_ms = millis(choice.reading),
             beginning = choice.beginning.name(),
             outstanding = upstream.outstanding(),
-            rest_ms = upstream.asked_rest_left(Now::read()).map_or(0, millis);
+            rest_ms = upstream.asked_rest_left(Now::read()).map_or(0, millis),
+            warm_up_ms = millis(upstream.warm_up_left(Now::read()));
             "try: {}", tried.describe()
         );
     }
