The larger model is asked at less doubt on routes that operators rank first

Cause: fewer requests are too hard for small models than before, and the kinds are worth unlike much for what the larger model costs them. What an answer is worth is nowhere told to the boxes; the operators' ranks are, and they put first what earns most for its tokens. Ranks count among the routes of the configuration in force; where all are equal, 53 holds for all. Ruled out: a bar by price alone, since prices are in proportion to tokens for all kinds.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -26,7 +26,7 @@
 use crate::metrics::Metrics;
 use crate::store::StoreError;
 use admit::listen;
-use admit::routes::RouteKind;
+use admit::routes::{EVEN_RANK, Route, RouteKind};
 use attempt::connect::Connections;
 use attempt::crash::{self, CrashWatch};
 use attempt::probe;
@@ -171,6 +171,13 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
+    /// Returns how far down a route's rank is among those in force.
+    pub fn rank_part(&self, route: &Route) -> f64 {
+        let knowledge = self.knowledge.borrow();
+        let routes = knowledge.routes();
+        routes.map_or(EVEN_RANK, |routes| routes.rank_part(route.priority))
+    }
+
     /// Returns how long an engine of a service reads so many tokens for a model.
     pub fn reading_time(&self, service: &str, model: Option<&str>, tokens: f64) -> Duration {
         self.with_pace(service, model, |pace| self.reading.time(pace, tokens))
--- a/src/gateway/admit/routes.rs
+++ b/src/gateway/admit/routes.rs
@@ -22,8 +22,13 @@
     pub limits: CallerLimits,
     organisations: HashMap<String, Organisation>,
     asks_for_keys: bool,
+    /// The highest and the lowest rank of the routes that choose models; none without such routes.
+    ranks: Option<(u8, u8)>,
 }
 
+/// The part of the way down the ranks that stands for a route where all have the same rank.
+pub const EVEN_RANK: f64 = 0.5;
+
 /// One rule that maps a host and a path prefix to a service.
 #[derive(Debug, Clone)]
 pub struct Route {
@@ -174,6 +179,9 @@
         limits: CallerLimits,
         organisations: Option<Vec<(Organisation, Vec<String>)>>,
     ) -> Self {
+        let choosing = routes.iter().filter(|route| !route.models.is_empty());
+        let ranks: Vec<u8> = choosing.map(|route| route.priority).collect();
+        let highest = ranks.iter().min().copied();
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             let routes = by_host.entry(route.host.clone()).or_default();
@@ -196,6 +204,19 @@
             limits,
             organisations: by_key,
             asks_for_keys,
+            ranks: highest.zip(ranks.into_iter().max()),
+        }
+    }
+
+    /// Returns how far down a rank is among the routes that choose models: 0 for the most urgent
+    /// ones, 1 for the least urgent.
+    pub fn rank_part(&self, priority: u8) -> f64 {
+        match self.ranks {
+            Some((highest, lowest)) if highest < lowest => {
+                let below = priority.clamp(highest, lowest) - highest;
+                f64::from(below) / f64::from(lowest - highest)
+            }
+            _ => EVEN_RANK,
         }
     }
 
--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -14,7 +14,7 @@
 use crate::gateway::attempt::exchange::{Answer, Piece, Tried};
 use crate::gateway::attempt::patience::{Patience, patiently};
 use crate::gateway::attempt::retries::Repeat;
-use crate::gateway::place::models::{Verdict, judge};
+use crate::gateway::place::models::{BegunAnswer, Verdict, judge};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -119,7 +119,12 @@
     let now = Now::read();
     let expected = job.expected_of_all(gw, models, now);
     let left = job.left_of_objective(now);
-    match judge(place, confidence, &expected, left) {
+    let begun = BegunAnswer {
+        place,
+        confidence,
+        rank_part: gw.rank_part(&job.route),
+    };
+    match judge(begun, &expected, left) {
         Verdict::PassOn => None,
         Verdict::PassOnUnsure => {
             gw.telemetry
--- a/src/gateway/place/models.rs
+++ b/src/gateway/place/models.rs
@@ -6,10 +6,13 @@
 
 use std::time::Duration;
 
-/// The least confidence, from 0 to 100, with which a smaller model's answer is passed on.
-/// Below 48 seven in ten such answers were poor on a calm day, from 48 to 56 about half,
-/// above 56 hardly any; the larger model's price is worth it down to one in five.
-pub const ENOUGH_CONFIDENCE: u32 = 56;
+/// The least confidence, from 0 to 100, with which a smaller model's answer is passed on, for the
+/// most urgent of the routes that choose models and for the least urgent one.
+///
+/// Operators rank first what matters most to callers for what it costs; there the larger model is
+/// worth its price at less doubt.
+const ENOUGH_CONFIDENCE_OF_FIRST: f64 = 60.0;
+const ENOUGH_CONFIDENCE_OF_LAST: f64 = 46.0;
 /// The least confidence with which the next larger model is asked and not the largest.
 /// Confidence falls evenly with how far a request is beyond a model, and the next model
 /// reaches as far as some sixteen of a hundred further, for half the largest one's price
@@ -53,18 +56,35 @@
     }
 }
 
-/// Judges an answer of the model at a place of the route's list.
+/// An answer that has just begun.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BegunAnswer {
+    /// The place of its model in the route's list.
+    pub place: usize,
+    /// How sure the model is of it, from 0 to 100, where it says so.
+    pub confidence: Option<u32>,
+    /// How far down the route's rank is; see
+    /// [`RouteTable::rank_part`](crate::gateway::admit::routes::RouteTable::rank_part).
+    pub rank_part: f64,
+}
+
+impl BegunAnswer {
+    /// Returns the model's confidence if it does not do for the route.
+    fn doubt(self) -> Option<u32> {
+        let span = ENOUGH_CONFIDENCE_OF_FIRST - ENOUGH_CONFIDENCE_OF_LAST;
+        let enough = ENOUGH_CONFIDENCE_OF_FIRST - span * self.rank_part;
+        self.confidence.filter(|sure| f64::from(*sure) < enough)
+    }
+}
+
+/// Judges an answer that has just begun.
 ///
 /// `expected` tells for each model how long its first event would take, and `left` what
 /// is left of the objective. A larger model is asked only if it would be in time.
-pub fn judge(
-    place: usize,
-    confidence: Option<u32>,
-    expected: &[Expected],
-    left: Duration,
-) -> Verdict {
+pub fn judge(answer: BegunAnswer, expected: &[Expected], left: Duration) -> Verdict {
+    let place = answer.place;
     let largest = expected.len().saturating_sub(1);
-    let Some(confidence) = confidence.filter(|sure| *sure < ENOUGH_CONFIDENCE) else {
+    let Some(confidence) = answer.doubt() else {
         return Verdict::PassOn;
     };
     if place >= largest {
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -84,4 +84,19 @@
         expect_that!(engine.price_part("small"), near(0.05, 1e-9));
         expect_that!(engine.price_part("unknown"), eq(1.0));
     }
+
+    ranks_are_told_among_the_routes_that_choose_models => {
+        let of_rank = |priority, models: &[&str]| Route {
+            priority,
+            models: models.iter().map(ToString::to_string).collect(),
+            ..route("r", "/")
+        };
+        let ranked = table(vec![of_rank(2, &["m"]), of_rank(4, &["m"]), of_rank(9, &[])]);
+        for (priority, part) in [(0, 0.0), (2, 0.0), (3, 0.5), (4, 1.0), (9, 1.0)] {
+            expect_that!(ranked.rank_part(priority), eq(part));
+        }
+        for routes in [vec![], vec![of_rank(7, &["m"]), of_rank(0, &[])]] {
+            expect_that!(table(routes).rank_part(7), eq(0.5));
+        }
+    }
 }
