--- a/src/gateway/control/knowledge.rs
+++ b/src/gateway/control/knowledge.rs
@@ -159,6 +159,7 @@
         Change::Routes(version)
     }
 
+    /// Takes an upstream's entry with what follows from its hall and from its start.
     fn take_upstream(&mut self, listed: ListedUpstream, now: Now) -> Change {
         let instance = listed.instance.clone();
         let is_evacuated = self.evacuated.contains(&listed.hall);
--- a/src/gateway/place/warm_up.rs
+++ b/src/gateway/place/warm_up.rs
@@ -2,7 +2,8 @@
 //!
 //! An upstream that has just started bears a few requests a second and falls over under more,
 //! and to each box it looks like the emptiest one. So all boxes together send it no more than it
-//! bears, without a message between them: a few boxes, the same to everybody's mind, take turns.
+//! bears, without a message between them: a few boxes take turns, and every box works out alike
+//! by hashing which ones they are.
 //! See `docs/design/shifted-work.md`.
 
 use crate::clock::Now;
