--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -4,6 +4,7 @@
 pub mod first_reads;
 pub mod follow;
 pub mod knowledge;
+pub mod lag;
 pub mod leading;
 pub mod membership;
 pub mod mirror;
--- a/src/gateway/control/knowledge.rs
+++ b/src/gateway/control/knowledge.rs
@@ -3,6 +3,7 @@
 //! One rule holds for every source: only a higher version or revision replaces what is
 //! known, so nothing ever goes back within a life. See `docs/design/platform.md`.
 
+use super::lag::Lag;
 use super::rollout::{Rollout, SeenRecord};
 use super::store::{BoxEntry, ListedUpstream, RolloutOrder, RolloutRecord, Update, UpstreamLife};
 use crate::clock::Now;
@@ -34,7 +35,7 @@
     rollouts: HashMap<String, Rollout>,
     boxes: BTreeMap<String, BoxEntry>,
     confirmed: Option<Duration>,
-    newer: Option<Newer>,
+    lag: Lag,
     store_unsettled_until: Option<Duration>,
     /// The lives of upstreams that have said in an answer that they leave, and when.
     leaving: HashMap<UpstreamLife, Duration>,
@@ -42,20 +43,6 @@
     evacuated: BTreeSet<String>,
 }
 
-/// Something that exists and that this box does not have yet.
-#[derive(Debug, Clone, Copy)]
-struct Newer {
-    /// The revision that is reached with it.
-    revision: u64,
-    /// When this box first heard of it, and when it last heard of anything newer.
-    since: Duration,
-    heard: Duration,
-}
-
-/// How long a box that hears of nothing newer any more is taken to be in touch: two and a
-/// half questions. A box that was cut off serves on by what it has.
-const HEARD_LIFETIME: Duration = Duration::from_secs(1);
-
 /// How long it is remembered that an upstream leaves which is not listed any more: a late entry of
 /// its life may still come.
 const LEAVING_REMEMBERED: Duration = Duration::from_secs(600);
@@ -331,26 +318,18 @@
 
     /// Records that the store, or another box, has reached a revision that this one lacks.
     pub fn hear_of_newer(&mut self, revision: u64, now: Now) {
-        let heard = now.monotonic;
-        let newer = self.newer.get_or_insert(Newer {
-            revision,
-            since: heard,
-            heard,
-        });
-        newer.heard = heard;
+        self.lag.hear_of_newer(revision, now);
     }
 
     /// Records that a revision has been reached.
     pub fn reach(&mut self, revision: u64) {
-        self.newer = self.newer.filter(|newer| newer.revision > revision);
+        self.lag.reach(revision);
     }
 
     /// Returns how long this box has known that something newer exists, while it still hears
     /// so; none if it has the newest that it heard of.
     pub fn lag(&self, now: Now) -> Option<Duration> {
-        let newer = self.newer?;
-        let is_heard = now.monotonic.saturating_sub(newer.heard) < HEARD_LIFETIME;
-        is_heard.then(|| now.monotonic.saturating_sub(newer.since))
+        self.lag.lasts(now)
     }
 
     /// Returns what this box may say by what it has.
