Successors take over a router's listening socket: callers that connect anew do not wait

Cause: two routers had a socket each on a shared address, and the old one's was closed. What is on the way to a closed socket is lost; the filter that spared resets dropped first packets, which the system sends again after a second. Ruled out: the successor's queue, since all waits lay 2.0 s after the signal. Why this works: a successor is sent the descriptor of the socket itself, so its queue goes on. The filter stays for a socket that was never shared, and is never set on one that others may have.

--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -7,13 +7,15 @@
 pub mod accept;
 pub mod ending;
 pub mod h2;
+pub mod handover;
 pub mod lent_stream;
 
 use crate::error::{Error, Result};
-use accept::{Taken, accept_until};
+use accept::{Leaving, Taken, accept_until};
 use actix_http::{ConnectionType, Response};
 use std::net::TcpListener;
 use std::time::Duration;
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -35,7 +37,7 @@
 #[derive(Debug)]
 pub struct Accepting {
     task: JoinHandle<()>,
-    stop: CancellationToken,
+    stop: oneshot::Sender<Leaving>,
 }
 
 /// The server still takes connections, and asks callers to leave with each answer.
@@ -101,8 +103,8 @@
     ) -> Result<Self> {
         let listener = tokio::net::TcpListener::from_std(listener)
             .map_err(|err| Error::Unreachable(format!("cannot serve callers: {err}")))?;
-        let stop = CancellationToken::new();
-        let accepting = accept_until(listener, stop.clone(), connections.clone(), take);
+        let (stop, stopped) = oneshot::channel();
+        let accepting = accept_until(listener, stopped, connections.clone(), take);
         let task = actix_rt::spawn(accepting);
         Ok(Self {
             connections,
@@ -123,8 +125,15 @@
 impl HttpServer<Announced> {
     /// Leaves the callers' address, after the connections that wait there have been taken.
     pub async fn stop_accepting(self) -> HttpServer<Draining> {
+        self.leave(Leaving::Alone).await
+    }
+
+    /// Leaves the callers' socket to whoever else has it, or takes what waits there first.
+    pub async fn leave(self, leaving: Leaving) -> HttpServer<Draining> {
         let Announced(Accepting { task, stop }) = self.stage;
-        stop.cancel();
+        if stop.send(leaving).is_err() {
+            log::error!("invariant: connections were not taken any more before the stop");
+        }
         if let Err(err) = task.await {
             log::error!("connections that waited to be taken are lost: {err}");
         }
--- a/src/http_server/accept.rs
+++ b/src/http_server/accept.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 /// The pause after a failed accept, such as for want of descriptors.
@@ -16,6 +16,17 @@
 /// times the way to a caller and back. Whoever begins meanwhile is held up by a second.
 const CONNECTING: Duration = Duration::from_millis(10);
 
+/// Who else takes connections from a listening socket that is left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Leaving {
+    /// A successor has the same socket and takes what waits there.
+    ToSuccessor,
+    /// Nobody ever had the same socket; others may listen on the address by sockets of their own.
+    Alone,
+    /// Others had the same socket, and nobody is known to have it still.
+    Uncertain,
+}
+
 /// A connection that was taken and counts as open until it is dropped.
 #[derive(Debug)]
 pub struct Taken {
@@ -40,10 +51,10 @@
     }
 }
 
-/// Hands each connection to `take` until `stop`, and then those that still wait to be taken.
+/// Hands each connection to `take` until `stop`, and then those that wait for nobody else.
 pub async fn accept_until(
     listener: TcpListener,
-    stop: CancellationToken,
+    stop: oneshot::Receiver<Leaving>,
     connections: Connections,
     mut take: impl FnMut(Taken),
 ) {
@@ -54,20 +65,30 @@
             open: connections.count_in(),
         });
     };
-    tokio::select! {
-        () = accept(&listener, &mut take) => {}
-        () = stop.cancelled() => {}
-    }
-    if let Err(err) = pass_over_newcomers(&listener) {
-        log::warn!("callers that connect now may be reset: {err}");
+    let leaving = tokio::select! {
+        () = accept(&listener, &mut take) => return,
+        Ok(leaving) = stop => leaving,
+    };
+    match leaving {
+        Leaving::ToSuccessor => return,
+        Leaving::Alone => take_newcomers(&listener, &mut take).await,
+        // What is set on the socket would hold for those who may still have it.
+        Leaving::Uncertain => {}
     }
-    // Those that had begun to connect are through by then, and are taken.
-    let _waited = timeout(CONNECTING, accept(&listener, &mut take)).await;
     if let Err(err) = take_waiting(listener, take) {
         log::warn!("connections that waited to be taken are lost: {err}");
     }
 }
 
+/// Leaves the queue of a listener empty, and lets nothing more come into it.
+async fn take_newcomers(listener: &TcpListener, take: impl FnMut(TcpStream, SocketAddr)) {
+    if let Err(err) = pass_over_newcomers(listener) {
+        log::warn!("callers that connect now may be reset: {err}");
+    }
+    // Those that had begun to connect are through by then, and are taken.
+    let _waited = timeout(CONNECTING, accept(listener, take)).await;
+}
+
 /// Makes the system drop the first packet of every new connection to a listener.
 ///
 /// The system resets what is still queued when a listener is closed, and a caller that was reset
--- a/src/router.rs
+++ b/src/router.rs
@@ -26,8 +26,8 @@
 mod trace;
 
 use crate::clock::Now;
-use crate::daemon::listen_shared;
 use crate::error::Result;
+use crate::http_server::handover::CallersSocket;
 use crate::http_server::{Connections, Draining, HttpServer, wait_until_ended};
 use crate::metrics::Metrics;
 use crate::routing::snapshot::Snapshot;
@@ -70,7 +70,8 @@
     let metrics_server = metrics.serve(shared.settings.metrics)?;
     actix_rt::spawn(link::follow_agents(shared.clone(), metrics.clone()));
     let reports = actix_rt::spawn(link::report_to_agent(shared.clone(), record_queue));
-    let listener = listen_shared(shared.settings.listen)?;
+    let socket = CallersSocket::open(shared.settings.listen).await?;
+    let (listener, handover) = socket.offer()?;
     let connections = Connections::default();
     let mut threads = Threads::start(&shared, &connections)?;
     let server = HttpServer::start(listener, connections.clone(), move |taken| {
@@ -88,8 +89,9 @@
     metrics_server.stop(false).await;
     let server = server.announce();
     sleep(READINESS_LEAD).await;
-    let server = server.stop_accepting().await;
-    log::info!(connections = connections.count(); "no connection is taken any more");
+    let leaving = handover.stop().await;
+    let server = server.leave(leaving).await;
+    log::info!(connections = connections.count(), leaving:?; "no connection is taken any more");
     drain(server, &shared).await;
     reports.abort();
     log::info!("stopped");
