The log of a router's stop tells what is under way by thread, and each connection's end

A connection that is dropped with its thread is counted apart and logged, so that a stop that cuts callers shows which ones and on which thread. Each end of a connection is a line at debug level.

--- a/src/router.rs
+++ b/src/router.rs
@@ -20,6 +20,7 @@
 mod model_try;
 mod plain;
 mod rating;
+mod served;
 mod sse;
 mod telemetry;
 mod threads;
@@ -36,6 +37,7 @@
 use arc_swap::ArcSwap;
 pub use body::read_whole;
 use context::RouterShared;
+use served::describe;
 use std::sync::Arc;
 use std::time::Duration;
 use telemetry::RouterMetrics;
@@ -74,6 +76,7 @@
     let (listener, handover) = socket.offer()?;
     let connections = Connections::default();
     let mut threads = Threads::start(&shared, &connections)?;
+    let counts = threads.counts();
     let server = HttpServer::start(listener, connections.clone(), move |taken| {
         threads.hand(taken);
     })?;
@@ -83,7 +86,11 @@
         "started"
     );
     stop.await;
-    log::info!(connections = connections.count(); "stopping: requests under way are finished");
+    log::info!(
+        connections = connections.count(),
+        under_way = describe(&counts).as_str();
+        "stopping: requests under way are finished"
+    );
     // The metrics' address is left at once, so that probes are answered by a new router
     // if there is one, and by nobody otherwise.
     metrics_server.stop(false).await;
@@ -91,10 +98,15 @@
     sleep(READINESS_LEAD).await;
     let leaving = handover.stop().await;
     let server = server.leave(leaving).await;
-    log::info!(connections = connections.count(), leaving:?; "no connection is taken any more");
+    log::info!(
+        connections = connections.count(),
+        leaving:?,
+        under_way = describe(&counts).as_str();
+        "no connection is taken any more"
+    );
     drain(server, &shared).await;
     reports.abort();
-    log::info!("stopped");
+    log::info!(under_way = describe(&counts).as_str(); "stopped");
     Ok(())
 }
 
--- a/src/router/threads.rs
+++ b/src/router/threads.rs
@@ -3,6 +3,7 @@
 use super::answer::closing_answer;
 use super::context::{RouterShared, Worker};
 use super::entry;
+use super::served::{ConnectionEnd, ServedConnection, ThreadCounts};
 use crate::error::{Error, Result};
 use crate::http_server::Connections;
 use crate::http_server::accept::Taken;
@@ -23,7 +24,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::timeout;
-use tokio_util::task::task_tracker::TaskTrackerToken;
 
 /// How long a caller may take to send a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -40,23 +40,36 @@
 /// A connection on its way to the thread that serves it.
 struct Handed {
     stream: std::net::TcpStream,
-    open: TaskTrackerToken,
+    served: ServedConnection,
+}
+
+/// A thread as the one that takes connections knows it.
+#[derive(Debug)]
+struct Thread {
+    queue: UnboundedSender<Handed>,
+    counts: Arc<ThreadCounts>,
 }
 
 /// The threads of a router, which are given connections in turn.
 #[derive(Debug)]
 pub struct Threads {
-    queues: Vec<UnboundedSender<Handed>>,
+    threads: Vec<Thread>,
     next: usize,
 }
 
 impl Threads {
     /// Starts as many threads as the settings say.
     pub fn start(shared: &Arc<RouterShared>, connections: &Connections) -> Result<Self> {
-        let queues = (0..shared.settings.workers)
-            .map(|_| start_thread(shared.clone(), connections.clone()))
+        let threads = (0..shared.settings.workers)
+            .map(|number| start_thread(number, shared.clone(), connections.clone()))
             .collect::<Result<_>>()?;
-        Ok(Self { queues, next: 0 })
+        Ok(Self { threads, next: 0 })
+    }
+
+    /// Returns what became of the connections of each thread, as it goes on.
+    pub fn counts(&self) -> Vec<Arc<ThreadCounts>> {
+        let counts = self.threads.iter().map(|thread| thread.counts.clone());
+        counts.collect()
     }
 
     /// Gives a connection to the next thread.
@@ -66,24 +79,29 @@
             Ok(stream) => stream,
             Err(err) => return log::warn!("the connection of {peer} is lost: {err}"),
         };
-        let queue = &self.queues[self.next];
-        self.next = (self.next + 1) % self.queues.len();
-        if queue.send(Handed { stream, open }).is_err() {
+        let thread = &self.threads[self.next];
+        self.next = (self.next + 1) % self.threads.len();
+        let served = ServedConnection::new(thread.counts.clone(), peer, open);
+        if thread.queue.send(Handed { stream, served }).is_err() {
             log::error!("invariant: the thread that was to serve {peer} has ended");
         }
     }
 }
 
 fn start_thread(
+    number: usize,
     shared: Arc<RouterShared>,
     connections: Connections,
-) -> Result<UnboundedSender<Handed>> {
-    let (tx, rx) = unbounded_channel();
+) -> Result<Thread> {
+    let (queue, rx) = unbounded_channel();
     let is_started = Arbiter::new().spawn_fn(move || {
         actix_rt::spawn(serve_handed(Worker::new(shared), connections, rx));
     });
     match is_started {
-        true => Ok(tx),
+        true => Ok(Thread {
+            queue,
+            counts: Arc::new(ThreadCounts::new(number)),
+        }),
         false => Err(Error::Unreachable(
             "a thread for callers cannot be started".to_owned(),
         )),
@@ -101,14 +119,12 @@
         return log::error!("a thread for callers cannot serve them");
     };
     let service = Rc::new(service);
-    while let Some(Handed { stream, open }) = queue.recv().await {
+    while let Some(Handed { stream, served }) = queue.recv().await {
         let (service, worker) = (service.clone(), worker.clone());
         let connections = connections.clone();
         actix_rt::spawn(async move {
-            if let Err(err) = serve_connection(stream, &*service, worker, &connections).await {
-                log::debug!("a caller's connection ended: {err}");
-            }
-            drop(open);
+            let end = serve_connection(stream, &*service, worker, &connections).await;
+            served.end(&end);
         });
     }
 }
@@ -147,24 +163,29 @@
     service: &impl Service<Lent, Response = (), Error = DispatchError>,
     worker: Rc<Worker>,
     connections: &Connections,
-) -> eyre::Result<()> {
+) -> eyre::Result<ConnectionEnd> {
     prepare(&stream)?;
     let stream = TcpStream::from_std(stream)?;
     let detected = tokio::select! {
         protocol = timeout(KEEP_ALIVE, detect_protocol(&stream)) => protocol,
         () = connections.closing() => {
-            return Ok(end_connection(stream, Some(&closing_answer())).await?);
+            end_connection(stream, Some(&closing_answer())).await?;
+            return Ok(ConnectionEnd::ToldUnread);
         }
     };
     let peer = stream.peer_addr()?;
     match detected {
         Ok(Ok(Protocol::Http2)) => {
             let handler = Rc::new(move |req| entry::serve(worker.clone(), req));
-            Ok(h2::serve(stream, peer, connections, handler).await?)
+            h2::serve(stream, peer, connections, handler).await?;
+            Ok(ConnectionEnd::Http2)
         }
         Ok(Ok(_)) => serve_http1(stream, peer, service, connections).await,
         Ok(Err(err)) => Err(err.into()),
-        Err(_rested) => Ok(end_connection(stream, None).await?),
+        Err(_rested) => {
+            end_connection(stream, None).await?;
+            Ok(ConnectionEnd::Rested)
+        }
     }
 }
 
@@ -183,17 +204,21 @@
     peer: SocketAddr,
     service: &impl Service<Lent, Response = (), Error = DispatchError>,
     connections: &Connections,
-) -> eyre::Result<()> {
+) -> eyre::Result<ConnectionEnd> {
     let stream = LentStream::lend(stream);
     let loan = stream.loan().clone();
     let served = service.call((stream, Some(peer))).await;
     served.map_err(|err| eyre::eyre!("{err}"))?;
-    let Some(stream) = loan.take_back() else {
-        return Ok(());
+    let end = match loan.notice.is_given() {
+        true => ConnectionEnd::AskedToLeave,
+        false if connections.is_closing() => ConnectionEnd::ToldUnread,
+        false => ConnectionEnd::Rested,
     };
-    let is_in_doubt = connections.is_closing() && !loan.notice.is_given();
-    let last_words = is_in_doubt.then(closing_answer);
-    Ok(end_connection(stream, last_words.as_deref()).await?)
+    if let Some(stream) = loan.take_back() {
+        let last_words = (end == ConnectionEnd::ToldUnread).then(closing_answer);
+        end_connection(stream, last_words.as_deref()).await?;
+    }
+    Ok(end)
 }
 
 /// Tells by a caller's first bytes what it speaks.
