Streams of many threads are replaced beside busy threads: a condition that tells old code from new

64 threads and callers, eight busy threads, the stop at two moments; the check is that of router_is_replaced_under_load_with_nothing_cut. The soak looks at the time that connecting takes, and takes some successors back, by draws of their own: the draws of its seeds are as they were.

--- a/tests/replacing_soak.rs
+++ b/tests/replacing_soak.rs
@@ -15,6 +15,11 @@
 use std::time::{Duration, Instant};
 
 const CALLERS: u64 = 32;
+/// What a caller may wait for a connection. The system sends a first packet that was dropped again
+/// after a second.
+const LONGEST_CONNECTING: Duration = Duration::from_millis(500);
+/// How often a successor is taken back in place of the router that it was to replace.
+const TAKEN_BACK: f64 = 0.2;
 /// Routers of the box that may drain at a time.
 const MOST_DRAINING: usize = 4;
 
@@ -51,40 +56,51 @@
     }
 }
 
-/// Asks until a moment, and returns how many were served and what became of the others.
-async fn call(
-    router: SocketAddr,
-    plan: CallerPlan,
-    seed: u64,
-    until: Instant,
-) -> (usize, Vec<(CallerPlan, Reply)>) {
+/// What a caller saw.
+#[derive(Debug, Default)]
+struct Seen {
+    served: usize,
+    not_served: Vec<(CallerPlan, Reply)>,
+    longest_connecting: Duration,
+}
+
+impl Seen {
+    async fn connect(&mut self, router: SocketAddr) -> KeptConnection {
+        let began = Instant::now();
+        let connection = KeptConnection::open(router).await;
+        self.longest_connecting = self.longest_connecting.max(began.elapsed());
+        connection
+    }
+}
+
+/// Asks until a moment.
+async fn call(router: SocketAddr, plan: CallerPlan, seed: u64, until: Instant) -> Seen {
     let mut rng = StdRng::seed_from_u64(seed.wrapping_mul(CALLERS) + plan.number);
-    let mut served = 0;
-    let mut not_served = Vec::new();
-    let mut connection = KeptConnection::open(router).await;
+    let mut seen = Seen::default();
+    let mut connection = seen.connect(router).await;
     while Instant::now() < until {
         let reply = match plan.asks {
             Asks::Manifests => connection.read_manifest().await,
             Asks::Bookmarks => {
-                let key = format!("mark-{seed}-{}-{served}", plan.number);
+                let key = format!("mark-{seed}-{}-{}", plan.number, seen.served);
                 connection.bookmark(&key).await
             }
             Asks::Streams => connection.stream().await,
         };
         let leaves = !plan.keeps || !matches!(reply, Reply::Answered { closes: false, .. });
         match reply.is_served() {
-            true => served += 1,
+            true => seen.served += 1,
             // The connection had ended before: the caller was told to leave with its last answer.
             false if reply == Reply::Unsent => {}
-            false => not_served.push((plan, reply)),
+            false => seen.not_served.push((plan, reply)),
         }
         let rest = rng.random_range(0..=plan.longest_rest_ms);
         actix_rt::time::sleep(Duration::from_millis(rest)).await;
         if leaves {
-            connection = KeptConnection::open(router).await;
+            connection = seen.connect(router).await;
         }
     }
-    (served, not_served)
+    seen
 }
 
 /// Replaces a box's router at random moments until a moment, and returns the last one and those
@@ -92,23 +108,31 @@
 async fn replace_on(
     bench: &Bench,
     first: Process,
+    seed: u64,
     rng: &mut StdRng,
     until: Instant,
 ) -> Vec<Process> {
-    let mut routers = vec![first];
+    let mut which = StdRng::seed_from_u64(seed);
+    let mut current = first;
+    let mut routers = Vec::new();
     while Instant::now() < until {
         let pause = rng.random_range(100..2500);
         actix_rt::time::sleep(Duration::from_millis(pause)).await;
         let successor = bench.start_successor("ikeja-1").await;
-        routers.last().unwrap().signal(libc::SIGTERM);
-        routers.push(successor);
+        let stopped = match which.random_bool(TAKEN_BACK) {
+            true => successor,
+            false => std::mem::replace(&mut current, successor),
+        };
+        stopped.signal(libc::SIGTERM);
+        routers.push(stopped);
         bench
             .wait_for("routers have drained", async || {
                 routers.retain_mut(|router| router.ended().is_none());
-                routers.len() <= MOST_DRAINING
+                routers.len() < MOST_DRAINING
             })
             .await;
     }
+    routers.push(current);
     routers
 }
 
@@ -135,16 +159,20 @@
         .map(|n| CallerPlan::draw(n, &mut rng))
         .collect();
     let callers = join_all(plans.iter().map(|plan| call(address, *plan, seed, until)));
-    let replacements = replace_on(&bench, first.unwrap(), &mut rng, until);
-    let (replies, _routers) = futures::join!(callers, replacements);
-    let served: usize = replies.iter().map(|(served, _)| served).sum();
-    let not_served: Vec<_> = replies.into_iter().flat_map(|(_, others)| others).collect();
+    let replacements = replace_on(&bench, first.unwrap(), seed, &mut rng, until);
+    let (seen, _routers) = futures::join!(callers, replacements);
+    let served: usize = seen.iter().map(|seen| seen.served).sum();
+    let longest = seen.iter().map(|seen| seen.longest_connecting).max();
+    let not_served: Vec<_> = seen.into_iter().flat_map(|seen| seen.not_served).collect();
     let replaced = bench.log_count("\"text\":\"stopping: requests under way are finished\"");
     println!(
-        "seed {seed}: {served} served, {} not, {replaced} routers replaced",
+        "seed {seed}: {served} served, {} not, {replaced} routers stopped, connecting {longest:?}",
         not_served.len()
     );
     expect_that!(not_served, is_empty(), "seed {seed}");
+    expect_that!(longest, some(lt(LONGEST_CONNECTING)), "seed {seed}");
+    let dropped = bench.log_lines("a connection is dropped while it is served");
+    expect_that!(dropped, eq(""), "seed {seed}");
 }
 
 #[googletest::test]
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -64,13 +64,7 @@
         expect_that!(bench.models[0].stand_in.runs().len(), eq(before));
     };
 
-    /// Beside busy processes a router's planned stop cut two to six of some forty streams, 2.0 s
-    /// after the signal, all those of one thread or of both. The server library's stop ends its
-    /// accepting thread and then sends the serving threads the word to finish; a thread that finds
-    /// the accepting thread gone before the word has come ends at once with all that it has. Its
-    /// log showed it: `accept thread stopped`, and 0.2 to 1.4 ms later answers that were dropped
-    /// by threads that had logged neither `graceful worker shutdown; finishing 3 connections` nor
-    /// `shutting down idle worker`, one of which they log when they get the word.
+    /// A stopping router ended serving threads that had not yet been told to finish.
     router_is_replaced_under_load_with_nothing_cut => async {
         let mut bench = Bench::start(BenchPlan::default()).await;
         slow_streams(&bench);
--- /dev/null
+++ b/tests/stopping_beside_load.rs
@@ -0,0 +1,100 @@
+//! A router's planned stop on a machine that has no processor to spare.
+
+mod common;
+
+use common::{Answer, Bench, BenchPlan, read_answer, streamed_question};
+use futures::future::join_all;
+use gatepier::lab::model::Behaviour;
+use googletest::prelude::*;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Threads that serve callers, and callers that stream at a time.
+const SERVING_THREADS: usize = 64;
+/// Threads that compete with the router for processors.
+const BUSY_THREADS: usize = 8;
+/// Longer than the two seconds of a router's notice and a stream that begins at their end.
+const CALLING: Duration = Duration::from_secs(5);
+
+/// Keeps threads busy until it is dropped.
+struct BusyThreads(Arc<AtomicBool>);
+
+impl BusyThreads {
+    fn start() -> Self {
+        let is_over = Arc::new(AtomicBool::new(false));
+        for _ in 0..BUSY_THREADS {
+            let is_over = is_over.clone();
+            std::thread::spawn(move || while !is_over.load(Ordering::Relaxed) {});
+        }
+        Self(is_over)
+    }
+}
+
+impl Drop for BusyThreads {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Streams answers until a moment, each over a connection of its own.
+async fn stream_until(bench: &Bench, until: Instant) -> Vec<Answer> {
+    let router = bench.boxes["ikeja-1"].files.router;
+    let url = format!("http://{router}/v1/chat/completions");
+    let mut answers = Vec::new();
+    while Instant::now() < until {
+        let client = gatepier::http_client::fresh_client();
+        let request = client.post(&url).bearer_auth("comics-key");
+        answers.push(read_answer(request.send_json(&streamed_question("small")).await).await);
+    }
+    answers
+}
+
+/// Replaces a router whose every thread has streams under way, `after` the successor is ready.
+async fn replace_under_streams(after: Duration) {
+    let plan = BenchPlan {
+        router_extra: format!("workers = {SERVING_THREADS}\n"),
+        ..BenchPlan::default()
+    };
+    let mut bench = Bench::start(plan).await;
+    let slow = Behaviour {
+        tokens: 60,
+        token_ms: 20,
+        ..Behaviour::default()
+    };
+    let models = bench.models.iter();
+    models.for_each(|model| model.stand_in.set("small/s1", slow));
+    let running = bench.boxes.get_mut("ikeja-1").unwrap();
+    let mut old = running.router.take().unwrap();
+    let _busy = BusyThreads::start();
+    let until = Instant::now() + CALLING + after;
+    bench.start_router("ikeja-1");
+    let stop = async {
+        let ready = bench.boxes.len() + 1;
+        let is_ready = async || bench.log_count("\"text\":\"ready\"") == ready;
+        bench.wait_for("the new router is ready", is_ready).await;
+        actix_rt::time::sleep(after).await;
+        old.signal(libc::SIGTERM);
+    };
+    let streams = join_all((0..SERVING_THREADS).map(|_| stream_until(&bench, until)));
+    let (streams, ()) = futures::join!(streams, stop);
+    let answers: Vec<&Answer> = streams.iter().flatten().collect();
+    let is_cut = |answer: &&&Answer| !answer.whole || answer.status != 200;
+    let cut: Vec<_> = answers.iter().filter(is_cut).collect();
+    expect_that!(cut, is_empty(), "of {} answers", answers.len());
+    let has_ended = async || old.ended().is_some();
+    bench.wait_for("the old router has ended", has_ended).await;
+    expect_that!(old.ended(), some(eq(true)));
+    let dropped = bench.log_lines("a connection is dropped while it is served");
+    expect_that!(dropped, eq(""));
+}
+
+cases! {
+    /// The stop of a router ended serving threads that had not yet been told to finish.
+    streams_are_whole_as_their_router_is_replaced_beside_busy_threads =>
+        replace_under_streams(Duration::ZERO);
+
+    /// The same, with the streams at other tokens when the router stops to take connections.
+    streams_are_whole_as_their_router_is_replaced_a_little_later_beside_busy_threads =>
+        replace_under_streams(Duration::from_millis(350));
+}
