What was seen of a version under roll-out outlasts the boxes that counted it

Cause, by a line for each look of the leading box: the counts went with the boxes, and what was left of the time had too few answers for a proof. Ruled out: a wrong time, a share that seems spent (no finding, given up at 92 hundredths). Why this works: the record keeps a summary of what was seen before the present stretch, and a box in line goes by it where it knows more than the box was told. Where the operators' share bears all sessions for the rest of the time, the last stage needs no proof of its own. The record and the questions of the model's boxes gain a field each; no check of a test changes.

--- a/src/gateway/control/leading.rs
+++ b/src/gateway/control/leading.rs
@@ -130,7 +130,7 @@
     let order = &standing.order;
     let knowledge = gw.knowledge.borrow();
     let rollout = knowledge.rollout(&order.service);
-    let verdict = rollout.and_then(|rollout| gw.judge_version(rollout, now));
+    let verdict = rollout.and_then(|rollout| gw.judge_version(rollout, true, now));
     let verdict = verdict.unwrap_or_default();
     Progress {
         elapsed: standing.elapsed,
@@ -166,6 +166,11 @@
     }
 }
 
+/// Tells whether this box may take roll-outs on.
+pub fn is_in_line(gw: &Gateway, now: Now) -> bool {
+    place_in_line(gw, now).is_some_and(|place| place < IN_LINE)
+}
+
 /// Returns the name under which a roll-out's target is watched.
 pub fn target_name(order: &RolloutOrder) -> VersionName {
     VersionName {
--- a/src/gateway/control/store.rs
+++ b/src/gateway/control/store.rs
@@ -4,6 +4,7 @@
 //! has to last goes through it. See `docs/design/platform.md`.
 
 use crate::gateway::admit::routes::RouteTable;
+use crate::gateway::versions::seen::Seen;
 use crate::store::StoreResult;
 use futures::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
@@ -162,7 +163,7 @@
 }
 
 /// The leading box's record of a roll-out, kept in the store so that it outlasts boxes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RolloutRecord {
     /// The service.
     pub service: String,
@@ -182,6 +183,9 @@
     /// The milliseconds that have probably passed beyond these while no box was there to count.
     #[serde(default)]
     pub unseen_ms: u64,
+    /// What the answers of both versions have said so far.
+    #[serde(default)]
+    pub seen: Box<Seen>,
     /// Versions that earlier roll-outs of the service found bad.
     pub rejected: Vec<String>,
 }
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -5,6 +5,7 @@
 pub mod judge;
 pub mod observed;
 pub mod rollout;
+pub mod seen;
 pub mod sessions;
 pub mod tally;
 pub mod times;
--- a/src/gateway/versions/counts.rs
+++ b/src/gateway/versions/counts.rs
@@ -10,7 +10,7 @@
 use crate::gateway::admit::job::Job;
 use crate::gateway::attempt::exchange::{Answer, Tried};
 use crate::gateway::attempt::upstream::Upstream;
-use crate::gateway::control::leading::target_name;
+use crate::gateway::control::leading::{is_in_line, target_name};
 use crate::gateway::control::rollout::Rollout;
 use crate::gateway::place::choose::Choice;
 use crate::gateway::place::reading;
@@ -113,13 +113,22 @@
         let mut versions = self.versions.borrow_mut();
         versions.keep(|order| orders.contains(&order));
         drop(versions);
+        let goes_by_record = is_in_line(self, now);
         for rollout in knowledge.rollouts().values() {
-            self.judge_version(rollout, now);
+            self.judge_version(rollout, goes_by_record, now);
         }
     }
 
     /// Judges the target of a roll-out; none if it is not under way.
-    pub fn judge_version(&self, rollout: &Rollout, now: Now) -> Option<Verdict> {
+    ///
+    /// Only boxes that may lead go by what the record says was seen: others hear of it too late to
+    /// weigh it against what they see themselves.
+    pub fn judge_version(
+        &self,
+        rollout: &Rollout,
+        goes_by_record: bool,
+        now: Now,
+    ) -> Option<Verdict> {
         let (order, _) = rollout.order.as_ref()?;
         let record = rollout.running(order)?;
         let span = Span {
@@ -134,6 +143,7 @@
             since: stretch_at(stage_since(record), order.duration).saturating_add(1),
             is_compared: record.permille >= bound.middle_stage(MOVING),
             is_proved: record.is_proved(),
+            seen: goes_by_record.then_some(*record.seen),
         };
         let mut versions = self.versions.borrow_mut();
         Some(versions.judge(asked, &bound, now))
--- a/src/gateway/versions/exposure.rs
+++ b/src/gateway/versions/exposure.rs
@@ -115,6 +115,17 @@
         (sent.new as f64 + missed) / allowed.max(f64::MIN_POSITIVE)
     }
 
+    /// Tells whether a version may have all sessions for the rest of the time without a proof: so
+    /// little of it is left that the operators' share would do even if it were bad.
+    pub fn bears_all(&self, sent: Sent, span: Span) -> bool {
+        let left = span.duration.saturating_sub(span.elapsed).as_secs_f64();
+        let then = Sent {
+            new: sent.new + (span.rate(sent) * left).ceil() as u64,
+            ..sent
+        };
+        self.spent_part(then, span) <= SPENT_PART
+    }
+
     /// Tells whether the time to stop would be running if all answers that may be bad were.
     pub fn is_doubted(&self, suspects: u32) -> bool {
         suspects >= SUSPECTS
--- a/src/gateway/versions/judge.rs
+++ b/src/gateway/versions/judge.rs
@@ -9,6 +9,7 @@
 
 use super::observed::{Answers, Counted, Group, Kind, Measure, Pair};
 use super::times::steps_of;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 
@@ -88,7 +89,7 @@
 type ByBadness = [f64; BAD_VERSIONS.len()];
 
 /// What answers of one measure say.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 struct Sum {
     odds: ByBadness,
     /// Those of [`SLOWS_MOST`].
@@ -105,6 +106,16 @@
         self.answers += other.answers;
     }
 
+    /// Returns the sum in hundredths, which take little room where it is written down.
+    fn rounded(self) -> Self {
+        let round = |odds: f64| (odds * 100.0).round() / 100.0;
+        Self {
+            odds: self.odds.map(round),
+            most: round(self.most),
+            ..self
+        }
+    }
+
     /// Tells whether the measure speaks for the version, or has too few answers to speak.
     fn agrees(&self) -> bool {
         self.answers < FEWEST_TO_AGREE || self.odds[0] <= AGREES_FROM
@@ -117,7 +128,7 @@
 }
 
 /// Sums of log odds, by what was timed.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Odds {
     head: Sum,
     pace: Sum,
@@ -140,6 +151,29 @@
         [self.head, self.pace, self.whole]
     }
 
+    fn add(&mut self, other: Self) {
+        self.head.add(other.head);
+        self.pace.add(other.pace);
+        self.whole.add(other.whole);
+    }
+
+    fn rounded(self) -> Self {
+        Self {
+            head: self.head.rounded(),
+            pace: self.pace.rounded(),
+            whole: self.whole.rounded(),
+        }
+    }
+
+    /// Adds the odds of one more stretch to a running sum, which is never below zero, so that a
+    /// good past does not hide a change.
+    fn run_on(&mut self, stretch: Self) {
+        self.add(stretch);
+        for sum in [&mut self.head, &mut self.pace, &mut self.whole] {
+            sum.odds = sum.odds.map(|odds| odds.max(0.0));
+        }
+    }
+
     fn of(&mut self, measure: Measure) -> &mut Sum {
         match measure {
             Measure::Head => &mut self.head,
@@ -238,43 +272,108 @@
     }
 }
 
-/// Judges a version by the counts of all boxes; `since` is the stretch from which on
-/// [`Judgement::since`] goes.
-pub fn judge(counted: &Counted, since: u16) -> Judgement {
-    let loaded = answers_under_load(counted);
-    let mut judgement = Judgement::default();
-    let mut running = Odds::default();
-    let mut stretches: BTreeMap<u16, Odds> = BTreeMap::new();
+/// What the stretches before a certain one say, in a form that outlasts the boxes that counted
+/// their answers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The first stretch that is not part of it.
+    pub until: u16,
+    /// The new version's answers.
+    pub answers: u32,
+    /// Those that may be bad.
+    pub suspects: u32,
+    /// What all say.
+    pub all: Odds,
+    /// What those of the present stage say.
+    pub since: Odds,
+    /// What the run of stretches up to the last says against the version.
+    pub running: Odds,
+}
+
+impl Summary {
+    /// Returns the summary for a stage that begins after its last stretch.
+    pub fn at_next_stage(self) -> Self {
+        Self {
+            since: Odds::default(),
+            ..self
+        }
+    }
+}
+
+/// What the answers of one stretch say.
+#[derive(Debug, Default)]
+struct Stretch {
+    odds: Odds,
+    answers: u32,
+    open: u32,
+    suspects: BTreeMap<Measure, u32>,
+}
+
+/// Judges a version by the counts of all boxes, and by a summary of what they do not hold.
+///
+/// `since` is the stretch from which on [`Judgement::since`] goes.
+pub fn judge(counted: &Counted, earlier: Summary, since: u16) -> Judgement {
+    summarise(counted, earlier, since).1
+}
+
+/// Sums up all that was counted, which is of stretches before `until`, and an earlier summary.
+pub fn summary_until(until: u16, counted: &Counted, earlier: Summary, since: u16) -> Summary {
+    let (summary, _) = summarise(counted, earlier, since);
+    Summary {
+        until,
+        all: summary.all.rounded(),
+        since: summary.since.rounded(),
+        running: summary.running.rounded(),
+        ..summary
+    }
+}
+
+fn summarise(counted: &Counted, earlier: Summary, since: u16) -> (Summary, Judgement) {
+    let mut summary = earlier;
+    let mut open = 0;
     let mut suspects: BTreeMap<Measure, u32> = BTreeMap::new();
+    for (number, stretch) in stretches_of(counted) {
+        summary.answers += stretch.answers;
+        open += stretch.open;
+        for (measure, count) in stretch.suspects {
+            *suspects.entry(measure).or_default() += count;
+        }
+        summary.all.add(stretch.odds);
+        if number >= since {
+            summary.since.add(stretch.odds);
+        }
+        summary.running.run_on(stretch.odds);
+    }
+    summary.suspects += suspects.into_values().max().unwrap_or(0);
+    let judgement = Judgement {
+        against: summary.running.worst(),
+        all: summary.all,
+        since: summary.since,
+        answers: summary.answers,
+        open,
+        suspects: summary.suspects,
+    };
+    (summary, judgement)
+}
+
+fn stretches_of(counted: &Counted) -> BTreeMap<u16, Stretch> {
+    let loaded = answers_under_load(counted);
+    let mut stretches: BTreeMap<u16, Stretch> = BTreeMap::new();
     for (group, pair) in &counted.groups {
+        let stretch = stretches.entry(group.stretch).or_default();
         if group.measure != Measure::Pace {
-            judgement.answers += pair.new.times.total() + pair.new.failed;
-            judgement.open += pair.new.open.total();
+            stretch.answers += pair.new.answers();
+            stretch.open += pair.new.open.total();
         }
         let compared = Comparison::of(group, pair, &loaded);
-        *suspects.entry(group.measure).or_default() += suspects_of(&pair.new, compared.as_ref());
-        let Some(compared) = compared else {
-            continue;
-        };
-        let stretch = stretches.entry(group.stretch).or_default();
-        stretch.of(group.measure).add(compared.odds_of(&pair.new));
-    }
-    judgement.suspects = suspects.into_values().max().unwrap_or(0);
-    for (stretch, found) in stretches {
-        for measure in [Measure::Head, Measure::Pace, Measure::Whole] {
-            let odds = *found.clone().of(measure);
-            judgement.all.of(measure).add(odds);
-            if stretch >= since {
-                judgement.since.of(measure).add(odds);
-            }
-            // Never below zero, so that a good past does not hide a change.
-            let sum = running.of(measure);
-            sum.add(odds);
-            sum.odds = sum.odds.map(|odds| odds.max(0.0));
+        let suspects = suspects_of(&pair.new, compared.as_ref());
+        *stretch.suspects.entry(group.measure).or_default() += suspects;
+        if let Some(compared) = compared {
+            let odds = compared.odds_of(&pair.new);
+            stretch.odds.of(group.measure).add(odds);
         }
     }
-    judgement.against = running.worst();
-    judgement
+    stretches
 }
 
 /// Collects the old version's answers of the stretches in which it bore most of the load.
--- a/src/gateway/versions/observed.rs
+++ b/src/gateway/versions/observed.rs
@@ -7,6 +7,7 @@
 use super::times::Times;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::ops::RangeBounds;
 use std::time::Duration;
 
 /// Stretches that a report repeats. What changes in older ones are answers that took a third
@@ -87,6 +88,11 @@
         self.times.total() + self.open.total()
     }
 
+    /// Returns the number of those that came or failed.
+    pub fn answers(&self) -> u32 {
+        self.times.total() + self.failed
+    }
+
     /// Adds other answers.
     pub fn extend(&mut self, other: &Self) {
         self.times.extend(&other.times);
@@ -196,6 +202,27 @@
         self.groups.retain(|group, _| group.stretch >= first);
     }
 
+    /// Returns the number of the new version's answers before a stretch.
+    pub fn answers_before(&self, stretch: u16) -> u32 {
+        let is_before = |(group, _): &(&Group, &Pair)| {
+            group.stretch < stretch && group.measure != Measure::Pace
+        };
+        let groups = self.groups.iter().filter(is_before);
+        groups.map(|(_, pair)| pair.new.answers()).sum()
+    }
+
+    /// Returns the answers of the stretches that a range holds.
+    pub fn within(&self, stretches: impl RangeBounds<u16>) -> Self {
+        let is_within = |(group, _): &(&Group, &Pair)| stretches.contains(&group.stretch);
+        let groups = self.groups.iter().filter(is_within);
+        Self {
+            sent: self.sent,
+            groups: groups
+                .map(|(group, pair)| (group.clone(), pair.clone()))
+                .collect(),
+        }
+    }
+
     /// Adds another box's counts.
     pub fn extend(&mut self, other: &Self) {
         self.sent.extend(&other.sent);
--- a/src/gateway/versions/rollout.rs
+++ b/src/gateway/versions/rollout.rs
@@ -164,6 +164,7 @@
         elapsed_ms: millis(progress.elapsed),
         stage_ms: millis(progress.elapsed),
         unseen_ms: 0,
+        seen: Box::default(),
         rejected: rejected
             .into_iter()
             .filter(|version| *version != order.target)
@@ -198,6 +199,10 @@
     let is_time_due = progress.elapsed >= time_due(order, &next);
     next.elapsed_ms = millis(progress.elapsed);
     next.unseen_ms = millis(progress.unseen);
+    *next.seen = match is_stage {
+        true => progress.verdict.seen.at_next_stage(),
+        false => progress.verdict.seen,
+    };
     (is_stage || is_time_due).then_some(next)
 }
 
@@ -239,7 +244,10 @@
                 true => Evidence::BeyondDoubt,
                 false => Evidence::Proves,
             };
-            (verdict.at_stage >= asked, ALL_SESSIONS)
+            let is_borne = verdict.at_stage >= Evidence::Speaks
+                && verdict.evidence >= Evidence::Proves
+                && progress.bound.bears_all(verdict.sent, span);
+            (verdict.at_stage >= asked || is_borne, ALL_SESSIONS)
         }
         at if at >= moving => (
             lasted >= least(MOVING_LASTS, order) && verdict.evidence >= Evidence::Triable,
--- /dev/null
+++ b/src/gateway/versions/seen.rs
@@ -0,0 +1,27 @@
+//! What the answers of a roll-out have said so far, in a form that the store keeps.
+//!
+//! Counts live in boxes, and are lost where all of them are killed together. What they said goes
+//! into the record of the roll-out with each writing, so that a version is not judged anew by the
+//! few answers that are left in its time.
+
+use super::judge::Summary;
+use serde::{Deserialize, Serialize};
+
+/// What was seen of both versions before a certain stretch.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Seen {
+    /// How the answers that came ranked.
+    pub answers: Summary,
+    /// The logarithm of the odds that the version fails more often than the old one.
+    pub failures: f64,
+}
+
+impl Seen {
+    /// Returns what still holds when a stage begins: its answers are judged by themselves as well.
+    pub fn at_next_stage(self) -> Self {
+        Self {
+            answers: self.answers.at_next_stage(),
+            ..self
+        }
+    }
+}
--- a/src/gateway/versions/watch.rs
+++ b/src/gateway/versions/watch.rs
@@ -5,9 +5,10 @@
 //! `docs/design/exposure.md`.
 
 use super::exposure::{ExposureBound, Span};
-use super::judge::{Evidence, Judgement, judge};
+use super::judge::{Evidence, Judgement, judge, summary_until};
 use super::observed::{Counted, Report, Sent};
-use super::tally::Tally;
+use super::seen::Seen;
+use super::tally::{Tally, stretch_at};
 use crate::clock::Now;
 use crate::evidence::Counts;
 use crate::guard::{Guard, GuardPolicy};
@@ -98,6 +99,8 @@
     pub is_compared: bool,
     /// Whether the version has all sessions, which takes a proof.
     pub is_proved: bool,
+    /// What the record says was seen before; none where it is not this box that goes by it.
+    pub seen: Option<Seen>,
 }
 
 /// What is known of a version.
@@ -111,6 +114,8 @@
     pub at_stage: Evidence,
     /// The requests since the order.
     pub sent: Sent,
+    /// What was seen so far, for the record.
+    pub seen: Seen,
 }
 
 /// What another box has told of a roll-out.
@@ -211,15 +216,19 @@
     /// Judges a version by all counts that this box has.
     pub fn judge(&mut self, asked: Question<'_>, bound: &ExposureBound, now: Now) -> Verdict {
         let counted = self.counted(asked.order, now);
-        let judgement = judge(&counted, asked.since);
-        let failures = failures_by_route(&counted);
-        let by_failures = evidence_of_failures(&failures);
-        let failing = self.failing_route(asked, failures);
+        let failing = self.failing_route(asked, failures_by_route(&counted));
+        let earlier = earlier_of(asked, &counted);
+        let later = counted.within(earlier.answers.until..);
+        let judgement = judge(&later, earlier.answers, asked.since);
+        let by_failures = evidence_of_failures(earlier.failures + odds_of_failures(&later));
         let verdict = Verdict {
             judgement,
             evidence: judgement.evidence().min(by_failures),
             at_stage: judgement.evidence_at_stage().min(by_failures),
             sent: counted.sent,
+            seen: asked
+                .seen
+                .map_or(earlier, |_| seen_until_now(asked, &later, earlier)),
         };
         let is_cleared = match asked.is_compared {
             true => verdict.at_stage >= Evidence::Proves,
@@ -329,10 +338,35 @@
     }
 }
 
-/// Returns how far the failures of all routes allow to go on with a version.
-fn evidence_of_failures(by_route: &BTreeMap<String, RouteCounts>) -> Evidence {
+/// Returns what the record says was seen before, if it is more than this box was told: boxes that
+/// were restarted have lost what they had counted.
+fn earlier_of(asked: Question<'_>, counted: &Counted) -> Seen {
+    let knows_more =
+        |seen: &Seen| seen.answers.answers > counted.answers_before(seen.answers.until);
+    asked.seen.filter(knows_more).unwrap_or_default()
+}
+
+/// Sums up what was seen before the present stretch, whose answers are under way.
+fn seen_until_now(asked: Question<'_>, later: &Counted, earlier: Seen) -> Seen {
+    let until = stretch_at(asked.span.elapsed, asked.span.duration);
+    let until = until.max(earlier.answers.until);
+    let ended = later.within(..until);
+    Seen {
+        answers: summary_until(until, &ended, earlier.answers, asked.since),
+        failures: earlier.failures + odds_of_failures(&ended),
+    }
+}
+
+/// Returns the logarithm of the odds that a version fails more often than the old one, by the
+/// failures of all routes.
+fn odds_of_failures(counted: &Counted) -> f64 {
+    let by_route = failures_by_route(counted);
     let single = by_route.iter().filter(|(route, _)| *route != ALL_ROUTES);
-    let odds: f64 = single.map(|(_, counts)| counts.odds_of_failing()).sum();
+    single.map(|(_, counts)| counts.odds_of_failing()).sum()
+}
+
+/// Returns how far those odds allow to go on with a version.
+fn evidence_of_failures(odds: f64) -> Evidence {
     if odds <= FAILS_LITTLE_FROM {
         Evidence::BeyondDoubt
     } else if odds <= MAY_FAIL_LITTLE_FROM {
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -10,6 +10,7 @@
 use gatepier::gateway::versions::rollout::{
     Progress, VersionQuery, VersionRule, is_overdue, next_record, version_rule,
 };
+use gatepier::gateway::versions::seen::Seen;
 use gatepier::gateway::versions::sessions::Sessions;
 use gatepier::gateway::versions::watch::{Finding, Question, Verdict, VersionWatch};
 use gatepier::name::VersionName;
@@ -37,6 +38,7 @@
         elapsed_ms: elapsed.as_millis() as u64,
         stage_ms: elapsed.as_millis() as u64,
         unseen_ms: 0,
+        seen: Box::default(),
         rejected: Vec::new(),
     }
 }
@@ -95,6 +97,7 @@
                 all: u64::from(seconds) * 100,
                 from: Some(Duration::ZERO),
             },
+            seen: Seen::default(),
         },
         bound: bound(),
     }
@@ -184,6 +187,11 @@
     }
 
     fn judge(&mut self, now_ms: u64) -> Verdict {
+        self.judge_by(None, now_ms)
+    }
+
+    /// Judges by the counts and by what a record says was seen before.
+    fn judge_by(&mut self, seen: Option<Seen>, now_ms: u64) -> Verdict {
         let target = target();
         let asked = Question {
             order: 10,
@@ -195,6 +203,7 @@
             since: 0,
             is_compared: false,
             is_proved: true,
+            seen,
         };
         self.watch.judge(asked, &bound(), at(now_ms))
     }
@@ -714,6 +723,86 @@
         expect_that!(counting.is_bad(), eq(true));
     }
 
+    what_was_seen_outlasts_the_boxes_that_counted_it => {
+        // A sound version was taken back since boxes that were all killed judged it anew.
+        let mut counting = Counting::new("one life");
+        for _ in 0..60 {
+            counting.count_both("recap", Answer::Whole);
+        }
+        let before = counting.judge_by(Some(Seen::default()), 0);
+        expect_that!(before.evidence, ge(Evidence::Proves));
+        let first = record(RolloutState::Running, 100, 4 * SECOND);
+        let same_stage = Progress { verdict: before, ..progress(6, false) };
+        let written = next_record(&order(), Some(&first), same_stage).unwrap();
+        let text = serde_json::to_string(&written).unwrap();
+        let read: RolloutRecord = serde_json::from_str(&text).unwrap();
+        let mut counting = Counting::new("next life");
+        let after = counting.judge_by(Some(*read.seen), 0);
+        expect_that!(after.evidence, eq(before.evidence));
+        expect_that!(after.at_stage, eq(before.at_stage));
+        expect_that!(after.judgement.answers, eq(60));
+        expect_that!(after.judgement.suspects, eq(before.judgement.suspects));
+        expect_that!(counting.judge(0).evidence, eq(Evidence::Wanting));
+    }
+
+    what_speaks_against_a_version_outlasts_the_boxes_that_counted_it => {
+        let mut counting = Counting::new("one life");
+        for answer in 0..18 {
+            let answer = if answer % 2 == 0 { Answer::Slow } else { Answer::Whole };
+            counting.count_both("recap", answer);
+        }
+        let before = counting.judge_by(Some(Seen::default()), 0);
+        let after = Counting::new("next life").judge_by(Some(before.seen), 0);
+        expect_that!(before.judgement.against, gt(2.0));
+        expect_that!(after.judgement.against, near(before.judgement.against, 0.01));
+    }
+
+    what_a_box_counted_itself_is_not_counted_once_more_from_the_record => {
+        let mut counting = Counting::new("box");
+        for _ in 0..60 {
+            counting.count_both("recap", Answer::Whole);
+        }
+        let seen = counting.judge_by(Some(Seen::default()), 0).seen;
+        expect_that!(counting.judge_by(Some(seen), 0).judgement.answers, eq(60));
+    }
+
+    stage_is_judged_by_its_own_answers_though_others_are_kept => {
+        let mut counting = Counting::new("box");
+        for _ in 0..60 {
+            counting.count_both("recap", Answer::Whole);
+        }
+        let verdict = counting.judge_by(Some(Seen::default()), 0);
+        let first = record(RolloutState::Running, 100, 4 * SECOND);
+        let moving = Progress { verdict, ..progress(13, true) };
+        let next = next_record(&order(), Some(&first), moving).unwrap();
+        expect_that!(next.permille, gt(100));
+        let verdict = Counting::new("next life").judge_by(Some(*next.seen), 0);
+        expect_that!(verdict.at_stage, eq(Evidence::Wanting));
+    }
+
+    record_of_a_box_that_kept_nothing_is_read => {
+        let text = r#"{"service":"engine","target":"v2","order_revision":10,"state":"Running",
+            "permille":100,"elapsed_ms":1000,"rejected":[]}"#;
+        let read: RolloutRecord = serde_json::from_str(text).unwrap();
+        expect_that!(*read.seen, eq(Seen::default()));
+    }
+
+    last_step_needs_no_proof_of_its_own_where_the_operators_share_bears_it => {
+        // Ten requests a second: the stage has too few answers for a proof, and all sessions for
+        // the rest of the time are within what a bad version may have.
+        let compared = record(RolloutState::Running, 400, 14 * SECOND);
+        let next = |all, at_stage| {
+            let mut late = progress(22, true);
+            late.verdict.evidence = Evidence::Proves;
+            late.verdict.at_stage = at_stage;
+            late.verdict.sent = Sent { new: all / 6, all, from: Some(Duration::ZERO) };
+            next_record(&order(), Some(&compared), late).map_or(400, |next| next.permille)
+        };
+        expect_that!(next(220, Evidence::Speaks), eq(1000));
+        expect_that!(next(220, Evidence::Triable), eq(400));
+        expect_that!(next(2200, Evidence::Speaks), eq(400));
+    }
+
     finding_of_one_order_says_nothing_of_the_next => {
         // A version may be ordered anew once it is mended. Counts and findings went by its
         // name, so a roll-out that was ordered anew would have been taken back at once.
@@ -730,6 +819,7 @@
             since: 0,
             is_compared: false,
             is_proved: false,
+            seen: None,
         };
         counting.watch.judge(again, &bound(), at(0));
         expect_that!(counting.watch.finding(11), none());
--- a/tests/gateway/trials.rs
+++ b/tests/gateway/trials.rs
@@ -40,6 +40,8 @@
 const LOST: f64 = 0.1;
 /// Boxes that are told of counts.
 const TOLD: usize = 2;
+/// Boxes that may lead, and go by what the record says was seen.
+const IN_LINE: usize = 2;
 /// How long boxes that were killed take to serve again.
 const RESTART: Duration = Duration::from_millis(500);
 const ORDER: u64 = 10;
@@ -405,6 +407,7 @@
             since: stretch_at(stage_since(&record), self.plan.duration()) + 1,
             is_compared: record.permille >= bound().middle_stage(MOVING),
             is_proved: record.is_proved(),
+            seen: (number < IN_LINE).then_some(*record.seen),
         };
         self.boxes[number].watch.judge(asked, &bound(), now(at))
     }
@@ -617,6 +620,12 @@
         }
     }
 
+    sound_version_of_other_seeds_is_done_in_time_though_all_boxes_are_killed_twice => {
+        for (plan, outcome) in roll_out_each(20, killed_twice) {
+            expect_that!(outcome.state, eq(RolloutState::Done), "{plan:?}: {outcome:?}");
+        }
+    }
+
     sound_version_is_done_in_time_though_all_boxes_are_killed_twice => {
         for (plan, outcome) in roll_out_each(SEEDS, killed_twice) {
             expect_that!(outcome.state, eq(RolloutState::Done), "{plan:?}: {outcome:?}");
