--- a/src/gateway/control/knowledge.rs
+++ b/src/gateway/control/knowledge.rs
@@ -4,7 +4,7 @@
 //! known, so nothing ever goes back within a life. See `docs/design/platform.md`.
 
 use super::lag::Lag;
-use super::rollout::{Rollout, SeenRecord};
+use super::rollout::Rollout;
 use super::store::{BoxEntry, ListedUpstream, RolloutOrder, RolloutRecord, Update, UpstreamLife};
 use crate::clock::Now;
 use crate::gateway::admit::routes::RouteTable;
@@ -263,32 +263,19 @@
     fn take_order(&mut self, order: RolloutOrder, now: Now) -> Change {
         let service = order.service.clone();
         let rollout = self.rollouts.entry(service.clone()).or_default();
-        let known = rollout
-            .order
-            .as_ref()
-            .map_or(0, |(known, _)| known.revision);
-        if order.revision <= known {
-            return Change::Nothing;
+        match rollout.take_order(order, now) {
+            true => Change::Rollout(service),
+            false => Change::Nothing,
         }
-        rollout.order = Some((order, now.monotonic));
-        Change::Rollout(service)
     }
 
     fn take_record(&mut self, record: RolloutRecord, revision: u64, now: Now) -> Change {
         let service = record.service.clone();
         let rollout = self.rollouts.entry(service.clone()).or_default();
-        let known = rollout.record.as_ref().map_or(0, |known| known.revision);
-        if revision <= known {
-            return Change::Nothing;
+        match rollout.take_record(record, revision, now) {
+            true => Change::Rollout(service),
+            false => Change::Nothing,
         }
-        let is_found = rollout.is_found(&record, now);
-        rollout.record = Some(SeenRecord {
-            record,
-            revision,
-            seen: now.monotonic,
-            is_found,
-        });
-        Change::Rollout(service)
     }
 
     fn take_box(&mut self, entry: BoxEntry) -> Change {
@@ -492,11 +479,8 @@
 
     /// Takes another box's word on the time since an order.
     pub fn hear_elapsed(&mut self, order: u64, elapsed: Duration, now: Now) {
-        let is_ordered = |rollout: &&mut Rollout| {
-            let known = rollout.order.as_ref();
-            known.is_some_and(|(known, _)| known.revision == order)
-        };
-        if let Some(rollout) = self.rollouts.values_mut().find(is_ordered) {
+        let mut rollouts = self.rollouts.values_mut();
+        if let Some(rollout) = rollouts.find(|rollout| rollout.is_of(order)) {
             rollout.hear_elapsed(order, elapsed, now);
         }
     }
--- a/src/gateway/control/rollout.rs
+++ b/src/gateway/control/rollout.rs
@@ -62,9 +62,40 @@
 }
 
 impl Rollout {
+    /// Takes an order, unless a newer one is known; true if it is new.
+    pub fn take_order(&mut self, order: RolloutOrder, now: Now) -> bool {
+        let known = self.order.as_ref();
+        let is_newer = known.is_none_or(|(known, _)| order.revision > known.revision);
+        if is_newer {
+            self.order = Some((order, now.monotonic));
+        }
+        is_newer
+    }
+
+    /// Takes a record, unless a newer one is known; true if it is new.
+    pub fn take_record(&mut self, record: RolloutRecord, revision: u64, now: Now) -> bool {
+        let known = self.record.as_ref();
+        let is_newer = known.is_none_or(|known| revision > known.revision);
+        if is_newer {
+            self.record = Some(SeenRecord {
+                is_found: self.is_found(&record, now),
+                record,
+                revision,
+                seen: now.monotonic,
+            });
+        }
+        is_newer
+    }
+
+    /// Tells whether the newest order is the one of a revision.
+    pub fn is_of(&self, order: u64) -> bool {
+        let known = self.order.as_ref();
+        known.is_some_and(|(known, _)| known.revision == order)
+    }
+
     /// Tells whether a record that comes now stood there before this box learned of its order, by
     /// the time that the record tells: later ones were written while this box listened.
-    pub fn is_found(&self, record: &RolloutRecord, now: Now) -> bool {
+    fn is_found(&self, record: &RolloutRecord, now: Now) -> bool {
         let knows_one = self
             .record
             .as_ref()
