A successor asks for the callers' socket without blocking

Connecting to a Unix socket whose queue is full blocks, and the timeout was none for a call that blocks: a successor of a frozen router that several had asked before might have hung. By reading; no test fills that queue.

--- a/src/http_server/accept.rs
+++ b/src/http_server/accept.rs
@@ -10,7 +10,7 @@
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 /// The pause after a failed accept, such as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// How long those that have begun to connect may take to be through when a listener is left: a few
 /// times the way to a caller and back. Whoever begins meanwhile is held up by a second.
--- a/src/http_server/handover.rs
+++ b/src/http_server/handover.rs
@@ -5,7 +5,7 @@
 //! which it was asked for, so that neither is closed as routers come and go. See "Leaving a shared
 //! address" in `docs/design/stopping.md`.
 
-use super::accept::Leaving;
+use super::accept::{ACCEPT_PAUSE, Leaving};
 use crate::daemon::listen_shared;
 use crate::error::{Error, Result};
 use rustix::cmsg_space;
@@ -19,8 +19,6 @@
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
-use std::os::linux::net::SocketAddrExt as _;
-use std::os::unix::net as std_unix;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt as _, Interest};
@@ -30,8 +28,6 @@
 
 /// How long a predecessor may take to pass its sockets on. One that is frozen does not answer.
 const TAKE_OVER_TIMEOUT: Duration = Duration::from_secs(1);
-/// The pause after a failed accept, such as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Stands beside the descriptors, which cannot be sent without a byte of data.
 const MESSAGE: [u8; 1] = [1];
 /// The callers' socket and the one at which successors ask.
@@ -77,7 +73,7 @@
                 log::warn!(address:%; "a router has the callers' socket and does not pass it on");
             }
         }
-        let asked_at = listen_for_successors(address)
+        let asked_at = UnixListener::bind(name_of(address))
             .inspect_err(|err| log::warn!("the callers' socket cannot be passed on: {err}"));
         Ok(Self {
             listener: listen_shared(address)?,
@@ -116,21 +112,14 @@
     }
 }
 
-/// The name, in the network namespace of the callers' address, at which its socket is asked for.
-fn name_of(address: SocketAddr) -> io::Result<std_unix::SocketAddr> {
-    std_unix::SocketAddr::from_abstract_name(format!("gatepier-router/{address}"))
-}
-
-fn listen_for_successors(address: SocketAddr) -> io::Result<UnixListener> {
-    let listener = std_unix::UnixListener::bind_addr(&name_of(address)?)?;
-    listener.set_nonblocking(true)?;
-    UnixListener::from_std(listener)
+/// Returns the name, in the network namespace of the callers' address, at which its socket is asked
+/// for. The leading zero byte makes it an abstract one, which lies in no file system.
+fn name_of(address: SocketAddr) -> String {
+    format!("\0gatepier-router/{address}")
 }
 
 async fn take_over(address: SocketAddr) -> io::Result<CallersSocket> {
-    let predecessor = std_unix::UnixStream::connect_addr(&name_of(address)?)?;
-    predecessor.set_nonblocking(true)?;
-    let predecessor = UnixStream::from_std(predecessor)?;
+    let predecessor = UnixStream::connect(name_of(address)).await?;
     check_user(&predecessor)?;
     let receive = || receive_sockets(predecessor.as_fd());
     let [listener, asked_at] = predecessor.async_io(Interest::READABLE, receive).await?;
