--- a/src/gateway/versions/seen.rs
+++ b/src/gateway/versions/seen.rs
@@ -1,8 +1,8 @@
 //! What the answers of a roll-out have said so far, in a form that the store keeps.
 //!
 //! Counts live in boxes, and are lost where all of them are killed together. What they said goes
-//! into the record of the roll-out with each writing, so that a version is not judged anew by the
-//! few answers that are left in its time.
+//! into the record of the roll-out with each writing, so that the next boxes do not judge the
+//! version by the few answers that are left in its time.
 
 use super::judge::Summary;
 use serde::{Deserialize, Serialize};
--- a/src/gateway/versions/watch.rs
+++ b/src/gateway/versions/watch.rs
@@ -338,8 +338,8 @@
     }
 }
 
-/// Returns what the record says was seen before, if it is more than this box was told: boxes that
-/// were restarted have lost what they had counted.
+/// Returns what the record says was seen before, if it is more than this box has counts of: boxes
+/// that were restarted have lost theirs.
 fn earlier_of(asked: Question<'_>, counted: &Counted) -> Seen {
     let knows_more =
         |seen: &Seen| seen.answers.answers > counted.answers_before(seen.answers.until);
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -128,7 +128,7 @@
         self.leave(Leaving::Alone).await
     }
 
-    /// Leaves the callers' socket to whoever else has it, or takes what waits there first.
+    /// Leaves the callers' socket, in the way that suits who else may have it.
     pub async fn leave(self, leaving: Leaving) -> HttpServer<Draining> {
         let Announced(Accepting { task, stop }) = self.stage;
         if stop.send(leaving).is_err() {
--- a/src/http_server/accept.rs
+++ b/src/http_server/accept.rs
@@ -21,9 +21,9 @@
 pub enum Leaving {
     /// A successor has the same socket and takes what waits there.
     ToSuccessor,
-    /// Nobody ever had the same socket; others may listen on the address by sockets of their own.
+    /// No other process ever had the same socket; others may listen on the address by sockets of their own.
     Alone,
-    /// Others had the same socket, and nobody is known to have it still.
+    /// Others had the same socket, and may have it still.
     Uncertain,
 }
 
@@ -51,7 +51,8 @@
     }
 }
 
-/// Hands each connection to `take` until `stop`, and then those that wait for nobody else.
+/// Hands each connection to `take` until `stop`, and then those that wait, unless a successor takes
+/// them.
 pub async fn accept_until(
     listener: TcpListener,
     stop: oneshot::Receiver<Leaving>,
--- a/src/http_server/handover.rs
+++ b/src/http_server/handover.rs
@@ -52,7 +52,7 @@
     predecessor: Option<UnixStream>,
 }
 
-/// What is known of whoever took the callers' socket over.
+/// What is known of the router that took the callers' socket over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Successor {
     None,
@@ -61,7 +61,7 @@
 }
 
 impl CallersSocket {
-    /// Takes the socket of an address over from the router that has it, or listens there anew.
+    /// Takes the socket of an address over from the router that has it, or opens a new one.
     pub async fn open(address: SocketAddr) -> Result<Self> {
         match timeout(TAKE_OVER_TIMEOUT, take_over(address)).await {
             Ok(Ok(taken)) => {
@@ -99,7 +99,7 @@
 }
 
 impl Handover {
-    /// Stops offering the socket, and tells how it may be left.
+    /// Stops offering the socket, and returns how it may be left.
     pub async fn stop(self) -> Leaving {
         self.offering.abort();
         // The task holds a descriptor of the callers' socket until it has ended.
--- a/src/router/served.rs
+++ b/src/router/served.rs
@@ -1,7 +1,7 @@
 //! What becomes of the connections that a thread serves.
 //!
-//! A thread that ends before its connections drops them. Each connection therefore tells how it
-//! ended, and one that is dropped is counted apart, so that the log of a stop shows whether it
+//! A thread that ends before its connections drops them. The end of each connection is therefore
+//! logged, and one that is dropped is counted apart, so that the log of a stop shows whether it
 //! cut anything.
 
 use std::fmt;
@@ -15,7 +15,7 @@
 pub enum ConnectionEnd {
     /// The last answer asked the caller to leave.
     AskedToLeave,
-    /// The caller was told that nothing more was read.
+    /// The last answer said that nothing more was read.
     ToldUnread,
     /// The caller left, or nothing was under way for long.
     Rested,
--- a/tests/replacing_soak.rs
+++ b/tests/replacing_soak.rs
@@ -136,7 +136,35 @@
     routers
 }
 
-async fn replace_at_random(seed: u64, length: Duration) {
+/// Replaces a box's agent at random moments until a moment, one life after the other.
+async fn replace_agent_on(
+    bench: &Bench,
+    mut agent: Process,
+    seed: u64,
+    until: Instant,
+) -> (Process, usize) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut replaced = 0;
+    while Instant::now() < until {
+        let pause = rng.random_range(500..2500);
+        actix_rt::time::sleep(Duration::from_millis(pause)).await;
+        agent.signal(libc::SIGTERM);
+        let has_ended = async || agent.ended().is_some();
+        bench.wait_for("the agent has ended", has_ended).await;
+        agent = bench.spawn_agent("ikeja-1");
+        replaced += 1;
+    }
+    (agent, replaced)
+}
+
+/// What is replaced while callers use a box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Replaced {
+    Routers,
+    RoutersAndAgents,
+}
+
+async fn replace_at_random(what: Replaced, seed: u64, length: Duration) {
     let mut rng = StdRng::seed_from_u64(seed);
     let workers = rng.random_range(1..=8);
     let drain_ms = [8000, 20_000, 60_000][rng.random_range(0..3)];
@@ -153,6 +181,10 @@
     let models = bench.models.iter();
     models.for_each(|model| model.stand_in.set("small/s1", steady));
     let first = bench.boxes.get_mut("ikeja-1").unwrap().router.take();
+    let agent = match what {
+        Replaced::Routers => None,
+        Replaced::RoutersAndAgents => bench.boxes.get_mut("ikeja-1").unwrap().agent.take(),
+    };
     let address = bench.boxes["ikeja-1"].files.router;
     let until = Instant::now() + length;
     let plans: Vec<CallerPlan> = (0..CALLERS)
@@ -160,26 +192,47 @@
         .collect();
     let callers = join_all(plans.iter().map(|plan| call(address, *plan, seed, until)));
     let replacements = replace_on(&bench, first.unwrap(), seed, &mut rng, until);
-    let (seen, _routers) = futures::join!(callers, replacements);
+    let agents = async {
+        match agent {
+            Some(agent) => Some(replace_agent_on(&bench, agent, seed, until).await),
+            None => None,
+        }
+    };
+    let (seen, _routers, agents) = futures::join!(callers, replacements, agents);
     let served: usize = seen.iter().map(|seen| seen.served).sum();
     let longest = seen.iter().map(|seen| seen.longest_connecting).max();
-    let not_served: Vec<_> = seen.into_iter().flat_map(|seen| seen.not_served).collect();
+    let mut not_served: Vec<_> = seen.into_iter().flat_map(|seen| seen.not_served).collect();
     let replaced = bench.log_count("\"text\":\"stopping: requests under way are finished\"");
     println!(
         "seed {seed}: {served} served, {} not, {replaced} routers stopped, connecting {longest:?}",
         not_served.len()
     );
+    if let Some((_agent, replaced)) = agents {
+        println!("seed {seed}: {replaced} agents replaced");
+        // While a box has no agent, what may not be repeated is refused.
+        not_served.retain(|(_, reply)| !reply.is_known());
+    }
     expect_that!(not_served, is_empty(), "seed {seed}");
     expect_that!(longest, some(lt(LONGEST_CONNECTING)), "seed {seed}");
     let dropped = bench.log_lines("a connection is dropped while it is served");
     expect_that!(dropped, eq(""), "seed {seed}");
 }
 
-#[googletest::test]
-fn routers_replaced_at_random_cut_and_refuse_nobody() {
+fn replace_with_each_seed(what: Replaced) {
     let first = setting("GATEPIER_REPLACING_SEED", 1);
     let length = Duration::from_secs(setting("GATEPIER_REPLACING_SECONDS", 6));
     for seed in first..first + setting("GATEPIER_REPLACING_SEEDS", 2) {
-        run(replace_at_random(seed, length));
+        run(replace_at_random(what, seed, length));
     }
 }
+
+#[googletest::test]
+fn routers_replaced_at_random_cut_and_refuse_nobody() {
+    replace_with_each_seed(Replaced::Routers);
+}
+
+/// Agents come and go as well: a caller may be refused, and knows then that nothing ran.
+#[googletest::test]
+fn routers_and_agents_replaced_at_random_leave_nobody_in_doubt() {
+    replace_with_each_seed(Replaced::RoutersAndAgents);
+}
