--- a/tests/replacing.rs
+++ b/tests/replacing.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{
-    Answer, Bench, BenchPlan, KeptConnection, Reply, connect_over_h2, question, read_answer,
-    streamed_question,
+    Answer, Bench, BenchPlan, KeptConnection, Process, Reply, connect_over_h2, question,
+    read_answer, streamed_question,
 };
 use futures::future::join_all;
 use gatepier::daemon::listen_shared;
@@ -434,6 +434,27 @@
         bench.wait_for("the answer is billed", async || bench.ledger().await.contains_key(id)).await;
     };
 
+    /// What was refused as not run may be asked for again, though an agent took its claim late.
+    request_that_was_refused_while_agents_were_frozen_runs_when_it_comes_again => async {
+        const KEYS: usize = 32;
+        let bench = Bench::start(BenchPlan::default()).await;
+        let agents = || bench.boxes.values().map(|running| running.agent.as_ref().unwrap());
+        agents().for_each(Process::freeze);
+        let keys: Vec<String> = (0..KEYS).map(|number| format!("mark-{number}")).collect();
+        let first = join_all(keys.iter().map(|key| bench.bookmark("ikeja-1", key))).await;
+        let refused = first.iter().filter(|answer| answer.outcome() == "not-run").count();
+        expect_that!(refused, gt(0));
+        agents().for_each(Process::thaw);
+        let mut probes = 0;
+        bench.wait_for("requests are served again", async || {
+            probes += 1;
+            bench.bookmark("ikeja-1", &format!("probe-{probes}")).await.status == 200
+        }).await;
+        let again = join_all(keys.iter().map(|key| bench.bookmark("ikeja-1", key))).await;
+        let in_doubt: Vec<_> = again.iter().filter(|answer| answer.outcome() == "unknown").collect();
+        expect_that!(in_doubt, is_empty(), "{refused} were refused before");
+    };
+
     requests_that_may_not_be_repeated_are_not_in_doubt_as_an_agent_is_replaced => async {
         let mut bench = Bench::start(BenchPlan::default()).await;
         let until = Instant::now() + Duration::from_secs(6);
