--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -735,6 +735,7 @@
         let same_stage = Progress { verdict: before, ..progress(6, false) };
         let written = next_record(&order(), Some(&first), same_stage).unwrap();
         let text = serde_json::to_string(&written).unwrap();
+        println!("a record of {} bytes", text.len());
         let read: RolloutRecord = serde_json::from_str(&text).unwrap();
         let mut counting = Counting::new("next life");
         let after = counting.judge_by(Some(*read.seen), 0);
--- a/tests/replacing.rs
+++ b/tests/replacing.rs
@@ -28,10 +28,10 @@
 
 /// Threads that connect as fast as they can.
 const CONNECTING_THREADS: usize = 16;
-/// A request as a caller writes it.
 /// What a caller may wait for a connection, however routers are replaced.
 const LONGEST_CONNECTING: Duration = Duration::from_millis(100);
 
+/// A request as a caller writes it.
 const MANIFEST_REQUEST: &[u8] =
     b"GET /reader-api/manifest HTTP/1.1\r\nhost: box\r\nauthorization: Bearer comics-key\r\n\r\n";
 
