Boxes and routers log the rate limit that an upstream states

The head of an answer is read for it where the other signals are; the box's try line has it as limit, the router logs it. No decision changes.

--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -281,6 +281,7 @@
     let signs = SignalHeaders {
         leaving: header_text(&headers.leaving),
         retry_after: header_text(&RETRY_AFTER),
+        rate_limit: header_text(&headers.rate_limit),
     };
     upstream.update_from_head(ResponseSignals::read(status, signs, now.wall), now);
     if header_text(&headers.not_executed).is_some() {
--- a/src/gateway/attempt/headers.rs
+++ b/src/gateway/attempt/headers.rs
@@ -25,6 +25,8 @@
     pub signature: HeaderName,
     /// The upstream's announcement that it takes no more requests and is going to end.
     pub leaving: HeaderName,
+    /// The requests per second that the upstream accepts from all boxes together.
+    pub rate_limit: HeaderName,
     /// The number of running and waiting requests and of slots of the upstream.
     pub load: HeaderName,
     /// The model that is to answer.
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -55,6 +55,7 @@
     last_data_at: Cell<Duration>,
     is_leaving: Cell<bool>,
     retry_after: Cell<RequestedBackoff>,
+    rate_limit: Cell<Option<f64>>,
     warm_up: Cell<WarmUpState>,
     is_evacuated: Cell<bool>,
 }
@@ -142,6 +143,7 @@
             last_data_at: Cell::default(),
             is_leaving: Cell::default(),
             retry_after: Cell::default(),
+            rate_limit: Cell::default(),
             warm_up: Cell::default(),
             is_evacuated: Cell::default(),
         })
@@ -337,6 +339,13 @@
         if !signs.is_refusal {
             self.record_accepted_request(now);
         }
+        self.rate_limit.set(signs.rate_limit);
+    }
+
+    /// Returns the rate limit that the upstream stated in its last answer, in requests per second
+    /// from all boxes together.
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.rate_limit.get()
     }
 
     /// Returns whether the upstream announced in an answer that it is leaving.
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -143,7 +143,8 @@
             beginning = choice.prefix_source.name(),
             outstanding = upstream.outstanding(),
             rest_ms = upstream.retry_after_left(Now::read()).map_or(0, millis),
-            warm_up_ms = millis(upstream.warm_up_left(Now::read()));
+            warm_up_ms = millis(upstream.warm_up_left(Now::read())),
+            limit = upstream.rate_limit().map_or(String::new(), |limit| limit.to_string()).as_str();
             "try: {}", tried.describe()
         );
     }
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -5,7 +5,7 @@
 
 use super::body::UpstreamResponse;
 use super::context::{Caller, refuse};
-use super::headers::LEAVING_HEADER;
+use super::headers::{LEAVING_HEADER, RATE_LIMIT_HEADER};
 use crate::clock::{Now, millis};
 use crate::outcome::{ConnectFailed, DispatchLog, Reason, Refused};
 use crate::routing::placement::Upstream;
@@ -63,6 +63,7 @@
     let headers = SignalHeaders {
         leaving: text(LEAVING_HEADER),
         retry_after: text(RETRY_AFTER.as_str()),
+        rate_limit: text(RATE_LIMIT_HEADER),
     };
     let signs = ResponseSignals::read(response.status().as_u16(), headers, now.wall);
     let name = upstream.name.as_str();
@@ -72,5 +73,8 @@
     if let Some(backoff) = signs.requested_backoff {
         log::info!(upstream = name, rest_ms = millis(backoff); "the upstream asked for a back-off");
     }
+    if let Some(limit) = signs.rate_limit {
+        log::debug!(upstream = name, limit = limit; "the upstream states a rate limit");
+    }
     upstream.load.apply_signals(signs, now);
 }
--- a/src/router/headers.rs
+++ b/src/router/headers.rs
@@ -10,6 +10,8 @@
 
 /// Sent by an upstream that accepts no more requests and is about to stop.
 pub const LEAVING_HEADER: &str = "gatepier-leaving";
+/// Sent by an upstream that accepts only this many requests per second from all boxes together.
+pub const RATE_LIMIT_HEADER: &str = "gatepier-rate-limit";
 
 /// Returns the headers that may be forwarded: all except hop-by-hop headers, the caller's
 /// credential, and those that only the router may set.
@@ -25,6 +27,7 @@
             || name.as_str() == ORGANISATION_HEADER
             || name.as_str() == UPSTREAM_ID_HEADER
             || name.as_str() == LEAVING_HEADER
+            || name.as_str() == RATE_LIMIT_HEADER
     };
     headers
         .iter()
--- a/src/routing/signals.rs
+++ b/src/routing/signals.rs
@@ -10,7 +10,7 @@
 const NOT_LEAVING: &str = "0";
 
 /// Signals about the state of an upstream from the head of one of its responses.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ResponseSignals {
     /// Whether the upstream accepts no more work and is about to stop.
     pub is_leaving: bool,
@@ -18,6 +18,9 @@
     pub is_refusal: bool,
     /// Backoff that a refusal requests by `Retry-After`.
     pub requested_backoff: Option<Duration>,
+    /// The requests per second that the upstream accepts from all boxes together, if it states a
+    /// limit.
+    pub rate_limit: Option<f64>,
 }
 
 /// Response headers that contain signals.
@@ -27,6 +30,8 @@
     pub leaving: Option<&'a str>,
     /// Value of `Retry-After`.
     pub retry_after: Option<&'a str>,
+    /// Value of the header in which an upstream states its rate limit.
+    pub rate_limit: Option<&'a str>,
 }
 
 impl ResponseSignals {
@@ -45,6 +50,17 @@
             is_leaving: leaving.is_some_and(|value| value != NOT_LEAVING),
             is_refusal,
             requested_backoff,
+            rate_limit: headers.rate_limit.and_then(parse_rate_limit),
         }
     }
 }
+
+/// Parses a rate limit in requests per second; an invalid one is logged and ignored.
+fn parse_rate_limit(text: &str) -> Option<f64> {
+    let limit = text.trim().parse::<f64>().ok();
+    let valid = limit.filter(|limit| limit.is_finite() && *limit >= 0.0);
+    if valid.is_none() {
+        log::debug!("ignoring the invalid rate limit `{text}` of an upstream");
+    }
+    valid
+}
--- a/tests/gateway/retry_after.rs
+++ b/tests/gateway/retry_after.rs
@@ -98,7 +98,8 @@
 
     leaving_and_retry_after_are_read_from_the_head_of_an_answer => {
         let read = |status, leaving, retry_after| {
-            ResponseSignals::read(status, SignalHeaders { leaving, retry_after }, WallTime(0))
+            let headers = SignalHeaders { leaving, retry_after, ..SignalHeaders::default() };
+            ResponseSignals::read(status, headers, WallTime(0))
         };
         let refusal = read(503, None, Some("2"));
         expect_that!(refusal.requested_backoff, some(eq(Duration::from_secs(2))));
--- a/tests/spreading.rs
+++ b/tests/spreading.rs
@@ -128,6 +128,7 @@
         expect_instance: name("x-expect"),
         not_executed: name("x-not-run"),
         signature: name("x-signature"),
+        rate_limit: name("x-rate-limit"),
         leaving: name("x-leaving"),
         load: name("x-load"),
         model: name("x-model"),
