--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -3,6 +3,7 @@
 pub mod datagram;
 pub mod fetch;
 pub mod fetch_planner;
+pub mod gossip_targets;
 pub mod hub_poller;
 pub mod hubs;
 pub mod leaving_upstreams;
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -5,6 +5,7 @@
 pub mod choose;
 pub mod engine_cost;
 pub mod escalation;
+pub mod fleet_view;
 pub mod peer_loads;
 pub mod prefill_rate;
 pub mod warm_up;
--- a/src/gateway/place/candidates.rs
+++ b/src/gateway/place/candidates.rs
@@ -1,6 +1,6 @@
 //! Which upstreams of a service can be sent a request now.
 
-use super::warm_up::FleetView;
+use super::fleet_view::FleetView;
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::attempt::upstream::Upstream;
--- /dev/null
+++ b/src/gateway/place/fleet_view.rs
@@ -0,0 +1,58 @@
+//! Which boxes send to an upstream that only a few may send to.
+//!
+//! Every box ranks all boxes by the same hash, so they agree on the few without exchanging
+//! messages.
+
+use std::cmp::Reverse;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// What a box knows of the fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetView<'a> {
+    /// This box's own address.
+    pub own_address: SocketAddr,
+    /// The addresses of the registered boxes, in any order.
+    pub box_addresses: &'a [SocketAddr],
+    /// How long this box has been up.
+    pub uptime: Duration,
+}
+
+impl FleetView<'_> {
+    /// Returns how many boxes rank above this one for an upstream.
+    pub fn own_rank(self, upstream: u32) -> usize {
+        let own = rank_weight(upstream, self.own_address);
+        let is_above = |address: &&SocketAddr| rank_weight(upstream, **address) > own;
+        self.box_addresses.iter().filter(is_above).count()
+    }
+
+    /// Returns the number of boxes, including this one if it is not registered.
+    pub fn box_count(self) -> usize {
+        self.other_boxes().count() + 1
+    }
+
+    /// Returns the other boxes among the `count` that rank highest for an upstream.
+    pub fn highest_ranked_others(self, upstream: u32, count: usize) -> Vec<SocketAddr> {
+        let mut ranked: Vec<SocketAddr> = self.other_boxes().collect();
+        ranked.sort_by_key(|address| Reverse(rank_weight(upstream, *address)));
+        ranked.truncate(count);
+        ranked
+    }
+
+    fn other_boxes(self) -> impl Iterator<Item = SocketAddr> {
+        let others = self.box_addresses.iter().copied();
+        others.filter(move |address| *address != self.own_address)
+    }
+}
+
+/// Rendezvous hashing: the weight of a box for an upstream, with the address to break ties.
+fn rank_weight(upstream: u32, address: SocketAddr) -> (u64, SocketAddr) {
+    let mut bytes = [0; 18];
+    match address.ip() {
+        IpAddr::V4(ip) => bytes[..4].copy_from_slice(&ip.octets()),
+        IpAddr::V6(ip) => bytes[..16].copy_from_slice(&ip.octets()),
+    }
+    bytes[16..].copy_from_slice(&address.port().to_be_bytes());
+    (xxh3_64_with_seed(&bytes, upstream.into()), address)
+}
--- a/src/gateway/place/warm_up.rs
+++ b/src/gateway/place/warm_up.rs
@@ -5,10 +5,9 @@
 //! limit, without exchanging messages: only a few boxes send, and every box determines by the same
 //! hash which ones they are. See `docs/design/shifted-work.md`.
 
+use super::fleet_view::FleetView;
 use crate::clock::Now;
-use std::net::SocketAddr;
 use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Limits for the upstreams of a service while they warm up.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -29,17 +28,6 @@
 /// How long a box uses a computed schedule before it computes it again.
 const SCHEDULE_LIFETIME: Duration = Duration::from_millis(250);
 
-/// What a box knows of the fleet, which determines its schedule.
-#[derive(Debug, Clone, Copy)]
-pub struct FleetView<'a> {
-    /// This box's own address.
-    pub own_address: SocketAddr,
-    /// The addresses of the registered boxes, in any order.
-    pub box_addresses: &'a [SocketAddr],
-    /// How long this box has been up.
-    pub uptime: Duration,
-}
-
 /// When one box may send to one upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct SendSchedule {
@@ -135,24 +123,8 @@
 /// coincide.
 fn send_interval(upstream: u32, warm_up: WarmUp, fleet: FleetView<'_>) -> Option<Duration> {
     let rate = warm_up.requests_per_second * USED_RATE_FRACTION;
-    let weight = |address: &SocketAddr| {
-        let text = address.to_string();
-        (
-            xxh3_64_with_seed(text.as_bytes(), upstream.into()),
-            *address,
-        )
-    };
-    let own = weight(&fleet.own_address);
-    let higher_ranked = fleet
-        .box_addresses
-        .iter()
-        .filter(|other| weight(other) > own);
     let max_senders = rate.ceil();
-    let others = fleet
-        .box_addresses
-        .iter()
-        .filter(|other| **other != fleet.own_address);
-    let senders = max_senders.min((others.count() + 1) as f64);
-    let is_sender = (higher_ranked.count() as f64) < senders;
+    let senders = max_senders.min(fleet.box_count() as f64);
+    let is_sender = (fleet.own_rank(upstream) as f64) < senders;
     is_sender.then(|| Duration::from_secs_f64(senders / rate))
 }
--- a/tests/gateway/warm_up.rs
+++ b/tests/gateway/warm_up.rs
@@ -5,7 +5,8 @@
 
 use super::{at, cases, listed};
 use gatepier::gateway::attempt::upstream::Upstream;
-use gatepier::gateway::place::warm_up::{FleetView, WarmUp};
+use gatepier::gateway::place::fleet_view::FleetView;
+use gatepier::gateway::place::warm_up::WarmUp;
 use googletest::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
