Routers keep to the rate limit that an upstream states

Why this fix works: each router uses an equal share of the limit, by the number of agents in the live list, and begins at a random time within it. Requests are counted where an upstream is chosen, which plain, claimed and model requests go through.

--- a/src/router/cascade_step.rs
+++ b/src/router/cascade_step.rs
@@ -209,6 +209,7 @@
         max_outstanding: u32::try_from(settings.upstream_limit).unwrap_or(u32::MAX),
         version: Some(version),
         tried,
+        boxes: snapshot.box_count(),
     };
     let chosen = choose_upstream(&candidates, query, Now::read(), &mut rand::rng());
     chosen.cloned().ok_or_else(|| {
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -268,14 +268,15 @@
     }
 }
 
-/// Refuses a request because every upstream that could serve it has requested a back-off.
+/// Refuses a request because every upstream that could serve it has requested a back-off or has a
+/// rate limit.
 pub fn refuse_for_backoff(outcome: Outcome, backoff: Duration) -> Refused {
     Refused {
         retry_after: Some(backoff),
         ..refuse(
             outcome,
             Reason::Resting,
-            "all upstreams have asked for a back-off",
+            "all upstreams have asked for a back-off or stated a rate limit",
         )
     }
 }
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -31,11 +31,12 @@
     dispatch_log: &mut DispatchLog,
 ) -> Result<UpstreamResponse, DispatchFailure> {
     let attempt = dispatch_log.begin_try();
+    let sent = Now::read();
     let result = timeout(caller.remaining_time(Now::read()), request).await;
     let (reason, message, proof) = match result {
         Ok(Ok(response)) => {
             dispatch_log.record_maybe_sent(attempt);
-            apply_signals(&response, upstream, Now::read());
+            apply_signals(&response, upstream, sent, Now::read());
             return Ok(response);
         }
         Ok(Err(err)) => (
@@ -54,8 +55,9 @@
     Err(DispatchFailure { refused, is_unsent })
 }
 
-/// Reads from a response whether its upstream is leaving or requests a back-off.
-fn apply_signals(response: &UpstreamResponse, upstream: &Upstream, now: Now) {
+/// Reads from the response to a request that was sent at `sent` whether its upstream is leaving,
+/// requests a back-off or has a rate limit.
+fn apply_signals(response: &UpstreamResponse, upstream: &Upstream, sent: Now, now: Now) {
     let text = |name: &str| {
         let value = response.headers().get(name)?;
         value.to_str().ok()
@@ -73,8 +75,12 @@
     if let Some(backoff) = signs.requested_backoff {
         log::info!(upstream = name, rest_ms = millis(backoff); "the upstream asked for a back-off");
     }
-    if let Some(limit) = signs.rate_limit {
-        log::debug!(upstream = name, limit = limit; "the upstream states a rate limit");
+    let load = &upstream.load;
+    if load.apply_rate_limit(signs.rate_limit, sent, now, &mut rand::rng()) {
+        match signs.rate_limit {
+            Some(limit) => log::info!(upstream = name, limit; "the upstream states a rate limit"),
+            None => log::info!(upstream = name; "the upstream's rate limit is over"),
+        }
     }
-    upstream.load.apply_signals(signs, now);
+    load.apply_signals(signs, now);
 }
--- a/src/router/plain_service.rs
+++ b/src/router/plain_service.rs
@@ -113,6 +113,7 @@
         max_outstanding: MAX_OUTSTANDING_PER_UPSTREAM,
         version: None,
         tried,
+        boxes: snapshot.box_count(),
     };
     let chosen = choose_upstream(&candidates, query, Now::read(), &mut rand::rng());
     chosen.cloned().ok_or_else(|| {
--- a/src/routing/placement.rs
+++ b/src/routing/placement.rs
@@ -5,6 +5,7 @@
 //! router's own hall are used as long as one is available. See `docs/design/placement.md`.
 
 use super::backoff::{FailureStreak, RequestedBackoff};
+use super::rate_limit::{LimitStatement, RateLimiter};
 use super::signals::ResponseSignals;
 use crate::clock::Now;
 use crate::name::VersionName;
@@ -46,6 +47,7 @@
     mean_latency_micros: AtomicU64,
     failures: Mutex<FailureStreak>,
     requested_backoff: Mutex<RequestedBackoff>,
+    rate_limiter: Mutex<RateLimiter>,
     is_leaving: AtomicBool,
     /// Failures by version: a failing version must not eject the upstream for the other versions.
     versions: Mutex<HashMap<VersionName, FailureStreak>>,
@@ -66,10 +68,44 @@
         }
     }
 
-    /// Returns how long no request may be sent because the upstream requested a backoff; none if one
-    /// may be sent now.
+    /// Applies what the response to a request that was sent at `sent` states about the rate limit;
+    /// returns whether the limit changed.
+    ///
+    /// The first request is due at a random time within the share of this box, so that boxes which
+    /// learn of a limit together do not send together.
+    pub fn apply_rate_limit(
+        &self,
+        limit: Option<f64>,
+        sent: Now,
+        now: Now,
+        rng: &mut impl Rng,
+    ) -> bool {
+        let statement = LimitStatement {
+            limit,
+            as_of: limit.map_or(sent.monotonic, |_| now.monotonic),
+        };
+        let first_delay = rng.random_range(0.0..1.0);
+        lock(&self.rate_limiter).apply(statement, first_delay, now)
+    }
+
+    /// Counts a request against the rate limit, of which each box uses an equal share; returns
+    /// false if the request may not be sent now.
+    fn try_count_send(&self, boxes: u32, now: Now) -> bool {
+        let mut limiter = lock(&self.rate_limiter);
+        limiter.set_sharing_boxes(boxes);
+        let may_send = limiter.send_delay(now).is_none();
+        if may_send {
+            limiter.record_send(now);
+        }
+        may_send
+    }
+
+    /// Returns how long no request may be sent because the upstream requested a backoff or stated a
+    /// rate limit; none if one may be sent now.
     pub fn backoff_remaining(&self, now: Now) -> Option<Duration> {
-        lock(&self.requested_backoff).remaining(self.outstanding(), now)
+        let requested = lock(&self.requested_backoff).remaining(self.outstanding(), now);
+        let limited = lock(&self.rate_limiter).send_delay(now);
+        requested.max(limited)
     }
 
     /// Returns the number of this router's requests that the upstream has not finished.
@@ -167,6 +203,8 @@
     pub version: Option<&'a VersionName>,
     /// Names of upstreams at which the request already failed.
     pub tried: &'a [String],
+    /// The number of boxes, which share the rate limits of upstreams.
+    pub boxes: u32,
 }
 
 /// Returns the shortest remaining backoff that candidates requested; none if a candidate accepts
@@ -180,12 +218,28 @@
     backoffs.min().flatten()
 }
 
-/// Chooses one of the candidates.
+/// Chooses one of the candidates for a request that is sent at once, and counts it against the
+/// upstream's rate limit.
 pub fn choose_upstream<'a>(
     candidates: &[&'a Upstream],
     query: PlacementQuery<'_>,
     now: Now,
     rng: &mut impl Rng,
+) -> Option<&'a Upstream> {
+    loop {
+        let chosen = choose_usable_upstream(candidates, query, now, rng)?;
+        // Another thread may have sent to it in the meantime.
+        if chosen.load.try_count_send(query.boxes, now) {
+            return Some(chosen);
+        }
+    }
+}
+
+fn choose_usable_upstream<'a>(
+    candidates: &[&'a Upstream],
+    query: PlacementQuery<'_>,
+    now: Now,
+    rng: &mut impl Rng,
 ) -> Option<&'a Upstream> {
     let usable = |upstream: &&&Upstream| {
         upstream.load.outstanding() < query.max_outstanding
