Stagger when a request to a limited upstream is due in each box

Seen in a trial on a scratch copy in which all 18 engines were taken to state 1.5 requests a second: up to 23 requests reached one in 4 s, 14 are allowed. Requests wait for a turn in every box, and all boxes know when the next one is due, so all sent at that moment, before one was announced.

The new test, in which a request waits in every box all the time, failed with up to 12 where 6 are allowed. It passes, and so do the others: a request is due 25 ms later for each rank of its box, several times as long as an announcement takes.

--- a/src/gateway/place/rate_limits.rs
+++ b/src/gateway/place/rate_limits.rs
@@ -8,7 +8,7 @@
 use super::fleet_view::FleetView;
 use crate::clock::Now;
 use crate::gateway::peers::gossip_targets::GOSSIP_INTERVAL;
-use crate::routing::rate_limit::{LimitStatement, RateLimiter};
+use crate::routing::rate_limit::{LimitStatement, RateLimiter, send_interval};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -16,6 +16,10 @@
 const MIN_SENDERS: f64 = 5.0;
 /// How many more boxes may send for each request per second of the limit.
 const SENDERS_PER_LIMIT: f64 = 3.0;
+/// How much later a request is due in a box than in the box that ranks above it: several times as
+/// long as an announcement takes. Otherwise the requests that wait in all boxes would be sent
+/// together.
+const RANK_STAGGER: Duration = Duration::from_millis(25);
 /// The age of a statement from which more boxes may send, in addition to the time of some requests
 /// at the limit's pace and the time in which statements spread: the senders may be gone, or have no
 /// callers.
@@ -67,12 +71,16 @@
         fleet: FleetView<'_>,
         now: Now,
     ) -> Option<Duration> {
-        self.limit()?;
+        let limit = self.limit()?;
         let position = self.position(upstream, fleet, now);
-        if position.rank >= self.max_senders(position.boxes, now)? {
+        let senders = self.max_senders(position.boxes, now)?;
+        if position.rank >= senders {
             return Some(STALE_STATEMENT_AGE);
         }
-        self.limiter.send_delay(now)
+        let even_stagger = send_interval(limit).div_f64(senders.max(1) as f64);
+        let stagger = RANK_STAGGER.min(even_stagger);
+        let offset = stagger.mul_f64(position.rank as f64);
+        self.limiter.send_delay(offset, now)
     }
 
     /// Counts a request, of this box or of another one, that is sent now.
--- a/src/routing/placement.rs
+++ b/src/routing/placement.rs
@@ -93,7 +93,7 @@
     fn try_count_send(&self, boxes: u32, now: Now) -> bool {
         let mut limiter = lock(&self.rate_limiter);
         limiter.set_sharing_boxes(boxes);
-        let may_send = limiter.send_delay(now).is_none();
+        let may_send = limiter.send_delay(Duration::ZERO, now).is_none();
         if may_send {
             limiter.record_send(now);
         }
@@ -104,7 +104,7 @@
     /// rate limit; none if one may be sent now.
     pub fn backoff_remaining(&self, now: Now) -> Option<Duration> {
         let requested = lock(&self.requested_backoff).remaining(self.outstanding(), now);
-        let limited = lock(&self.rate_limiter).send_delay(now);
+        let limited = lock(&self.rate_limiter).send_delay(Duration::ZERO, now);
         requested.max(limited)
     }
 
--- a/src/routing/rate_limit.rs
+++ b/src/routing/rate_limit.rs
@@ -74,10 +74,11 @@
         self.statement
     }
 
-    /// Returns how long to wait before the next request; none if one may be sent now.
-    pub fn send_delay(&self, now: Now) -> Option<Duration> {
+    /// Returns how long to wait before the next request; none if one may be sent now. The request
+    /// is due `offset` later than at the limit's pace.
+    pub fn send_delay(&self, offset: Duration, now: Now) -> Option<Duration> {
         self.limit()?;
-        let delay = self.due.saturating_sub(now.monotonic + MAX_LEAD);
+        let delay = (self.due + offset).saturating_sub(now.monotonic + MAX_LEAD);
         (!delay.is_zero()).then_some(delay)
     }
 
@@ -100,7 +101,7 @@
 }
 
 /// Returns the time between two requests at an even pace.
-fn send_interval(limit: f64) -> Duration {
+pub fn send_interval(limit: f64) -> Duration {
     let min_limit = 1.0 / MAX_SEND_INTERVAL.as_secs_f64();
     Duration::from_secs_f64(1.0 / limit.max(min_limit))
 }
--- a/tests/gateway/rate_limits.rs
+++ b/tests/gateway/rate_limits.rs
@@ -30,6 +30,8 @@
 const GOSSIP_MS: u64 = 300;
 /// Requests per second of a box that would go to the upstream, about all that a box gets.
 const BOX_DEMAND_PER_SECOND: f64 = 10.0;
+/// The demand at which a request waits in every box all the time.
+const SATURATING_DEMAND_PER_SECOND: f64 = 1000.0 / STEP_MS as f64;
 
 /// What happens in a simulation.
 #[derive(Debug, Clone, Copy)]
@@ -40,6 +42,8 @@
     loss: f64,
     /// The number of boxes that have callers; all if 0.
     boxes_with_callers: usize,
+    /// Requests per second and box that would go to the upstream.
+    demand: f64,
     /// Whether each half of the boxes knows, and reaches, only itself.
     is_partitioned: bool,
 }
@@ -49,6 +53,7 @@
     limit: 1.5,
     loss: 0.0,
     boxes_with_callers: 0,
+    demand: BOX_DEMAND_PER_SECOND,
     is_partitioned: false,
 };
 
@@ -155,7 +160,7 @@
                 events.push((now_ms + STEP_MS, event));
             }
         }
-        let chance = BOX_DEMAND_PER_SECOND * STEP_MS as f64 / 1000.0;
+        let chance = plan.demand * STEP_MS as f64 / 1000.0;
         for (number, simulated) in boxes.iter().enumerate().take(callers) {
             if !rng.random_bool(chance) {
                 continue;
@@ -216,7 +221,7 @@
         let max = arrivals.iter().map(in_window_from).max().unwrap_or(0);
         let allowed = 1.5 * plan.limit * WINDOW_MS as f64 / 1000.0 + 5.0;
         expect_that!(max as f64, le(allowed), "seed {seed}, {plan:?}");
-        let demand = BOX_DEMAND_PER_SECOND * plan.boxes as f64;
+        let demand = plan.demand * plan.boxes as f64;
         let usable = plan.limit.min(demand) * (LENGTH_MS - SETTLED_MS) as f64 / 1000.0;
         expect_that!(
             arrivals.len() as f64,
@@ -254,6 +259,16 @@
         }
     }
 
+    // Guards against boxes whose waiting requests are all sent when the next one is due.
+    boxes_in_all_of_which_requests_wait_keep_a_limit => {
+        for boxes in [2, 9, 30, 100] {
+            for limit in [0.3, 1.5, 6.0] {
+                let demand = SATURATING_DEMAND_PER_SECOND;
+                expect_limit_is_kept_and_used(Plan { boxes, limit, demand, ..PLAN }, 0.6);
+            }
+        }
+    }
+
     few_boxes_with_callers_use_most_of_the_limit => {
         for boxes in [2, 3, 9] {
             expect_limit_is_kept_and_used(Plan { boxes, boxes_with_callers: 2, ..PLAN }, 0.5);
@@ -283,8 +298,8 @@
     limit_of_zero_lets_a_request_through_now_and_then => {
         let mut limiter = limiter(0.0);
         limiter.record_send(at(0));
-        expect_that!(limiter.send_delay(at(9000)), some(anything()));
-        expect_that!(limiter.send_delay(at(10_000)), none());
+        expect_that!(limiter.send_delay(Duration::ZERO, at(9000)), some(anything()));
+        expect_that!(limiter.send_delay(Duration::ZERO, at(10_000)), none());
     }
 
     limit_that_changes_rescales_the_time_until_the_next_request => {
@@ -292,9 +307,9 @@
         for _ in 0..4 {
             limiter.record_send(at(0));
         }
-        expect_that!(limiter.send_delay(at(0)), some(eq(Duration::from_millis(3750))));
+        expect_that!(limiter.send_delay(Duration::ZERO, at(0)), some(eq(Duration::from_millis(3750))));
         limiter.apply(statement(Some(4.0), 1), 0.0, at(0));
-        expect_that!(limiter.send_delay(at(0)), some(eq(Duration::from_millis(750))));
+        expect_that!(limiter.send_delay(Duration::ZERO, at(0)), some(eq(Duration::from_millis(750))));
     }
 
     answer_that_was_overtaken_by_a_limit_does_not_end_it => {
