An answer in hand is not dropped for a larger model at a limited engine

Cause: whether a larger model is asked depends on the expected time and the retry budget, not on whether an engine may be asked. The answer was dropped, and then no engine took the request. The class: giving up what is in hand before its replacement is certain; the same holds while all engines are warming up.

Why this fix works: the answer is kept unless an engine without a rate limit takes requests in the same moment. With limits alone left, each request gets one answer, which serves more callers.

--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -158,6 +158,16 @@
             );
             None
         }
+        EscalationDecision::Escalate(_) if !has_unlimited_upstream(gw, request, now) => {
+            gw.telemetry.record_unsure_answer(
+                request,
+                model_index,
+                confidence,
+                "no engine without a limit",
+                left,
+            );
+            None
+        }
         EscalationDecision::Escalate(larger) => {
             gw.telemetry
                 .record_escalation(request, model_index, larger, confidence);
@@ -184,6 +194,16 @@
     has_room && request.may_run_again() && !request.is_on_trial()
 }
 
+/// Returns whether an upstream without a rate limit takes requests now. What limited upstreams
+/// accept serves more callers with one answer each, and might not be available for this request
+/// once its answer is dropped.
+fn has_unlimited_upstream(gw: &Gateway, request: &AdmittedRequest, now: Now) -> bool {
+    let candidates = gw.candidates(&request.service, &request.session_id, now);
+    candidates
+        .iter()
+        .any(|upstream| upstream.rate_limit().is_none())
+}
+
 /// Returns how long to wait for the head of a response.
 fn head_wait(
     gw: &Gateway,
