--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -360,6 +360,10 @@
             .record_newer_revision(revision, now);
         sleep(WATCH_GRACE).await;
     }
+    let own = gw.mirror.borrow().revision();
+    if revision < own {
+        log::warn!(revision, own; "the store's revision is lower than that of this box");
+    }
     if is_behind(gw, revision) && is_transfer_in_progress(gw, store) {
         log::info!(revision; "this box is behind, a transfer of the missing data is in progress");
         return true;
