Boxes tell states of a restored store apart by its epoch

Cause: the store came back from a copy some seconds old and assigned revisions again. Boxes compared them with those of before: a hub took changes at or below the known revision in, but passed none on, other items of that kind were dropped as old, and the age of the knowledge was confirmed all the while. The class: a counter compared across a reset of what counts.

Why this fix works: each revision is qualified with the epoch that the store states in the same response, so an item of a new epoch is newer than any before, in every comparison.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -5,6 +5,8 @@
 pub mod lag;
 pub mod membership;
 pub mod mirror;
+pub mod restoration;
+pub mod revision;
 pub mod rollout;
 pub mod rollout_leader;
 pub mod state;
--- a/src/gateway/control/rollout.rs
+++ b/src/gateway/control/rollout.rs
@@ -1,6 +1,7 @@
 //! The state of one roll-out as a box knows it: the order, the newest record and the time elapsed
 //! since the order.
 
+use super::revision::epoch_of;
 use super::store::{RolloutOrder, RolloutRecord, RolloutState};
 use crate::clock::Now;
 use std::time::Duration;
@@ -55,6 +56,9 @@
     /// Whether the record was written before this process started to listen, so that the time of
     /// writing is unknown.
     pub is_preexisting: bool,
+    /// Whether the restored store lacks this record or has an older one, so that it has to be
+    /// written again.
+    pub is_lost: bool,
 }
 
 impl ReceivedRecord {
@@ -79,16 +83,42 @@
     /// Applies a record unless a newer one is known; returns whether it was new.
     pub fn apply_record(&mut self, record: RolloutRecord, revision: u64, now: Now) -> bool {
         let known = self.record.as_ref();
-        let is_newer = known.is_none_or(|known| revision > known.revision);
-        if is_newer {
-            self.record = Some(ReceivedRecord {
-                is_preexisting: self.is_preexisting(&record, now),
-                record,
+        if known.is_some_and(|known| revision <= known.revision) {
+            return false;
+        }
+        let is_restored = known.is_some_and(|known| epoch_of(revision) > epoch_of(known.revision));
+        if is_restored && known.is_some_and(|known| self.rank(&known.record) > self.rank(&record)) {
+            self.record = self.record.take().map(|known| ReceivedRecord {
                 revision,
-                received_at: now.monotonic,
+                is_lost: true,
+                ..known
             });
+            return false;
         }
-        is_newer
+        self.record = Some(ReceivedRecord {
+            is_preexisting: self.is_preexisting(&record, now),
+            record,
+            revision,
+            received_at: now.monotonic,
+            is_lost: false,
+        });
+        true
+    }
+
+    /// Records that the store has no record; returns whether one was known.
+    pub fn handle_missing_record(&mut self) -> bool {
+        if let Some(known) = &mut self.record {
+            known.revision = 0;
+            known.is_lost = true;
+        }
+        self.record.is_some()
+    }
+
+    /// Ranks a record by whether it belongs to the known order, and by how far it had come.
+    fn rank(&self, record: &RolloutRecord) -> (bool, (bool, u64)) {
+        let order = self.order.as_ref();
+        let is_for_order = order.is_some_and(|(order, _)| record.is_for(order));
+        (is_for_order, record.progress())
     }
 
     /// Returns whether the newest order has this revision.
@@ -115,7 +145,7 @@
     pub fn running_record(&self, order: &RolloutOrder) -> Option<&RolloutRecord> {
         let record = &self.record.as_ref()?.record;
         let is_running = record.state == RolloutState::Running;
-        (is_running && record.order_revision == order.revision).then_some(record)
+        (is_running && record.is_for(order)).then_some(record)
     }
 
     /// Applies the elapsed time since an order that another box reported.
@@ -175,7 +205,7 @@
 
     fn record_for(&self, order: &RolloutOrder) -> Option<&ReceivedRecord> {
         let known = self.record.as_ref()?;
-        (known.record.order_revision == order.revision).then_some(known)
+        known.record.is_for(order).then_some(known)
     }
 
     fn reported_for(&self, order: &RolloutOrder) -> Option<ReportedElapsed> {
--- a/src/gateway/control/rollout_leader.rs
+++ b/src/gateway/control/rollout_leader.rs
@@ -93,7 +93,9 @@
         Some(known) => (Some(&known.record), known.revision),
         None => (None, 0),
     };
-    let next = next_record(&order, record, progress)?;
+    let lost = known.as_ref().filter(|known| known.is_lost);
+    let lost = lost.map(|lost| lost.record.clone());
+    let next = next_record(&order, record, progress).or(lost)?;
     gw.telemetry.count_store_call("write");
     match store.write_rollout(&next, expected).await {
         Ok(RecordWriteResult::Written(revision)) => {
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -4,6 +4,7 @@
 //! the state never goes back while the process runs. See `docs/design/platform.md`.
 
 use super::lag::Lag;
+use super::restoration::Restoration;
 use super::rollout::Rollout;
 use super::store::{BoxEntry, ListedUpstream, RolloutOrder, RolloutRecord, Update, UpstreamLife};
 use crate::clock::Now;
@@ -39,12 +40,15 @@
     store_recovering_until: Option<Duration>,
     /// Upstream incarnations that have announced in an answer that they leave, and when.
     leaving: HashMap<UpstreamLife, Duration>,
+    /// Upstream incarnations that are no longer listed, and since when.
+    gone: HashMap<UpstreamLife, Duration>,
     /// The halls that operators have evacuated.
     evacuated: BTreeSet<String>,
+    restoration: Restoration,
 }
 
-/// How long an announcement is kept after the upstream is no longer listed, since a late entry of
-/// the same incarnation may still arrive.
+/// How long an announcement, or that an upstream is gone, is kept after the upstream is no longer
+/// listed, since a late entry of the same incarnation may still arrive.
 const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 
 /// How fresh the configuration is, which determines the answers that a box may give.
@@ -114,8 +118,62 @@
 }
 
 impl ControlPlaneState {
-    /// Applies one update.
+    /// Records a revision of data that is about to be applied. If it shows that the store was
+    /// restored from an older copy, what the copy lacks is kept until it is written again.
+    pub fn observe_revision(&mut self, revision: u64, now: Now) {
+        if self.restoration.observe(revision, now) {
+            self.store_recovering_until = Some(now.monotonic + LAPSE_GRACE);
+        }
+    }
+
+    /// Applies one update, unless it is an older state from a restored store; then it is applied
+    /// once lost changes are no longer expected to be written again.
     pub fn apply(&mut self, update: Update, now: Now) -> Change {
+        if self.restoration.is_active(now) {
+            if self.is_older_state(&update) {
+                self.restoration.defer(update);
+                return Change::Nothing;
+            }
+            self.restoration.cancel_deferred(&update);
+        }
+        self.apply_now(update, now)
+    }
+
+    /// Applies the deferred updates that are due.
+    pub fn apply_deferred(&mut self, now: Now) -> Vec<Change> {
+        let due = self.restoration.take_due(now);
+        due.into_iter()
+            .map(|update| self.apply_now(update, now))
+            .collect()
+    }
+
+    /// Returns whether an update from a store that was just restored may only be older than what
+    /// this box knows.
+    fn is_older_state(&self, update: &Update) -> bool {
+        match update {
+            Update::Upstream(listed) => {
+                let incarnation = listed.incarnation();
+                !self.upstreams.contains_key(&listed.instance)
+                    && self.gone.contains_key(&incarnation)
+            }
+            Update::RolloutOrdered(order) => {
+                let known = self.known_order(&order.service);
+                known.is_some_and(|known| !known.has_same_content(order))
+                    && !self.restoration.precedes(order.revision)
+            }
+            Update::RolloutCancelled(service) => self.known_order(service).is_some(),
+            Update::HallReturned(hall) => self.evacuated.contains(hall),
+            Update::BoxGone(name) => self.boxes.contains_key(name),
+            _ => false,
+        }
+    }
+
+    fn known_order(&self, service: &str) -> Option<&RolloutOrder> {
+        let (order, _) = self.rollouts.get(service)?.order.as_ref()?;
+        Some(order)
+    }
+
+    fn apply_now(&mut self, update: Update, now: Now) -> Change {
         match update {
             Update::Routes(routes) => self.apply_routes(routes),
             Update::Upstream(listed) => self.apply_upstream(*listed, now),
@@ -127,6 +185,13 @@
                 Change::Rollout(service)
             }
             Update::RolloutRecorded(record, revision) => self.apply_record(record, revision, now),
+            Update::RolloutRecordGone(service) => {
+                let rollout = self.rollouts.entry(service.clone()).or_default();
+                match rollout.handle_missing_record() {
+                    true => Change::Rollout(service),
+                    false => Change::Nothing,
+                }
+            }
             Update::HallEvacuated(hall) => self.evacuate_hall(hall),
             Update::HallReturned(hall) => self.restore_hall(hall, now),
             Update::Box(entry) => self.apply_box(entry),
@@ -150,8 +215,12 @@
 
     /// Applies an upstream's entry, including the consequences of its hall's evacuation and of its
     /// warm-up.
-    fn apply_upstream(&mut self, listed: ListedUpstream, now: Now) -> Change {
+    fn apply_upstream(&mut self, mut listed: ListedUpstream, now: Now) -> Change {
         let instance = listed.instance.clone();
+        self.gone.remove(&listed.incarnation());
+        if self.restoration.is_active(now) {
+            listed.draining |= self.is_known_to_drain(&listed.incarnation());
+        }
         let is_evacuated = self.evacuated.contains(&listed.hall);
         let warm_up_left = listed.warm_up_left;
         let change = self.apply_entry(listed);
@@ -164,6 +233,13 @@
         change
     }
 
+    fn is_known_to_drain(&self, incarnation: &UpstreamLife) -> bool {
+        let known = self.upstreams.get(&incarnation.instance);
+        known.is_some_and(|known| {
+            known.incarnation() == incarnation && known.with_listed(|listed| listed.draining)
+        })
+    }
+
     /// Applies an upstream's entry, which is newer than the known one.
     ///
     /// What was recorded about the upstream is kept only if the entry belongs to the same
@@ -222,6 +298,8 @@
                 false => Change::Nothing,
             };
         }
+        let incarnation = known.incarnation().clone();
+        self.gone.insert(incarnation, now.monotonic);
         self.upstreams.remove(instance);
         Change::UpstreamRemoved(instance.to_owned())
     }
@@ -266,6 +344,11 @@
 
     fn apply_order(&mut self, order: RolloutOrder, now: Now) -> Change {
         let service = order.service.clone();
+        let is_restored = self.restoration.is_active(now);
+        let known = self.known_order(&service);
+        if is_restored && known.is_some_and(|known| known.has_same_content(&order)) {
+            return Change::Nothing;
+        }
         let rollout = self.rollouts.entry(service.clone()).or_default();
         match rollout.apply_order(order, now) {
             true => Change::Rollout(service),
@@ -369,7 +452,10 @@
             .map(|(instance, _)| instance.clone())
             .collect();
         for instance in &gone {
-            self.upstreams.remove(instance);
+            if let Some(upstream) = self.upstreams.remove(instance) {
+                self.gone
+                    .insert(upstream.incarnation().clone(), now.monotonic);
+            }
         }
         gone.into_iter().map(Change::UpstreamRemoved).collect()
     }
@@ -426,6 +512,8 @@
             let is_listed = known.is_some_and(|known| known.incarnation() == incarnation);
             is_listed || now.monotonic.saturating_sub(*recorded) < LEAVING_RETENTION
         });
+        self.gone
+            .retain(|_, since| now.monotonic.saturating_sub(*since) < LEAVING_RETENTION);
     }
 
     /// Removes an upstream whose address answered for another instance, unless it has restarted in
--- a/src/gateway/control/store.rs
+++ b/src/gateway/control/store.rs
@@ -3,6 +3,7 @@
 //! An adapter implements [`ControlStore`]. Everything that boxes agree on or that has to be durable
 //! goes through it. See `docs/design/platform.md`.
 
+use super::revision::epoch_of;
 use crate::gateway::admit::routes::RouteTable;
 use crate::gateway::versions::stored_evidence::StoredEvidence;
 use crate::store::StoreResult;
@@ -20,7 +21,8 @@
     pub key: String,
     /// The item's value in bytes; `None` if the item is deleted.
     pub value: Option<Vec<u8>>,
-    /// The store revision of the last change.
+    /// The store revision of the last change, qualified with the store's epoch as all revisions are
+    /// ([`super::revision`]).
     pub revision: u64,
     /// The store revision at which the item was created.
     pub created: u64,
@@ -66,6 +68,9 @@
     RolloutCancelled(String),
     /// The leader's record of a roll-out, and its revision.
     RolloutRecorded(RolloutRecord, u64),
+    /// The record of the roll-out of this service is missing: the store was restored from a copy
+    /// that is older than the record.
+    RolloutRecordGone(String),
     /// Operators have evacuated this hall: its upstreams get no more requests.
     HallEvacuated(String),
     /// The upstreams of this hall may be used again.
@@ -151,6 +156,14 @@
     pub revision: u64,
 }
 
+impl RolloutOrder {
+    /// Returns whether another order asks for the same, whatever its revision.
+    pub fn has_same_content(&self, other: &Self) -> bool {
+        let content = |order: &Self| (order.service.clone(), order.target.clone(), order.duration);
+        content(self) == content(other)
+    }
+}
+
 /// The state of a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RolloutState {
@@ -195,6 +208,22 @@
 pub const ALL_SESSIONS_PERMILLE: u32 = 1000;
 
 impl RolloutRecord {
+    /// Returns whether the record belongs to an order.
+    ///
+    /// A restored store may have assigned the order another revision. Revisions of different epochs
+    /// cannot be compared, so the target decides then.
+    pub fn is_for(&self, order: &RolloutOrder) -> bool {
+        match epoch_of(self.order_revision) == epoch_of(order.revision) {
+            true => self.order_revision == order.revision,
+            false => self.target == order.target,
+        }
+    }
+
+    /// Returns how far the roll-out had come: whether it had ended, and the time since its order.
+    pub fn progress(&self) -> (bool, u64) {
+        (self.state != RolloutState::Running, self.elapsed_ms)
+    }
+
     /// Returns whether the target was proved good; only then does it get all sessions.
     pub fn is_proved(&self) -> bool {
         self.permille >= ALL_SESSIONS_PERMILLE
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -8,6 +8,7 @@
 use super::initial_sync::{HallBoxes, read_hall, run_initial_sync};
 use super::membership::maintain_registration;
 use super::mirror::Changes;
+use super::revision::epoch_of;
 use super::state::Change;
 use super::store::{ControlStore, Item, WatchResult};
 use crate::clock::Now;
@@ -110,9 +111,12 @@
         sleep(EXPIRY_INTERVAL).await;
         let now = Now::read();
         let mut state = gw.knowledge.borrow_mut();
+        let revision = gw.mirror.borrow().revision();
         for change in state.remove_lapsed_upstreams(now) {
-            gw.telemetry
-                .record_change(&change, "lapse", gw.mirror.borrow().revision());
+            gw.telemetry.record_change(&change, "lapse", revision);
+        }
+        for change in state.apply_deferred(now) {
+            gw.telemetry.record_change(&change, "deferred", revision);
         }
         gw.telemetry
             .record_knowledge_age(state.age(now), state.lag(now));
@@ -129,6 +133,8 @@
 pub fn apply_changes(gw: &Gateway, store: &dyn ControlStore, changes: Changes, source: &str) {
     let now = Now::read();
     let revision = changes.revision;
+    let item_revisions = changes.items.iter().map(|item| item.revision);
+    let newest = item_revisions.max().max(Some(revision)).unwrap_or_default();
     let mut mirror = gw.mirror.borrow_mut();
     let new_items = match changes.is_snapshot {
         true => mirror.apply_snapshot(changes.items, revision),
@@ -138,6 +144,7 @@
     let reached = gw.mirror.borrow().revision();
     let mut state = gw.knowledge.borrow_mut();
     state.record_store_contact(now);
+    state.observe_revision(newest, now);
     let lag = state.lag(now);
     let summarized = new_items.len() > MAX_LOGGED_CHANGES;
     if summarized {
@@ -257,7 +264,12 @@
             }
         };
         gw.store_answered(Now::read());
-        self.revision.get_or_insert(page.revision);
+        let first = *self.revision.get_or_insert(page.revision);
+        if epoch_of(first) != epoch_of(page.revision) {
+            log::info!("the store was restored during a full read, starting again");
+            *self = Self::start(Now::read());
+            return false;
+        }
         self.items.extend(page.items);
         self.is_complete = page.next.is_none();
         self.next_page = page.next;
@@ -360,10 +372,6 @@
             .record_newer_revision(revision, now);
         sleep(WATCH_GRACE).await;
     }
-    let own = gw.mirror.borrow().revision();
-    if revision < own {
-        log::warn!(revision, own; "the store's revision is lower than that of this box");
-    }
     if is_behind(gw, revision) && is_transfer_in_progress(gw, store) {
         log::info!(revision; "this box is behind, a transfer of the missing data is in progress");
         return true;
--- a/src/gateway/versions/rollout.rs
+++ b/src/gateway/versions/rollout.rs
@@ -100,7 +100,7 @@
         excluded.push(order.target.clone());
         VersionRule::AnyExcept(excluded)
     };
-    let Some(record) = record.filter(|record| record.order_revision == order.revision) else {
+    let Some(record) = record.filter(|record| record.is_for(order)) else {
         return any_except_target();
     };
     match record.state {
@@ -160,7 +160,7 @@
     known: Option<&RolloutRecord>,
     progress: RolloutProgress,
 ) -> Option<RolloutRecord> {
-    let current = known.filter(|known| known.order_revision == order.revision);
+    let current = known.filter(|known| known.is_for(order));
     let rejected = known.map_or_else(Vec::new, |known| known.rejected.clone());
     let initial = RolloutRecord {
         service: order.service.clone(),
@@ -227,7 +227,7 @@
     known: Option<&RolloutRecord>,
     elapsed: Duration,
 ) -> bool {
-    let current = known.filter(|known| known.order_revision == order.revision);
+    let current = known.filter(|known| known.is_for(order));
     let due = current.map_or(Duration::ZERO, |current| next_write_due(order, current));
     elapsed >= due + RECORD_OVERDUE_AFTER
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod quarantine;
 mod rate_limits;
 mod refusals;
+mod restoration;
 mod retries;
 mod retry_after;
 mod rollout_simulation;
