No more requests wait at limited upstreams than will have turns

Cause: whether a request waits depended on its own time alone. A box now lets as many requests wait as it will have turns for in that time, by its equal share, and one in any case; the others are refused at once.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -46,6 +46,7 @@
 use peers::rate_limits::RateLimitReport;
 use place::peer_loads::{LongPrefillOutbox, PeerLoads};
 use place::prefill_rate::{PrefillModel, PrefillRates};
+use place::turn_queue::TurnQueue;
 use settings::GatewaySettings;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -102,6 +103,8 @@
     pub limited_sends: Outbox<u32>,
     /// Connections from callers.
     pub caller_connections: http_server::Connections,
+    /// The requests that wait for their turn at upstreams with rate limits.
+    turn_queue: TurnQueue,
     /// When callers that were refused because of rate limits should come back.
     return_schedule: RefCell<ReturnSchedule>,
     /// The retry budgets by service; see [`Gateway::with_retry_window`].
@@ -156,6 +159,7 @@
             rate_limits: Outbox::default(),
             limited_sends: Outbox::default(),
             caller_connections: Default::default(),
+            turn_queue: TurnQueue::default(),
             return_schedule: RefCell::default(),
             retry_windows: RefCell::default(),
             peer_loads: RefCell::default(),
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -165,10 +165,36 @@
     }
 
     /// Returns whether the request would still be within its retry window after a pause.
-    pub fn can_wait(&self, pause: Duration, now: Now) -> bool {
+    fn can_wait(&self, pause: Duration, now: Now) -> bool {
+        self.may_run_again() && pause < self.longest_wait(now)
+    }
+
+    /// Returns how much longer the request may wait before it is refused.
+    fn longest_wait(&self, now: Now) -> Duration {
         let waited = now.monotonic.saturating_sub(self.received);
-        self.may_run_again()
-            && waited + pause < self.route.latency_objective / RETRY_OBJECTIVE_DIVISOR
+        let window = self.route.latency_objective / RETRY_OBJECTIVE_DIVISOR;
+        window.saturating_sub(waited)
+    }
+
+    /// Waits until an upstream takes requests of this box again; returns false at once if the
+    /// request should be refused instead.
+    pub async fn wait_for_turn(&self, gw: &Gateway, pause: BackOff) -> bool {
+        let now = Now::read();
+        if !self.can_wait(pause.remaining(), now) {
+            return false;
+        }
+        let _turn = match pause {
+            BackOff::RateLimited(_) => {
+                match gw.enter_turn_queue(&self.service, self.longest_wait(now), now) {
+                    Some(turn) => Some(turn),
+                    None => return false,
+                }
+            }
+            BackOff::RetryAfter(_) | BackOff::WarmingUp(_) => None,
+        };
+        tokio::time::sleep(pause.remaining()).await;
+        self.tries.allow_all_upstreams();
+        true
     }
 
     /// Chooses an upstream and makes one attempt there.
--- a/src/gateway/answer/buffered.rs
+++ b/src/gateway/answer/buffered.rs
@@ -67,11 +67,12 @@
                 tokio::time::sleep(RETRY_DELAY).await;
                 request.tries.allow_all_upstreams();
             }
-            Err(NoAttempt::Paused(pause)) if request.can_wait(pause.remaining(), Now::read()) => {
-                tokio::time::sleep(pause.remaining()).await;
-                request.tries.allow_all_upstreams();
-            }
             Err(no_attempt) => {
+                if let NoAttempt::Paused(pause) = no_attempt
+                    && request.wait_for_turn(gw, pause).await
+                {
+                    continue;
+                }
                 return failed_response.ok_or_else(|| refusal_reason(gw, no_attempt, request));
             }
         }
--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -100,12 +100,12 @@
                 request.tries.allow_all_upstreams();
                 continue;
             }
-            Err(NoAttempt::Paused(pause)) if request.can_wait(pause.remaining(), Now::read()) => {
-                tokio::time::sleep(pause.remaining()).await;
-                request.tries.allow_all_upstreams();
-                continue;
-            }
             Err(no_attempt) => {
+                if let NoAttempt::Paused(pause) = no_attempt
+                    && request.wait_for_turn(gw, pause).await
+                {
+                    continue;
+                }
                 return failure
                     .map(ResponseStart::Buffered)
                     .ok_or_else(|| refusal_reason(gw, no_attempt, request));
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -9,4 +9,5 @@
 pub mod peer_loads;
 pub mod prefill_rate;
 pub mod rate_limits;
+pub mod turn_queue;
 pub mod warm_up;
--- a/src/gateway/place/candidates.rs
+++ b/src/gateway/place/candidates.rs
@@ -1,6 +1,7 @@
 //! Which upstreams of a service can be sent a request now.
 
 use super::fleet_view::FleetView;
+use super::turn_queue::WaitingTurn;
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::attempt::upstream::Upstream;
@@ -64,19 +65,34 @@
     /// Returns after how long a caller that was refused because of rate limits should come back to
     /// some box.
     pub fn return_delay(&self, service: &str, left: Duration, now: Now) -> Duration {
-        let knowledge = self.knowledge.borrow();
-        let upstreams = knowledge.available_upstreams(service, now);
-        let limit: f64 = upstreams
-            .iter()
-            .filter_map(|known| known.rate_limit())
-            .sum();
-        let own_share = limit / knowledge.box_count().max(1) as f64;
+        let own_share = self.limited_share(service, now);
         let interval = Duration::try_from_secs_f64(1.0 / own_share).unwrap_or(MAX_OTHER_BOX_DELAY);
         let earliest = left.min(MAX_OTHER_BOX_DELAY);
         let mut schedule = self.return_schedule.borrow_mut();
         schedule.assign(service, earliest, interval, now)
     }
 
+    /// Lets a request wait for at most `longest` for its turn at the limited upstreams of a service;
+    /// `None` if it would probably wait in vain.
+    pub fn enter_turn_queue(
+        &self,
+        service: &str,
+        longest: Duration,
+        now: Now,
+    ) -> Option<WaitingTurn> {
+        let turns = self.limited_share(service, now) * longest.as_secs_f64();
+        self.turn_queue.enter(service, turns)
+    }
+
+    /// Returns this box's equal share of what the limited upstreams of a service accept, in requests
+    /// per second.
+    fn limited_share(&self, service: &str, now: Now) -> f64 {
+        let knowledge = self.knowledge.borrow();
+        let upstreams = knowledge.available_upstreams(service, now);
+        let limits = upstreams.iter().filter_map(|known| known.rate_limit());
+        limits.sum::<f64>() / knowledge.box_count().max(1) as f64
+    }
+
     /// Returns whether operators have evacuated the halls of all upstreams of a service.
     pub fn is_evacuated(&self, service: &str) -> bool {
         let knowledge = self.knowledge.borrow();
--- a/tests/gateway/rate_limits.rs
+++ b/tests/gateway/rate_limits.rs
@@ -8,6 +8,7 @@
 use gatepier::gateway::answer::return_schedule::ReturnSchedule;
 use gatepier::gateway::attempt::upstream::Upstream;
 use gatepier::gateway::place::fleet_view::FleetView;
+use gatepier::gateway::place::turn_queue::TurnQueue;
 use gatepier::routing::rate_limit::{LimitStatement, RateLimiter};
 use gatepier::routing::signals::{ResponseSignals, SignalHeaders};
 use googletest::prelude::*;
@@ -352,6 +353,20 @@
         }
     }
 
+    // Guards against requests that wait in vain although their refusal is certain.
+    no_more_requests_wait_than_will_have_turns => {
+        let queue = TurnQueue::default();
+        let first = queue.enter("api", 0.2);
+        expect_that!(first.is_some(), eq(true), "one always may");
+        expect_that!(queue.enter("api", 0.2).is_none(), eq(true));
+        expect_that!(queue.enter("other", 0.2).is_some(), eq(true));
+        let second = queue.enter("api", 2.9);
+        expect_that!(second.is_some(), eq(true));
+        expect_that!(queue.enter("api", 2.9).is_none(), eq(true));
+        drop(first);
+        expect_that!(queue.enter("api", 2.9).is_some(), eq(true));
+    }
+
     // Guards against refused callers that all come back at the same time.
     refused_callers_are_spread_over_the_time_in_which_they_can_be_served => {
         let mut schedule = ReturnSchedule::default();
