Split what grew: the rate limit of an upstream, changes of knowledge, waiting requests

No change of behaviour but for one bound: limits above a million a second are not told apart, since their interval rounds to zero. upstream.rs, state.rs and request.rs each lose a part that is a job of its own.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -6,3 +6,4 @@
 pub mod request;
 pub mod routes;
 pub mod serve;
+pub mod waiting;
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -38,10 +38,6 @@
 /// still gets through.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 
-/// A request that ran nowhere is retried for the latency objective divided by this, then refused; a
-/// later refusal helps the caller less than waiting on.
-const RETRY_OBJECTIVE_DIVISOR: u32 = 4;
-
 /// A request that was admitted, and the state of its attempts.
 #[derive(Debug)]
 pub struct AdmittedRequest {
@@ -155,48 +151,6 @@
         self.tries.possible_runs() + 1 >= self.route.max_attempts.max(1)
     }
 
-    /// Returns whether a request that no upstream accepted should be retried after a pause rather
-    /// than refused.
-    pub fn should_wait_for_upstream(&self, gw: &Gateway, pause: Duration, now: Now) -> bool {
-        self.can_wait(pause, now)
-            && !gw
-                .candidates(&self.service, &self.session_id, now)
-                .is_empty()
-    }
-
-    /// Returns whether the request would still be within its retry window after a pause.
-    fn can_wait(&self, pause: Duration, now: Now) -> bool {
-        self.may_run_again() && pause < self.longest_wait(now)
-    }
-
-    /// Returns how much longer the request may wait before it is refused.
-    fn longest_wait(&self, now: Now) -> Duration {
-        let waited = now.monotonic.saturating_sub(self.received);
-        let window = self.route.latency_objective / RETRY_OBJECTIVE_DIVISOR;
-        window.saturating_sub(waited)
-    }
-
-    /// Waits until an upstream takes requests of this box again; returns false at once if the
-    /// request should be refused instead.
-    pub async fn wait_for_turn(&self, gw: &Gateway, pause: BackOff) -> bool {
-        let now = Now::read();
-        if !self.can_wait(pause.remaining(), now) {
-            return false;
-        }
-        let _turn = match pause {
-            BackOff::RateLimited(_) => {
-                match gw.enter_turn_queue(&self.service, self.longest_wait(now), now) {
-                    Some(turn) => Some(turn),
-                    None => return false,
-                }
-            }
-            BackOff::RetryAfter(_) | BackOff::WarmingUp(_) => None,
-        };
-        tokio::time::sleep(pause.remaining()).await;
-        self.tries.allow_all_upstreams();
-        true
-    }
-
     /// Chooses an upstream and makes one attempt there.
     ///
     /// If an earlier attempt reached an upstream, this one is a retry, which the budget has to
@@ -431,7 +385,7 @@
         if choice.upstream.is_leaving() {
             gw.note_upstream_leaving(&choice.upstream, Now::read());
         }
-        if choice.upstream.take_new_limit() {
+        if choice.upstream.rate_limit().take_new_limit() {
             gw.note_rate_limit(&choice.upstream, Now::read());
         }
         if matches!(tried, TryOutcome::NotRun(NotRunReason::OtherInstance)) {
--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -201,7 +201,7 @@
     let candidates = gw.candidates(&request.service, &request.session_id, now);
     candidates
         .iter()
-        .any(|upstream| upstream.rate_limit().is_none())
+        .any(|upstream| upstream.rate_limit().limit().is_none())
 }
 
 /// Returns how long to wait for the head of a response.
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -211,7 +211,7 @@
     request: UpstreamRequest,
     options: TryOptions,
 ) -> TryOutcome {
-    let was_limited = upstream.rate_limit().is_some();
+    let was_limited = upstream.rate_limit().limit().is_some();
     let load = upstream.begin_request();
     let pending_prefill = upstream.begin_prefill(options.prefill);
     let began = Now::read();
@@ -230,7 +230,7 @@
         },
     };
     // A request that was chosen before the upstream had a limit is not counted against it.
-    let exceeds_limit = !was_limited && upstream.rate_limit().is_some();
+    let exceeds_limit = !was_limited && upstream.rate_limit().limit().is_some();
     let takes_requests = !upstream.is_leaving() && !upstream.is_evacuated() && !exceeds_limit;
     if !takes_requests || upstream.is_in_retry_after(Now::read()) {
         return TryOutcome::NotRun(NotRunReason::Unavailable);
@@ -295,7 +295,9 @@
     };
     // Only the upstream's own answer shows that a limit is over.
     if signs.rate_limit.is_some() || mismatch.is_none() {
-        upstream.record_limit_statement(signs.rate_limit, began, now);
+        upstream
+            .rate_limit()
+            .record_statement(signs.rate_limit, began, now);
     }
     if is_refused {
         return TryOutcome::NotRun(NotRunReason::Refused(status));
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -5,14 +5,12 @@
 use crate::gateway::control::store::{ListedUpstream, UpstreamLife};
 use crate::gateway::place::choose::stable_hash;
 use crate::gateway::place::fleet_view::FleetView;
-use crate::gateway::place::rate_limits::RateLimitState;
+use crate::gateway::place::rate_limits::UpstreamRateLimit;
 use crate::gateway::place::warm_up::{WarmUp, WarmUpState};
 use crate::routing::backoff::RequestedBackoff;
 use crate::routing::placement::{LoadGuard, UpstreamLoad};
-use crate::routing::rate_limit::LimitStatement;
 use crate::routing::signals::ResponseSignals;
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -59,9 +57,7 @@
     last_data_at: Cell<Duration>,
     is_leaving: Cell<bool>,
     retry_after: Cell<RequestedBackoff>,
-    rate_limit: Cell<RateLimitState>,
-    /// Whether an answer has changed the rate limit and the other boxes are not notified yet.
-    has_new_limit: Cell<bool>,
+    rate_limit: UpstreamRateLimit,
     warm_up: Cell<WarmUpState>,
     is_evacuated: Cell<bool>,
 }
@@ -135,9 +131,10 @@
     /// Creates the state of a newly registered upstream.
     pub fn new(listed: ListedUpstream) -> Rc<Self> {
         let incarnation = listed.incarnation();
+        // The lower half of a hash is as good as any other part.
+        let short_hash = stable_hash(&incarnation.to_string()) as u32;
         Rc::new(Self {
-            // The lower half of a hash is as good as any other part.
-            short_hash: stable_hash(&incarnation.to_string()) as u32,
+            short_hash,
             incarnation,
             listed: RefCell::new(listed),
             load: Arc::default(),
@@ -149,8 +146,7 @@
             last_data_at: Cell::default(),
             is_leaving: Cell::default(),
             retry_after: Cell::default(),
-            rate_limit: Cell::default(),
-            has_new_limit: Cell::default(),
+            rate_limit: UpstreamRateLimit::new(short_hash),
             warm_up: Cell::default(),
             is_evacuated: Cell::default(),
         })
@@ -348,60 +344,9 @@
         }
     }
 
-    /// Returns the rate limit in force, in requests per second from all boxes together.
-    pub fn rate_limit(&self) -> Option<f64> {
-        self.rate_limit.get().limit()
-    }
-
-    /// Returns what the upstream last stated about its rate limit; none if it never had one.
-    pub fn limit_statement(&self) -> Option<LimitStatement> {
-        self.rate_limit.get().statement()
-    }
-
-    /// Records what an answer stated about the rate limit, of a request that was sent at `sent`.
-    pub fn record_limit_statement(&self, limit: Option<f64>, sent: Now, now: Now) {
-        let statement = LimitStatement {
-            limit,
-            as_of: limit.map_or(sent.monotonic, |_| now.monotonic),
-        };
-        if self.apply_limit_statement(statement, now) {
-            self.has_new_limit.set(true);
-        }
-    }
-
-    /// Returns whether an answer has changed the rate limit since the last call.
-    pub fn take_new_limit(&self) -> bool {
-        self.has_new_limit.take()
-    }
-
-    /// Applies what the upstream stated about its rate limit; returns whether the limit changed.
-    pub fn apply_limit_statement(&self, statement: LimitStatement, now: Now) -> bool {
-        let mut state = self.rate_limit.get();
-        let is_changed = state.apply(statement, now);
-        self.rate_limit.set(state);
-        is_changed
-    }
-
-    /// Returns how long this box has to wait before it may send a request to the upstream because
-    /// of its rate limit; `None` if it may send now.
-    pub fn rate_limit_delay(&self, fleet: FleetView<'_>, now: Now) -> Option<Duration> {
-        let mut state = self.rate_limit.get();
-        let delay = state.send_delay(self.short_hash, fleet, now);
-        self.rate_limit.set(state);
-        delay
-    }
-
-    /// Counts a request, of this box or of another one, against the rate limit.
-    pub fn record_limited_send(&self, now: Now) {
-        let mut state = self.rate_limit.get();
-        state.record_send(now);
-        self.rate_limit.set(state);
-    }
-
-    /// Returns the other boxes that may send to the upstream while it has a rate limit.
-    pub fn other_senders(&self, fleet: FleetView<'_>, now: Now) -> Vec<SocketAddr> {
-        let state = self.rate_limit.get();
-        state.other_senders(self.short_hash, fleet, now)
+    /// Returns the upstream's rate limit, as far as this box knows it.
+    pub fn rate_limit(&self) -> &UpstreamRateLimit {
+        &self.rate_limit
     }
 
     /// Returns whether the upstream announced in an answer that it is leaving.
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -1,6 +1,7 @@
 //! Control plane of a box: its copy of the configuration, upstream list, roll-outs and box
 //! membership, and the synchronization of that copy with the platform's store.
 
+pub mod change;
 pub mod initial_sync;
 pub mod lag;
 pub mod membership;
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -3,6 +3,7 @@
 //! One rule holds for every source: only a higher version or revision replaces existing state, so
 //! the state never goes back while the process runs. See `docs/design/platform.md`.
 
+use super::change::Change;
 use super::lag::Lag;
 use super::restoration::Restoration;
 use super::rollout::Rollout;
@@ -66,57 +67,6 @@
     Outdated,
 }
 
-/// What an update changed, for the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Change {
-    /// Nothing: the update was already known or outdated.
-    Nothing,
-    /// The routes have this version now.
-    Routes(u64),
-    /// An upstream was added.
-    UpstreamAdded(String),
-    /// An upstream has started to leave or has come back.
-    UpstreamChanged(String),
-    /// An upstream has restarted under the same id.
-    UpstreamReborn(UpstreamLife),
-    /// An upstream was removed.
-    UpstreamRemoved(String),
-    /// An upstream's entry is missing while the store recovers from an outage.
-    UpstreamLapsed(String),
-    /// Operators have evacuated this hall.
-    HallEvacuated(String),
-    /// Operators have returned this hall to use.
-    HallReturned(String),
-    /// A roll-out of this service was ordered, advanced or cancelled.
-    Rollout(String),
-    /// A box has registered.
-    BoxAdded(String),
-    /// A box is no longer registered.
-    BoxGone(String),
-    /// An upstream's entry could not be decoded, so the upstream is not used.
-    UpstreamFaulty {
-        /// The upstream's id.
-        instance: String,
-        /// Why the entry is invalid.
-        reason: String,
-    },
-    /// An item could not be decoded.
-    Faulty {
-        /// The item's key in the store.
-        item: String,
-        /// Why it is invalid.
-        reason: String,
-    },
-}
-
-impl Change {
-    /// Returns whether something was added, as is the case for nearly all changes when a box
-    /// starts.
-    pub fn is_addition(&self) -> bool {
-        matches!(self, Self::UpstreamAdded(_) | Self::BoxAdded(_))
-    }
-}
-
 impl ControlPlaneState {
     /// Records a revision of data that is about to be applied. If it shows that the store was
     /// restored from an older copy, what the copy lacks is kept until it is written again.
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -5,11 +5,11 @@
 //! silent although changes are made. The other boxes poll a hub ([`crate::gateway::peers::hubs`])
 //! and call the store only when their state becomes too old. See `docs/design/platform.md`.
 
+use super::change::Change;
 use super::initial_sync::{HallBoxes, read_hall, run_initial_sync};
 use super::membership::maintain_registration;
 use super::mirror::Changes;
 use super::revision::epoch_of;
-use super::state::Change;
 use super::store::{ControlStore, Item, WatchResult};
 use crate::clock::Now;
 use crate::gateway::Gateway;
--- a/src/gateway/peers/rate_limits.rs
+++ b/src/gateway/peers/rate_limits.rs
@@ -34,7 +34,7 @@
 impl RateLimitReport {
     /// Returns what this box knows of an upstream; none if there is nothing to tell.
     fn of(upstream: &Upstream, now: Now) -> Option<Self> {
-        let statement = upstream.limit_statement()?;
+        let statement = upstream.rate_limit().statement()?;
         let age = now.monotonic.saturating_sub(statement.as_of);
         let is_relevant = statement.limit.is_some() || age < ENDED_LIMIT_RETENTION;
         is_relevant.then(|| Self {
@@ -58,8 +58,8 @@
     /// Counts a request that is about to be sent to an upstream with a rate limit, and queues its
     /// announcement to the other boxes that may send there.
     pub fn count_limited_send(&self, upstream: &Upstream, now: Now) {
-        if upstream.rate_limit().is_some() {
-            upstream.record_limited_send(now);
+        if upstream.rate_limit().limit().is_some() {
+            upstream.rate_limit().record_send(now);
             self.limited_sends.push(upstream.short_hash());
         }
     }
@@ -80,7 +80,7 @@
                 .iter()
                 .filter(|report| report.upstream == upstream.short_hash());
             if let Some(report) = named.next()
-                && upstream.apply_limit_statement(report.statement(now), now)
+                && upstream.rate_limit().apply(report.statement(now), now)
             {
                 self.telemetry.record_rate_limit(upstream, "box");
             }
@@ -92,7 +92,7 @@
         let state = self.knowledge.borrow();
         for upstream in state.upstreams() {
             let sends = hashes.iter().filter(|hash| **hash == upstream.short_hash());
-            sends.for_each(|_| upstream.record_limited_send(now));
+            sends.for_each(|_| upstream.rate_limit().record_send(now));
         }
     }
 
@@ -108,7 +108,9 @@
         let named = state
             .upstreams()
             .find(|upstream| upstream.short_hash() == hash);
-        named.map_or_else(Vec::new, |upstream| upstream.other_senders(fleet, now))
+        named.map_or_else(Vec::new, |upstream| {
+            upstream.rate_limit().other_senders(fleet, now)
+        })
     }
 }
 
--- a/src/gateway/place/candidates.rs
+++ b/src/gateway/place/candidates.rs
@@ -89,7 +89,9 @@
     fn limited_share(&self, service: &str, now: Now) -> f64 {
         let knowledge = self.knowledge.borrow();
         let upstreams = knowledge.available_upstreams(service, now);
-        let limits = upstreams.iter().filter_map(|known| known.rate_limit());
+        let limits = upstreams
+            .iter()
+            .filter_map(|known| known.rate_limit().limit());
         limits.sum::<f64>() / knowledge.box_count().max(1) as f64
     }
 
@@ -112,7 +114,7 @@
         let warm_up = self.knowledge.borrow().warm_up(service);
         let needs_fleet = |upstream: &Rc<Upstream>| {
             let is_warming_up = warm_up.is_some() && upstream.is_warming_up(now);
-            is_warming_up || upstream.rate_limit().is_some()
+            is_warming_up || upstream.rate_limit().limit().is_some()
         };
         let boxes = match upstreams.iter().any(needs_fleet) {
             true => self.box_addresses(),
@@ -130,7 +132,7 @@
                 delay.map(BackOff::WarmingUp)
             };
             let limited = || {
-                let delay = upstream.rate_limit_delay(fleet, now);
+                let delay = upstream.rate_limit().send_delay(fleet, now);
                 delay.map(BackOff::RateLimited)
             };
             retry_after.or_else(warming_up).or_else(limited)
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -7,7 +7,7 @@
 use super::attempt::crash_detection::InterruptedRun;
 use super::attempt::exchange::TryOutcome;
 use super::attempt::upstream::Upstream;
-use super::control::state::Change;
+use super::control::change::Change;
 use super::peers::hub_poller::FetchError;
 use super::place::choose::PlacementChoice;
 use crate::clock::{Now, millis};
@@ -144,7 +144,7 @@
             outstanding = upstream.outstanding(),
             rest_ms = upstream.retry_after_left(Now::read()).map_or(0, millis),
             warm_up_ms = millis(upstream.warm_up_left(Now::read())),
-            limit = upstream.rate_limit().map_or(String::new(), |limit| limit.to_string()).as_str();
+            limit = upstream.rate_limit().limit().map_or(String::new(), |limit| limit.to_string()).as_str();
             "try: {}", tried.describe()
         );
     }
@@ -201,7 +201,7 @@
     pub fn record_rate_limit(&self, upstream: &Upstream, source: &str) {
         let instance = upstream.with_listed(|listed| listed.instance.clone());
         let instance = instance.as_str();
-        match upstream.rate_limit() {
+        match upstream.rate_limit().limit() {
             Some(limit) => {
                 log::info!(upstream = instance, source, limit; "the upstream states a rate limit")
             }
--- a/src/routing/placement.rs
+++ b/src/routing/placement.rs
@@ -80,10 +80,7 @@
         now: Now,
         rng: &mut impl Rng,
     ) -> bool {
-        let statement = LimitStatement {
-            limit,
-            as_of: limit.map_or(sent.monotonic, |_| now.monotonic),
-        };
+        let statement = LimitStatement::of_answer(limit, sent, now);
         let first_delay = rng.random_range(0.0..1.0);
         lock(&self.rate_limiter).apply(statement, first_delay, now)
     }
--- a/src/routing/rate_limit.rs
+++ b/src/routing/rate_limit.rs
@@ -9,6 +9,8 @@
 /// The longest time between two requests: the response to the next one tells whether the limit is
 /// over.
 const MAX_SEND_INTERVAL: Duration = Duration::from_secs(10);
+/// The highest limit that is told apart from a higher one, in requests per second.
+const MAX_LIMIT: f64 = 1e6;
 
 /// What an upstream stated about its rate limit, and when.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -20,6 +22,16 @@
     pub as_of: Duration,
 }
 
+impl LimitStatement {
+    /// Returns what an answer states, of a request that was sent at `sent`.
+    pub fn of_answer(limit: Option<f64>, sent: Now, now: Now) -> Self {
+        Self {
+            limit,
+            as_of: limit.map_or(sent.monotonic, |_| now.monotonic),
+        }
+    }
+}
+
 /// The rate limit of one upstream and the pace of the requests to it.
 ///
 /// The pace counts every request of which this box knows as a debt of `1 / limit`, and the next one
@@ -103,5 +115,5 @@
 /// Returns the time between two requests at an even pace.
 pub fn send_interval(limit: f64) -> Duration {
     let min_limit = 1.0 / MAX_SEND_INTERVAL.as_secs_f64();
-    Duration::from_secs_f64(1.0 / limit.max(min_limit))
+    Duration::from_secs_f64(1.0 / limit.max(min_limit).min(MAX_LIMIT))
 }
--- a/tests/gateway/rate_limits.rs
+++ b/tests/gateway/rate_limits.rs
@@ -125,9 +125,13 @@
             match event {
                 Event::Answer { to, sent_ms } => {
                     let upstream = &boxes[to].upstream;
-                    upstream.record_limit_statement(Some(plan.limit), at(sent_ms), at(now_ms));
-                    if upstream.take_new_limit() {
-                        let statement = upstream.limit_statement().unwrap();
+                    upstream.rate_limit().record_statement(
+                        Some(plan.limit),
+                        at(sent_ms),
+                        at(now_ms),
+                    );
+                    if upstream.rate_limit().take_new_limit() {
+                        let statement = upstream.rate_limit().statement().unwrap();
                         let others = boxes[to]
                             .known_boxes
                             .iter()
@@ -136,17 +140,15 @@
                     }
                 }
                 Event::Statement { to, statement } => {
-                    boxes[to]
-                        .upstream
-                        .apply_limit_statement(statement, at(now_ms));
+                    boxes[to].upstream.rate_limit().apply(statement, at(now_ms));
                 }
-                Event::Send { to } => boxes[to].upstream.record_limited_send(at(now_ms)),
+                Event::Send { to } => boxes[to].upstream.rate_limit().record_send(at(now_ms)),
             }
         }
         if now_ms % GOSSIP_MS == 0 {
             let round = (now_ms / GOSSIP_MS) as usize;
             for (number, simulated) in boxes.iter().enumerate() {
-                if let Some(statement) = simulated.upstream.limit_statement() {
+                if let Some(statement) = simulated.upstream.rate_limit().statement() {
                     let turn = (number + round) % simulated.known_boxes.len();
                     statements.push((number, simulated.known_boxes[turn], statement));
                 }
@@ -168,23 +170,25 @@
             }
             if simulated
                 .upstream
-                .rate_limit_delay(simulated.fleet(), at(now_ms))
+                .rate_limit()
+                .send_delay(simulated.fleet(), at(now_ms))
                 .is_some()
             {
                 continue;
             }
             arrivals.push(now_ms);
-            simulated.upstream.record_limited_send(at(now_ms));
+            simulated.upstream.rate_limit().record_send(at(now_ms));
             let answer = Event::Answer {
                 to: number,
                 sent_ms: now_ms,
             };
             events.push((now_ms + ANSWER_MS, answer));
-            if simulated.upstream.rate_limit().is_none() {
+            if simulated.upstream.rate_limit().limit().is_none() {
                 continue;
             }
             for other in simulated
                 .upstream
+                .rate_limit()
                 .other_senders(simulated.fleet(), at(now_ms))
             {
                 if !rng.random_bool(plan.loss) {
@@ -315,30 +319,30 @@
 
     answer_that_was_overtaken_by_a_limit_does_not_end_it => {
         let upstream = Upstream::new(listed("i-limited", "engine", "ikeja"));
-        upstream.record_limit_statement(Some(2.0), at(100), at(150));
-        upstream.record_limit_statement(None, at(90), at(200));
-        expect_that!(upstream.rate_limit(), some(eq(2.0)));
-        upstream.record_limit_statement(None, at(160), at(210));
-        expect_that!(upstream.rate_limit(), none());
-        expect_that!(upstream.take_new_limit(), eq(true));
-        expect_that!(upstream.take_new_limit(), eq(false));
+        upstream.rate_limit().record_statement(Some(2.0), at(100), at(150));
+        upstream.rate_limit().record_statement(None, at(90), at(200));
+        expect_that!(upstream.rate_limit().limit(), some(eq(2.0)));
+        upstream.rate_limit().record_statement(None, at(160), at(210));
+        expect_that!(upstream.rate_limit().limit(), none());
+        expect_that!(upstream.rate_limit().take_new_limit(), eq(true));
+        expect_that!(upstream.rate_limit().take_new_limit(), eq(false));
     }
 
     older_report_of_another_box_does_not_replace_a_newer_statement => {
         let upstream = Upstream::new(listed("i-limited", "engine", "ikeja"));
-        upstream.record_limit_statement(Some(2.0), at(100), at(150));
-        expect_that!(upstream.apply_limit_statement(statement(None, 140), at(300)), eq(false));
-        expect_that!(upstream.rate_limit(), some(eq(2.0)));
-        expect_that!(upstream.apply_limit_statement(statement(None, 160), at(300)), eq(true));
-        expect_that!(upstream.apply_limit_statement(statement(Some(2.0), 150), at(400)), eq(false));
-        expect_that!(upstream.rate_limit(), none());
+        upstream.rate_limit().record_statement(Some(2.0), at(100), at(150));
+        expect_that!(upstream.rate_limit().apply(statement(None, 140), at(300)), eq(false));
+        expect_that!(upstream.rate_limit().limit(), some(eq(2.0)));
+        expect_that!(upstream.rate_limit().apply(statement(None, 160), at(300)), eq(true));
+        expect_that!(upstream.rate_limit().apply(statement(Some(2.0), 150), at(400)), eq(false));
+        expect_that!(upstream.rate_limit().limit(), none());
     }
 
     upstream_that_never_stated_a_limit_has_no_statement => {
         let upstream = Upstream::new(listed("i-free", "engine", "ikeja"));
-        upstream.record_limit_statement(None, at(100), at(150));
-        expect_that!(upstream.limit_statement(), none());
-        expect_that!(upstream.take_new_limit(), eq(false));
+        upstream.rate_limit().record_statement(None, at(100), at(150));
+        expect_that!(upstream.rate_limit().statement(), none());
+        expect_that!(upstream.rate_limit().take_new_limit(), eq(false));
     }
 
     invalid_limits_are_ignored => {
@@ -348,6 +352,7 @@
         };
         expect_that!(read(" 1.5 "), some(eq(1.5)));
         expect_that!(read("0"), some(eq(0.0)));
+        expect_that!(limiter(f64::MAX).send_delay(Duration::ZERO, at(0)), none());
         for invalid in ["-1", "many", "NaN", "inf", ""] {
             expect_that!(read(invalid), none(), "{invalid}");
         }
--- a/tests/gateway/restoration.rs
+++ b/tests/gateway/restoration.rs
@@ -4,10 +4,11 @@
 //! items that undo what the box knows before their authors write the newer state again.
 
 use super::{at, cases, listed};
+use gatepier::gateway::control::change::Change;
 use gatepier::gateway::control::mirror::Mirror;
 use gatepier::gateway::control::revision::EpochRevision;
 use gatepier::gateway::control::rollout::Rollout;
-use gatepier::gateway::control::state::{Change, ControlPlaneState};
+use gatepier::gateway::control::state::ControlPlaneState;
 use gatepier::gateway::control::store::{
     BoxEntry, Item, ListedUpstream, RolloutOrder, RolloutRecord, RolloutState, Update,
 };
--- a/tests/gateway/upstream_restarts.rs
+++ b/tests/gateway/upstream_restarts.rs
@@ -3,8 +3,9 @@
 
 use super::{at, cases, listed};
 use gatepier::gateway::attempt::upstream::Upstream;
+use gatepier::gateway::control::change::Change;
 use gatepier::gateway::control::mirror::Mirror;
-use gatepier::gateway::control::state::{Change, ControlPlaneState};
+use gatepier::gateway::control::state::ControlPlaneState;
 use gatepier::gateway::control::store::{Item, ListedUpstream, Update};
 use gatepier::gateway::place::peer_loads::{BoxLoad, LongPrefillOutbox, PeerLoads};
 use googletest::prelude::*;
