--- a/src/gateway/control/restoration.rs
+++ b/src/gateway/control/restoration.rs
@@ -46,7 +46,11 @@
         let is_new = self.epoch.is_some_and(|known| epoch > known);
         if is_new {
             let revision = EpochRevision::from_qualified(revision);
-            log::warn!(revision = revision.to_string().as_str(); "the store was restored, keeping what it may lack");
+            let EpochRevision {
+                epoch,
+                revision: raw,
+            } = revision;
+            log::warn!(epoch, revision = raw; "the store was restored, keeping what it may lack");
             self.newest = Some(RestorationStart {
                 at: now.monotonic,
                 revision,
--- a/src/gateway/control/revision.rs
+++ b/src/gateway/control/revision.rs
@@ -4,8 +4,6 @@
 //! newer. The store counts its restorations, and the adapter qualifies every revision with that
 //! epoch before the gateway compares it. See `docs/design/restored-store.md`.
 
-use std::fmt;
-
 /// The low bits of a qualified revision, which hold the store's own revision.
 const REVISION_BITS: u32 = 40;
 const REVISION_MASK: u64 = (1 << REVISION_BITS) - 1;
@@ -34,12 +32,6 @@
     }
 }
 
-impl fmt::Display for EpochRevision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}", self.epoch, self.revision)
-    }
-}
-
 /// Returns the epoch of a qualified revision.
 pub fn epoch_of(qualified: u64) -> u64 {
     EpochRevision::from_qualified(qualified).epoch
--- a/src/gateway/control/rollout_leader.rs
+++ b/src/gateway/control/rollout_leader.rs
@@ -5,6 +5,7 @@
 //! harm. See `docs/design/platform.md`.
 
 use super::membership::leadership_rank;
+use super::revision::EpochRevision;
 use super::rollout::{ReceivedRecord, Rollout};
 use super::store::{ControlStore, RecordWriteResult, RolloutOrder, Update};
 use crate::clock::Now;
@@ -121,7 +122,8 @@
             Some(revision)
         }
         Ok(RecordWriteResult::Conflict) => {
-            log::info!(service, expected; "another box took the roll-out on");
+            let EpochRevision { epoch, revision } = EpochRevision::from_qualified(expected);
+            log::info!(service, epoch, expected = revision; "another box took the roll-out on");
             None
         }
         // The outcome of the write is unknown; the watch delivers the record if it took effect.
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -9,7 +9,7 @@
 use super::initial_sync::{HallBoxes, read_hall, run_initial_sync};
 use super::membership::maintain_registration;
 use super::mirror::Changes;
-use super::revision::epoch_of;
+use super::revision::{EpochRevision, epoch_of};
 use super::store::{ControlStore, Item, WatchResult};
 use crate::clock::Now;
 use crate::gateway::Gateway;
@@ -148,7 +148,8 @@
     let lag = state.lag(now);
     let summarized = new_items.len() > MAX_LOGGED_CHANGES;
     if summarized {
-        log::info!(source, revision, items = new_items.len(); "applied many changes at once");
+        let EpochRevision { epoch, revision } = EpochRevision::from_qualified(revision);
+        log::info!(source, epoch, revision, items = new_items.len(); "applied many changes at once");
     }
     for item in &new_items {
         if let Some(update) = store.decode(item) {
@@ -319,7 +320,8 @@
                 apply_items(gw, store, items, revision, "watch");
             }
             Ok(WatchResult::HistoryCompacted) => {
-                log::warn!(after; "the store's history is compacted, reading a full snapshot");
+                let EpochRevision { epoch, revision } = EpochRevision::from_qualified(after);
+                log::warn!(epoch, after = revision; "the store's history is compacted, reading a full snapshot");
                 read_snapshot(gw, store).await;
             }
             Err(err) => {
@@ -372,15 +374,16 @@
             .record_newer_revision(revision, now);
         sleep(WATCH_GRACE).await;
     }
+    let newest = EpochRevision::from_qualified(revision);
     if is_behind(gw, revision) && is_transfer_in_progress(gw, store) {
-        log::info!(revision; "this box is behind, a transfer of the missing data is in progress");
+        log::info!(epoch = newest.epoch, revision = newest.revision; "this box is behind, a transfer of the missing data is in progress");
         return true;
     }
     if is_behind(gw, revision) && !catch_up(gw, store).await {
         return false;
     }
     if is_behind(gw, revision) {
-        log::info!(revision; "this box is still behind after reading the changes, reading a full snapshot");
+        log::info!(epoch = newest.epoch, revision = newest.revision; "this box is still behind after reading the changes, reading a full snapshot");
         return try_read_snapshot(gw, store, MAX_PAGE_FAILURES_PER_CHECK).await;
     }
     gw.confirm_fresh_as_of(sent.monotonic);
@@ -401,13 +404,16 @@
 /// false if the store did not answer. The store may have compacted its history, or omit changes.
 async fn catch_up(gw: &Gateway, store: &dyn ControlStore) -> bool {
     let after = gw.mirror.borrow().revision();
-    log::info!(after; "this box is behind, reading the missed changes");
+    let EpochRevision { epoch, revision } = EpochRevision::from_qualified(after);
+    log::info!(epoch, after = revision; "this box is behind, reading the missed changes");
     gw.telemetry.count_store_call("changes");
     match store.watch(after, CATCH_UP_TIMEOUT).await {
         Ok(WatchResult::Changes(items, revision)) => {
             apply_items(gw, store, items, revision, "changes")
         }
-        Ok(WatchResult::HistoryCompacted) => log::warn!(after; "the store's history is compacted"),
+        Ok(WatchResult::HistoryCompacted) => {
+            log::warn!(epoch, after = revision; "the store's history is compacted");
+        }
         Err(err) => {
             gw.store_failed(&err, Now::read());
             return false;
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -8,6 +8,7 @@
 use super::attempt::exchange::TryOutcome;
 use super::attempt::upstream::Upstream;
 use super::control::change::Change;
+use super::control::revision::EpochRevision;
 use super::peers::hub_poller::FetchError;
 use super::place::choose::PlacementChoice;
 use crate::clock::{Now, millis};
@@ -331,21 +332,24 @@
         if let Change::Routes(version) = change {
             self.config_version.record(*version, &[]);
         }
+        let EpochRevision { epoch, revision } = EpochRevision::from_qualified(revision);
         match change {
             Change::Nothing => {}
             Change::Faulty { item, reason } => log::error!(
                 item = item.as_str(),
                 source,
+                epoch,
                 revision;
                 "cannot be read; keeping the last valid state: {reason}"
             ),
             Change::UpstreamFaulty { instance, reason } => log::error!(
                 upstream = instance.as_str(),
                 source,
+                epoch,
                 revision;
                 "the entry cannot be read; not using the upstream: {reason}"
             ),
-            change => log::info!(source, revision; "learned: {change:?}"),
+            change => log::info!(source, epoch, revision; "learned: {change:?}"),
         }
     }
 
