Apply every report of a datagram, and compare orders without copies

Found on the last reading: of two reports about one upstream in a datagram only the older was applied, until the next round of gossip.

--- a/src/gateway/control/rollout.rs
+++ b/src/gateway/control/rollout.rs
@@ -86,13 +86,13 @@
         if known.is_some_and(|known| revision <= known.revision) {
             return false;
         }
-        let is_restored = known.is_some_and(|known| epoch_of(revision) > epoch_of(known.revision));
-        if is_restored && known.is_some_and(|known| self.rank(&known.record) > self.rank(&record)) {
-            self.record = self.record.take().map(|known| ReceivedRecord {
-                revision,
-                is_lost: true,
-                ..known
-            });
+        let is_older_state = known.is_some_and(|known| {
+            epoch_of(revision) > epoch_of(known.revision)
+                && self.rank(&known.record) > self.rank(&record)
+        });
+        if is_older_state && let Some(known) = &mut self.record {
+            known.revision = revision;
+            known.is_lost = true;
             return false;
         }
         self.record = Some(ReceivedRecord {
--- a/src/gateway/control/store.rs
+++ b/src/gateway/control/store.rs
@@ -159,8 +159,9 @@
 impl RolloutOrder {
     /// Returns whether another order asks for the same, whatever its revision.
     pub fn has_same_content(&self, other: &Self) -> bool {
-        let content = |order: &Self| (order.service.clone(), order.target.clone(), order.duration);
-        content(self) == content(other)
+        self.service == other.service
+            && self.target == other.target
+            && self.duration == other.duration
     }
 }
 
--- a/src/gateway/peers/rate_limits.rs
+++ b/src/gateway/peers/rate_limits.rs
@@ -76,13 +76,11 @@
     pub fn apply_rate_limit_reports(&self, reports: &[RateLimitReport], now: Now) {
         let state = self.knowledge.borrow();
         for upstream in state.upstreams() {
-            let mut named = reports
-                .iter()
-                .filter(|report| report.upstream == upstream.short_hash());
-            if let Some(report) = named.next()
-                && upstream.rate_limit().apply(report.statement(now), now)
-            {
-                self.telemetry.record_rate_limit(upstream, "box");
+            let hash = upstream.short_hash();
+            for report in reports.iter().filter(|report| report.upstream == hash) {
+                if upstream.rate_limit().apply(report.statement(now), now) {
+                    self.telemetry.record_rate_limit(upstream, "box");
+                }
             }
         }
     }
