Boxes that lose their registrations still share the limits of upstreams

The store was down while all leases ran out.

Cause: the boxes that share a limit were those registered at the moment; without registrations each box took itself for the only one and announced its requests to nobody. The class: an empty list taken for an empty fleet.

--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -14,6 +14,7 @@
 use crate::gateway::place::warm_up::WarmUp;
 use crate::gateway::settings::Bounds;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +23,9 @@
 /// the users, entries of live upstreams are back within about two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2100);
 
+/// How long a box that is no longer registered may still run: longer than most outages of the store.
+const FORMER_BOX_RETENTION: Duration = Duration::from_secs(30);
+
 /// The age of the state from which the store may have been down. Hubs and staleness checks keep the
 /// age below two seconds as long as there is any way to the store, and entries expire after three
 /// heartbeats of 1.2 s at the earliest.
@@ -36,6 +40,8 @@
     faulty: HashMap<String, String>,
     rollouts: HashMap<String, Rollout>,
     boxes: BTreeMap<String, BoxEntry>,
+    /// The addresses of boxes that are no longer registered, and since when.
+    former_boxes: HashMap<SocketAddr, Duration>,
     confirmed_at: Option<Duration>,
     lag: Lag,
     store_recovering_until: Option<Duration>,
@@ -146,7 +152,10 @@
             Update::HallReturned(hall) => self.restore_hall(hall, now),
             Update::Box(entry) => self.apply_box(entry),
             Update::BoxGone(name) => match self.boxes.remove(&name) {
-                Some(_) => Change::BoxGone(name),
+                Some(entry) => {
+                    self.former_boxes.insert(entry.address, now.monotonic);
+                    Change::BoxGone(name)
+                }
                 None => Change::Nothing,
             },
             Update::Faulty { item, reason } => Change::Faulty { item, reason },
@@ -462,6 +471,8 @@
             let is_listed = known.is_some_and(|known| known.incarnation() == incarnation);
             is_listed || now.monotonic.saturating_sub(*recorded) < LEAVING_RETENTION
         });
+        self.former_boxes
+            .retain(|_, since| now.monotonic.saturating_sub(*since) < FORMER_BOX_RETENTION);
         self.gone
             .retain(|_, since| now.monotonic.saturating_sub(*since) < LEAVING_RETENTION);
     }
@@ -500,6 +511,15 @@
         self.boxes.len()
     }
 
+    /// Returns the addresses of the boxes that are registered, or were until recently: while the
+    /// store loses all registrations at once, the boxes still run.
+    pub fn recent_box_addresses(&self) -> Vec<SocketAddr> {
+        let registered = self.boxes().map(|entry| entry.address);
+        let former = self.former_boxes.keys().copied();
+        let addresses: BTreeSet<SocketAddr> = registered.chain(former).collect();
+        addresses.into_iter().collect()
+    }
+
     /// Returns the registered boxes, the one registered longest first.
     pub fn boxes_by_registration(&self) -> Vec<&BoxEntry> {
         let mut boxes: Vec<&BoxEntry> = self.boxes().collect();
--- a/src/gateway/peers/rate_limits.rs
+++ b/src/gateway/peers/rate_limits.rs
@@ -123,7 +123,10 @@
 async fn broadcast_changes(gw: &Gateway, send: &impl AsyncFn(&[SocketAddr], Vec<RateLimitReport>)) {
     loop {
         let reports = gw.rate_limits.next().await;
-        send(&gw.other_boxes(), reports).await;
+        let own = gw.settings().peer_addr;
+        let mut others = gw.box_addresses();
+        others.retain(|address| *address != own);
+        send(&others, reports).await;
     }
 }
 
--- a/src/gateway/place/candidates.rs
+++ b/src/gateway/place/candidates.rs
@@ -140,10 +140,9 @@
         upstreams.iter().map(back_off).collect()
     }
 
-    /// Returns the addresses of all registered boxes.
+    /// Returns the addresses of the boxes that share limits of upstreams.
     pub fn box_addresses(&self) -> Vec<SocketAddr> {
-        let knowledge = self.knowledge.borrow();
-        knowledge.boxes().map(|entry| entry.address).collect()
+        self.knowledge.borrow().recent_box_addresses()
     }
 
     /// Returns the upstreams that may serve a request of a session by the rules of the roll-out,
--- a/src/gateway/place/fleet_view.rs
+++ b/src/gateway/place/fleet_view.rs
@@ -13,7 +13,7 @@
 pub struct FleetView<'a> {
     /// This box's own address.
     pub own_address: SocketAddr,
-    /// The addresses of the registered boxes, in any order.
+    /// The addresses of the boxes that are registered or were until recently, in any order.
     pub box_addresses: &'a [SocketAddr],
     /// How long this box has been up.
     pub uptime: Duration,
