Load reports may state more than three figures; settings of contention and memory

A report with a fourth figure was dropped whole, so that boxes placed requests without it. Three figures or more are read now; the fourth is how long work takes at the moment. A figure that is no number still makes the report invalid.

The settings gain the memory limit and whether contention is expected; controls_load is the switch of what follows. Nothing uses it yet.

--- a/src/gateway/attempt/headers.rs
+++ b/src/gateway/attempt/headers.rs
@@ -27,7 +27,8 @@
     pub leaving: HeaderName,
     /// The requests per second that the upstream accepts from all boxes together.
     pub rate_limit: HeaderName,
-    /// The number of running and waiting requests and of slots of the upstream.
+    /// The number of running and waiting requests and of slots of the upstream, and how long work
+    /// takes there at the moment.
     pub load: HeaderName,
     /// The model that is to answer.
     pub model: HeaderName,
@@ -110,15 +111,24 @@
     pub waiting: u32,
     /// Number of requests that can run at the same time.
     pub slots: u32,
+    /// How long work takes at the moment, in percent of the usual time; `None` if not stated.
+    pub work_time_percent: Option<u32>,
 }
 
-/// Parses an upstream's load, in the form `running,waiting,slots`.
+/// Parses an upstream's load, in the form `running,waiting,slots` or
+/// `running,waiting,slots,work_time_percent`.
+///
+/// Figures that follow are ignored, so that upstreams may state more than this version knows.
 pub fn parse_load(text: &str) -> Option<ReportedLoad> {
     let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
     let load = ReportedLoad {
         running: numbers.next()??,
         waiting: numbers.next()??,
         slots: numbers.next()??,
+        work_time_percent: match numbers.next() {
+            Some(stated) => Some(stated?),
+            None => None,
+        },
     };
-    numbers.next().is_none().then_some(load)
+    numbers.all(|number| number.is_some()).then_some(load)
 }
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -51,6 +51,7 @@
     load: Arc<UpstreamLoad>,
     health: Cell<Health>,
     report: Cell<Option<LoadReport>>,
+    states_work_time: Cell<bool>,
     lapsed_at: Cell<Option<Duration>>,
     pending_prefill: Rc<Cell<Duration>>,
     peer_load: Cell<PeerLoad>,
@@ -140,6 +141,7 @@
             load: Arc::default(),
             health: Cell::default(),
             report: Cell::default(),
+            states_work_time: Cell::default(),
             lapsed_at: Cell::default(),
             pending_prefill: Rc::default(),
             peer_load: Cell::default(),
@@ -241,6 +243,9 @@
 
     /// Records a load report from the head of an answer.
     pub fn record_load_report(&self, load: ReportedLoad, now: Now) {
+        if load.work_time_percent.is_some() {
+            self.states_work_time.set(true);
+        }
         self.report.set(Some(LoadReport {
             load,
             at: now.monotonic,
@@ -248,6 +253,11 @@
         }));
     }
 
+    /// Returns whether the upstream has stated how long work takes at the moment.
+    pub fn states_work_time(&self) -> bool {
+        self.states_work_time.get()
+    }
+
     /// Estimates the number of requests that the upstream has from all boxes.
     pub fn occupancy(&self, now: Now) -> u32 {
         let own = self.outstanding();
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -22,8 +22,15 @@
     pub metrics_addr: SocketAddr,
     /// The bandwidth of the box's network link in Mbit/s; 0 if the platform does not provide it.
     pub link_mbps: u32,
+    /// The memory limit of the box's process in bytes; `None` if the platform states none.
+    pub memory_limit: Option<u64>,
     /// Whether the whole system starts for the first time, so that no box is registered yet.
     pub is_first_start: bool,
+    /// Whether callers are expected to compete for the room at upstreams and in boxes, so that
+    /// boxes control the load of all services. Services whose upstreams state how long work takes
+    /// at the moment are controlled in any case; see
+    /// [`Gateway::controls_load`](super::Gateway::controls_load).
+    pub expects_contention: bool,
     /// The bounds that operators set.
     pub bounds: Bounds,
 }
--- a/tests/spreading.rs
+++ b/tests/spreading.rs
@@ -151,6 +151,8 @@
         peer_addr: peers,
         metrics_addr: peers,
         link_mbps: 10,
+        memory_limit: None,
+        expects_contention: false,
         is_first_start: false,
         bounds: Bounds {
             grace_period: Duration::from_secs(8),
