Boxes exchange measured prefill rates where load is controlled

With 85 boxes each one sees a first event of the largest model every few seconds, and only those that computed the whole prompt were measured: the assumed rate of 18 tokens per millisecond stood for the first half minute, while first events came at 25 to 50. Prompts behind a cached prefix are measured too, and the median of all boxes' newest measurements is used.

tests/gateway/shared_rates.rs: seven cases, passed.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -46,6 +46,7 @@
 use peers::rate_limits::RateLimitReport;
 use place::peer_loads::{LongPrefillOutbox, PeerLoads};
 use place::prefill_rate::{PrefillModel, PrefillRates};
+use place::rate_samples::RateSamples;
 use place::turn_queue::TurnQueue;
 use settings::GatewaySettings;
 use std::cell::{Cell, RefCell};
@@ -117,6 +118,8 @@
     pub versions: RefCell<VersionMonitor>,
     /// How fast engines prefill prompts, by model.
     pub prefill_rates: PrefillRates,
+    /// The newest measurements of prefill rates by all boxes, where load is controlled.
+    pub rate_samples: RateSamples,
     /// The load that the other boxes put on upstreams.
     pub peer_loads: RefCell<PeerLoads>,
     /// Long prompt reads that have not been announced to the other boxes yet.
@@ -166,6 +169,7 @@
             last_contacts: RefCell::default(),
             long_prefills: LongPrefillOutbox::default(),
             prefill_rates: PrefillRates::default(),
+            rate_samples: RateSamples::default(),
             telemetry: Telemetry::new(metrics),
             incarnation,
             lease: Cell::new(None),
@@ -198,6 +202,12 @@
     /// Returns how long an engine of a service takes to prefill this many prompt tokens for a
     /// model.
     pub fn prompt_prefill_time(&self, service: &str, model: Option<&str>, tokens: f64) -> Duration {
+        if let Some(time) = self
+            .rate_samples
+            .prefill_time(model.unwrap_or_default(), tokens)
+        {
+            return time;
+        }
         self.with_model_pace(service, model, |pace| {
             self.prefill_rates.prefill_time(pace, tokens)
         })
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -185,7 +185,7 @@
         let limits = TryOptions {
             head_timeout: plan.head_wait.capped_at(left),
             prefill: choice.prefill,
-            measures_prefill_rate: choice.measures_prefill_rate(),
+            measured_tokens: self.measured_tokens(gw, &choice),
             may_reuse_connection: self.route.kind.is_repeatable(),
         };
         gw.long_prefills
@@ -290,6 +290,21 @@
         Some(format!("{part} {}", model.unwrap_or_default()))
     }
 
+    /// Returns the prompt tokens that an attempt measures the prefill rate with, if any: those that
+    /// the engine computes while, as far as is known, it computes nothing else.
+    fn measured_tokens(&self, gw: &Gateway, choice: &PlacementChoice) -> Option<f64> {
+        let all_tokens = self.prompt.weighted_tokens();
+        let is_idle = choice.queue_wait.is_zero();
+        match choice.prefix_source {
+            PrefixSource::Computed if is_idle => Some(all_tokens),
+            // Large models read nearly all prompts behind a cached prefix.
+            PrefixSource::Cached if is_idle && gw.controls_load(&self.service) => {
+                Some(all_tokens - self.prompt.shared_tokens as f64)
+            }
+            _ => None,
+        }
+    }
+
     fn shared_prompt<'a>(
         &self,
         gw: &Gateway,
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -101,8 +101,9 @@
     pub headers: http1_types::HeaderMap,
     /// When the try began.
     pub sent_at: Duration,
-    /// Whether the time to the first event measures the prefill rate of the upstream.
-    pub measures_prefill_rate: bool,
+    /// The prompt tokens whose prefill the time to the first event measures; `None` if it measures
+    /// none.
+    pub measured_tokens: Option<f64>,
     body: Incoming,
     connection: Option<Connection>,
     upstream: Rc<Upstream>,
@@ -195,9 +196,9 @@
     pub head_timeout: ResponseTimeout,
     /// Expected time of the request's prefill.
     pub prefill: Duration,
-    /// Whether the upstream computes the whole prompt and, as far as is known, nothing else, so
-    /// that the time to the first event measures its prefill rate.
-    pub measures_prefill_rate: bool,
+    /// The number of tokens if the upstream computes these and, as far as is known, nothing else,
+    /// so that the time to the first event measures its prefill rate.
+    pub measured_tokens: Option<f64>,
     /// Whether an idle connection may be reused. The upstream may close it just as the request is
     /// written, and then it is unknown whether the request ran.
     pub may_reuse_connection: bool,
@@ -310,7 +311,7 @@
         status,
         headers: parts.headers,
         sent_at: began.monotonic,
-        measures_prefill_rate: options.measures_prefill_rate,
+        measured_tokens: options.measured_tokens,
         body,
         connection: Some(connection),
         upstream: upstream.clone(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,4 +12,5 @@
 pub mod outbox;
 pub mod packing;
 pub mod rate_limits;
+pub mod rate_samples;
 pub mod suspects;
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -23,6 +23,7 @@
 use super::hubs::{self, HubUpdate, PollRequest};
 use super::leaving_upstreams;
 use super::rate_limits::{self, RateLimitReport};
+use super::rate_samples;
 use super::suspects;
 use crate::clock::{Now, millis};
 use crate::error::{Error, Result};
@@ -32,6 +33,7 @@
 use crate::gateway::control::rollout::Rollout;
 use crate::gateway::control::store::{ControlStore, RolloutOrder};
 use crate::gateway::place::peer_loads::{BoxLoad, LongPrefill, report_interval};
+use crate::gateway::place::rate_samples::RateReport;
 use crate::gateway::versions::statistics::StatisticsReport;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -79,6 +81,8 @@
     RateLimits(Vec<RateLimitReport>),
     /// Upstreams with rate limits to which the sender sends a request each, by their hashes.
     LimitedSends(Vec<u32>),
+    /// The prefill rates that the sender measured.
+    PrefillRates(RateReport),
 }
 
 /// Exchanges messages with other boxes for as long as the process runs.
@@ -102,6 +106,9 @@
     let send_limits = async |to: &[SocketAddr], reports| {
         send(&gw, &socket, &PeerMessage::RateLimits(reports), to).await;
     };
+    let send_prefill_rates = async |to: &[SocketAddr], report| {
+        send(&gw, &socket, &PeerMessage::PrefillRates(report), to).await;
+    };
     let send_limited_sends = async |to: &[SocketAddr], hashes| {
         send(&gw, &socket, &PeerMessage::LimitedSends(hashes), to).await;
     };
@@ -116,6 +123,7 @@
         leaving_upstreams::broadcast_leaving(&gw, send_leaving),
         rate_limits::share_rate_limits(&gw, send_limits),
         rate_limits::announce_limited_sends(&gw, send_limited_sends),
+        rate_samples::share_rate_samples(&gw, send_prefill_rates),
         fetch::serve_fetches(gw.clone(), listener),
     );
     Ok(())
@@ -172,6 +180,7 @@
         PeerMessage::Leaving(hashes) => gw.apply_leaving_report(&hashes, now),
         PeerMessage::RateLimits(reports) => gw.apply_rate_limit_reports(&reports, now),
         PeerMessage::LimitedSends(hashes) => gw.count_peer_sends(&hashes, now),
+        PeerMessage::PrefillRates(report) => gw.rate_samples.apply_report(report, now),
         PeerMessage::OldSessions(order, sessions) => {
             gw.sessions
                 .borrow_mut()
@@ -200,6 +209,7 @@
             Self::Leaving(_) => "leaving",
             Self::RateLimits(_) => "rate-limits",
             Self::LimitedSends(_) => "limited-sends",
+            Self::PrefillRates(_) => "prefill-rates",
             Self::OldSessions(..) => "old-sessions",
             Self::Poll(_) => "questions",
             Self::HubUpdate(_) => "told",
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -11,5 +11,6 @@
 pub mod peer_loads;
 pub mod prefill_rate;
 pub mod rate_limits;
+pub mod rate_samples;
 pub mod turn_queue;
 pub mod warm_up;
--- a/src/gateway/place/choose.rs
+++ b/src/gateway/place/choose.rs
@@ -52,14 +52,6 @@
     pub prefix_source: PrefixSource,
 }
 
-impl PlacementChoice {
-    /// Returns whether the time to the first event measures the prefill rate of the engine: it
-    /// computes the whole prompt and, as far as is known, nothing else.
-    pub fn measures_prefill_rate(&self) -> bool {
-        self.prefix_source == PrefixSource::Computed && self.queue_wait.is_zero()
-    }
-}
-
 /// Returns how many engines each box compares, given the number of boxes.
 pub fn engines_to_compare(boxes: usize) -> usize {
     (FLEET_COMPARED_ENGINES / boxes.max(1)).max(MIN_COMPARED_ENGINES)
--- a/src/gateway/place/load_control.rs
+++ b/src/gateway/place/load_control.rs
@@ -12,6 +12,16 @@
         self.settings().expects_contention || self.states_work_time(service)
     }
 
+    /// Returns whether boxes control the load of any service with model engines.
+    pub fn controls_any_engines(&self) -> bool {
+        let routes = self.knowledge.borrow().routes().cloned();
+        let Some(routes) = routes else {
+            return false;
+        };
+        let mut services = routes.services.iter();
+        services.any(|(name, service)| service.engine.is_some() && self.controls_load(name))
+    }
+
     fn states_work_time(&self, service: &str) -> bool {
         let knowledge = self.knowledge.borrow();
         knowledge
--- a/src/gateway/versions/recording.rs
+++ b/src/gateway/versions/recording.rs
@@ -16,6 +16,8 @@
 use crate::gateway::place::prefill_rate;
 use std::time::Duration;
 
+/// The shortest expected prefill by which the rate of a model is measured for all boxes.
+const MIN_SAMPLED_PREFILL: Duration = Duration::from_millis(100);
 /// How long after its own start a box sends no requests to an unproven version: three intervals at
 /// which other boxes announce the versions that they rejected.
 const NEW_VERSION_HOLDOFF: Duration = Duration::from_millis(1200);
@@ -109,8 +111,9 @@
         let took = now.monotonic.saturating_sub(answer.sent_at);
         self.telemetry
             .record_first_event(job, model, took, upstream.pending_prefill(now));
-        if answer.measures_prefill_rate {
-            self.record_prefill_rate(&job.service, model, job.prompt.weighted_tokens(), took);
+        if let Some(tokens) = answer.measured_tokens {
+            self.record_prefill_rate(&job.service, model, tokens, took);
+            self.record_rate_sample(job, model, tokens, took, now);
         }
         upstream.with_listed(|listed| {
             self.sessions
@@ -119,6 +122,25 @@
         });
     }
 
+    /// Records a measured prefill for all boxes, where load is controlled.
+    ///
+    /// Short prefills are left out: the latency of the network and the engine's scheduling would
+    /// determine the result.
+    fn record_rate_sample(
+        &self,
+        job: &AdmittedRequest,
+        model: &str,
+        tokens: f64,
+        took: Duration,
+        now: Now,
+    ) {
+        let expected = self.prompt_prefill_time(&job.service, Some(model), tokens);
+        if expected >= MIN_SAMPLED_PREFILL && self.controls_load(&job.service) {
+            let prefill = took.saturating_sub(prefill_rate::FIRST_EVENT_OVERHEAD);
+            self.rate_samples.record(model, tokens, prefill, now);
+        }
+    }
+
     /// Returns whether the target of a rollout order was rejected.
     pub fn is_version_rejected(&self, order: u64) -> bool {
         self.versions.borrow().rejection(order).is_some()
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod rollout_simulation;
 mod rollouts;
 mod routes;
+mod shared_rates;
 mod streams;
 mod upstream_restarts;
 mod warm_up;
