Expected wait of plain requests, from load reports that boxes share

Placement, admission and retries need one estimate of the time until a request runs. It is computed from the newest load report with its age, the usual load of the upstream, and the learned service time. Plain requests of services under load control are divided so that completion is equalised.

Not measured yet.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -41,11 +41,13 @@
 use peers::hub_poller::HubPoller;
 use peers::hubs::{HubState, choose_hubs};
 use peers::liveness::PeerLiveness;
+use peers::load_reports::SharedLoadReport;
 use peers::messages;
 use peers::outbox::Outbox;
 use peers::rate_limits::RateLimitReport;
 use place::peer_loads::{LongPrefillOutbox, PeerLoads};
 use place::prefill_rate::{PrefillModel, PrefillRates};
+use place::service_time::ServiceTimes;
 use place::turn_queue::TurnQueue;
 use settings::GatewaySettings;
 use std::cell::{Cell, RefCell};
@@ -101,6 +103,8 @@
     pub rate_limits: Outbox<RateLimitReport>,
     /// Hashes of upstreams with rate limits to which requests are sent, to be announced.
     pub limited_sends: Outbox<u32>,
+    /// Load reports of plain upstreams, to be sent to other boxes.
+    pub load_reports: Outbox<SharedLoadReport>,
     /// Connections from callers.
     pub caller_connections: http_server::Connections,
     /// The requests that wait for their turn at upstreams with rate limits.
@@ -117,6 +121,8 @@
     pub versions: RefCell<VersionMonitor>,
     /// How fast engines prefill prompts, by model.
     pub prefill_rates: PrefillRates,
+    /// How long requests run at plain upstreams, by service.
+    pub service_times: ServiceTimes,
     /// The load that the other boxes put on upstreams.
     pub peer_loads: RefCell<PeerLoads>,
     /// Long prompt reads that have not been announced to the other boxes yet.
@@ -158,6 +164,7 @@
             leaving_upstreams: Outbox::default(),
             rate_limits: Outbox::default(),
             limited_sends: Outbox::default(),
+            load_reports: Outbox::default(),
             caller_connections: Default::default(),
             turn_queue: TurnQueue::default(),
             return_schedule: RefCell::default(),
@@ -166,6 +173,7 @@
             last_contacts: RefCell::default(),
             long_prefills: LongPrefillOutbox::default(),
             prefill_rates: PrefillRates::default(),
+            service_times: ServiceTimes::default(),
             telemetry: Telemetry::new(metrics),
             incarnation,
             lease: Cell::new(None),
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -273,11 +273,15 @@
         now: Now,
     ) -> Option<PlacementChoice> {
         let shared_prefix = self.shared_prefix_key(model);
+        let seed = stable_hash(&self.request_id);
+        if gw.places_by_expected_wait(&self.service) && shared_prefix.is_none() {
+            return gw.choose_by_expected_wait(&self.service, candidates, tried, seed, now);
+        }
         let criteria = PlacementParams {
             hall: &gw.settings().hall,
             prompt: self.shared_prompt(gw, shared_prefix.as_deref(), model),
             tried,
-            seed: stable_hash(&self.request_id),
+            seed,
             engines_to_compare: engines_to_compare(gw.knowledge.borrow().box_count()),
         };
         choose_placement(candidates, criteria, now)
@@ -400,6 +404,7 @@
             TryOutcome::Unknown(_) => self.finish_trial(),
             TryOutcome::Answered(_) | TryOutcome::NotRun(_) => {}
         }
+        gw.learn_from_attempt(&self.service, choice, tried, Now::read());
         gw.telemetry.record_attempt(self, choice, tried, plan);
     }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
 pub mod crash_detection;
 pub mod exchange;
 pub mod headers;
+pub mod load_report;
 pub mod probe;
 pub mod quarantine;
 pub mod response_timeout;
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -101,6 +101,8 @@
     pub headers: http1_types::HeaderMap,
     /// When the try began.
     pub sent_at: Duration,
+    /// How long the upstream took from the complete request to the head of the answer.
+    pub head_took: Duration,
     /// Whether the time to the first event measures the prefill rate of the upstream.
     pub measures_prefill_rate: bool,
     body: Incoming,
@@ -240,6 +242,7 @@
         Ok(req) => req,
         Err(reason) => return TryOutcome::NotRun(NotRunReason::NoConnection(reason)),
     };
+    let written = Now::read();
     let answered = with_response_timeout(
         connections,
         upstream,
@@ -266,8 +269,10 @@
             .get(name.as_str())
             .and_then(|value| value.to_str().ok())
     };
-    if let Some(load) = header_text(&headers.load).and_then(parse_load) {
-        upstream.record_load_report(load, now);
+    match header_text(&headers.load).map(parse_load) {
+        Some(Some(load)) => upstream.record_load_report(load, now),
+        Some(None) => upstream.record_invalid_report(),
+        None => {}
     }
     let echoed_id = header_text(&headers.request_id);
     if echoed_id.is_some_and(|echoed_id| echoed_id != request_id) {
@@ -310,6 +315,7 @@
         status,
         headers: parts.headers,
         sent_at: began.monotonic,
+        head_took: now.monotonic.saturating_sub(written.monotonic),
         measures_prefill_rate: options.measures_prefill_rate,
         body,
         connection: Some(connection),
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -1,11 +1,14 @@
 //! What a box knows of each upstream: its registry entry, its load and its health.
 
 use super::headers::ReportedLoad;
+use super::load_report::{KnownRequests, LoadEstimate, LoadHistory};
 use crate::clock::Now;
 use crate::gateway::control::store::{ListedUpstream, UpstreamLife};
+use crate::gateway::peers::load_reports::LastShared;
 use crate::gateway::place::choose::stable_hash;
 use crate::gateway::place::fleet_view::FleetView;
 use crate::gateway::place::rate_limits::UpstreamRateLimit;
+use crate::gateway::place::service_time::UpstreamFactor;
 use crate::gateway::place::warm_up::{WarmUp, WarmUpState};
 use crate::routing::backoff::RequestedBackoff;
 use crate::routing::placement::{LoadGuard, UpstreamLoad};
@@ -32,6 +35,8 @@
 /// How long a load report is trusted; upstreams serve two requests per second or more.
 const LOAD_REPORT_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Minimum time between two log lines about unreadable load reports of an upstream.
+const INVALID_REPORT_LOG_INTERVAL: Duration = Duration::from_secs(60);
 /// Penalty for a failure rate of 1, in units of slot utilization: an upstream that fails some of
 /// its requests loses to any other that is not nearly full.
 const FAILURE_RATE_PENALTY_UTILIZATION: f64 = 4.0;
@@ -52,6 +57,11 @@
     health: Cell<Health>,
     report: Cell<Option<LoadReport>>,
     states_work_time: Cell<bool>,
+    load_history: Cell<LoadHistory>,
+    last_shared_report: Cell<Option<LastShared>>,
+    invalid_reports: Cell<u32>,
+    invalid_report_logged_at: Cell<Option<Duration>>,
+    service_factor: UpstreamFactor,
     lapsed_at: Cell<Option<Duration>>,
     pending_prefill: Rc<Cell<Duration>>,
     peer_load: Cell<PeerLoad>,
@@ -142,6 +152,11 @@
             health: Cell::default(),
             report: Cell::default(),
             states_work_time: Cell::default(),
+            load_history: Cell::default(),
+            last_shared_report: Cell::default(),
+            invalid_reports: Cell::default(),
+            invalid_report_logged_at: Cell::default(),
+            service_factor: UpstreamFactor::default(),
             lapsed_at: Cell::default(),
             pending_prefill: Rc::default(),
             peer_load: Cell::default(),
@@ -251,6 +266,99 @@
             at: now.monotonic,
             outstanding_at_report: self.outstanding(),
         }));
+        self.add_to_load_history(load, now.monotonic);
+    }
+
+    /// Records a report that another box received.
+    pub fn record_shared_report(&self, load: ReportedLoad, as_of: Duration, now: Now) {
+        if load.work_time_percent.is_some() {
+            self.states_work_time.set(true);
+        }
+        self.set_last_shared_report(LastShared {
+            load,
+            at: now.monotonic,
+        });
+        self.add_to_load_history(load, as_of);
+    }
+
+    fn add_to_load_history(&self, load: ReportedLoad, as_of: Duration) {
+        let slots = self.listed.borrow().slots;
+        let mut history = self.load_history.get();
+        history.record(load, slots, as_of, self.outstanding());
+        self.load_history.set(history);
+    }
+
+    /// Records that the upstream rejected a request because it was full.
+    pub fn record_full(&self, now: Now) {
+        let slots = self.listed.borrow().slots;
+        let mut history = self.load_history.get();
+        history.record_rejection(slots, self.outstanding(), now);
+        self.load_history.set(history);
+    }
+
+    /// Returns the newest load report and when it was made.
+    pub fn newest_report(&self) -> Option<(ReportedLoad, Duration)> {
+        self.load_history.get().newest()
+    }
+
+    /// Estimates the load from the reports and from what the boxes have in flight, given the
+    /// service time of the upstream's service.
+    pub fn load_estimate(&self, service_time: Duration, now: Now) -> LoadEstimate {
+        let known = KnownRequests {
+            own: self.outstanding(),
+            peers: self.peer_load.get().outstanding,
+        };
+        let slots = self.listed.borrow().slots;
+        self.load_history
+            .get()
+            .estimate(known, slots, service_time, now)
+    }
+
+    /// Returns how long work takes here by the newest report, as a multiple of the usual time.
+    pub fn stated_work_time(&self) -> f64 {
+        self.load_history.get().stated_work_time()
+    }
+
+    /// Returns whether an upstream with this many requests rejects more, as far as is known.
+    pub fn is_full(&self, occupancy: f64) -> bool {
+        let slots = self.listed.borrow().slots;
+        let limit = self.load_history.get().queue_limit();
+        limit.is_some_and(|limit| occupancy >= f64::from(slots) + f64::from(limit))
+    }
+
+    /// Returns how long requests run here, as a multiple of what the service's usual time and the
+    /// stated work time lead to expect.
+    pub fn service_factor(&self) -> &UpstreamFactor {
+        &self.service_factor
+    }
+
+    /// Returns the report that was sent last to other boxes or received from them.
+    pub fn last_shared_report(&self) -> Option<LastShared> {
+        self.last_shared_report.get()
+    }
+
+    /// Records the report that was sent last to other boxes or received from them.
+    pub fn set_last_shared_report(&self, shared: LastShared) {
+        self.last_shared_report.set(Some(shared));
+    }
+
+    /// Counts a load report that cannot be read.
+    pub fn record_invalid_report(&self) {
+        self.invalid_reports
+            .set(self.invalid_reports.get().saturating_add(1));
+    }
+
+    /// Returns the number of unreadable load reports since the last call, and whether they are to
+    /// be logged: at most once a minute.
+    pub fn take_invalid_reports(&self, now: Now) -> (u32, bool) {
+        let count = self.invalid_reports.take();
+        let logged_at = self.invalid_report_logged_at.get();
+        let is_due = logged_at
+            .is_none_or(|at| now.monotonic.saturating_sub(at) >= INVALID_REPORT_LOG_INTERVAL);
+        if count > 0 && is_due {
+            self.invalid_report_logged_at.set(Some(now.monotonic));
+        }
+        (count, count > 0 && is_due)
     }
 
     /// Returns whether the upstream has stated how long work takes at the moment.
@@ -452,12 +560,17 @@
     /// Returns the penalty for choosing the upstream, in units of slot utilization: its load, its
     /// failure rate and its back-off.
     pub fn penalty(&self, now: Now) -> f64 {
+        self.slot_utilization(now) + self.health_penalty(now)
+    }
+
+    /// Returns the part of the penalty that is due to the failure rate and the back-off.
+    pub fn health_penalty(&self, now: Now) -> f64 {
         let back_off = if self.is_backing_off(now) {
             BACK_OFF_PENALTY_UTILIZATION
         } else {
             0.0
         };
-        self.slot_utilization(now) + self.failure_penalty(now) + back_off
+        self.failure_penalty(now) + back_off
     }
 
     fn failure_penalty(&self, now: Now) -> f64 {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -8,6 +8,7 @@
 pub mod hubs;
 pub mod leaving_upstreams;
 pub mod liveness;
+pub mod load_reports;
 pub mod messages;
 pub mod outbox;
 pub mod packing;
--- a/src/gateway/place/choose.rs
+++ b/src/gateway/place/choose.rs
@@ -6,6 +6,7 @@
 
 use super::cache_affinity::rendezvous_weight;
 use super::engine_cost::{PlacementCost, PrefixSource, SharedPrompt, engine_costs};
+use super::expected_wait::ExpectedWait;
 use crate::clock::Now;
 use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::control::store::UpstreamLife;
@@ -50,6 +51,8 @@
     pub prefill: Duration,
     /// Where the engine gets the shared prefix from; `Computed` for plain upstreams.
     pub prefix_source: PrefixSource,
+    /// The expected wait, where requests are placed by it.
+    pub expected: Option<ExpectedWait>,
 }
 
 impl PlacementChoice {
@@ -93,6 +96,7 @@
         queue_wait: found.queue_wait,
         prefill: found.prefill,
         prefix_source: found.prefix_source,
+        expected: None,
     })
 }
 
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -44,6 +44,8 @@
     responses: Counter<u64>,
     refusals: Counter<u64>,
     attempts: Counter<u64>,
+    expected_wait: Gauge<f64>,
+    invalid_load_reports: Counter<u64>,
     store_calls: Counter<u64>,
     peer_bytes: Counter<u64>,
     received_bytes: Counter<u64>,
@@ -76,6 +78,14 @@
                 .u64_counter("gatepier_tries")
                 .with_description("Attempts at upstreams, by outcome.")
                 .build(),
+            expected_wait: meter
+                .f64_gauge("gatepier_expected_wait_seconds")
+                .with_description("Expected time until an upstream runs a request, by upstream.")
+                .build(),
+            invalid_load_reports: meter
+                .u64_counter("gatepier_invalid_load_reports")
+                .with_description("Load reports of upstreams that cannot be read.")
+                .build(),
             store_calls: meter
                 .u64_counter("gatepier_store_calls")
                 .with_description("Calls to the platform's store, by kind.")
@@ -127,6 +137,13 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
         let upstream = &choice.upstream;
         let listed = upstream.listed();
+        let expected = choice.expected;
+        if let Some(expected) = expected {
+            let label = KeyValue::new("upstream", listed.instance.clone());
+            self.expected_wait
+                .record(expected.queue.as_secs_f64(), &[label]);
+        }
+        let report_age = expected.and_then(|expected| expected.report_age);
         log::info!(
             request = request.request_id.as_str(),
             fingerprint = request.fingerprint.to_string().as_str(),
@@ -142,6 +159,10 @@
             ahead_ms = millis(choice.queue_wait),
             reading_ms = millis(choice.prefill),
             beginning = choice.prefix_source.name(),
+            expected_wait_ms = expected.map_or(-1, |expected| signed_millis(expected.queue)),
+            expected_run_ms = expected.map_or(-1, |expected| signed_millis(expected.run)),
+            report_age_ms = report_age.map_or(-1, signed_millis),
+            work_time_percent = upstream.newest_report().and_then(|(load, _)| load.work_time_percent).map_or(-1, i64::from),
             outstanding = upstream.outstanding(),
             rest_ms = upstream.retry_after_left(Now::read()).map_or(0, millis),
             warm_up_ms = millis(upstream.warm_up_left(Now::read())),
@@ -210,6 +231,19 @@
         }
     }
 
+    /// Counts load reports that cannot be read, and logs them if a line is due.
+    pub fn record_invalid_load_reports(&self, upstream: &Upstream, count: u32, is_logged: bool) {
+        self.invalid_load_reports.add(count.into(), &[]);
+        if is_logged {
+            let instance = upstream.with_listed(|listed| listed.instance.clone());
+            log::warn!(
+                upstream = instance.as_str(),
+                count;
+                "the load report cannot be read; using the earlier ones"
+            );
+        }
+    }
+
     /// Records that a smaller model's answer was dropped to try a larger model.
     pub fn record_escalation(
         &self,
@@ -424,3 +458,8 @@
         self.lag.record(lag.map_or(0, millis), &[]);
     }
 }
+
+/// Returns milliseconds as a number that can be -1 where nothing is known.
+fn signed_millis(duration: Duration) -> i64 {
+    i64::try_from(millis(duration)).unwrap_or(i64::MAX)
+}
