--- a/src/gateway/attempt/load_report.rs
+++ b/src/gateway/attempt/load_report.rs
@@ -18,8 +18,10 @@
 const MAX_LIFE: Duration = Duration::from_secs(2);
 /// Reports older than this tell nothing.
 const MAX_AGE: Duration = Duration::from_secs(20);
+/// A report that is younger than this came with a rejection that is being recorded.
+const REJECTION_REPORT_AGE: Duration = Duration::from_millis(5);
 /// Bounds of the stated work time, in percent: outside of them it is taken for an error.
-const WORK_TIME_BOUNDS_PERCENT: (f64, f64) = (25.0, 1000.0);
+const WORK_TIME_BOUNDS_PERCENT: (f64, f64) = (50.0, 1000.0);
 /// The work time that upstreams state as usual, in percent.
 const USUAL_WORK_TIME_PERCENT: f64 = 100.0;
 /// The most requests that are believed to be at an upstream, as a multiple of its slots.
@@ -110,16 +112,20 @@
     /// Records that the upstream rejected a request for lack of room: its queue is full. The
     /// rejection counts as a report if it carried none.
     pub fn record_rejection(&mut self, slots: u32, own_outstanding: u32, now: Now) {
-        let stated = self
-            .newest
-            .filter(|known| known.as_of == now.monotonic)
-            .map(|known| known.load);
-        let load = stated.unwrap_or_else(|| ReportedLoad {
+        let states_rejection = |known: &KnownReport| {
+            let age = now.monotonic.saturating_sub(known.as_of);
+            age < REJECTION_REPORT_AGE && known.occupancy >= f64::from(slots)
+        };
+        if let Some(stated) = self.newest.filter(states_rejection) {
+            self.queue_limit = Some(stated.load.waiting);
+            return;
+        }
+        let load = ReportedLoad {
             running: slots,
             waiting: self.queue_limit.unwrap_or(slots),
             slots,
             work_time_percent: self.newest.and_then(|known| known.load.work_time_percent),
-        });
+        };
         self.queue_limit = Some(load.waiting);
         self.record(load, slots, now.monotonic, own_outstanding);
     }
--- a/src/gateway/peers/load_reports.rs
+++ b/src/gateway/peers/load_reports.rs
@@ -151,13 +151,12 @@
         }
     }
 
-    /// Returns the number of upstreams that state their work time, whose reports share the messages
-    /// that a box may receive.
+    /// Returns the number of upstreams whose reports are sent between boxes.
     fn sharing_upstream_count(&self) -> usize {
         let knowledge = self.knowledge.borrow();
         let upstreams = knowledge.upstreams();
         upstreams
-            .filter(|upstream| upstream.newest_report().is_some())
+            .filter(|upstream| upstream.last_shared_report().is_some())
             .count()
     }
 }
--- a/src/gateway/place/plain_cost.rs
+++ b/src/gateway/place/plain_cost.rs
@@ -9,6 +9,7 @@
 use super::choose::PlacementChoice;
 use super::engine_cost::PrefixSource;
 use super::expected_wait::{ExpectedWait, Queue};
+use super::service_time::ServiceTimes;
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::attempt::exchange::{NotRunReason, TryOutcome};
@@ -183,33 +184,35 @@
         }
         match tried {
             TryOutcome::Answered(answer) if answer.status < FIRST_ERROR_STATUS => {
-                self.learn_service_time(service, choice, answer.head_took);
+                learn_service_time(&self.service_times, service, choice, answer.head_took);
             }
             TryOutcome::NotRun(NotRunReason::Refused(FULL_STATUS)) => upstream.record_full(now),
             TryOutcome::Answered(_) | TryOutcome::NotRun(_) | TryOutcome::Unknown(_) => {}
         }
         self.share_load_report(upstream, now);
     }
+}
 
-    /// Learns from the time of a request that did not wait, as far as is known.
-    fn learn_service_time(&self, service: &str, choice: &PlacementChoice, took: Duration) {
-        let upstream = &choice.upstream;
-        let Some(expected) = choice.expected else {
-            return;
-        };
-        let states_waiting = upstream
-            .newest_report()
-            .is_some_and(|(load, _)| load.waiting > 0);
-        if states_waiting || expected.queue > expected.run / MAX_UNQUEUED_WAIT_DIVISOR {
-            return;
-        }
-        let work_time = upstream.stated_work_time();
-        let usual = self.service_times.of(service);
-        if usual.is_measured {
-            let expected = usual.usual.mul_f64(work_time);
-            upstream.service_factor().record(took, expected);
-        }
-        self.service_times.record(service, took, work_time);
+/// Learns from the time of a request: the upstream's factor against what was expected, and the
+/// service's time if the request did not wait, as far as is known.
+pub fn learn_service_time(
+    times: &ServiceTimes,
+    service: &str,
+    choice: &PlacementChoice,
+    took: Duration,
+) {
+    let upstream = &choice.upstream;
+    let Some(expected) = choice.expected else {
+        return;
+    };
+    if times.of(service).is_measured {
+        upstream.service_factor().record(took, expected.total());
+    }
+    let states_waiting = upstream
+        .newest_report()
+        .is_some_and(|(load, _)| load.waiting > 0);
+    if !states_waiting && expected.queue <= expected.run / MAX_UNQUEUED_WAIT_DIVISOR {
+        times.record(service, took, upstream.stated_work_time());
     }
 }
 
--- a/src/gateway/place/service_time.rs
+++ b/src/gateway/place/service_time.rs
@@ -113,12 +113,13 @@
 }
 
 impl UpstreamFactor {
-    /// Learns from a request that took this long where `expected` is usual.
+    /// Learns from a request that took this long, including its wait, where `expected` was expected
+    /// by the factor so far.
     pub fn record(&self, took: Duration, expected: Duration) {
         let (least, most) = UPSTREAM_FACTOR_BOUNDS;
-        let measured = took.as_secs_f64() / expected.as_secs_f64().max(f64::MIN_POSITIVE);
         let mut factor = self.0.get();
-        factor.record(measured.clamp(least, most));
+        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(f64::MIN_POSITIVE);
+        factor.record((factor.value * ratio).clamp(least, most));
         self.0.set(factor);
     }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,12 +3,16 @@
 mod boundary;
 mod datagrams;
 mod escalation;
+mod expected_wait;
 mod fetch_planning;
 mod freshness;
 mod initial_sync;
+mod load_reports;
 mod packing;
 mod peer_updates;
 mod placement;
+mod plain_fleet;
+mod plain_placement;
 mod quarantine;
 mod rate_limits;
 mod refusals;
