--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -104,6 +104,8 @@
     /// The prompt tokens whose prefill the time to the first event measures; `None` if it measures
     /// none.
     pub measured_tokens: Option<f64>,
+    /// How long the upstream took from the complete request to the head of the answer.
+    pub head_took: Duration,
     body: Incoming,
     connection: Option<Connection>,
     upstream: Rc<Upstream>,
@@ -241,6 +243,7 @@
         Ok(req) => req,
         Err(reason) => return TryOutcome::NotRun(NotRunReason::NoConnection(reason)),
     };
+    let written = Now::read();
     let answered = with_response_timeout(
         connections,
         upstream,
@@ -267,8 +270,10 @@
             .get(name.as_str())
             .and_then(|value| value.to_str().ok())
     };
-    if let Some(load) = header_text(&headers.load).and_then(parse_load) {
-        upstream.record_load_report(load, now);
+    match header_text(&headers.load).map(parse_load) {
+        Some(Some(load)) => upstream.record_load_report(load, now),
+        Some(None) => upstream.record_invalid_report(),
+        None => {}
     }
     let echoed_id = header_text(&headers.request_id);
     if echoed_id.is_some_and(|echoed_id| echoed_id != request_id) {
@@ -312,6 +317,7 @@
         headers: parts.headers,
         sent_at: began.monotonic,
         measured_tokens: options.measured_tokens,
+        head_took: now.monotonic.saturating_sub(written.monotonic),
         body,
         connection: Some(connection),
         upstream: upstream.clone(),
