Write single-run requests only to confirmed connections, and keep to the connection limit

A request that may not be repeated was written to a connection that the upstream reset for its limit just after accepting it, so the request counted as possibly run. Where load is controlled, such a request now waits until the connection has survived a settle time, or takes one that carried an answer briefly before; spare connections are opened ahead of need. The limit of connections is read from the configuration and shared by the boxes.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -34,6 +34,7 @@
 use attempt::probe;
 use attempt::quarantine::Quarantine;
 use attempt::retries::RetryWindow;
+use attempt::spare_connections;
 use control::mirror::Mirror;
 use control::state::{ConfigFreshness, ControlPlaneState};
 use control::store::ControlStore;
@@ -89,7 +90,7 @@
     pub hub_queries: HubPoller,
     /// Notified when the box's copy of the store's items has changed.
     pub items_changed: Notify,
-    /// Idle connections to upstreams.
+    /// The connections to upstreams.
     pub connections: ConnectionPool,
     /// Runs that broke off, whose upstreams may have crashed.
     pub crashes: CrashDetector,
@@ -142,6 +143,7 @@
         now: Now,
     ) -> Rc<Self> {
         let incarnation = format!("{}.{}", settings.name, now.wall.0);
+        let telemetry = Telemetry::new(metrics);
         Rc::new(Self {
             sessions: RefCell::new(SessionVersions::new(settings.bounds.session_idle_limit)),
             versions: RefCell::new(VersionMonitor::new(&incarnation)),
@@ -152,7 +154,7 @@
             hubs: HubState::default(),
             hub_queries: HubPoller::default(),
             items_changed: Notify::new(),
-            connections: ConnectionPool::default(),
+            connections: ConnectionPool::new(telemetry.connection_metrics()),
             crashes: CrashDetector::default(),
             quarantine: Quarantine::default(),
             leaving_upstreams: Outbox::default(),
@@ -166,7 +168,7 @@
             last_contacts: RefCell::default(),
             long_prefills: LongPrefillOutbox::default(),
             prefill_rates: PrefillRates::default(),
-            telemetry: Telemetry::new(metrics),
+            telemetry,
             incarnation,
             lease: Cell::new(None),
             started_at: now.monotonic,
@@ -429,6 +431,7 @@
     listen::serve_readiness(&gw, &metrics)?;
     actix_rt::spawn(store_sync::sync_with_store(gw.clone(), store.clone()));
     actix_rt::spawn(probe::probe_unreachable_upstreams(gw.clone()));
+    actix_rt::spawn(spare_connections::keep_spare_connections(gw.clone()));
     actix_rt::spawn(crash_detection::check_interrupted_upstreams(gw.clone()));
     actix_rt::spawn(rollout_leader::lead_rollouts(gw.clone(), store.clone()));
     actix_rt::spawn(store_sync::expire_old_state(gw.clone()));
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -7,7 +7,7 @@
 use crate::fingerprint::Fingerprint;
 use crate::gateway::Gateway;
 use crate::gateway::answer::refusal::Execution;
-use crate::gateway::attempt::connect::http1_types;
+use crate::gateway::attempt::connect::{ConnectionOrigin, http1_types};
 use crate::gateway::attempt::crash_detection::InterruptedRun;
 use crate::gateway::attempt::exchange::{
     NotRunReason, TryOptions, TryOutcome, UnknownReason, UpstreamRequest, try_upstream,
@@ -186,18 +186,19 @@
             head_timeout: plan.head_wait.capped_at(left),
             prefill: choice.prefill,
             measures_prefill_rate: choice.measures_prefill_rate(),
-            may_reuse_connection: self.route.kind.is_repeatable(),
+            connection: gw.connection_rules(&self.service, self.route.kind.is_repeatable()),
         };
         gw.long_prefills
             .push_if_long(&gw.incarnation, upstream, limits.prefill);
         let outgoing = self.build_outgoing(gw, &choice, plan, now);
         let timing = gw.start_response_timer(self, &choice, now);
-        let tried = try_upstream(&gw.connections, &gw.headers, upstream, outgoing, limits).await;
+        let (tried, connection) =
+            try_upstream(&gw.connections, &gw.headers, upstream, outgoing, limits).await;
         match self.route.kind.stream_gap() {
             Some(_) => gw.record_head(&tried, timing, Now::read()),
             None => *self.timing.borrow_mut() = timing,
         }
-        self.record_attempt(gw, &choice, &tried, plan);
+        self.record_attempt(gw, &choice, &tried, connection, plan);
         Ok(tried)
     }
 
@@ -379,6 +380,7 @@
         gw: &Gateway,
         choice: &PlacementChoice,
         tried: &TryOutcome,
+        connection: Option<ConnectionOrigin>,
         plan: AttemptPlan<'_>,
     ) {
         self.tries.record(tried);
@@ -400,7 +402,8 @@
             TryOutcome::Unknown(_) => self.finish_trial(),
             TryOutcome::Answered(_) | TryOutcome::NotRun(_) => {}
         }
-        gw.telemetry.record_attempt(self, choice, tried, plan);
+        gw.telemetry
+            .record_attempt(self, choice, tried, connection, plan);
     }
 
     fn build_outgoing(
--- a/src/gateway/admit/routes.rs
+++ b/src/gateway/admit/routes.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::place::warm_up::WarmUp;
 use std::collections::HashMap;
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -100,6 +101,9 @@
     pub engine: Option<Engine>,
     /// How much load its upstreams can take after a start; `None` if they need no warm-up.
     pub warm_up: Option<WarmUp>,
+    /// How many connections each of its upstreams accepts from all boxes together; `None` without a
+    /// limit.
+    pub connection_limit: Option<NonZeroU32>,
 }
 
 /// The capabilities of a service's model engines.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,8 @@
 //! A single try of a request at an upstream, and the state kept for each upstream.
 
 pub mod connect;
+pub mod connection_age;
+pub mod connection_limit;
 pub mod crash_detection;
 pub mod exchange;
 pub mod headers;
@@ -8,5 +10,7 @@
 pub mod quarantine;
 pub mod response_timeout;
 pub mod retries;
+pub mod spare_connections;
 pub mod tries;
 pub mod upstream;
+pub mod upstream_connections;
--- a/src/gateway/attempt/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -3,9 +3,13 @@
 //! The client in `crate::http_client` hides its connections, but the rules here depend on a single
 //! connection: whether a byte was written, whether the answer was complete, and whether data
 //! followed it. This module therefore uses `hyper`'s connection-level client. See
-//! `docs/design/platform.md`.
+//! `docs/design/platform.md`, and for the rules under load control `docs/design/connections.md`.
 
+use super::connection_limit::{self, Demand, Fleet};
 use super::upstream::Upstream;
+use super::upstream_connections::{
+    ConnectionEvent, ConnectionMetrics, RestTimesByService, UpstreamConnections,
+};
 use crate::clock::Now;
 use crate::gateway::control::store::UpstreamLife;
 use bytes::Bytes;
@@ -13,12 +17,16 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -34,28 +42,197 @@
 const IDLE_LIFETIME: Duration = Duration::from_secs(1);
 /// Maximum number of idle connections kept for one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 4;
+/// The same under load control, where they are kept within the box's share of the limit.
+const MAX_CONTROLLED_IDLE_PER_UPSTREAM: usize = 8;
+/// Maximum number of idle connections of a box under load control: some megabytes of buffers.
+const MAX_CONTROLLED_IDLE: usize = 256;
+
+/// Whether an upstream is a model engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum UpstreamKind {
+    /// It serves plain requests.
+    #[default]
+    Plain,
+    /// It runs models.
+    Engine,
+}
+
+impl UpstreamKind {
+    /// Returns the name for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Plain => "plain",
+            Self::Engine => "engine",
+        }
+    }
+}
+
+/// Where the connection of a try came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionOrigin {
+    /// It was opened for the request.
+    New,
+    /// It carried an earlier request.
+    Kept,
+    /// It was opened before a request needed it.
+    OpenedAhead,
+}
+
+impl ConnectionOrigin {
+    /// Returns the name for the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::New => "new",
+            Self::Kept => "kept",
+            Self::OpenedAhead => "opened-ahead",
+        }
+    }
+}
+
+/// What a request may use as its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ConnectionRules {
+    /// Whether the request may run more than once.
+    pub is_repeatable: bool,
+    /// The kind of its upstream.
+    pub kind: UpstreamKind,
+    /// Whether boxes control the load of the service. Otherwise a request that may not be repeated
+    /// is written to a new connection at once, and idle connections are kept briefly.
+    pub is_controlled: bool,
+    /// How many connections an upstream of the service accepts from all boxes together.
+    pub limit: Option<NonZeroU32>,
+}
+
+/// Why there is no connection for a request, so that no byte of it was written.
+#[derive(Debug)]
+pub enum NoConnection {
+    /// The upstream accepted no connection.
+    Unreachable(io::Error),
+    /// The box's share of the upstream's connection limit is in use.
+    ShareInUse,
+    /// The upstream ended the connection right after accepting it, as it does with connections for
+    /// which it has no room.
+    ResetBeforeUse,
+}
+
+impl fmt::Display for NoConnection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable(err) => err.fmt(f),
+            Self::ShareInUse => f.write_str("this box's share of the connection limit is in use"),
+            Self::ResetBeforeUse => f.write_str("the connection was reset before it was used"),
+        }
+    }
+}
+
+/// Why a request got no head of an answer.
+#[derive(Debug)]
+pub struct SendError {
+    /// The error of the connection.
+    pub error: hyper::Error,
+    /// Whether the connection had ended before the first byte of the request was written.
+    pub is_unsent: bool,
+}
 
 /// One open connection to an upstream.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    ended: watch::Receiver<Option<Duration>>,
     idle_since: Duration,
-    reused: bool,
+    keep_time: Duration,
+    origin: ConnectionOrigin,
+    has_carried_answer: bool,
+    is_controlled: bool,
+    _open: OpenGuard,
+}
+
+/// Counts a connection as open until it is dropped.
+#[derive(Debug)]
+struct OpenGuard(Rc<Cell<u32>>);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
 }
 
 impl Connection {
     /// Returns whether an earlier request was sent over this connection.
     pub fn is_reused(&self) -> bool {
-        self.reused
+        self.origin == ConnectionOrigin::Kept
+    }
+
+    /// Returns where the connection came from.
+    pub fn origin(&self) -> ConnectionOrigin {
+        self.origin
+    }
+
+    /// Returns whether it was opened or kept under load control.
+    pub fn is_controlled(&self) -> bool {
+        self.is_controlled
+    }
+
+    /// Returns whether an answer has arrived over it.
+    pub fn has_carried_answer(&self) -> bool {
+        self.has_carried_answer
+    }
+
+    /// Returns how long ago it was opened or carried an answer.
+    pub fn rest(&self, now: Now) -> Duration {
+        now.monotonic.saturating_sub(self.idle_since)
+    }
+
+    /// Returns whether it has rested for longer than connections to its upstream are kept.
+    pub fn is_expired(&self, now: Now) -> bool {
+        self.rest(now) >= self.keep_time
+    }
+
+    /// Returns whether it can take a request now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Returns whether the upstream has ended the connection.
+    pub fn has_ended(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Returns how long it had rested when the upstream ended it, if it did.
+    pub fn rest_at_end(&self) -> Option<Duration> {
+        let ended_at = (*self.ended.borrow())?;
+        Some(ended_at.saturating_sub(self.idle_since))
+    }
+
+    /// Marks the connection as used by a request.
+    pub fn set_origin(&mut self, origin: ConnectionOrigin) {
+        self.origin = origin;
+    }
+
+    /// Waits for a time; returns false as soon as the upstream ends the connection.
+    pub async fn survives(&mut self, wait: Duration) -> bool {
+        // The driver drops the sender of this channel last, so an error also means the end.
+        let ended = self.ended.wait_for(Option::is_some);
+        if timeout(wait, ended).await.is_ok() {
+            return false;
+        }
+        // A reset that arrived together with the end of the wait is seen only by the driver's task.
+        tokio::task::yield_now().await;
+        !self.has_ended()
     }
 
     /// Sends a request and waits for the head of the answer.
     pub async fn send(
         &mut self,
         req: http1_types::Request<Full<Bytes>>,
-    ) -> hyper::Result<http1_types::Response<hyper::body::Incoming>> {
-        self.sender.send_request(req).await
+    ) -> Result<http1_types::Response<hyper::body::Incoming>, SendError> {
+        let sent = self.sender.try_send_request(req).await;
+        sent.map_err(|mut err| SendError {
+            // The request comes back only if nothing of it was written.
+            is_unsent: err.take_message().is_some(),
+            error: err.into_error(),
+        })
     }
 }
 
@@ -73,62 +250,226 @@
     pub use hyper::http::{HeaderMap, Method, Request, Response};
 }
 
-/// The idle connections of a box. They are keyed by the upstream's incarnation, never by address
+/// The connections of a box. They are keyed by the upstream's incarnation, never by address
 /// alone: an address may be taken over by another service, and an upstream may restart.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnectionPool {
-    idle: RefCell<HashMap<UpstreamLife, Vec<Connection>>>,
+    upstreams: RefCell<HashMap<UpstreamLife, Rc<UpstreamConnections>>>,
+    rest_times: RestTimesByService,
+    fleet: Cell<Fleet>,
+    metrics: ConnectionMetrics,
 }
 
 impl ConnectionPool {
-    /// Takes a connection that has been idle only briefly, if there is one.
-    pub fn take_idle(&self, incarnation: &UpstreamLife, now: Now) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(incarnation)?;
-        while let Some(mut connection) = connections.pop() {
-            let idle_time = now.monotonic.saturating_sub(connection.idle_since);
-            if idle_time < IDLE_LIFETIME && connection.sender.is_ready() {
-                connection.reused = true;
-                return Some(connection);
+    /// Creates an empty pool.
+    pub fn new(metrics: ConnectionMetrics) -> Self {
+        Self {
+            upstreams: RefCell::default(),
+            rest_times: RestTimesByService::default(),
+            fleet: Cell::default(),
+            metrics,
+        }
+    }
+
+    /// Sets what is known of the other boxes, with which limits are shared.
+    pub fn set_fleet(&self, fleet: Fleet) {
+        self.fleet.set(fleet);
+    }
+
+    /// Returns what is known of the other boxes.
+    pub fn fleet(&self) -> Fleet {
+        self.fleet.get()
+    }
+
+    /// Returns the connections to an upstream, if it has had any recently.
+    pub fn known(&self, incarnation: &UpstreamLife) -> Option<Rc<UpstreamConnections>> {
+        self.upstreams.borrow().get(incarnation).cloned()
+    }
+
+    fn connections_to(&self, upstream: &Upstream) -> Rc<UpstreamConnections> {
+        let mut upstreams = self.upstreams.borrow_mut();
+        if let Some(known) = upstreams.get(upstream.incarnation()) {
+            return known.clone();
+        }
+        let service = upstream.with_listed(|listed| listed.service.clone());
+        let created = Rc::new(UpstreamConnections::new(
+            self.rest_times.of(&service),
+            self.metrics.clone(),
+        ));
+        upstreams.insert(upstream.incarnation().clone(), created.clone());
+        created
+    }
+
+    /// Returns a connection for a request: a suitable idle one, or a new one.
+    pub async fn acquire(
+        &self,
+        upstream: &Upstream,
+        rules: ConnectionRules,
+    ) -> Result<Connection, NoConnection> {
+        let now = Now::read();
+        let known = self.connections_to(upstream);
+        known.set_rules(rules);
+        let opened = match rules.is_controlled {
+            true => self.acquire_controlled(upstream, &known, rules, now).await,
+            false => {
+                let idle = match rules.is_repeatable {
+                    true => known.take_newest(now),
+                    false => None,
+                };
+                match idle {
+                    Some(connection) => Ok(connection),
+                    None => {
+                        let opened = self.open(upstream).await;
+                        opened.map_err(NoConnection::Unreachable)
+                    }
+                }
             }
+        };
+        match &opened {
+            Ok(connection) if connection.is_reused() => known.count(ConnectionEvent::Reused),
+            Ok(_) | Err(_) => {}
         }
-        None
+        opened
+    }
+
+    async fn acquire_controlled(
+        &self,
+        upstream: &Upstream,
+        known: &UpstreamConnections,
+        rules: ConnectionRules,
+        now: Now,
+    ) -> Result<Connection, NoConnection> {
+        let idle = match rules.is_repeatable {
+            true => known.take_for_repeatable(now),
+            false => known.take_for_single_run(now),
+        };
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => {
+                let demand = Demand::at(upstream, now);
+                let share = |limit| connection_limit::share(limit, self.fleet(), demand);
+                let share = rules.limit.map(share);
+                if !known.make_room(share) {
+                    return Err(NoConnection::ShareInUse);
+                }
+                let opened = self.open_as(upstream, ConnectionOrigin::New, true).await;
+                opened.map_err(NoConnection::Unreachable)?
+            }
+        };
+        if !rules.is_repeatable {
+            let wait = known.settle_time_left(&connection, Now::read());
+            if connection.has_ended() || !connection.survives(wait).await {
+                known.record_end(&connection, Now::read());
+                return Err(NoConnection::ResetBeforeUse);
+            }
+        }
+        Ok(connection)
     }
 
     /// Opens a new connection.
-    pub async fn open(&self, upstream: &Upstream, now: Now) -> io::Result<Connection> {
+    pub async fn open(&self, upstream: &Upstream) -> io::Result<Connection> {
+        self.open_as(upstream, ConnectionOrigin::New, false).await
+    }
+
+    /// Opens a new connection for a purpose.
+    pub async fn open_as(
+        &self,
+        upstream: &Upstream,
+        origin: ConnectionOrigin,
+        is_controlled: bool,
+    ) -> io::Result<Connection> {
+        let known = self.connections_to(upstream);
+        // Counted before the first packet is sent, so that requests that arrive together do not
+        // exceed the share.
+        let open = known.open_count().clone();
+        open.set(open.get().saturating_add(1));
+        let open = OpenGuard(open);
         let address = upstream.with_listed(|listed| listed.address);
+        let began = Now::read();
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+        let now = Now::read();
+        known.record_connect(now.monotonic.saturating_sub(began.monotonic));
+        known.count(match origin {
+            ConnectionOrigin::OpenedAhead => ConnectionEvent::OpenedAhead,
+            ConnectionOrigin::New | ConnectionOrigin::Kept => ConnectionEvent::Opened,
+        });
         set_socket_options(&stream, address);
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
+        let (end, ended) = watch::channel(None);
         let driver = actix_rt::spawn(async move {
             if let Err(err) = connection.await {
                 log::trace!("connection to {address} ended: {err}");
             }
+            end.send_replace(Some(Now::read().monotonic));
         });
         Ok(Connection {
             sender,
             driver,
+            ended,
             idle_since: now.monotonic,
-            reused: false,
+            keep_time: IDLE_LIFETIME,
+            origin,
+            has_carried_answer: false,
+            is_controlled,
+            _open: open,
         })
     }
 
-    /// Returns a connection to the pool after a complete answer.
-    pub fn release(&self, incarnation: &UpstreamLife, mut connection: Connection, now: Now) {
-        if connection.sender.is_closed() {
+    /// Returns a connection to the pool: after a complete answer, or without one after a probe.
+    ///
+    /// `keep_alive` is the time for which the upstream states that it keeps idle connections.
+    pub fn release(
+        &self,
+        upstream: &Upstream,
+        mut connection: Connection,
+        keep_alive: Option<Duration>,
+        now: Now,
+    ) {
+        if connection.has_ended() {
             return;
         }
+        let known = self.connections_to(upstream);
         connection.idle_since = now.monotonic;
-        let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(incarnation.clone()).or_default();
-        if connections.len() < MAX_IDLE_PER_UPSTREAM {
-            connections.push(connection);
+        let max_idle = match connection.is_controlled {
+            true => {
+                known.record_keep_alive(keep_alive);
+                connection.keep_time = known.keep_time();
+                if self.idle_count() >= MAX_CONTROLLED_IDLE {
+                    return;
+                }
+                MAX_CONTROLLED_IDLE_PER_UPSTREAM
+            }
+            false => MAX_IDLE_PER_UPSTREAM,
+        };
+        known.put_idle(connection, max_idle);
+    }
+
+    /// Returns a connection to the pool after an answer.
+    pub fn release_after_answer(
+        &self,
+        upstream: &Upstream,
+        mut connection: Connection,
+        keep_alive: Option<Duration>,
+        now: Now,
+    ) {
+        connection.has_carried_answer = true;
+        self.release(upstream, connection, keep_alive, now);
+    }
+
+    fn idle_count(&self) -> usize {
+        let upstreams = self.upstreams.borrow();
+        upstreams.values().map(|known| known.idle_count()).sum()
+    }
+
+    /// Records that a connection broke after a request was written to it.
+    pub fn record_broken(&self, upstream: &Upstream, connection: &Connection, now: Now) {
+        if connection.is_controlled {
+            self.connections_to(upstream).record_end(connection, now);
         }
     }
 
@@ -140,14 +481,14 @@
         let now = Now::read();
         let second = async {
             tokio::time::sleep(SECOND_PROBE_DELAY).await;
-            self.open(upstream, now).await
+            self.open(upstream).await
         };
         let attempts: [LocalBoxFuture<'_, _>; 2] =
-            [Box::pin(self.open(upstream, now)), Box::pin(second)];
+            [Box::pin(self.open(upstream)), Box::pin(second)];
         match select_ok(attempts).await {
             Ok((connection, _)) => {
                 upstream.record_connect_success();
-                self.release(upstream.incarnation(), connection, now);
+                self.release(upstream, connection, None, now);
                 true
             }
             Err(err) => {
@@ -158,15 +499,13 @@
         }
     }
 
-    /// Closes connections that have been idle for too long.
+    /// Closes connections that have been idle for too long, and forgets upstreams without any.
     pub fn close_stale(&self, now: Now) {
-        let mut idle = self.idle.borrow_mut();
-        for connections in idle.values_mut() {
-            connections.retain(|connection| {
-                now.monotonic.saturating_sub(connection.idle_since) < IDLE_LIFETIME
-            });
+        let mut upstreams = self.upstreams.borrow_mut();
+        for known in upstreams.values() {
+            known.close_expired(now);
         }
-        idle.retain(|_, connections| !connections.is_empty());
+        upstreams.retain(|_, known| !known.is_unused(now));
     }
 }
 
--- a/src/gateway/attempt/crash_detection.rs
+++ b/src/gateway/attempt/crash_detection.rs
@@ -163,11 +163,10 @@
 async fn check(gw: Rc<Gateway>, upstream: Rc<Upstream>) {
     sleep(CHECK_DELAY).await;
     let now = Now::read();
-    let opened = gw.connections.open(&upstream, now).await;
+    let opened = gw.connections.open(&upstream).await;
     let found = CrashCheckResult::from_connect_result(&opened);
     if let Ok(connection) = opened {
-        gw.connections
-            .release(upstream.incarnation(), connection, now);
+        gw.connections.release(&upstream, connection, None, now);
     }
     gw.telemetry.record_upstream_check(&upstream, found);
     for run in gw.crashes.finish_check(upstream.incarnation(), found) {
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -3,7 +3,10 @@
 //! Only this module decides whether a request may have run: [`TryOutcome::NotRun`] requires the
 //! upstream's own statement or the proof that no byte was written. See `docs/design/platform.md`.
 
-use super::connect::{Connection, ConnectionPool, http1_types};
+use super::connect::{
+    Connection, ConnectionOrigin, ConnectionPool, ConnectionRules, NoConnection, http1_types,
+};
+use super::connection_age::parse_keep_alive;
 use super::headers::{HeaderNames, parse_load};
 use super::response_timeout::{ResponseTimeout, with_response_timeout};
 use super::upstream::{PendingPrefill, Upstream};
@@ -12,12 +15,18 @@
 use crate::routing::signals::{ResponseSignals, SignalHeaders};
 use bytes::Bytes;
 use http::header::RETRY_AFTER;
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
+/// How long the end of a refusal's body may take for its connection to be kept; refusals have no
+/// body, or a short one that arrives with the head.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(2);
+/// The size limit of such a body.
+const REFUSAL_BODY_LIMIT: usize = 4096;
+const KEEP_ALIVE: &str = "keep-alive";
 const STATUS_MISDIRECTED_REQUEST: u16 = 421;
 
 /// A request as it is sent to one upstream.
@@ -51,6 +60,8 @@
 pub enum NotRunReason {
     /// No connection could be opened, so no byte was written.
     NoConnection(String),
+    /// The upstream has no room for another connection, so no byte was written.
+    ConnectionRejected(String),
     /// Before a byte was written, the upstream announced in an answer to another request that it
     /// takes no more, or operators evacuated its hall.
     Unavailable,
@@ -75,6 +86,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NoConnection(reason) => write!(f, "no connection: {reason}"),
+            Self::ConnectionRejected(reason) => write!(f, "connection rejected: {reason}"),
             Self::Unavailable => f.write_str("the upstream takes no requests now"),
             Self::Refused(status) => write!(f, "refused with {status}"),
             Self::OtherInstance => f.write_str("another instance has the address"),
@@ -176,14 +188,11 @@
     /// Returns the connection to the pool after a complete body, unless the upstream closes it.
     pub fn finish(mut self, connections: &ConnectionPool, now: Now) {
         self.upstream.record_success(now);
-        let closes = self
-            .headers
-            .get(hyper::header::CONNECTION)
-            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
         if let Some(connection) = self.connection.take()
-            && !closes
+            && !closes(&self.headers)
         {
-            connections.release(self.upstream.incarnation(), connection, now);
+            let keep_alive = keep_alive(&self.headers);
+            connections.release_after_answer(&self.upstream, connection, keep_alive, now);
         }
     }
 }
@@ -198,125 +207,180 @@
     /// Whether the upstream computes the whole prompt and, as far as is known, nothing else, so
     /// that the time to the first event measures its prefill rate.
     pub measures_prefill_rate: bool,
-    /// Whether an idle connection may be reused. The upstream may close it just as the request is
+    /// Which connections may be used. The upstream may close an idle one just as the request is
     /// written, and then it is unknown whether the request ran.
-    pub may_reuse_connection: bool,
+    pub connection: ConnectionRules,
 }
 
-/// Sends a request to one upstream and waits for the head of the answer.
+/// Sends a request to one upstream and waits for the head of the answer; also returns the origin of
+/// the connection that it used, if there was one.
 pub async fn try_upstream(
     connections: &ConnectionPool,
     headers: &HeaderNames,
     upstream: &Rc<Upstream>,
     request: UpstreamRequest,
     options: TryOptions,
-) -> TryOutcome {
-    let was_limited = upstream.rate_limit().limit().is_some();
-    let load = upstream.begin_request();
-    let pending_prefill = upstream.begin_prefill(options.prefill);
-    let began = Now::read();
-    let idle = match options.may_reuse_connection {
-        true => connections.take_idle(upstream.incarnation(), began),
-        false => None,
+) -> (TryOutcome, Option<ConnectionOrigin>) {
+    let started = StartedTry {
+        was_limited: upstream.rate_limit().limit().is_some(),
+        load: upstream.begin_request(),
+        pending_prefill: upstream.begin_prefill(options.prefill),
+        began: Now::read(),
     };
-    let mut connection = match idle {
-        Some(connection) => connection,
-        None => match connections.open(upstream, began).await {
-            Ok(connection) => connection,
-            Err(err) => {
-                upstream.record_connect_failure(Now::read());
-                return TryOutcome::NotRun(NotRunReason::NoConnection(err.to_string()));
-            }
-        },
-    };
-    // A request that was chosen before the upstream had a limit is not counted against it.
-    let exceeds_limit = !was_limited && upstream.rate_limit().limit().is_some();
-    let takes_requests = !upstream.is_leaving() && !upstream.is_evacuated() && !exceeds_limit;
-    if !takes_requests || upstream.is_in_retry_after(Now::read()) {
-        return TryOutcome::NotRun(NotRunReason::Unavailable);
+    match connections.acquire(upstream, options.connection).await {
+        Ok(connection) => {
+            let origin = connection.origin();
+            let tried = started
+                .send(connections, headers, upstream, connection, request, options)
+                .await;
+            (tried, Some(origin))
+        }
+        Err(NoConnection::Unreachable(err)) => {
+            upstream.record_connect_failure(Now::read());
+            let reason = NotRunReason::NoConnection(err.to_string());
+            (TryOutcome::NotRun(reason), None)
+        }
+        Err(rejected @ (NoConnection::ShareInUse | NoConnection::ResetBeforeUse)) => {
+            let reason = NotRunReason::ConnectionRejected(rejected.to_string());
+            (TryOutcome::NotRun(reason), None)
+        }
     }
-    let request_id = request.request_id.clone();
-    let req = match build_request(request) {
-        Ok(req) => req,
-        Err(reason) => return TryOutcome::NotRun(NotRunReason::NoConnection(reason)),
-    };
-    let answered = with_response_timeout(
-        connections,
-        upstream,
-        options.head_timeout,
-        connection.send(req),
-    )
-    .await;
-    let now = Now::read();
-    let res = match answered {
-        Some(Ok(res)) => res,
-        Some(Err(err)) => {
-            if !connection.is_reused() {
-                upstream.record_failure(now);
+}
+/// A try for which a connection is still missing.
+struct StartedTry {
+    was_limited: bool,
+    load: LoadGuard,
+    pending_prefill: PendingPrefill,
+    began: Now,
+}
+
+impl StartedTry {
+    /// Sends the request over a connection and waits for the head of the answer.
+    async fn send(
+        self,
+        connections: &ConnectionPool,
+        headers: &HeaderNames,
+        upstream: &Rc<Upstream>,
+        mut connection: Connection,
+        request: UpstreamRequest,
+        options: TryOptions,
+    ) -> TryOutcome {
+        // A request that was chosen before the upstream had a limit is not counted against it.
+        let exceeds_limit = !self.was_limited && upstream.rate_limit().limit().is_some();
+        let takes_requests = !upstream.is_leaving() && !upstream.is_evacuated() && !exceeds_limit;
+        if !takes_requests || upstream.is_in_retry_after(Now::read()) {
+            return TryOutcome::NotRun(NotRunReason::Unavailable);
+        }
+        let request_id = request.request_id.clone();
+        let req = match build_request(request) {
+            Ok(req) => req,
+            Err(reason) => return TryOutcome::NotRun(NotRunReason::NoConnection(reason)),
+        };
+        let answered = with_response_timeout(
+            connections,
+            upstream,
+            options.head_timeout,
+            connection.send(req),
+        )
+        .await;
+        let now = Now::read();
+        let res = match answered {
+            Some(Ok(res)) => res,
+            Some(Err(err)) => {
+                if options.connection.is_controlled {
+                    connections.record_broken(upstream, &connection, now);
+                    if err.is_unsent {
+                        let reason = NotRunReason::ConnectionRejected(err.error.to_string());
+                        return TryOutcome::NotRun(reason);
+                    }
+                }
+                if !connection.is_reused() {
+                    upstream.record_failure(now);
+                }
+                return TryOutcome::Unknown(UnknownReason::ConnectionBroken(err.error.to_string()));
             }
-            return TryOutcome::Unknown(UnknownReason::ConnectionBroken(err.to_string()));
+            None => return TryOutcome::Unknown(UnknownReason::TimedOut),
+        };
+        upstream.record_data_received(now);
+        let (parts, body) = res.into_parts();
+        let header_text = |name: &http::HeaderName| {
+            parts
+                .headers
+                .get(name.as_str())
+                .and_then(|value| value.to_str().ok())
+        };
+        if let Some(load) = header_text(&headers.load).and_then(parse_load) {
+            upstream.record_load_report(load, now);
         }
-        None => return TryOutcome::Unknown(UnknownReason::TimedOut),
-    };
-    upstream.record_data_received(now);
-    let (parts, body) = res.into_parts();
-    let header_text = |name: &http::HeaderName| {
-        parts
-            .headers
-            .get(name.as_str())
-            .and_then(|value| value.to_str().ok())
-    };
-    if let Some(load) = header_text(&headers.load).and_then(parse_load) {
-        upstream.record_load_report(load, now);
-    }
-    let echoed_id = header_text(&headers.request_id);
-    if echoed_id.is_some_and(|echoed_id| echoed_id != request_id) {
-        upstream.record_failure(now);
-        return TryOutcome::Unknown(UnknownReason::MismatchedAnswer(
-            "it has the id of another request",
-        ));
-    }
-    let status = parts.status.as_u16();
-    // The headers of another instance say nothing about this upstream.
-    if status == STATUS_MISDIRECTED_REQUEST {
-        return TryOutcome::NotRun(NotRunReason::OtherInstance);
-    }
-    let signs = SignalHeaders {
-        leaving: header_text(&headers.leaving),
-        retry_after: header_text(&RETRY_AFTER),
-        rate_limit: header_text(&headers.rate_limit),
-    };
-    let signs = ResponseSignals::read(status, signs, now.wall);
-    upstream.update_from_head(signs, now);
-    let is_refused = header_text(&headers.not_executed).is_some();
-    let mismatch = match is_refused {
-        true => None,
-        false => mismatch_reason(&parts.headers, headers, parts.status, echoed_id),
-    };
-    // Only the upstream's own answer shows that a limit is over.
-    if signs.rate_limit.is_some() || mismatch.is_none() {
-        upstream
-            .rate_limit()
-            .record_statement(signs.rate_limit, began, now);
-    }
-    if is_refused {
-        return TryOutcome::NotRun(NotRunReason::Refused(status));
-    }
-    if let Some(reason) = mismatch {
-        upstream.record_failure(now);
-        return TryOutcome::Unknown(UnknownReason::MismatchedAnswer(reason));
+        let echoed_id = header_text(&headers.request_id);
+        if echoed_id.is_some_and(|echoed_id| echoed_id != request_id) {
+            upstream.record_failure(now);
+            return TryOutcome::Unknown(UnknownReason::MismatchedAnswer(
+                "it has the id of another request",
+            ));
+        }
+        let status = parts.status.as_u16();
+        // The headers of another instance say nothing about this upstream.
+        if status == STATUS_MISDIRECTED_REQUEST {
+            return TryOutcome::NotRun(NotRunReason::OtherInstance);
+        }
+        let signs = SignalHeaders {
+            leaving: header_text(&headers.leaving),
+            retry_after: header_text(&RETRY_AFTER),
+            rate_limit: header_text(&headers.rate_limit),
+        };
+        let signs = ResponseSignals::read(status, signs, now.wall);
+        upstream.update_from_head(signs, now);
+        let is_refused = header_text(&headers.not_executed).is_some();
+        let mismatch = match is_refused {
+            true => None,
+            false => mismatch_reason(&parts.headers, headers, parts.status, echoed_id),
+        };
+        // Only the upstream's own answer shows that a limit is over.
+        if signs.rate_limit.is_some() || mismatch.is_none() {
+            upstream
+                .rate_limit()
+                .record_statement(signs.rate_limit, self.began, now);
+        }
+        if is_refused {
+            if options.connection.is_controlled && !closes(&parts.headers) {
+                let rest = Limited::new(body, REFUSAL_BODY_LIMIT);
+                let ended = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, rest.collect()).await;
+                if matches!(ended, Ok(Ok(_))) {
+                    let keep_alive = keep_alive(&parts.headers);
+                    connections.release_after_answer(upstream, connection, keep_alive, now);
+                }
+            }
+            return TryOutcome::NotRun(NotRunReason::Refused(status));
+        }
+        if let Some(reason) = mismatch {
+            upstream.record_failure(now);
+            return TryOutcome::Unknown(UnknownReason::MismatchedAnswer(reason));
+        }
+        TryOutcome::Answered(Box::new(Answer {
+            status,
+            headers: parts.headers,
+            sent_at: self.began.monotonic,
+            measures_prefill_rate: options.measures_prefill_rate,
+            body,
+            connection: Some(connection),
+            upstream: upstream.clone(),
+            pending_prefill: Some(self.pending_prefill),
+            _load: self.load,
+        }))
     }
-    TryOutcome::Answered(Box::new(Answer {
-        status,
-        headers: parts.headers,
-        sent_at: began.monotonic,
-        measures_prefill_rate: options.measures_prefill_rate,
-        body,
-        connection: Some(connection),
-        upstream: upstream.clone(),
-        pending_prefill: Some(pending_prefill),
-        _load: load,
-    }))
+}
+
+/// Returns whether the upstream closes the connection after this answer.
+fn closes(received: &http1_types::HeaderMap) -> bool {
+    let connection = received.get(hyper::header::CONNECTION);
+    connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
+/// Returns for how long the upstream states that it keeps idle connections.
+fn keep_alive(received: &http1_types::HeaderMap) -> Option<Duration> {
+    let stated = received.get(KEEP_ALIVE)?;
+    parse_keep_alive(stated.to_str().ok()?)
 }
 
 /// Returns why an answer cannot be this upstream's answer to this request, if it cannot.
--- a/src/gateway/attempt/tries.rs
+++ b/src/gateway/attempt/tries.rs
@@ -22,12 +22,18 @@
     pub fn record(&self, outcome: &TryOutcome) {
         if !matches!(
             outcome,
-            TryOutcome::NotRun(NotRunReason::NoConnection(_) | NotRunReason::Unavailable)
+            TryOutcome::NotRun(
+                NotRunReason::NoConnection(_)
+                    | NotRunReason::ConnectionRejected(_)
+                    | NotRunReason::Unavailable
+            )
         ) {
             self.sent_count.set(self.sent_count.get() + 1);
         }
         match outcome {
-            TryOutcome::NotRun(NotRunReason::Refused(_)) => self.refused.set(true),
+            TryOutcome::NotRun(NotRunReason::Refused(_) | NotRunReason::ConnectionRejected(_)) => {
+                self.refused.set(true)
+            }
             TryOutcome::NotRun(
                 NotRunReason::OtherInstance
                 | NotRunReason::NoConnection(_)
--- /dev/null
+++ b/src/gateway/attempt/upstream_connections.rs
@@ -0,0 +1,335 @@
+//! The idle connections to one upstream, and what was learned from those that ended.
+
+use super::connect::{Connection, ConnectionOrigin, ConnectionRules, UpstreamKind};
+use super::connection_age::{ConnectionState, RestTimes, SettleTime};
+use super::connection_limit::{RequestRate, may_open_for_request};
+use crate::clock::Now;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long no connection is opened ahead after the upstream reset one: it has no room.
+const PAUSE_AFTER_RESET: Duration = Duration::from_secs(1);
+/// How long what was learned of an upstream is kept without a connection.
+const UNUSED_RETENTION: Duration = Duration::from_secs(60);
+
+/// What happens to connections, for metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionEvent {
+    /// One was opened for a request or a probe.
+    Opened,
+    /// One was opened before a request needed it.
+    OpenedAhead,
+    /// A request used one that had carried another.
+    Reused,
+    /// The upstream ended one before it carried anything.
+    ResetBeforeUse,
+}
+
+impl ConnectionEvent {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Opened => "opened",
+            Self::OpenedAhead => "opened-ahead",
+            Self::Reused => "reused",
+            Self::ResetBeforeUse => "reset-before-use",
+        }
+    }
+}
+
+/// Counts connections by event and kind of upstream.
+#[derive(Debug, Clone)]
+pub struct ConnectionMetrics(Counter<u64>);
+
+impl ConnectionMetrics {
+    /// Uses a counter.
+    pub fn new(counter: Counter<u64>) -> Self {
+        Self(counter)
+    }
+
+    fn count(&self, event: ConnectionEvent, kind: UpstreamKind) {
+        let labels = [
+            KeyValue::new("event", event.name()),
+            KeyValue::new("upstreams", kind.name()),
+        ];
+        self.0.add(1, &labels);
+    }
+}
+
+/// The rest times of the upstreams of each service, which run the same software.
+#[derive(Debug, Default)]
+pub struct RestTimesByService(RefCell<HashMap<String, Rc<Cell<RestTimes>>>>);
+
+impl RestTimesByService {
+    /// Returns the rest times of a service.
+    pub fn of(&self, service: &str) -> Rc<Cell<RestTimes>> {
+        let mut known = self.0.borrow_mut();
+        known.entry(service.to_owned()).or_default().clone()
+    }
+}
+
+/// The connections to one incarnation of an upstream.
+#[derive(Debug)]
+pub struct UpstreamConnections {
+    /// The idle connections; the last one was used last.
+    idle: RefCell<Vec<Connection>>,
+    open: Rc<Cell<u32>>,
+    /// How many are being opened ahead of need.
+    opening_ahead: Cell<u32>,
+    kind: Cell<UpstreamKind>,
+    is_controlled: Cell<bool>,
+    settle: Cell<SettleTime>,
+    rest_times: Rc<Cell<RestTimes>>,
+    /// The requests that may not be repeated.
+    single_run_rate: Cell<RequestRate>,
+    spares_paused_until: Cell<Duration>,
+    last_used: Cell<Duration>,
+    metrics: ConnectionMetrics,
+}
+
+impl UpstreamConnections {
+    /// Creates the state of an upstream without connections.
+    pub fn new(rest_times: Rc<Cell<RestTimes>>, metrics: ConnectionMetrics) -> Self {
+        Self {
+            idle: RefCell::default(),
+            open: Rc::default(),
+            opening_ahead: Cell::default(),
+            kind: Cell::default(),
+            is_controlled: Cell::default(),
+            settle: Cell::default(),
+            rest_times,
+            single_run_rate: Cell::default(),
+            spares_paused_until: Cell::default(),
+            last_used: Cell::new(Now::read().monotonic),
+            metrics,
+        }
+    }
+
+    /// Sets the kind of the upstream, and whether boxes control its load.
+    pub fn set_rules(&self, rules: ConnectionRules) {
+        self.kind.set(rules.kind);
+        self.is_controlled.set(rules.is_controlled);
+    }
+
+    /// Returns whether boxes control the load of the upstream.
+    pub fn is_controlled(&self) -> bool {
+        self.is_controlled.get()
+    }
+
+    /// Counts an event.
+    pub fn count(&self, event: ConnectionEvent) {
+        self.metrics.count(event, self.kind.get());
+    }
+
+    /// Returns the number of open connections, including those that are being opened.
+    pub fn open_count(&self) -> &Rc<Cell<u32>> {
+        &self.open
+    }
+
+    /// Returns the number of idle connections.
+    pub fn idle_count(&self) -> usize {
+        self.idle.borrow().len()
+    }
+
+    /// Records how long it took to open a connection.
+    pub fn record_connect(&self, took: Duration) {
+        let mut settle = self.settle.get();
+        settle.record_connect(took);
+        self.settle.set(settle);
+    }
+
+    /// Records the keep-alive time that the upstream stated, if it did.
+    pub fn record_keep_alive(&self, stated: Option<Duration>) {
+        if let Some(stated) = stated {
+            let mut rest_times = self.rest_times.get();
+            rest_times.record_keep_alive(stated);
+            self.rest_times.set(rest_times);
+        }
+    }
+
+    /// Returns how long a connection is kept for requests that may be repeated.
+    pub fn keep_time(&self) -> Duration {
+        self.rest_times.get().keep_time()
+    }
+
+    /// Returns the settle time of new connections.
+    pub fn settle_time(&self) -> Duration {
+        self.settle.get().get()
+    }
+
+    /// Returns how much longer a connection has to survive before it counts as confirmed.
+    pub fn settle_time_left(&self, connection: &Connection, now: Now) -> Duration {
+        self.settle_time().saturating_sub(connection.rest(now))
+    }
+
+    /// Returns the longest rest after which a request that may not be repeated is written.
+    pub fn safe_rest(&self, now: Now) -> Duration {
+        self.rest_times.get().safe_rest(now)
+    }
+
+    /// Returns the rate of the requests that may not be repeated.
+    pub fn single_runs_per_second(&self, now: Now) -> f64 {
+        self.single_run_rate.get().per_second(now)
+    }
+
+    /// Returns whether connections may be opened ahead.
+    pub fn takes_spares(&self, now: Now) -> bool {
+        now.monotonic >= self.spares_paused_until.get()
+    }
+
+    /// Closes idle connections until the share allows one more; false if it does not.
+    pub fn make_room(&self, share: Option<u32>) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        while !may_open_for_request(self.open.get(), share) {
+            if idle.is_empty() {
+                return false;
+            }
+            drop(idle.remove(0));
+        }
+        true
+    }
+
+    /// Takes the connection that was used last, unless it has rested for too long.
+    pub fn take_newest(&self, now: Now) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(mut connection) = idle.pop() {
+            if !connection.is_expired(now) && connection.is_ready() {
+                connection.set_origin(ConnectionOrigin::Kept);
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Takes a connection for a request that may be repeated: one that has rested if there is one,
+    /// since requests that may not be repeated cannot use it.
+    pub fn take_for_repeatable(&self, now: Now) -> Option<Connection> {
+        self.drop_unusable(now);
+        let states = self.states(now);
+        let rested = |state: &ConnectionState| *state == ConnectionState::Rested;
+        let confirmed = |state: &ConnectionState| *state == ConnectionState::Confirmed;
+        let newest_rested = states.iter().rposition(rested);
+        self.take(newest_rested.or_else(|| states.iter().position(confirmed))?)
+    }
+
+    /// Takes a connection for a request that may not be repeated: a confirmed one, or one that will
+    /// be within the settle time. Of the confirmed ones it takes the oldest, so that all of them
+    /// stay in use and none has to be replaced for its age.
+    pub fn take_for_single_run(&self, now: Now) -> Option<Connection> {
+        let mut rate = self.single_run_rate.get();
+        rate.record(now);
+        self.single_run_rate.set(rate);
+        self.drop_unusable(now);
+        let states = self.states(now);
+        let confirmed = |state: &ConnectionState| *state == ConnectionState::Confirmed;
+        let settling = |state: &ConnectionState| matches!(state, ConnectionState::Settling(_));
+        let oldest_confirmed = states.iter().position(confirmed);
+        self.take(oldest_confirmed.or_else(|| states.iter().position(settling))?)
+    }
+
+    fn take(&self, index: usize) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        if index >= idle.len() {
+            return None;
+        }
+        let mut connection = idle.remove(index);
+        connection.set_origin(match connection.has_carried_answer() {
+            true => ConnectionOrigin::Kept,
+            false => ConnectionOrigin::OpenedAhead,
+        });
+        Some(connection)
+    }
+
+    fn states(&self, now: Now) -> Vec<ConnectionState> {
+        let (settle, safe_rest) = (self.settle_time(), self.safe_rest(now));
+        let idle = self.idle.borrow();
+        let state = |connection: &Connection| {
+            ConnectionState::after_rest(connection.rest(now), settle, safe_rest)
+        };
+        idle.iter().map(state).collect()
+    }
+
+    /// Returns how many idle connections a request that may not be repeated can use, now or soon.
+    pub fn usable_count(&self, now: Now) -> u32 {
+        self.drop_unusable(now);
+        let states = self.states(now).into_iter();
+        let usable = states.filter(|state| *state != ConnectionState::Rested);
+        let usable = u32::try_from(usable.count()).unwrap_or(u32::MAX);
+        usable.saturating_add(self.opening_ahead.get())
+    }
+
+    /// Adds to the number of connections that are being opened ahead, or subtracts from it.
+    pub fn change_opening_ahead(&self, change: i32) {
+        let count = self.opening_ahead.get().saturating_add_signed(change);
+        self.opening_ahead.set(count);
+    }
+
+    /// Adds an idle connection, unless there are enough. Under load control, it replaces the one
+    /// that has rested longest.
+    pub fn put_idle(&self, connection: Connection, max_idle: usize) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() >= max_idle && connection.is_controlled() {
+            drop(idle.remove(0));
+        }
+        if idle.len() < max_idle {
+            idle.push(connection);
+        }
+    }
+
+    /// Closes the oldest idle connections beyond a number.
+    pub fn close_idle_beyond(&self, allowance: u32) {
+        let allowance = usize::try_from(allowance).unwrap_or(usize::MAX);
+        let mut idle = self.idle.borrow_mut();
+        let excess = idle.len().saturating_sub(allowance);
+        idle.drain(..excess);
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn close_expired(&self, now: Now) {
+        self.drop_unusable(now);
+    }
+
+    /// Returns whether the state of the upstream can be forgotten.
+    pub fn is_unused(&self, now: Now) -> bool {
+        if self.open.get() > 0 {
+            self.last_used.set(now.monotonic);
+        }
+        now.monotonic.saturating_sub(self.last_used.get()) > UNUSED_RETENTION
+    }
+
+    fn drop_unusable(&self, now: Now) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|connection| {
+            if connection.has_ended() {
+                self.record_end(connection, now);
+                return false;
+            }
+            !connection.is_expired(now)
+        });
+    }
+
+    /// Learns from a connection that the upstream ended, or that broke under a request.
+    pub fn record_end(&self, connection: &Connection, now: Now) {
+        if !connection.is_controlled() {
+            return;
+        }
+        let rest = connection
+            .rest_at_end()
+            .unwrap_or_else(|| connection.rest(now));
+        if connection.has_carried_answer() {
+            let mut rest_times = self.rest_times.get();
+            rest_times.record_close(rest, now);
+            self.rest_times.set(rest_times);
+            return;
+        }
+        let mut settle = self.settle.get();
+        settle.record_reset(rest);
+        self.settle.set(settle);
+        self.count(ConnectionEvent::ResetBeforeUse);
+        self.spares_paused_until
+            .set(now.monotonic + PAUSE_AFTER_RESET);
+    }
+}
--- a/src/gateway/peers/liveness.rs
+++ b/src/gateway/peers/liveness.rs
@@ -43,6 +43,12 @@
         self.0.insert(from, now.monotonic);
     }
 
+    /// Returns whether any box has sent a message within a time.
+    pub fn has_contact_within(&self, time: Duration, now: Now) -> bool {
+        let mut contacts = self.0.values();
+        contacts.any(|at| now.monotonic.saturating_sub(*at) <= time)
+    }
+
     /// Returns whether a box has sent a message within the timeout.
     fn is_live(&self, from: SocketAddr, liveness_timeout: Duration, now: Now) -> bool {
         let last_message = self.0.get(&from);
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -4,9 +4,11 @@
 
 use super::admit::request::{AdmittedRequest, AttemptPlan};
 use super::answer::refusal::{Execution, RefusalReason};
+use super::attempt::connect::ConnectionOrigin;
 use super::attempt::crash_detection::InterruptedRun;
 use super::attempt::exchange::TryOutcome;
 use super::attempt::upstream::Upstream;
+use super::attempt::upstream_connections::ConnectionMetrics;
 use super::control::change::Change;
 use super::control::revision::EpochRevision;
 use super::peers::hub_poller::FetchError;
@@ -44,6 +46,7 @@
     responses: Counter<u64>,
     refusals: Counter<u64>,
     attempts: Counter<u64>,
+    connections: Counter<u64>,
     store_calls: Counter<u64>,
     peer_bytes: Counter<u64>,
     received_bytes: Counter<u64>,
@@ -76,6 +79,10 @@
                 .u64_counter("gatepier_tries")
                 .with_description("Attempts at upstreams, by outcome.")
                 .build(),
+            connections: meter
+                .u64_counter("gatepier_upstream_connections")
+                .with_description("Connections to upstreams, by event and kind of upstream.")
+                .build(),
             store_calls: meter
                 .u64_counter("gatepier_store_calls")
                 .with_description("Calls to the platform's store, by kind.")
@@ -111,12 +118,18 @@
         }
     }
 
+    /// Returns the counter of connections to upstreams.
+    pub fn connection_metrics(&self) -> ConnectionMetrics {
+        ConnectionMetrics::new(self.connections.clone())
+    }
+
     /// Records an attempt at an upstream.
     pub fn record_attempt(
         &self,
         request: &AdmittedRequest,
         choice: &PlacementChoice,
         tried: &TryOutcome,
+        connection: Option<ConnectionOrigin>,
         plan: AttemptPlan<'_>,
     ) {
         let outcome = match tried {
@@ -143,6 +156,7 @@
             reading_ms = millis(choice.prefill),
             beginning = choice.prefix_source.name(),
             outstanding = upstream.outstanding(),
+            connection = connection.map_or("none", ConnectionOrigin::name),
             rest_ms = upstream.retry_after_left(Now::read()).map_or(0, millis),
             warm_up_ms = millis(upstream.warm_up_left(Now::read())),
             limit = upstream.rate_limit().limit().map_or(String::new(), |limit| limit.to_string()).as_str();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the decisions of the gateway, as functions of its state and the current time.
 
 mod boundary;
+mod connection_age;
+mod connection_limit;
 mod datagrams;
 mod escalation;
 mod fetch_planning;
