--- a/src/gateway/attempt/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -113,6 +113,8 @@
     /// The upstream ended the connection right after accepting it, as it does with connections for
     /// which it has no room.
     ResetBeforeUse,
+    /// The upstream has just done so with another one.
+    JustReset,
 }
 
 impl fmt::Display for NoConnection {
@@ -120,6 +122,7 @@
         match self {
             Self::Unreachable(err) => err.fmt(f),
             Self::ShareInUse => f.write_str("this box's share of the connection limit is in use"),
+            Self::JustReset => f.write_str("the upstream has just reset a new connection"),
             Self::ResetBeforeUse => f.write_str("the connection was reset before it was used"),
         }
     }
@@ -281,9 +284,13 @@
         self.fleet.get()
     }
 
-    /// Returns the connections to an upstream, if it has had any recently.
-    pub fn known(&self, incarnation: &UpstreamLife) -> Option<Rc<UpstreamConnections>> {
-        self.upstreams.borrow().get(incarnation).cloned()
+    /// Returns the connections to upstreams under load control that were used recently.
+    pub fn controlled(&self) -> Vec<(UpstreamLife, Rc<UpstreamConnections>)> {
+        let upstreams = self.upstreams.borrow();
+        let controlled = upstreams.iter().filter(|(_, known)| known.is_controlled());
+        controlled
+            .map(|(incarnation, known)| (incarnation.clone(), known.clone()))
+            .collect()
     }
 
     fn connections_to(&self, upstream: &Upstream) -> Rc<UpstreamConnections> {
@@ -349,6 +356,9 @@
                 let demand = Demand::at(upstream, now);
                 let share = |limit| connection_limit::share(limit, self.fleet(), demand);
                 let share = rules.limit.map(share);
+                if !known.accepts_for_request(now) {
+                    return Err(NoConnection::JustReset);
+                }
                 if !known.make_room(share) {
                     return Err(NoConnection::ShareInUse);
                 }
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -240,7 +240,11 @@
             let reason = NotRunReason::NoConnection(err.to_string());
             (TryOutcome::NotRun(reason), None)
         }
-        Err(rejected @ (NoConnection::ShareInUse | NoConnection::ResetBeforeUse)) => {
+        Err(
+            rejected @ (NoConnection::ShareInUse
+            | NoConnection::ResetBeforeUse
+            | NoConnection::JustReset),
+        ) => {
             let reason = NotRunReason::ConnectionRejected(rejected.to_string());
             (TryOutcome::NotRun(reason), None)
         }
--- a/src/gateway/attempt/spare_connections.rs
+++ b/src/gateway/attempt/spare_connections.rs
@@ -10,8 +10,11 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Time between two checks; a fraction of the time for which a spare connection is usable.
-const CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Time between two checks for spare connections; a fraction of the time for which one is usable.
+const SPARE_INTERVAL: Duration = Duration::from_millis(25);
+/// The number of these checks from one check of the idle connections to the next one: boxes learn of
+/// each other's demand about as often.
+const SPARE_CHECKS_PER_IDLE_CHECK: u32 = 8;
 /// How long without any message a box counts as cut off from the others: each box polls the hubs
 /// several times in this time.
 const CONTACT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -19,52 +22,58 @@
 /// Keeps connections ready; runs for the lifetime of the process.
 pub async fn keep_spare_connections(gw: Rc<Gateway>) {
     loop {
-        sleep(CHECK_INTERVAL).await;
-        let now = Now::read();
-        gw.connections.set_fleet(gw.fleet(now));
-        if !gw.is_stopping() {
-            for upstream in gw.controlled_upstreams_in_use() {
-                adjust(&gw, &upstream, now);
+        gw.close_excess_idle(Now::read());
+        for _ in 0..SPARE_CHECKS_PER_IDLE_CHECK {
+            sleep(SPARE_INTERVAL).await;
+            if !gw.is_stopping() {
+                open_spares(&gw, Now::read());
             }
         }
     }
 }
 
-/// Closes idle connections beyond the share, and opens spare ones.
-fn adjust(gw: &Rc<Gateway>, upstream: &Rc<Upstream>, now: Now) {
-    let Some(known) = gw.connections.known(upstream.incarnation()) else {
-        return;
-    };
-    let service = upstream.with_listed(|listed| listed.service.clone());
-    let rules = gw.connection_rules(&service, false);
-    let room = rules.limit.map_or(u32::MAX, |limit| {
-        let (fleet, demand) = (gw.connections.fleet(), Demand::at(upstream, now));
-        let allowance = idle_allowance(limit, fleet, demand);
-        known.close_idle_beyond(allowance);
-        let idle = u32::try_from(known.idle_count()).unwrap_or(u32::MAX);
-        let open = known.open_count().get();
-        let share = share(limit, fleet, demand);
-        share
-            .saturating_sub(open)
-            .min(allowance.saturating_sub(idle))
-    });
-    let takes_requests = !upstream.is_leaving()
+/// Opens spare connections to the upstreams that requests of this box are frequent at.
+fn open_spares(gw: &Rc<Gateway>, now: Now) {
+    for (incarnation, known) in gw.connections.controlled() {
+        if known.kind() != UpstreamKind::Plain || !known.accepts_new(now) {
+            continue;
+        }
+        let upstream = gw.knowledge.borrow().upstream(&incarnation).cloned();
+        let Some(upstream) = upstream.filter(|upstream| takes_requests(upstream)) else {
+            continue;
+        };
+        let usable = known.usable_count(now);
+        let target = spare_target(
+            known.single_runs_per_second(now),
+            known.settle_time() + SPARE_INTERVAL,
+            known.safe_rest(now),
+            usable.saturating_add(room(gw, &upstream, &known, now)),
+        );
+        for _ in usable..target {
+            actix_rt::spawn(open_ahead(gw.clone(), upstream.clone(), known.clone()));
+        }
+    }
+}
+
+fn takes_requests(upstream: &Upstream) -> bool {
+    !upstream.is_leaving()
         && !upstream.is_evacuated()
         && !upstream.needs_connect_success()
-        && !upstream.with_listed(|listed| listed.draining);
-    if rules.kind != UpstreamKind::Plain || !takes_requests || !known.takes_spares(now) {
-        return;
-    }
-    let usable = known.usable_count(now);
-    let target = spare_target(
-        known.single_runs_per_second(now),
-        known.settle_time() + CHECK_INTERVAL,
-        known.safe_rest(now),
-        usable.saturating_add(room),
-    );
-    for _ in usable..target {
-        actix_rt::spawn(open_ahead(gw.clone(), upstream.clone(), known.clone()));
-    }
+        && !upstream.with_listed(|listed| listed.draining)
+}
+
+/// Returns how many more idle connections the limit allows.
+fn room(gw: &Gateway, upstream: &Upstream, known: &UpstreamConnections, now: Now) -> u32 {
+    let Some(limit) = known.limit() else {
+        return u32::MAX;
+    };
+    let (fleet, demand) = (gw.connections.fleet(), Demand::at(upstream, now));
+    let idle = u32::try_from(known.idle_count()).unwrap_or(u32::MAX);
+    let idle_room = idle_allowance(limit, fleet, demand).saturating_sub(idle);
+    let open = known.open_count().get();
+    share(limit, fleet, demand)
+        .saturating_sub(open)
+        .min(idle_room)
 }
 
 async fn open_ahead(gw: Rc<Gateway>, upstream: Rc<Upstream>, known: Rc<UpstreamConnections>) {
@@ -115,16 +124,21 @@
         }
     }
 
-    /// Returns the upstreams under load control to which there have been connections recently.
-    fn controlled_upstreams_in_use(&self) -> Vec<Rc<Upstream>> {
-        let in_use: Vec<Rc<Upstream>> = {
-            let knowledge = self.knowledge.borrow();
-            let known = |upstream: &&Rc<Upstream>| {
-                let known = self.connections.known(upstream.incarnation());
-                known.is_some_and(|known| known.is_controlled())
-            };
-            knowledge.upstreams().filter(known).cloned().collect()
-        };
-        in_use
+    /// Closes the idle connections that exceed this box's part of the limits.
+    fn close_excess_idle(&self, now: Now) {
+        let controlled = self.connections.controlled();
+        if controlled.is_empty() {
+            return;
+        }
+        self.connections.set_fleet(self.fleet(now));
+        let knowledge = self.knowledge.borrow();
+        for (incarnation, known) in controlled {
+            if let (Some(limit), Some(upstream)) = (known.limit(), knowledge.upstream(&incarnation))
+            {
+                let demand = Demand::at(upstream, now);
+                let allowance = idle_allowance(limit, self.connections.fleet(), demand);
+                known.close_idle_beyond(allowance);
+            }
+        }
     }
 }
--- a/src/gateway/attempt/upstream_connections.rs
+++ b/src/gateway/attempt/upstream_connections.rs
@@ -8,11 +8,14 @@
 use opentelemetry::metrics::Counter;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::num::NonZeroU32;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// How long no connection is opened ahead after the upstream reset one: it has no room.
-const PAUSE_AFTER_RESET: Duration = Duration::from_secs(1);
+const SPARE_PAUSE_AFTER_RESET: Duration = Duration::from_secs(1);
+/// How long none is opened for a request: some answers take as long, and make room.
+const PAUSE_AFTER_RESET: Duration = Duration::from_millis(40);
 /// How long what was learned of an upstream is kept without a connection.
 const UNUSED_RETENTION: Duration = Duration::from_secs(60);
 
@@ -81,11 +84,12 @@
     opening_ahead: Cell<u32>,
     kind: Cell<UpstreamKind>,
     is_controlled: Cell<bool>,
+    limit: Cell<Option<NonZeroU32>>,
     settle: Cell<SettleTime>,
     rest_times: Rc<Cell<RestTimes>>,
     /// The requests that may not be repeated.
     single_run_rate: Cell<RequestRate>,
-    spares_paused_until: Cell<Duration>,
+    last_reset: Cell<Option<Duration>>,
     last_used: Cell<Duration>,
     metrics: ConnectionMetrics,
 }
@@ -99,10 +103,11 @@
             opening_ahead: Cell::default(),
             kind: Cell::default(),
             is_controlled: Cell::default(),
+            limit: Cell::default(),
             settle: Cell::default(),
             rest_times,
             single_run_rate: Cell::default(),
-            spares_paused_until: Cell::default(),
+            last_reset: Cell::default(),
             last_used: Cell::new(Now::read().monotonic),
             metrics,
         }
@@ -112,6 +117,17 @@
     pub fn set_rules(&self, rules: ConnectionRules) {
         self.kind.set(rules.kind);
         self.is_controlled.set(rules.is_controlled);
+        self.limit.set(rules.limit);
+    }
+
+    /// Returns the kind of the upstream.
+    pub fn kind(&self) -> UpstreamKind {
+        self.kind.get()
+    }
+
+    /// Returns how many connections the upstream accepts from all boxes together.
+    pub fn limit(&self) -> Option<NonZeroU32> {
+        self.limit.get()
     }
 
     /// Returns whether boxes control the load of the upstream.
@@ -176,8 +192,18 @@
     }
 
     /// Returns whether connections may be opened ahead.
-    pub fn takes_spares(&self, now: Now) -> bool {
-        now.monotonic >= self.spares_paused_until.get()
+    pub fn accepts_new(&self, now: Now) -> bool {
+        !self.was_reset_within(SPARE_PAUSE_AFTER_RESET, now)
+    }
+
+    /// Returns whether a connection may be opened for a request.
+    pub fn accepts_for_request(&self, now: Now) -> bool {
+        !self.was_reset_within(PAUSE_AFTER_RESET, now)
+    }
+
+    fn was_reset_within(&self, time: Duration, now: Now) -> bool {
+        let last_reset = self.last_reset.get();
+        last_reset.is_some_and(|at| now.monotonic.saturating_sub(at) < time)
     }
 
     /// Closes idle connections until the share allows one more; false if it does not.
@@ -329,7 +355,6 @@
         settle.record_reset(rest);
         self.settle.set(settle);
         self.count(ConnectionEvent::ResetBeforeUse);
-        self.spares_paused_until
-            .set(now.monotonic + PAUSE_AFTER_RESET);
+        self.last_reset.set(Some(now.monotonic));
     }
 }
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -442,6 +442,12 @@
         self.upstreams.values()
     }
 
+    /// Returns a listed upstream by its incarnation.
+    pub fn upstream(&self, incarnation: &UpstreamLife) -> Option<&Rc<Upstream>> {
+        let known = self.upstreams.get(&incarnation.instance)?;
+        (known.incarnation() == incarnation).then_some(known)
+    }
+
     /// Returns whether this upstream incarnation is listed and not leaving.
     pub fn is_serving(&self, incarnation: &UpstreamLife) -> bool {
         let known = self.upstreams.get(&incarnation.instance);
