--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -4,9 +4,11 @@
 
 use super::admit::request::{AdmittedRequest, AttemptPlan};
 use super::answer::refusal::{Execution, RefusalReason};
+use super::attempt::connect::ConnectionOrigin;
 use super::attempt::crash_detection::InterruptedRun;
 use super::attempt::exchange::TryOutcome;
 use super::attempt::upstream::Upstream;
+use super::attempt::upstream_connections::ConnectionMetrics;
 use super::control::change::Change;
 use super::control::revision::EpochRevision;
 use super::peers::hub_poller::FetchError;
@@ -46,6 +48,7 @@
     attempts: Counter<u64>,
     expected_wait: Gauge<f64>,
     invalid_load_reports: Counter<u64>,
+    connections: Counter<u64>,
     store_calls: Counter<u64>,
     peer_bytes: Counter<u64>,
     received_bytes: Counter<u64>,
@@ -86,6 +89,10 @@
                 .u64_counter("gatepier_invalid_load_reports")
                 .with_description("Load reports of upstreams that cannot be read.")
                 .build(),
+            connections: meter
+                .u64_counter("gatepier_upstream_connections")
+                .with_description("Connections to upstreams, by event and kind of upstream.")
+                .build(),
             store_calls: meter
                 .u64_counter("gatepier_store_calls")
                 .with_description("Calls to the platform's store, by kind.")
@@ -121,12 +128,18 @@
         }
     }
 
+    /// Returns the counter of connections to upstreams.
+    pub fn connection_metrics(&self) -> ConnectionMetrics {
+        ConnectionMetrics::new(self.connections.clone())
+    }
+
     /// Records an attempt at an upstream.
     pub fn record_attempt(
         &self,
         request: &AdmittedRequest,
         choice: &PlacementChoice,
         tried: &TryOutcome,
+        connection: Option<ConnectionOrigin>,
         plan: AttemptPlan<'_>,
     ) {
         let outcome = match tried {
@@ -164,6 +177,7 @@
             report_age_ms = report_age.map_or(-1, signed_millis),
             work_time_percent = upstream.newest_report().and_then(|(load, _)| load.work_time_percent).map_or(-1, i64::from),
             outstanding = upstream.outstanding(),
+            connection = connection.map_or("none", ConnectionOrigin::name),
             rest_ms = upstream.retry_after_left(Now::read()).map_or(0, millis),
             warm_up_ms = millis(upstream.warm_up_left(Now::read())),
             limit = upstream.rate_limit().limit().map_or(String::new(), |limit| limit.to_string()).as_str();
