Engines' speeds are learned, shared and used where load is controlled

Placement took all engines to be as fast as their service's mean; one of half the speed was sent as much. Each box now learns a relative speed of each engine from first events and the pace of streams, sends its own measurements to one box in turn, and divides the queue and the prefill by the speed. Without measurements or statements the speed is 1, so services whose load is not controlled are placed as before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -44,6 +44,7 @@
 use peers::messages;
 use peers::outbox::Outbox;
 use peers::rate_limits::RateLimitReport;
+use place::event_pace::EventPaces;
 use place::peer_loads::{LongPrefillOutbox, PeerLoads};
 use place::prefill_rate::{PrefillModel, PrefillRates};
 use place::turn_queue::TurnQueue;
@@ -117,6 +118,8 @@
     pub versions: RefCell<VersionMonitor>,
     /// How fast engines prefill prompts, by model.
     pub prefill_rates: PrefillRates,
+    /// The usual time between events of streams, by model.
+    pub event_paces: EventPaces,
     /// The load that the other boxes put on upstreams.
     pub peer_loads: RefCell<PeerLoads>,
     /// Long prompt reads that have not been announced to the other boxes yet.
@@ -166,6 +169,7 @@
             last_contacts: RefCell::default(),
             long_prefills: LongPrefillOutbox::default(),
             prefill_rates: PrefillRates::default(),
+            event_paces: EventPaces::default(),
             telemetry: Telemetry::new(metrics),
             incarnation,
             lease: Cell::new(None),
@@ -216,6 +220,20 @@
         });
     }
 
+    /// Returns the speed of an engine that a first event shows; see
+    /// [`PrefillRates::measured_speed`].
+    pub fn prefill_speed(
+        &self,
+        service: &str,
+        model: &str,
+        tokens: f64,
+        took: Duration,
+    ) -> Option<f64> {
+        self.with_model_pace(service, Some(model), |pace| {
+            self.prefill_rates.measured_speed(pace, tokens, took)
+        })
+    }
+
     fn with_model_pace<T>(
         &self,
         service: &str,
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -184,7 +184,7 @@
         gw.count_limited_send(upstream, now);
         let limits = TryOptions {
             head_timeout: plan.head_wait.capped_at(left),
-            prefill: choice.prefill,
+            prefill: choice.prefill_work(),
             measures_prefill_rate: choice.measures_prefill_rate(),
             may_reuse_connection: self.route.kind.is_repeatable(),
         };
@@ -436,7 +436,7 @@
         }
         if self.route.kind.stream_gap().is_some() {
             let rank = self.organisation.as_ref().map_or(0, |found| found.priority);
-            let urgency = urgency(rank, self.route.priority, choice.prefill);
+            let urgency = urgency(rank, self.route.priority, choice.prefill_work());
             set(&names.urgency, &urgency.to_string());
         }
         if let Some(model) = plan.model {
--- a/src/gateway/answer/relay.rs
+++ b/src/gateway/answer/relay.rs
@@ -53,6 +53,9 @@
     resumed: u32,
     /// The measurement of the stream's pace, until it has ended or the stream is resumed elsewhere.
     pace_timing: Option<ResponseTimer>,
+    /// The slot utilization of the upstream when the stream began, until the pace is recorded or the
+    /// stream is resumed elsewhere.
+    initial_utilization: Option<f64>,
 }
 
 impl fmt::Debug for Relay {
@@ -103,6 +106,7 @@
         answer.finish_prefill();
         gw.record_first_event(request, &answer, model.as_deref().unwrap_or_default(), now);
         let pace_timing = gw.start_event_timer(request, answer.upstream(), PACE_EVENTS - 1, now);
+        let initial_utilization = Some(answer.upstream().slot_utilization(now));
         let resume_after = request.headers.get(gw.headers.last_event_id.as_str());
         let last_id = resume_after
             .and_then(|value| value.to_str().ok())
@@ -121,6 +125,7 @@
             longest_pause: Duration::ZERO,
             resumed: 0,
             pace_timing,
+            initial_utilization,
         }
     }
 
@@ -213,9 +218,8 @@
 
     /// Records the mean gap between events, once for each stream.
     fn record_pace(&mut self, now: Now) {
-        let Some(pace_timing) = self.pace_timing.take() else {
-            return;
-        };
+        let pace_timing = self.pace_timing.take();
+        let utilization = self.initial_utilization.take();
         if self.event_count < MIN_PACE_EVENTS {
             return;
         }
@@ -223,7 +227,22 @@
         let gaps = u32::try_from(self.event_count)
             .unwrap_or(u32::MAX)
             .saturating_sub(1);
-        pace_timing.record_duration((took / gaps).as_secs_f64());
+        let between_events = took / gaps;
+        if let Some(pace_timing) = pace_timing {
+            pace_timing.record_duration(between_events.as_secs_f64());
+        }
+        if let (Some(utilization), Some(answer)) = (utilization, &self.answer) {
+            let model = self.model.as_deref().unwrap_or_default();
+            let upstream = answer.upstream();
+            self.gw.record_event_pace(
+                &self.request,
+                upstream,
+                model,
+                utilization,
+                between_events,
+                now,
+            );
+        }
     }
 
     fn finish(&mut self) {
@@ -249,6 +268,7 @@
     /// Resumes the stream at another upstream, after the last event that the caller has.
     async fn resume_elsewhere(&mut self, reason: String) -> Result<(), StreamInterrupted> {
         self.pace_timing = None;
+        self.initial_utilization = None;
         if let Some(answer) = self.answer.take() {
             self.gw
                 .telemetry
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -4,6 +4,7 @@
 use crate::clock::Now;
 use crate::gateway::control::store::{ListedUpstream, UpstreamLife};
 use crate::gateway::place::choose::stable_hash;
+use crate::gateway::place::engine_speed::{EngineSpeed, SpeedBelief};
 use crate::gateway::place::fleet_view::FleetView;
 use crate::gateway::place::rate_limits::UpstreamRateLimit;
 use crate::gateway::place::warm_up::{WarmUp, WarmUpState};
@@ -52,6 +53,7 @@
     health: Cell<Health>,
     report: Cell<Option<LoadReport>>,
     states_work_time: Cell<bool>,
+    speed: EngineSpeed,
     lapsed_at: Cell<Option<Duration>>,
     pending_prefill: Rc<Cell<Duration>>,
     peer_load: Cell<PeerLoad>,
@@ -76,10 +78,10 @@
 
 impl PeerLoad {
     /// Returns the prefill time still pending now, given that the engine has gone on since the
-    /// report.
-    fn remaining_prefill(self, now: Now) -> Duration {
+    /// report at its speed.
+    fn remaining_prefill(self, speed: SpeedBelief, now: Now) -> Duration {
         let age = now.monotonic.saturating_sub(self.as_of);
-        self.pending_prefill.saturating_sub(age)
+        self.pending_prefill.saturating_sub(speed.work_in(age))
     }
 }
 
@@ -142,6 +144,7 @@
             health: Cell::default(),
             report: Cell::default(),
             states_work_time: Cell::default(),
+            speed: EngineSpeed::default(),
             lapsed_at: Cell::default(),
             pending_prefill: Rc::default(),
             peer_load: Cell::default(),
@@ -221,9 +224,15 @@
         self.pending_prefill.get()
     }
 
-    /// Returns the total time of the pending prefills of all boxes.
+    /// Returns the total time of the pending prefills of all boxes, at the usual speed.
     pub fn pending_prefill(&self, now: Now) -> Duration {
-        self.pending_prefill.get() + self.peer_load.get().remaining_prefill(now)
+        let speed = self.speed.belief(now);
+        self.pending_prefill.get() + self.peer_load.get().remaining_prefill(speed, now)
+    }
+
+    /// Returns what is known of the speed at which the upstream works.
+    pub fn speed(&self) -> &EngineSpeed {
+        &self.speed
     }
 
     /// Sets what the other boxes have in flight here.
@@ -235,7 +244,7 @@
     pub fn add_peer_prefill(&self, prefill: Duration, now: Now) {
         let known = self.peer_load.get();
         self.peer_load.set(PeerLoad {
-            pending_prefill: known.remaining_prefill(now) + prefill,
+            pending_prefill: known.remaining_prefill(self.speed.belief(now), now) + prefill,
             outstanding: known.outstanding + 1,
             as_of: now.monotonic,
         });
@@ -243,8 +252,9 @@
 
     /// Records a load report from the head of an answer.
     pub fn record_load_report(&self, load: ReportedLoad, now: Now) {
-        if load.work_time_percent.is_some() {
+        if let Some(percent) = load.work_time_percent {
             self.states_work_time.set(true);
+            self.speed.record_statement(percent, now);
         }
         self.report.set(Some(LoadReport {
             load,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,6 +1,7 @@
 //! Exchange of state between boxes.
 
 pub mod datagram;
+pub mod engine_speeds;
 pub mod fetch;
 pub mod fetch_planner;
 pub mod gossip_targets;
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -9,6 +9,7 @@
 //! - Upstreams that have announced in an answer that they leave, sent to all.
 //! - Rate limits that upstreams state, sent to all, and requests to those upstreams, sent to the
 //!   other boxes that may send to them.
+//! - Speeds of engines as each box measured them, sent to one box in turn.
 //! - Requests that were running at upstreams when those crashed, sent to all.
 //! - Sessions that the old version served just before a roll-out, so that no box moves them in the
 //!   first half of the roll-out.
@@ -18,6 +19,7 @@
 //! `docs/design/platform.md`.
 
 use super::datagram;
+use super::engine_speeds::{self, SpeedReport};
 use super::fetch;
 use super::hub_poller;
 use super::hubs::{self, HubUpdate, PollRequest};
@@ -79,6 +81,8 @@
     RateLimits(Vec<RateLimitReport>),
     /// Upstreams with rate limits to which the sender sends a request each, by their hashes.
     LimitedSends(Vec<u32>),
+    /// Speeds of engines that the sender measured.
+    EngineSpeeds(Vec<SpeedReport>),
 }
 
 /// Exchanges messages with other boxes for as long as the process runs.
@@ -105,6 +109,9 @@
     let send_limited_sends = async |to: &[SocketAddr], hashes| {
         send(&gw, &socket, &PeerMessage::LimitedSends(hashes), to).await;
     };
+    let send_speeds = async |to: &[SocketAddr], reports| {
+        send(&gw, &socket, &PeerMessage::EngineSpeeds(reports), to).await;
+    };
     tokio::join!(
         receive(&gw, &store, &socket),
         report_versions(&gw, &socket),
@@ -116,6 +123,7 @@
         leaving_upstreams::broadcast_leaving(&gw, send_leaving),
         rate_limits::share_rate_limits(&gw, send_limits),
         rate_limits::announce_limited_sends(&gw, send_limited_sends),
+        engine_speeds::share_engine_speeds(&gw, send_speeds),
         fetch::serve_fetches(gw.clone(), listener),
     );
     Ok(())
@@ -172,6 +180,7 @@
         PeerMessage::Leaving(hashes) => gw.apply_leaving_report(&hashes, now),
         PeerMessage::RateLimits(reports) => gw.apply_rate_limit_reports(&reports, now),
         PeerMessage::LimitedSends(hashes) => gw.count_peer_sends(&hashes, now),
+        PeerMessage::EngineSpeeds(reports) => gw.apply_speed_reports(&reports, now),
         PeerMessage::OldSessions(order, sessions) => {
             gw.sessions
                 .borrow_mut()
@@ -200,6 +209,7 @@
             Self::Leaving(_) => "leaving",
             Self::RateLimits(_) => "rate-limits",
             Self::LimitedSends(_) => "limited-sends",
+            Self::EngineSpeeds(_) => "engine-speeds",
             Self::OldSessions(..) => "old-sessions",
             Self::Poll(_) => "questions",
             Self::HubUpdate(_) => "told",
--- a/src/gateway/place/choose.rs
+++ b/src/gateway/place/choose.rs
@@ -6,6 +6,7 @@
 
 use super::cache_affinity::rendezvous_weight;
 use super::engine_cost::{PlacementCost, PrefixSource, SharedPrompt, engine_costs};
+use super::engine_speed::SpeedBelief;
 use crate::clock::Now;
 use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::control::store::UpstreamLife;
@@ -50,9 +51,17 @@
     pub prefill: Duration,
     /// Where the engine gets the shared prefix from; `Computed` for plain upstreams.
     pub prefix_source: PrefixSource,
+    /// The speed that the upstream is believed to have.
+    pub speed: SpeedBelief,
 }
 
 impl PlacementChoice {
+    /// Returns the time of this request's own prefill at the usual speed. Boxes that believe
+    /// different speeds can add it up.
+    pub fn prefill_work(&self) -> Duration {
+        self.speed.work_in(self.prefill)
+    }
+
     /// Returns whether the time to the first event measures the prefill rate of the engine: it
     /// computes the whole prompt and, as far as is known, nothing else.
     pub fn measures_prefill_rate(&self) -> bool {
@@ -93,6 +102,7 @@
         queue_wait: found.queue_wait,
         prefill: found.prefill,
         prefix_source: found.prefix_source,
+        speed: upstream.speed().belief(now),
     })
 }
 
--- a/src/gateway/place/engine_cost.rs
+++ b/src/gateway/place/engine_cost.rs
@@ -198,7 +198,9 @@
         false => slot_utilization * NO_FREE_SLOT_COST_MS,
     };
     let health_cost_ms = (upstream.penalty(now) - slot_utilization) * PENALTY_UNIT_COST_MS;
-    let queue_wait = upstream.pending_prefill(now);
+    let speed = upstream.speed().belief(now);
+    let queue_wait = speed.time_for(upstream.pending_prefill(now));
+    let prefill = speed.time_for(prefill);
     PlacementCost {
         cost: millis(queue_wait)
             + millis(prefill)
--- a/src/gateway/place/prefill_rate.rs
+++ b/src/gateway/place/prefill_rate.rs
@@ -21,6 +21,8 @@
 /// Minimum number of tokens for a measurement: the first events of shorter prompts are dominated by
 /// network latency and the engine's scheduling steps.
 const MIN_MEASURED_TOKENS: f64 = 1500.0;
+/// Number of measurements from which single engines are compared with a rate.
+const SETTLED_MEASUREMENTS: u32 = 8;
 /// The part of the time to the first event that does not depend on the number of tokens: network
 /// latency and one or two scheduling steps of the engine.
 pub const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(25);
@@ -93,6 +95,23 @@
         rate.record(tokens / millis.max(1.0));
     }
 
+    /// Returns the speed that a first event shows, relative to the estimated rate of the model;
+    /// `None` if the prompt is too short to tell, or the rate is not settled.
+    pub fn measured_speed(
+        &self,
+        model: PrefillModel<'_>,
+        tokens: f64,
+        took: Duration,
+    ) -> Option<f64> {
+        let measurements = self.by_model.borrow().get(model.name)?.measurements;
+        if tokens < MIN_MEASURED_TOKENS || measurements < SETTLED_MEASUREMENTS {
+            return None;
+        }
+        let usual = self.prefill_time(model, tokens).as_secs_f64();
+        let took = took.saturating_sub(FIRST_EVENT_OVERHEAD).as_secs_f64();
+        (took > 0.0).then(|| usual / took)
+    }
+
     /// Returns the estimated time to prefill this many tokens.
     pub fn prefill_time(&self, model: PrefillModel<'_>, tokens: f64) -> Duration {
         let rates = self.by_model.borrow();
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -11,6 +11,7 @@
 use super::control::revision::EpochRevision;
 use super::peers::hub_poller::FetchError;
 use super::place::choose::PlacementChoice;
+use super::place::engine_speed::{SpeedBelief, SpeedSource};
 use crate::clock::{Now, millis};
 use crate::crash_ledger::{CrashCheckResult, CrashRole};
 use crate::fingerprint::Fingerprint;
@@ -52,6 +53,7 @@
     faulty_upstreams: Gauge<u64>,
     lag: Gauge<u64>,
     knowledge_age: Gauge<u64>,
+    engine_speed: Gauge<u64>,
 }
 
 impl Telemetry {
@@ -104,6 +106,10 @@
                 .u64_gauge("gatepier_config_version")
                 .with_description("The version of the configuration in force.")
                 .build(),
+            engine_speed: meter
+                .u64_gauge("gatepier_engine_speed_percent")
+                .with_description("Speed that the box believes an engine to have, by upstream.")
+                .build(),
             knowledge_age: meter
                 .u64_gauge("gatepier_knowledge_age_ms")
                 .with_description("Age of the last proof that the box's knowledge is current.")
@@ -127,6 +133,7 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
         let upstream = &choice.upstream;
         let listed = upstream.listed();
+        self.record_engine_speed(&listed.instance, choice.speed);
         log::info!(
             request = request.request_id.as_str(),
             fingerprint = request.fingerprint.to_string().as_str(),
@@ -142,6 +149,9 @@
             ahead_ms = millis(choice.queue_wait),
             reading_ms = millis(choice.prefill),
             beginning = choice.prefix_source.name(),
+            speed_percent = percent(choice.speed.speed),
+            speed_source = choice.speed.source.name(),
+            speed_age_ms = choice.speed.age.map_or(0, millis),
             outstanding = upstream.outstanding(),
             rest_ms = upstream.retry_after_left(Now::read()).map_or(0, millis),
             warm_up_ms = millis(upstream.warm_up_left(Now::read())),
@@ -150,6 +160,14 @@
         );
     }
 
+    /// Records the speed that the box believes an upstream to have, once it was measured.
+    fn record_engine_speed(&self, instance: &str, belief: SpeedBelief) {
+        if belief.source != SpeedSource::Default {
+            let upstream = KeyValue::new("upstream", instance.to_owned());
+            self.engine_speed.record(percent(belief.speed), &[upstream]);
+        }
+    }
+
     /// Records that a response broke off or came too late.
     pub fn record_broken_answer(
         &self,
@@ -424,3 +442,8 @@
         self.lag.record(lag.map_or(0, millis), &[]);
     }
 }
+
+/// Returns a fraction in whole percent.
+fn percent(fraction: f64) -> u64 {
+    (fraction * 100.0).round() as u64
+}
--- a/src/gateway/versions/recording.rs
+++ b/src/gateway/versions/recording.rs
@@ -110,7 +110,13 @@
         self.telemetry
             .record_first_event(job, model, took, upstream.pending_prefill(now));
         if answer.measures_prefill_rate {
-            self.record_prefill_rate(&job.service, model, job.prompt.weighted_tokens(), took);
+            let tokens = job.prompt.weighted_tokens();
+            if self.controls_load(&job.service)
+                && let Some(speed) = self.prefill_speed(&job.service, model, tokens, took)
+            {
+                upstream.speed().record(speed, now);
+            }
+            self.record_prefill_rate(&job.service, model, tokens, took);
         }
         upstream.with_listed(|listed| {
             self.sessions
@@ -119,6 +125,28 @@
         });
     }
 
+    /// Records the mean time between the events of a stream, by which the speed of its engine is
+    /// measured where the load is controlled.
+    ///
+    /// `utilization` is that of the engine's slots when the stream began.
+    pub fn record_event_pace(
+        &self,
+        job: &AdmittedRequest,
+        upstream: &Upstream,
+        model: &str,
+        utilization: f64,
+        between_events: Duration,
+        now: Now,
+    ) {
+        if !self.controls_load(&job.service) {
+            return;
+        }
+        let paces = &self.event_paces;
+        if let Some(speed) = paces.record(&job.service, model, utilization, between_events) {
+            upstream.speed().record(speed, now);
+        }
+    }
+
     /// Returns whether the target of a rollout order was rejected.
     pub fn is_version_rejected(&self, order: u64) -> bool {
         self.versions.borrow().rejection(order).is_some()
