--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -46,8 +46,9 @@
 use peers::messages;
 use peers::outbox::Outbox;
 use peers::rate_limits::RateLimitReport;
+use place::event_pace::EventPaces;
 use place::peer_loads::{LongPrefillOutbox, PeerLoads};
-use place::prefill_rate::{PrefillModel, PrefillRates};
+use place::prefill_rate::{self, PrefillModel, PrefillRates};
 use place::rate_samples::RateSamples;
 use place::service_time::ServiceTimes;
 use place::turn_queue::TurnQueue;
@@ -127,6 +128,8 @@
     pub rate_samples: RateSamples,
     /// How long requests run at plain upstreams, by service.
     pub service_times: ServiceTimes,
+    /// The usual time between events of streams, by model.
+    pub event_paces: EventPaces,
     /// The load that the other boxes put on upstreams.
     pub peer_loads: RefCell<PeerLoads>,
     /// Long prompt reads that have not been announced to the other boxes yet.
@@ -180,6 +183,7 @@
             prefill_rates: PrefillRates::default(),
             rate_samples: RateSamples::default(),
             service_times: ServiceTimes::default(),
+            event_paces: EventPaces::default(),
             telemetry,
             incarnation,
             lease: Cell::new(None),
@@ -236,6 +240,23 @@
         });
     }
 
+    /// Returns the speed of an engine that a first event shows; see
+    /// [`PrefillRates::measured_speed`].
+    pub fn prefill_speed(
+        &self,
+        service: &str,
+        model: &str,
+        tokens: f64,
+        took: Duration,
+    ) -> Option<f64> {
+        if let Some(expected) = self.rate_samples.prefill_time(model, tokens) {
+            return prefill_rate::speed_of(expected, took);
+        }
+        self.with_model_pace(service, Some(model), |pace| {
+            self.prefill_rates.measured_speed(pace, tokens, took)
+        })
+    }
+
     fn with_model_pace<T>(
         &self,
         service: &str,
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -10,6 +10,7 @@
 //! - Rate limits that upstreams state, sent to all, and requests to those upstreams, sent to the
 //!   other boxes that may send to them.
 //! - Load reports of plain upstreams, sent to all.
+//! - Speeds of engines as each box measured them, sent to one box in turn.
 //! - Requests that were running at upstreams when those crashed, sent to all.
 //! - Sessions that the old version served just before a roll-out, so that no box moves them in the
 //!   first half of the roll-out.
@@ -19,6 +20,7 @@
 //! `docs/design/platform.md`.
 
 use super::datagram;
+use super::engine_speeds::{self, SpeedReport};
 use super::fetch;
 use super::hub_poller;
 use super::hubs::{self, HubUpdate, PollRequest};
@@ -87,6 +89,8 @@
     PrefillRates(RateReport),
     /// Load reports of plain upstreams.
     LoadReports(Vec<SharedLoadReport>),
+    /// Speeds of engines that the sender measured.
+    EngineSpeeds(Vec<SpeedReport>),
 }
 
 /// Exchanges messages with other boxes for as long as the process runs.
@@ -119,6 +123,9 @@
     let send_load_reports = async |to: &[SocketAddr], reports| {
         send(&gw, &socket, &PeerMessage::LoadReports(reports), to).await;
     };
+    let send_speeds = async |to: &[SocketAddr], reports| {
+        send(&gw, &socket, &PeerMessage::EngineSpeeds(reports), to).await;
+    };
     tokio::join!(
         receive(&gw, &store, &socket),
         report_versions(&gw, &socket),
@@ -132,6 +139,7 @@
         rate_limits::announce_limited_sends(&gw, send_limited_sends),
         rate_samples::share_rate_samples(&gw, send_prefill_rates),
         load_reports::broadcast_load_reports(&gw, send_load_reports),
+        engine_speeds::share_engine_speeds(&gw, send_speeds),
         fetch::serve_fetches(gw.clone(), listener),
     );
     Ok(())
@@ -190,6 +198,7 @@
         PeerMessage::LimitedSends(hashes) => gw.count_peer_sends(&hashes, now),
         PeerMessage::PrefillRates(report) => gw.rate_samples.apply_report(report, now),
         PeerMessage::LoadReports(reports) => gw.apply_shared_load_reports(&reports, now),
+        PeerMessage::EngineSpeeds(reports) => gw.apply_speed_reports(&reports, now),
         PeerMessage::OldSessions(order, sessions) => {
             gw.sessions
                 .borrow_mut()
@@ -220,6 +229,7 @@
             Self::LimitedSends(_) => "limited-sends",
             Self::PrefillRates(_) => "prefill-rates",
             Self::LoadReports(_) => "load-reports",
+            Self::EngineSpeeds(_) => "engine-speeds",
             Self::OldSessions(..) => "old-sessions",
             Self::Poll(_) => "questions",
             Self::HubUpdate(_) => "told",
--- a/src/gateway/place/choose.rs
+++ b/src/gateway/place/choose.rs
@@ -6,6 +6,7 @@
 
 use super::cache_affinity::rendezvous_weight;
 use super::engine_cost::{PlacementCost, PrefixSource, SharedPrompt, engine_costs};
+use super::engine_speed::SpeedBelief;
 use super::expected_wait::ExpectedWait;
 use crate::clock::Now;
 use crate::gateway::attempt::upstream::Upstream;
@@ -53,6 +54,16 @@
     pub prefix_source: PrefixSource,
     /// The expected wait, where requests are placed by it.
     pub expected: Option<ExpectedWait>,
+    /// The speed that the upstream is believed to have.
+    pub speed: SpeedBelief,
+}
+
+impl PlacementChoice {
+    /// Returns the time of this request's own prefill at the usual speed. Boxes that believe
+    /// different speeds can add it up.
+    pub fn prefill_work(&self) -> Duration {
+        self.speed.work_in(self.prefill)
+    }
 }
 
 /// Returns how many engines each box compares, given the number of boxes.
@@ -89,6 +100,7 @@
         prefill: found.prefill,
         prefix_source: found.prefix_source,
         expected: None,
+        speed: upstream.speed().belief(now),
     })
 }
 
--- a/src/gateway/place/plain_cost.rs
+++ b/src/gateway/place/plain_cost.rs
@@ -8,6 +8,7 @@
 
 use super::choose::PlacementChoice;
 use super::engine_cost::PrefixSource;
+use super::engine_speed::SpeedBelief;
 use super::expected_wait::{ExpectedWait, Queue};
 use super::service_time::ServiceTimes;
 use crate::clock::Now;
@@ -126,6 +127,7 @@
         prefill: Duration::ZERO,
         prefix_source: PrefixSource::Computed,
         expected: rooms.get(chosen).map(|room| room.wait),
+        speed: SpeedBelief::USUAL,
     })
 }
 
--- a/src/gateway/place/prefill_rate.rs
+++ b/src/gateway/place/prefill_rate.rs
@@ -21,6 +21,8 @@
 /// Minimum number of tokens for a measurement: the first events of shorter prompts are dominated by
 /// network latency and the engine's scheduling steps.
 const MIN_MEASURED_TOKENS: f64 = 1500.0;
+/// Number of measurements from which single engines are compared with a rate.
+const SETTLED_MEASUREMENTS: u32 = 8;
 /// The part of the time to the first event that does not depend on the number of tokens: network
 /// latency and one or two scheduling steps of the engine.
 pub const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(25);
@@ -68,6 +70,13 @@
     }
 }
 
+/// Returns the speed of an engine that sent its first event after `took`, while a prefill usually
+/// takes `usual`; `None` if the event came too early to tell.
+pub fn speed_of(usual: Duration, took: Duration) -> Option<f64> {
+    let prefill = took.checked_sub(FIRST_EVENT_OVERHEAD)?;
+    (!prefill.is_zero()).then(|| usual.as_secs_f64() / prefill.as_secs_f64())
+}
+
 /// Identifies a model whose prefill time is estimated.
 #[derive(Debug, Clone, Copy)]
 pub struct PrefillModel<'a> {
@@ -93,6 +102,21 @@
         rate.record(tokens / millis.max(1.0));
     }
 
+    /// Returns the speed that a first event shows, relative to the estimated rate of the model;
+    /// `None` if the prompt is too short to tell, or the rate is not settled.
+    pub fn measured_speed(
+        &self,
+        model: PrefillModel<'_>,
+        tokens: f64,
+        took: Duration,
+    ) -> Option<f64> {
+        let measurements = self.by_model.borrow().get(model.name)?.measurements;
+        if tokens < MIN_MEASURED_TOKENS || measurements < SETTLED_MEASUREMENTS {
+            return None;
+        }
+        speed_of(self.prefill_time(model, tokens), took)
+    }
+
     /// Returns the estimated time to prefill this many tokens.
     pub fn prefill_time(&self, model: PrefillModel<'_>, tokens: f64) -> Duration {
         let rates = self.by_model.borrow();
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -13,6 +13,7 @@
 use super::control::revision::EpochRevision;
 use super::peers::hub_poller::FetchError;
 use super::place::choose::PlacementChoice;
+use super::place::engine_speed::{SpeedBelief, SpeedSource};
 use crate::clock::{Now, millis};
 use crate::crash_ledger::{CrashCheckResult, CrashRole};
 use crate::fingerprint::Fingerprint;
@@ -57,6 +58,7 @@
     faulty_upstreams: Gauge<u64>,
     lag: Gauge<u64>,
     knowledge_age: Gauge<u64>,
+    engine_speed: Gauge<u64>,
 }
 
 impl Telemetry {
@@ -121,6 +123,10 @@
                 .u64_gauge("gatepier_config_version")
                 .with_description("The version of the configuration in force.")
                 .build(),
+            engine_speed: meter
+                .u64_gauge("gatepier_engine_speed_percent")
+                .with_description("Speed that the box believes an engine to have, by upstream.")
+                .build(),
             knowledge_age: meter
                 .u64_gauge("gatepier_knowledge_age_ms")
                 .with_description("Age of the last proof that the box's knowledge is current.")
@@ -157,6 +163,7 @@
                 .record(expected.queue.as_secs_f64(), &[label]);
         }
         let report_age = expected.and_then(|expected| expected.report_age);
+        self.record_engine_speed(&listed.instance, choice.speed);
         log::info!(
             request = request.request_id.as_str(),
             fingerprint = request.fingerprint.to_string().as_str(),
@@ -176,6 +183,9 @@
             expected_run_ms = expected.map_or(-1, |expected| signed_millis(expected.run)),
             report_age_ms = report_age.map_or(-1, signed_millis),
             work_time_percent = upstream.newest_report().and_then(|(load, _)| load.work_time_percent).map_or(-1, i64::from),
+            speed_percent = percent(choice.speed.speed),
+            speed_source = choice.speed.source.name(),
+            speed_age_ms = choice.speed.age.map_or(0, millis),
             outstanding = upstream.outstanding(),
             connection = connection.map_or("none", ConnectionOrigin::name),
             rest_ms = upstream.retry_after_left(Now::read()).map_or(0, millis),
@@ -185,6 +195,14 @@
         );
     }
 
+    /// Records the speed that the box believes an upstream to have, once it was measured.
+    fn record_engine_speed(&self, instance: &str, belief: SpeedBelief) {
+        if belief.source != SpeedSource::Default {
+            let upstream = KeyValue::new("upstream", instance.to_owned());
+            self.engine_speed.record(percent(belief.speed), &[upstream]);
+        }
+    }
+
     /// Records that a response broke off or came too late.
     pub fn record_broken_answer(
         &self,
@@ -477,3 +495,8 @@
 fn signed_millis(duration: Duration) -> i64 {
     i64::try_from(millis(duration)).unwrap_or(i64::MAX)
 }
+
+/// Returns a fraction in whole percent.
+fn percent(fraction: f64) -> u64 {
+    (fraction * 100.0).round() as u64
+}
--- a/src/gateway/versions/recording.rs
+++ b/src/gateway/versions/recording.rs
@@ -112,8 +112,10 @@
         self.telemetry
             .record_first_event(job, model, took, upstream.pending_prefill(now));
         if let Some(tokens) = answer.measured_tokens {
+            if self.controls_load(&job.service) {
+                self.record_engine_prefill(job, upstream, model, tokens, took, now);
+            }
             self.record_prefill_rate(&job.service, model, tokens, took);
-            self.record_rate_sample(job, model, tokens, took, now);
         }
         upstream.with_listed(|listed| {
             self.sessions
@@ -122,25 +124,51 @@
         });
     }
 
-    /// Records a measured prefill for all boxes, where load is controlled.
+    /// Records a measured prefill: the speed of its engine, and the rate of its model for all boxes.
     ///
-    /// Short prefills are left out: the latency of the network and the engine's scheduling would
-    /// determine the result.
-    fn record_rate_sample(
+    /// Short prefills are left out of the rate: the latency of the network and the engine's
+    /// scheduling would determine it.
+    fn record_engine_prefill(
         &self,
         job: &AdmittedRequest,
+        upstream: &Upstream,
         model: &str,
         tokens: f64,
         took: Duration,
         now: Now,
     ) {
+        if let Some(speed) = self.prefill_speed(&job.service, model, tokens, took) {
+            upstream.speed().record(speed, now);
+        }
         let expected = self.prompt_prefill_time(&job.service, Some(model), tokens);
-        if expected >= MIN_SAMPLED_PREFILL && self.controls_load(&job.service) {
+        if expected >= MIN_SAMPLED_PREFILL {
             let prefill = took.saturating_sub(prefill_rate::FIRST_EVENT_OVERHEAD);
             self.rate_samples.record(model, tokens, prefill, now);
         }
     }
 
+    /// Records the mean time between the events of a stream, by which the speed of its engine is
+    /// measured where the load is controlled.
+    ///
+    /// `utilization` is that of the engine's slots when the stream began.
+    pub fn record_event_pace(
+        &self,
+        job: &AdmittedRequest,
+        upstream: &Upstream,
+        model: &str,
+        utilization: f64,
+        between_events: Duration,
+        now: Now,
+    ) {
+        if !self.controls_load(&job.service) {
+            return;
+        }
+        let paces = &self.event_paces;
+        if let Some(speed) = paces.record(&job.service, model, utilization, between_events) {
+            upstream.speed().record(speed, now);
+        }
+    }
+
     /// Returns whether the target of a rollout order was rejected.
     pub fn is_version_rejected(&self, order: u64) -> bool {
         self.versions.borrow().rejection(order).is_some()
