--- a/src/gateway/peers/load_reports.rs
+++ b/src/gateway/peers/load_reports.rs
@@ -29,7 +29,7 @@
 const UNSTATED_WORK_TIME_PERCENT: u32 = 100;
 /// The most boxes that a report is sent to, so that the messages of a box do not grow with the
 /// fleet; in a larger fleet, a rotating subset receives it.
-const MAX_RECEIVERS: usize = 96;
+pub const MAX_RECEIVERS: usize = 96;
 /// Reports older than this are not accepted.
 const MAX_ACCEPTED_AGE: Duration = Duration::from_secs(5);
 
--- a/src/gateway/place/plain_cost.rs
+++ b/src/gateway/place/plain_cost.rs
@@ -26,7 +26,7 @@
 /// The time until a report reaches the other boxes.
 const REPORT_TRANSIT: Duration = Duration::from_millis(5);
 /// Number of halvings when the common time of completion is searched for.
-const LEVEL_SEARCH_STEPS: u32 = 14;
+const LEVEL_SEARCH_STEPS: u32 = 10;
 /// A request counts as not queued, so that its time is measured, if the expected wait was below its
 /// expected time divided by this.
 const MAX_UNQUEUED_WAIT_DIVISOR: u32 = 5;
@@ -58,6 +58,8 @@
     occupancy: f64,
     /// The time from the start of a request, and the penalties.
     fixed: f64,
+    /// The time until the answer, and the penalties.
+    cost: f64,
     is_in_hall: bool,
     slots: f64,
     wait: ExpectedWait,
@@ -77,14 +79,17 @@
         if upstream.is_full(load.occupancy) {
             penalty += FULL_COST_SERVICE_TIMES;
         }
+        let fixed = run.as_secs_f64() + penalty * placement.service_time.as_secs_f64();
+        let wait = queue.wait_seconds(load.occupancy);
         let room = Self {
             queue,
             occupancy: load.occupancy,
-            fixed: run.as_secs_f64() + penalty * placement.service_time.as_secs_f64(),
+            fixed,
+            cost: fixed + wait,
             is_in_hall,
             slots: f64::from(slots),
             wait: ExpectedWait {
-                queue: Duration::from_secs_f64(queue.wait_seconds(load.occupancy)),
+                queue: Duration::from_secs_f64(wait),
                 run,
                 report_age: load.report_age,
             },
@@ -92,12 +97,16 @@
         (room, load.usual_occupancy)
     }
 
-    fn cost(&self) -> f64 {
-        self.fixed + self.queue.wait_seconds(self.occupancy)
+    fn add_requests(&mut self, requests: f64) {
+        self.occupancy += requests;
+        self.cost = self.fixed + self.queue.wait_seconds(self.occupancy);
     }
 
     /// Returns how many more requests raise the cost to a level.
     fn requests_up_to(&self, level: f64) -> f64 {
+        if level <= self.cost {
+            return 0.0;
+        }
         (self.queue.others_at_wait(level - self.fixed) - self.occupancy).max(0.0)
     }
 }
@@ -238,7 +247,7 @@
     let slots: f64 = others.map(|room| room.slots).sum();
     if slots > 0.0 {
         for room in rooms.iter_mut().filter(|room| !room.is_in_hall) {
-            room.occupancy += requests * room.slots / slots;
+            room.add_requests(requests * room.slots / slots);
         }
     }
 }
@@ -247,16 +256,18 @@
 fn divide(rooms: &[Room], requests: f64) -> Vec<f64> {
     let Some(cheapest) = rooms
         .iter()
-        .min_by(|one, other| one.cost().total_cmp(&other.cost()))
+        .min_by(|one, other| one.cost.total_cmp(&other.cost))
     else {
         return Vec::new();
     };
     // All requests at the cheapest one cost the most that any of them has to.
-    let mut low = cheapest.cost();
+    let mut low = cheapest.cost;
     let mut high = cheapest.fixed + cheapest.queue.wait_seconds(cheapest.occupancy + requests);
+    // Those that cost more even without further requests get none.
+    let used: Vec<&Room> = rooms.iter().filter(|room| room.cost < high).collect();
     for _ in 0..LEVEL_SEARCH_STEPS {
         let level = f64::midpoint(low, high);
-        let sent: f64 = rooms.iter().map(|room| room.requests_up_to(level)).sum();
+        let sent: f64 = used.iter().map(|room| room.requests_up_to(level)).sum();
         match sent < requests {
             true => low = level,
             false => high = level,
--- a/tests/gateway/load_reports.rs
+++ b/tests/gateway/load_reports.rs
@@ -3,6 +3,7 @@
 use super::{at, cases, listed};
 use gatepier::gateway::attempt::headers::ReportedLoad;
 use gatepier::gateway::attempt::upstream::Upstream;
+use gatepier::gateway::peers::datagram::encode;
 use gatepier::gateway::peers::load_reports::{
     LastShared, SharedLoadReport, is_worth_sharing, sharing_interval,
 };
@@ -80,6 +81,16 @@
         expect_that!(wait.report_age, some(eq(Duration::from_millis(30))));
     }
 
+    report_takes_few_bytes_on_the_wire => {
+        let sender = upstream();
+        sender.record_load_report(ReportedLoad { work_time_percent: Some(250), waiting: 20, ..LOAD }, at(0));
+        let reports = vec![SharedLoadReport::of(&sender, at(40)).unwrap()];
+        // The kind of message takes one byte more.
+        let bytes = encode(&reports).unwrap().len() + 1;
+        println!("{bytes} bytes");
+        expect_that!(bytes, le(18));
+    }
+
     report_of_the_former_incarnation_is_not_applied => {
         let former = upstream();
         former.record_load_report(LOAD, at(0));
