Boxes no longer follow reports that are older than engines' queues

With 85 boxes a report is 1.3 s old, in which an engine reads a dozen prompts; boxes that compared engines by it all sent to those that had been idle. A figure that an engine always states counts as its usual one.

--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -74,12 +74,15 @@
     pub outstanding: u32,
     /// When this was the case.
     pub as_of: Duration,
+    /// Whether placement considers that other engines' loads have changed as well since then; see
+    /// [`QueueEstimate`](crate::gateway::place::engine_queue::QueueEstimate).
+    pub counts_age: bool,
 }
 
 impl PeerLoad {
     /// Returns the prefill time still pending now, given that the engine has gone on since the
     /// report at its speed.
-    fn remaining_prefill(self, speed: SpeedBelief, now: Now) -> Duration {
+    pub fn remaining_prefill(self, speed: SpeedBelief, now: Now) -> Duration {
         let age = now.monotonic.saturating_sub(self.as_of);
         self.pending_prefill.saturating_sub(speed.work_in(age))
     }
@@ -235,6 +238,11 @@
         &self.speed
     }
 
+    /// Returns what the other boxes have in flight here, as far as they reported.
+    pub fn peer_load(&self) -> PeerLoad {
+        self.peer_load.get()
+    }
+
     /// Sets what the other boxes have in flight here.
     pub fn set_peer_load(&self, peer_load: PeerLoad) {
         self.peer_load.set(peer_load);
@@ -245,8 +253,9 @@
         let known = self.peer_load.get();
         self.peer_load.set(PeerLoad {
             pending_prefill: known.remaining_prefill(self.speed.belief(now), now) + prefill,
-            outstanding: known.outstanding + 1,
+            outstanding: known.outstanding.saturating_add(1),
             as_of: now.monotonic,
+            counts_age: known.counts_age,
         });
     }
 
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -30,6 +30,7 @@
 use crate::error::{Error, Result};
 use crate::gateway::Gateway;
 use crate::gateway::attempt::quarantine::QuarantineUpdate;
+use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::control::membership::is_leader;
 use crate::gateway::control::rollout::Rollout;
 use crate::gateway::control::store::{ControlStore, RolloutOrder};
@@ -352,7 +353,13 @@
         was_idle = is_idle;
         let now = Now::read();
         let state = gw.knowledge.borrow();
-        gw.peer_loads.borrow_mut().apply_to_upstreams(&state, now);
+        let controlled = gw.controlled_services();
+        let counts_ages = |upstream: &Upstream| {
+            upstream.with_listed(|listed| controlled.contains(&listed.service))
+        };
+        gw.peer_loads
+            .borrow_mut()
+            .apply_with_ages(&state, counts_ages, now);
     }
 }
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -4,6 +4,7 @@
 pub mod candidates;
 pub mod choose;
 pub mod engine_cost;
+pub mod engine_queue;
 pub mod engine_speed;
 pub mod escalation;
 pub mod event_pace;
--- a/src/gateway/place/engine_cost.rs
+++ b/src/gateway/place/engine_cost.rs
@@ -7,6 +7,7 @@
 
 use super::cache_affinity::{CacheReplication, CachingEngines, rendezvous_weight};
 use super::choose::PlacementParams;
+use super::engine_queue::QueueEstimate;
 use crate::clock::Now;
 use crate::gateway::attempt::upstream::Upstream;
 use std::net::SocketAddr;
@@ -119,12 +120,13 @@
 ) -> Vec<PlacementCost> {
     let caching_engines = CachingEngines::among(candidates, prompt.prefix_key, prompt.replication);
     let fetch_sources = fetch_sources(candidates, &caching_engines, prompt, now);
+    let queues = QueueEstimate::new(candidates, params.seed);
     let min_weight = nth_weight(candidates, params.seed, params.engines_to_compare);
     let cost = |upstream: &&Rc<Upstream>| {
         let prefix_source = prefix_source(&caching_engines, &fetch_sources, upstream);
         let is_sampled = rendezvous_weight(upstream, params.seed) >= min_weight;
         let is_compared = is_sampled || prefix_source == PrefixSource::Cached;
-        let mut found = engine_cost(upstream, params.hall, prompt, prefix_source, now);
+        let mut found = engine_cost(upstream, params.hall, prompt, prefix_source, queues, now);
         if !is_compared {
             found.cost += NOT_COMPARED_COST_MS;
         }
@@ -174,6 +176,7 @@
     hall: &str,
     prompt: SharedPrompt<'_>,
     prefix_source: PrefixSource,
+    queues: QueueEstimate,
     now: Now,
 ) -> PlacementCost {
     let (prefill, prefix_cost_ms) = match prefix_source {
@@ -199,16 +202,16 @@
     };
     let health_cost_ms = (upstream.penalty(now) - slot_utilization) * PENALTY_UNIT_COST_MS;
     let speed = upstream.speed().belief(now);
-    let queue_wait = speed.time_for(upstream.pending_prefill(now));
+    let sampled_wait = speed.time_for(queues.sampled(upstream, speed, now));
     let prefill = speed.time_for(prefill);
     PlacementCost {
-        cost: millis(queue_wait)
+        cost: millis(sampled_wait)
             + millis(prefill)
             + prefix_cost_ms
             + transfer_cost_ms
             + slot_cost_ms
             + health_cost_ms,
-        queue_wait,
+        queue_wait: speed.time_for(queues.expected(upstream, speed, now)),
         prefill,
         prefix_source,
     }
--- /dev/null
+++ b/src/gateway/place/engine_queue.rs
@@ -0,0 +1,73 @@
+//! Estimates what an engine has still to read, from reports that are older than its queue lasts.
+//!
+//! With many boxes a report is a second old and more, in which an engine reads a dozen prompts. What
+//! it said of one engine then says little by now, and if all boxes followed it, all would send to
+//! the engines that were idle a second ago. See `docs/design/uneven-engines.md`.
+
+use super::cache_affinity::rendezvous_weight;
+use super::engine_speed::SpeedBelief;
+use crate::clock::Now;
+use crate::gateway::attempt::upstream::Upstream;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Age at which a report counts half, and what other engines have the other half.
+const REPORT_HALF_LIFE: Duration = Duration::from_millis(350);
+
+/// What placement estimates of the queues of a service's engines.
+#[derive(Debug, Clone, Copy)]
+pub struct QueueEstimate {
+    /// What the other boxes have at an engine on the mean, in seconds at the usual speed.
+    mean_peer_seconds: f64,
+    seed: u64,
+}
+
+impl QueueEstimate {
+    /// Prepares the estimate for a request, whose hash is given.
+    pub fn new(candidates: &[&Rc<Upstream>], seed: u64) -> Self {
+        let reported = candidates.iter().map(|upstream| upstream.peer_load());
+        let sum: f64 = reported
+            .filter(|load| load.counts_age)
+            .map(|load| load.pending_prefill.as_secs_f64())
+            .sum();
+        Self {
+            mean_peer_seconds: sum / candidates.len().max(1) as f64,
+            seed,
+        }
+    }
+
+    /// Returns the expected work of an engine, at the usual speed.
+    pub fn expected(&self, upstream: &Upstream, speed: SpeedBelief, now: Now) -> Duration {
+        self.with_draw(upstream, speed, 1.0, now)
+    }
+
+    /// Returns one of the values that the work may have, by a hash of request and engine.
+    ///
+    /// Requests that compare these values spread over engines whose reports are old, the more the
+    /// older they are, and follow reports that are new.
+    pub fn sampled(&self, upstream: &Upstream, speed: SpeedBelief, now: Now) -> Duration {
+        if self.mean_peer_seconds == 0.0 {
+            return self.expected(upstream, speed, now);
+        }
+        let weight = rendezvous_weight(upstream, !self.seed);
+        let fraction = (weight >> u32::BITS) as f64 / f64::from(u32::MAX);
+        self.with_draw(upstream, speed, 2.0 * fraction, now)
+    }
+
+    /// Returns the work of an engine if those of which nothing is known have `draw` times the mean.
+    fn with_draw(&self, upstream: &Upstream, speed: SpeedBelief, draw: f64, now: Now) -> Duration {
+        let reported = upstream.peer_load();
+        let remaining = reported.remaining_prefill(speed, now);
+        let own = upstream.own_pending_prefill();
+        if !reported.counts_age {
+            return own + remaining;
+        }
+        let age = now.monotonic.saturating_sub(reported.as_of);
+        let known_part = (-age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64()).exp2();
+        let reported_seconds = reported.pending_prefill.as_secs_f64();
+        let seconds =
+            known_part * reported_seconds + (1.0 - known_part) * draw * self.mean_peer_seconds;
+        let estimated = Duration::try_from_secs_f64(seconds).unwrap_or(remaining);
+        own + estimated.max(remaining)
+    }
+}
--- a/src/gateway/place/engine_speed.rs
+++ b/src/gateway/place/engine_speed.rs
@@ -25,12 +25,11 @@
 const MIN_STEP_OCTAVES: f64 = 0.05;
 /// Measurements that count less than this are neither used nor sent to other boxes.
 const MIN_WEIGHT: f64 = 0.2;
-/// Longest work time that an engine's statement counts for, as a multiple of what it usually
-/// states. It never counts for less: a lasting advantage is measured, and a momentary one is not
-/// worth relying on a statement.
-const MAX_STATED_FACTOR: f64 = 4.0;
-/// Bounds of a stated work time in percent, so that figures which mean nothing can be computed with.
-const STATED_BOUNDS_PERCENT: (u32, u32) = (1, 10_000);
+/// Bounds of a stated work time in percent, so that figures which mean nothing do little harm.
+const STATED_BOUNDS_PERCENT: (u32, u32) = (25, 400);
+/// Step of the figure that an engine usually states, in octaves; small, so that it settles at the
+/// median.
+const USUAL_STATEMENT_STEP_OCTAVES: f64 = 0.1;
 /// Age up to which a statement counts fully.
 const STATEMENT_FULL_AGE: Duration = Duration::from_millis(250);
 /// Age from which a statement counts no more.
@@ -159,43 +158,37 @@
 struct Statement {
     /// Logarithm of the stated work time relative to the usual one.
     octaves: f64,
-    /// The same, as the engine usually states it.
+    /// The same, as the engine usually states it: an engine that always states the same figure
+    /// says nothing about the moment.
     usual_octaves: f64,
-    count: u32,
-    at: Duration,
+    /// When it was stated; `None` if nothing was.
+    at: Option<Duration>,
 }
 
 impl Statement {
     fn record(self, percent: u32, now: Now) -> Self {
         let percent = percent.clamp(STATED_BOUNDS_PERCENT.0, STATED_BOUNDS_PERCENT.1);
         let octaves = (f64::from(percent) / 100.0).log2();
-        let max_step =
-            (MAX_STEP_OCTAVES / f64::from(self.count.saturating_add(1))).max(MIN_STEP_OCTAVES);
-        let change = (octaves - self.usual_octaves).clamp(-max_step, max_step);
+        let change = (octaves - self.usual_octaves)
+            .clamp(-USUAL_STATEMENT_STEP_OCTAVES, USUAL_STATEMENT_STEP_OCTAVES);
         Self {
             octaves,
-            usual_octaves: match self.count {
-                // Taken as stated: 100 is the usual figure by definition.
-                0 => 0.0,
-                _ => self.usual_octaves + change,
-            },
-            count: self.count.saturating_add(1),
-            at: now.monotonic,
+            usual_octaves: self.usual_octaves + change,
+            at: Some(now.monotonic),
         }
     }
 
     /// Returns the logarithm of the slowdown that the statement still stands for.
+    ///
+    /// A statement of being faster than usual counts for nothing: a lasting advantage is measured.
     fn slowdown_octaves(self, now: Now) -> f64 {
-        let age = now.monotonic.saturating_sub(self.at);
-        if self.count == 0 || age >= STATEMENT_MAX_AGE {
-            return 0.0;
-        }
+        let Some(at) = self.at else { return 0.0 };
+        let age = now.monotonic.saturating_sub(at);
         let left = STATEMENT_MAX_AGE.saturating_sub(age).as_secs_f64();
         let fading = STATEMENT_MAX_AGE
             .saturating_sub(STATEMENT_FULL_AGE)
             .as_secs_f64();
-        let slowdown = (self.octaves - self.usual_octaves).clamp(0.0, MAX_STATED_FACTOR.log2());
-        slowdown * (left / fading).min(1.0)
+        (self.octaves - self.usual_octaves).max(0.0) * (left / fading).min(1.0)
     }
 }
 
--- a/src/gateway/place/load_control.rs
+++ b/src/gateway/place/load_control.rs
@@ -4,6 +4,9 @@
 //! Elsewhere none of this takes effect. See `docs/design/load-control.md`.
 
 use crate::gateway::Gateway;
+use crate::gateway::attempt::upstream::Upstream;
+use std::collections::BTreeSet;
+use std::rc::Rc;
 
 impl Gateway {
     /// Returns whether boxes control the load of a service: the settings expect contention, or an
@@ -12,6 +15,18 @@
         self.settings().expects_contention || self.states_work_time(service)
     }
 
+    /// Returns the services of known upstreams whose load boxes control.
+    pub fn controlled_services(&self) -> BTreeSet<String> {
+        let knowledge = self.knowledge.borrow();
+        let is_controlled = |upstream: &&Rc<Upstream>| {
+            self.settings().expects_contention || upstream.states_work_time()
+        };
+        let upstreams = knowledge.upstreams().filter(is_controlled);
+        let services =
+            upstreams.map(|upstream| upstream.with_listed(|listed| listed.service.clone()));
+        services.collect()
+    }
+
     fn states_work_time(&self, service: &str) -> bool {
         let knowledge = self.knowledge.borrow();
         knowledge
--- a/src/gateway/place/peer_loads.rs
+++ b/src/gateway/place/peer_loads.rs
@@ -117,6 +117,29 @@
     }
 }
 
+/// The sum of the other boxes' reports of one upstream.
+#[derive(Debug, Clone, Copy, Default)]
+struct LoadSum {
+    load: PeerLoad,
+    /// The sum of the seconds at which reports were received, each times its pending prefill.
+    weighted_seconds: f64,
+}
+
+impl LoadSum {
+    fn add(&mut self, report: UpstreamReport, received_at: Duration) {
+        let pending = Duration::from_millis(report.pending_prefill_ms.into());
+        self.load.pending_prefill += pending;
+        self.load.outstanding = self.load.outstanding.saturating_add(report.outstanding);
+        self.weighted_seconds += pending.as_secs_f64() * received_at.as_secs_f64();
+    }
+
+    /// Returns when the reports were received, on the mean of the pending prefills.
+    fn mean_received_at(self) -> Duration {
+        let seconds = self.weighted_seconds / self.load.pending_prefill.as_secs_f64();
+        Duration::try_from_secs_f64(seconds).unwrap_or_default()
+    }
+}
+
 /// The latest reports of the other boxes.
 #[derive(Debug, Default)]
 pub struct PeerLoads {
@@ -153,21 +176,40 @@
     /// Drops expired reports and updates each upstream with what the other boxes have in flight
     /// there.
     pub fn apply_to_upstreams(&mut self, knowledge: &ControlPlaneState, now: Now) {
+        self.apply_with_ages(knowledge, |_| false, now);
+    }
+
+    /// Does the same; where `counts_ages` holds for an upstream, it is taken to have worked since the
+    /// reports were received. With many boxes a report is seconds old, and an engine that was busy
+    /// then is idle now.
+    pub fn apply_with_ages(
+        &mut self,
+        knowledge: &ControlPlaneState,
+        counts_ages: impl Fn(&Upstream) -> bool,
+        now: Now,
+    ) {
         let lifetime = report_interval(self.reports.len()) * REPORT_LIFETIME_INTERVALS;
         self.reports
             .retain(|_, (_, at)| now.monotonic.saturating_sub(*at) < lifetime);
-        let mut sums: HashMap<u32, PeerLoad> = HashMap::new();
-        for (load, _) in self.reports.values() {
+        let mut sums: HashMap<u32, LoadSum> = HashMap::new();
+        for (load, at) in self.reports.values() {
             for upstream in &load.upstreams {
                 let sum = sums.entry(upstream.upstream).or_default();
-                sum.as_of = now.monotonic;
-                sum.pending_prefill += Duration::from_millis(upstream.pending_prefill_ms.into());
-                sum.outstanding += upstream.outstanding;
+                sum.add(*upstream, *at);
             }
         }
         for upstream in knowledge.upstreams() {
             let sum = sums.get(&upstream.short_hash()).copied();
-            upstream.set_peer_load(sum.unwrap_or_default());
+            let sum = sum.unwrap_or_default();
+            let counts_age = counts_ages(upstream);
+            upstream.set_peer_load(PeerLoad {
+                as_of: match counts_age {
+                    true => sum.mean_received_at(),
+                    false => now.monotonic,
+                },
+                counts_age,
+                ..sum.load
+            });
         }
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,8 @@
 
 mod boundary;
 mod datagrams;
+mod engine_placement;
+mod engine_speed;
 mod escalation;
 mod fetch_planning;
 mod freshness;
