--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -299,11 +299,10 @@
     /// the engine computes while, as far as is known, it computes nothing else.
     fn measured_tokens(&self, gw: &Gateway, choice: &PlacementChoice) -> Option<f64> {
         let all_tokens = self.prompt.weighted_tokens();
-        let is_idle = choice.queue_wait.is_zero();
         match choice.prefix_source {
-            PrefixSource::Computed if is_idle => Some(all_tokens),
+            PrefixSource::Computed if choice.is_idle => Some(all_tokens),
             // Large models read nearly all prompts behind a cached prefix.
-            PrefixSource::Cached if is_idle && gw.controls_load(&self.service) => {
+            PrefixSource::Cached if choice.is_idle && gw.controls_load(&self.service) => {
                 Some(all_tokens - self.prompt.shared_tokens as f64)
             }
             _ => None,
--- a/src/gateway/place/choose.rs
+++ b/src/gateway/place/choose.rs
@@ -56,6 +56,8 @@
     pub expected: Option<ExpectedWait>,
     /// The speed that the upstream is believed to have.
     pub speed: SpeedBelief,
+    /// Whether no prompt is known to be pending there.
+    pub is_idle: bool,
 }
 
 impl PlacementChoice {
@@ -101,6 +103,7 @@
         prefix_source: found.prefix_source,
         expected: None,
         speed: upstream.speed().belief(now),
+        is_idle: upstream.pending_prefill(now).is_zero(),
     })
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,8 @@
 mod connection_age;
 mod connection_limit;
 mod datagrams;
+mod engine_placement;
+mod engine_speed;
 mod escalation;
 mod expected_wait;
 mod fetch_planning;
