Bound the memory that a box holds for callers that read slowly

Plain answers were read whole, and connections buffered as much as they liked. Where contention is expected and a memory limit is stated, each request now has an account within one budget; answers over 64 kB are relayed piece by piece, socket and connection buffers are bounded, and requests whose callers make no progress yield when room runs out.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::store::StoreError;
 use admit::listen;
 use admit::routes::{NEUTRAL_RELATIVE_RANK, Route, RouteKind};
+use answer::held_memory::HeldMemory;
 use answer::return_schedule::ReturnSchedule;
 use attempt::connect::ConnectionPool;
 use attempt::crash_detection::{self, CrashDetector};
@@ -121,8 +122,10 @@
     pub peer_loads: RefCell<PeerLoads>,
     /// Long prompt reads that have not been announced to the other boxes yet.
     pub long_prefills: LongPrefillOutbox,
+    /// The memory held for requests.
+    pub held_memory: Rc<HeldMemory>,
     /// Logs and metrics.
-    pub telemetry: Telemetry,
+    pub telemetry: Rc<Telemetry>,
     /// The name of this run of the box's process: the box's name and its start time.
     pub incarnation: String,
     /// The lease under which the box is registered.
@@ -142,7 +145,7 @@
         now: Now,
     ) -> Rc<Self> {
         let incarnation = format!("{}.{}", settings.name, now.wall.0);
-        Rc::new(Self {
+        let gw = Rc::new(Self {
             sessions: RefCell::new(SessionVersions::new(settings.bounds.session_idle_limit)),
             versions: RefCell::new(VersionMonitor::new(&incarnation)),
             settings: RefCell::new(Rc::new(settings)),
@@ -166,14 +169,24 @@
             last_contacts: RefCell::default(),
             long_prefills: LongPrefillOutbox::default(),
             prefill_rates: PrefillRates::default(),
-            telemetry: Telemetry::new(metrics),
+            held_memory: Rc::default(),
+            telemetry: Rc::new(Telemetry::new(metrics)),
             incarnation,
             lease: Cell::new(None),
             started_at: now.monotonic,
             stopping_since: Cell::new(None),
             in_flight: Rc::default(),
             store_lost_since: Cell::new(None),
-        })
+        });
+        gw.bound_memory();
+        gw
+    }
+
+    /// Bounds the memory held for requests as the settings say.
+    fn bound_memory(&self) {
+        self.held_memory.apply(&self.settings());
+        self.connections
+            .set_bounds_buffers(self.held_memory.is_bounded());
     }
 
     /// Returns the settings in force.
@@ -184,6 +197,7 @@
     /// Applies changed settings; addresses take effect at the next start.
     pub fn reload(&self, settings: GatewaySettings) {
         *self.settings.borrow_mut() = Rc::new(settings);
+        self.bound_memory();
     }
 
     /// Returns a route's relative rank in the routing table in force, from 0 (most urgent) to 1.
--- a/src/gateway/admit/listen.rs
+++ b/src/gateway/admit/listen.rs
@@ -8,6 +8,9 @@
 use crate::eof_error_stream::EofErrorStream;
 use crate::error::{Error, Result};
 use crate::gateway::Gateway;
+use crate::gateway::answer::held_memory::{
+    CALLER_BUFFER_BYTES, CALLER_SOCKET_BYTES, ConnectionCut,
+};
 use crate::gateway::control::store::ControlStore;
 use crate::gateway::settings::GatewaySettings;
 use crate::http_server::accept::{AcceptedConnection, accept};
@@ -95,22 +98,33 @@
         .borrow()
         .routes()
         .map_or_else(CallerLimits::default, |routes| routes.limits);
+    let is_bounded = gw.held_memory.is_bounded();
+    if is_bounded {
+        bound_socket_buffers(&stream);
+    }
     let stream = EofErrorStream::new(stream, ErrorKind::ConnectionAborted);
+    let cut = Rc::new(ConnectionCut::default());
+    let handler_cut = cut.clone();
     let handler = move |req: Request| {
-        let gw = gw.clone();
+        let (gw, cut) = (gw.clone(), handler_cut.clone());
         // Boxed, so that an idle connection does not reserve memory for the largest future.
-        Box::pin(async move { Ok::<_, Infallible>(serve(gw, req).await) })
+        Box::pin(async move { Ok::<_, Infallible>(serve(gw, &cut, req).await) })
     };
-    let service = HttpService::build()
+    let mut builder = HttpService::build()
         .keep_alive(limits.idle_timeout)
-        .client_request_timeout(limits.header_timeout)
-        .h1(handler);
-    match service.new_service(()).await {
-        Ok(service) => {
-            if let Err(err) = service.call((stream, Some(peer))).await {
-                log::debug!("connection from {peer} ended: {err}");
+        .client_request_timeout(limits.header_timeout);
+    if is_bounded {
+        builder = builder.h1_write_buffer_size(CALLER_BUFFER_BYTES);
+    }
+    match builder.h1(handler).new_service(()).await {
+        Ok(service) => tokio::select! {
+            result = service.call((stream, Some(peer))) => {
+                if let Err(err) = result {
+                    log::debug!("connection from {peer} ended: {err}");
+                }
             }
-        }
+            () = cut.wait() => {}
+        },
         Err(()) => log::error!("cannot serve the connection from {peer}"),
     }
     drop(open);
@@ -126,6 +140,17 @@
     }
 }
 
+/// Bounds what the kernel holds for a caller that does not read, or whose body is not read yet.
+fn bound_socket_buffers(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let result = socket
+        .set_send_buffer_size(CALLER_SOCKET_BYTES)
+        .and_then(|()| socket.set_recv_buffer_size(CALLER_SOCKET_BYTES));
+    if let Err(err) = result {
+        log::debug!("cannot bound the socket buffers of a caller's connection: {err}");
+    }
+}
+
 /// Answers the load balancer's readiness checks, and serves metrics.
 pub fn serve_readiness(gw: &Rc<Gateway>, metrics: &Metrics) -> Result<()> {
     let listener = listen(gw.settings().readiness_addr)?;
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -6,6 +6,7 @@
 use crate::crash_ledger::{CrashRole, QuarantineState};
 use crate::fingerprint::Fingerprint;
 use crate::gateway::Gateway;
+use crate::gateway::answer::held_memory::RequestAccount;
 use crate::gateway::answer::refusal::Execution;
 use crate::gateway::attempt::connect::http1_types;
 use crate::gateway::attempt::crash_detection::InterruptedRun;
@@ -61,6 +62,11 @@
     pub headers: http1_types::HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// The memory that is held for the request.
+    pub account: Rc<RequestAccount>,
+    /// Whether the caller's version of HTTP has bodies without a stated length whose end is
+    /// marked.
+    pub accepts_chunks: bool,
     /// When the request head had been received.
     pub received: Duration,
     /// The deadline: the caller's, or the route's if that is earlier.
--- a/src/gateway/admit/routes.rs
+++ b/src/gateway/admit/routes.rs
@@ -168,6 +168,16 @@
     Unknown,
 }
 
+impl<'a> Caller<'a> {
+    /// Returns the caller's organisation, if it is known.
+    pub fn organisation(self) -> Option<&'a Organisation> {
+        match self {
+            Self::Known(organisation) => Some(organisation),
+            Self::Anonymous | Self::Unknown => None,
+        }
+    }
+}
+
 impl RouteTable {
     /// Builds a table.
     ///
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -5,7 +5,10 @@
 use super::routes::{Caller, Route, RouteTable};
 use crate::clock::Now;
 use crate::fingerprint::{Fingerprint, RequestIdentity};
-use crate::gateway::answer::buffered::{self, BufferedResponse};
+use crate::gateway::answer::buffered::{self, BufferedResponse, RelayedAnswer};
+use crate::gateway::answer::held_body::HeldBody;
+use crate::gateway::answer::held_bytes::{HeldKind, HolderUrgency, NoRoom};
+use crate::gateway::answer::held_memory::{ConnectionCut, RequestAccount};
 use crate::gateway::answer::refusal::{self, Execution, RefusalReason};
 use crate::gateway::answer::relay::Relay;
 use crate::gateway::answer::stream::{self, ResponseStart};
@@ -16,8 +19,8 @@
 use crate::gateway::settings::UnverifiedKeyPolicy;
 use crate::gateway::{Gateway, StartupWait};
 use crate::hop_by_hop::HopByHopHeaders;
-use actix_http::body::{BodyStream, BoxBody, MessageBody as _};
-use actix_http::{HttpMessage as _, Request, Response, StatusCode};
+use actix_http::body::{BodyStream, BoxBody, MessageBody as _, SizedStream};
+use actix_http::{HttpMessage as _, Request, Response, StatusCode, Version};
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt as _;
 use std::rc::Rc;
@@ -29,13 +32,20 @@
 const EXPECT: &str = "expect";
 
 /// Serves one request and logs the outcome.
-pub async fn serve(gw: Rc<Gateway>, mut req: Request) -> Response<BoxBody> {
+///
+/// `cut` ends the caller's connection if the request has to yield its memory.
+pub async fn serve(
+    gw: Rc<Gateway>,
+    cut: &Rc<ConnectionCut>,
+    mut req: Request,
+) -> Response<BoxBody> {
     let received = Now::read();
     let _in_flight = gw.track_request();
     let request_id = header(&req, &gw.headers.request_id)
         .unwrap_or_default()
         .to_owned();
-    let mut response = match admit(&gw, &mut req, &request_id, received).await {
+    let account = gw.held_memory.open(&request_id, cut, &gw.telemetry);
+    let mut response = match admit(&gw, &mut req, &request_id, account, received).await {
         Ok(request) => serve_admitted(&gw, Rc::new(request)).await,
         Err(reason) => refuse(&gw, &request_id, None, reason, Execution::Never, received),
     };
@@ -49,6 +59,7 @@
     gw: &Gateway,
     req: &mut Request,
     request_id: &str,
+    account: RequestAccount,
     received: Now,
 ) -> Result<AdmittedRequest, RefusalReason> {
     let caller_timeout_ms = header(req, &gw.headers.deadline).and_then(|text| text.parse().ok());
@@ -58,16 +69,20 @@
         caller_timeout,
     };
     let routes = wait_for_routes(gw, startup_wait).await?;
-    check_caller(gw, req, &routes, received)?;
-    let body = read_body(req, &routes, received).await?;
+    let route = check_caller(gw, req, &routes, received)?;
+    let caller = routes.caller(route, header(req, &gw.headers.key));
+    account.set_urgency(HolderUrgency {
+        organisation: caller.organisation().map_or(0, |found| found.priority),
+        route: route.priority,
+    });
+    account.hold_connections().await.map_err(no_memory)?;
+    let body = read_body(req, &routes, &account, received).await?;
     // Reading the body may have taken long, so the configuration that is in force now decides.
     let routes = gw.knowledge.borrow().routes().cloned().unwrap_or(routes);
     let now = Now::read();
     let route = check_caller(gw, req, &routes, now)?.clone();
-    let organisation = match routes.caller(&route, header(req, &gw.headers.key)) {
-        Caller::Known(organisation) => Some(organisation.clone()),
-        Caller::Anonymous | Caller::Unknown => None,
-    };
+    let caller = routes.caller(&route, header(req, &gw.headers.key));
+    let organisation = caller.organisation().cloned();
     let model = header(req, &gw.headers.model);
     let router_chooses_model = lets_router_choose(model);
     if !route.models.is_empty() && model.is_some() && !router_chooses_model {
@@ -101,6 +116,8 @@
         target,
         headers: forwarded_headers(gw, req),
         body,
+        account: Rc::new(account),
+        accepts_chunks: req.version() >= Version::HTTP_11,
         received: received.monotonic,
         deadline: received.monotonic + timeout.min(route.timeout),
         prompt,
@@ -183,16 +200,31 @@
 async fn read_body(
     req: &mut Request,
     routes: &RouteTable,
+    account: &RequestAccount,
     received: Now,
 ) -> Result<Bytes, RefusalReason> {
     let limit = routes.limits.max_body_bytes;
+    // A body that does not fit is refused before it is read.
+    let mut held = stated_length(req).min(limit);
+    account
+        .hold(HeldKind::RequestBody, held as u64)
+        .await
+        .map_err(no_memory)?;
     let mut payload = req.take_payload();
-    let mut body = BytesMut::new();
+    let mut body = match account.is_bounded() {
+        true => BytesMut::with_capacity(held),
+        false => BytesMut::new(),
+    };
     let idle_timeout = routes.limits.idle_timeout;
-    while let Some(chunk) = tokio::time::timeout(idle_timeout, payload.next())
-        .await
-        .map_err(|_elapsed| RefusalReason::NoBody)?
-    {
+    loop {
+        account.wait_for_caller(Now::read());
+        let chunk = tokio::time::timeout(idle_timeout, payload.next())
+            .await
+            .map_err(|_elapsed| RefusalReason::NoBody)?;
+        account.record_progress(Now::read());
+        let Some(chunk) = chunk else {
+            break;
+        };
         let chunk = chunk.map_err(|err| {
             log::debug!(received_ms = received.monotonic.as_millis() as u64; "the body is incomplete: {err}");
             RefusalReason::NoBody
@@ -200,17 +232,33 @@
         if body.len() + chunk.len() > limit {
             return Err(RefusalReason::TooLarge);
         }
+        if body.len() + chunk.len() > held {
+            held = body.len() + chunk.len();
+            account
+                .hold(HeldKind::RequestBody, held as u64)
+                .await
+                .map_err(no_memory)?;
+        }
         body.extend_from_slice(&chunk);
     }
     Ok(body.freeze())
 }
 
+/// Returns the length that a request states for its body; 0 if it states none.
+fn stated_length(req: &Request) -> usize {
+    let length = req.headers().get("content-length");
+    let length = length.and_then(|value| value.to_str().ok());
+    length.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+fn no_memory(_no_room: NoRoom) -> RefusalReason {
+    RefusalReason::NoMemory
+}
+
 async fn serve_admitted(gw: &Rc<Gateway>, request: Rc<AdmittedRequest>) -> Response<BoxBody> {
     let result = match request.route.kind.stream_gap() {
         Some(_) => stream::start(gw, &request).await,
-        None => buffered::serve(gw, &request)
-            .await
-            .map(ResponseStart::Buffered),
+        None => buffered::serve(gw, &request).await,
     };
     match result {
         Ok(ResponseStart::Stream { headers, relay }) => {
@@ -220,7 +268,12 @@
         Ok(ResponseStart::Buffered(buffered)) => {
             gw.telemetry
                 .record_answer(&request, buffered.status, Now::read());
-            buffered_response(buffered)
+            buffered_response(buffered, &request)
+        }
+        Ok(ResponseStart::Relayed(answer)) => {
+            gw.telemetry
+                .record_answer(&request, answer.status, Now::read());
+            relayed_response(gw, answer)
         }
         Err(reason) => {
             request.release_trial(gw, Now::read());
@@ -257,10 +310,29 @@
     refusal::response(reason, execution)
 }
 
-fn buffered_response(buffered: BufferedResponse) -> Response<BoxBody> {
-    let mut response = head(buffered.status, &buffered.headers);
-    response = response.set_body(BoxBody::new(buffered.body));
-    response
+fn buffered_response(buffered: BufferedResponse, request: &AdmittedRequest) -> Response<BoxBody> {
+    let body = match request.account.is_bounded() {
+        true => HeldBody::new(buffered.body, request.account.clone()).boxed(),
+        false => BoxBody::new(buffered.body),
+    };
+    head(buffered.status, &buffered.headers).set_body(body)
+}
+
+fn relayed_response(gw: &Rc<Gateway>, answer: RelayedAnswer) -> Response<BoxBody> {
+    let in_flight = gw.track_request();
+    let pieces = futures::stream::unfold(Some((answer.relay, in_flight)), |state| async move {
+        let (mut relay, in_flight) = state?;
+        match relay.next().await? {
+            Ok(bytes) => Some((Ok(bytes), Some((relay, in_flight)))),
+            Err(err) => Some((Err(err), None)),
+        }
+    });
+    let pieces = Box::pin(pieces);
+    let body = match answer.body_len {
+        Some(length) => SizedStream::new(length, pieces).boxed(),
+        None => BodyStream::new(pieces).boxed(),
+    };
+    head(answer.status, &answer.headers).set_body(body)
 }
 
 fn stream_response(
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -2,6 +2,10 @@
 
 pub mod buffered;
 pub mod events;
+pub mod held_body;
+pub mod held_bytes;
+pub mod held_memory;
+pub mod piece_relay;
 pub mod refusal;
 pub mod relay;
 pub mod return_schedule;
--- a/src/gateway/answer/buffered.rs
+++ b/src/gateway/answer/buffered.rs
@@ -1,21 +1,32 @@
 //! Requests whose response is buffered whole before it is sent to the caller.
+//!
+//! Where memory is bounded, only small answers are; larger ones are relayed by
+//! [`super::piece_relay`].
 
+use super::held_bytes::{HeldKind, MemoryRoom, NoRoom};
+use super::held_memory::PIECE_BYTES;
+use super::piece_relay::PieceRelay;
 use super::refusal::{Execution, RefusalReason};
+use super::stream::ResponseStart;
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::admit::request::{AdmittedRequest, AttemptPlan, NoAttempt};
 use crate::gateway::admit::routes::RouteKind;
 use crate::gateway::attempt::connect::http1_types;
-use crate::gateway::attempt::exchange::{Answer, TryOutcome};
+use crate::gateway::attempt::exchange::{Answer, ReadBody, TryOutcome};
 use crate::gateway::attempt::response_timeout::ResponseTimeout;
 use crate::gateway::attempt::retries::RetryReason;
+use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::place::candidates::BackOff;
 use crate::gateway::place::choose::stable_hash;
 use bytes::Bytes;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// The size limit of a buffered response; typical ones take some kilobytes.
 const RESPONSE_BYTES_LIMIT: usize = 8 * 1024 * 1024;
+/// The size limit of a buffered response where memory is bounded.
+const SMALL_RESPONSE_BYTES: usize = 64 * 1024;
 /// Status codes from this one on are failures of the upstream.
 const FIRST_SERVER_ERROR_STATUS: u16 = 500;
 /// How long an upstream may be silent to all requests before another one is tried, as a multiple of
@@ -37,11 +48,24 @@
     pub body: Bytes,
 }
 
+/// A large answer that is relayed to the caller from its first bytes on.
+#[derive(Debug)]
+pub struct RelayedAnswer {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: http1_types::HeaderMap,
+    /// The length of the body, if the upstream has stated it.
+    pub body_len: Option<u64>,
+    /// Relays the body.
+    pub relay: Box<PieceRelay>,
+}
+
 /// Serves a request with as many attempts as its route, the retry budget and its deadline allow.
 pub async fn serve(
-    gw: &Gateway,
-    request: &AdmittedRequest,
-) -> Result<BufferedResponse, RefusalReason> {
+    gw: &Rc<Gateway>,
+    request: &Rc<AdmittedRequest>,
+) -> Result<ResponseStart, RefusalReason> {
     let mut failed_response = None;
     loop {
         let plan = AttemptPlan {
@@ -53,11 +77,12 @@
         match request.run_attempt(gw, plan).await {
             Ok(TryOutcome::Answered(answer)) => {
                 match receive_response(gw, request, *answer).await {
-                    Some(response) if response.status < FIRST_SERVER_ERROR_STATUS => {
-                        return Ok(response);
+                    Received::Whole(response) if response.status < FIRST_SERVER_ERROR_STATUS => {
+                        return Ok(ResponseStart::Buffered(response));
                     }
-                    Some(response) => failed_response = Some(response),
-                    None => {}
+                    Received::Whole(response) => failed_response = Some(response),
+                    Received::Begun(answer) => return Ok(ResponseStart::Relayed(answer)),
+                    Received::Nothing => {}
                 }
             }
             Ok(TryOutcome::NotRun(_) | TryOutcome::Unknown(_)) => {}
@@ -73,11 +98,15 @@
                 {
                     continue;
                 }
-                return failed_response.ok_or_else(|| refusal_reason(gw, no_attempt, request));
+                return failed_response
+                    .map(ResponseStart::Buffered)
+                    .ok_or_else(|| refusal_reason(gw, no_attempt, request));
             }
         }
         if !request.may_run_again() {
-            return failed_response.ok_or_else(|| request.tries.exhausted_reason());
+            return failed_response
+                .map(ResponseStart::Buffered)
+                .ok_or_else(|| request.tries.exhausted_reason());
         }
     }
 }
@@ -98,12 +127,35 @@
     }
 }
 
+/// What was received of an answer.
+enum Received {
+    /// All of it.
+    Whole(BufferedResponse),
+    /// The beginning of a large answer.
+    Begun(RelayedAnswer),
+    /// Nothing that can be sent to the caller.
+    Nothing,
+}
+
 async fn receive_response(
-    gw: &Gateway,
-    request: &AdmittedRequest,
+    gw: &Rc<Gateway>,
+    request: &Rc<AdmittedRequest>,
     mut answer: Answer,
-) -> Option<BufferedResponse> {
+) -> Received {
+    if may_relay(request, &answer) {
+        return receive_or_relay(gw, request, answer).await;
+    }
     let response = read_response(gw, request, &mut answer, RESPONSE_BYTES_LIMIT).await;
+    finish_response(gw, request, answer, response)
+}
+
+/// Records the end of a buffered response.
+fn finish_response(
+    gw: &Gateway,
+    request: &AdmittedRequest,
+    answer: Answer,
+    response: Option<BufferedResponse>,
+) -> Received {
     let now = Now::read();
     match response.as_ref().map(|response| response.status) {
         Some(status) if status < FIRST_SERVER_ERROR_STATUS => {
@@ -120,7 +172,55 @@
         }
         None => answer.upstream().record_failure(now),
     }
-    response
+    response.map_or(Received::Nothing, Received::Whole)
+}
+
+/// Returns whether an answer may be relayed from its first bytes on: it is no failure that another
+/// upstream's answer could replace, and the caller will see if it breaks off.
+fn may_relay(request: &AdmittedRequest, answer: &Answer) -> bool {
+    let shows_its_end = request.accepts_chunks || answer.body_len().is_some();
+    request.account.is_bounded() && answer.status < FIRST_SERVER_ERROR_STATUS && shows_its_end
+}
+
+/// Reads an answer whole if it is small, and begins to relay it otherwise.
+async fn receive_or_relay(
+    gw: &Rc<Gateway>,
+    request: &Rc<AdmittedRequest>,
+    mut answer: Answer,
+) -> Received {
+    let limit = match request.account.room() {
+        MemoryRoom::Free => SMALL_RESPONSE_BYTES,
+        MemoryRoom::Tight | MemoryRoom::Exhausted => PIECE_BYTES,
+    };
+    let expected = answer.body_len().unwrap_or(limit as u64);
+    let fits = || request.account.try_hold(HeldKind::BufferedAnswer, expected);
+    if expected > limit as u64 || fits().is_err() {
+        return begin_relay(gw, request, answer, Bytes::new());
+    }
+    let upstream = answer.upstream().clone();
+    let read = answer.read_up_to(limit);
+    match read_in_time(gw, request, &upstream, read).await {
+        Some(ReadBody::Longer(first)) => begin_relay(gw, request, answer, first),
+        Some(ReadBody::Whole(body)) => {
+            let response = whole_response(gw, request, &answer, body);
+            finish_response(gw, request, answer, Some(response))
+        }
+        None => finish_response(gw, request, answer, None),
+    }
+}
+
+fn begin_relay(
+    gw: &Rc<Gateway>,
+    request: &Rc<AdmittedRequest>,
+    answer: Answer,
+    first: Bytes,
+) -> Received {
+    Received::Begun(RelayedAnswer {
+        status: answer.status,
+        headers: answer.headers.clone(),
+        body_len: answer.body_len().map(|left| left + first.len() as u64),
+        relay: Box::new(PieceRelay::new(gw, request, answer, first)),
+    })
 }
 
 /// Reads a response to its end before the request's deadline; a failure is logged.
@@ -130,26 +230,57 @@
     answer: &mut Answer,
     limit: usize,
 ) -> Option<BufferedResponse> {
+    let limit = match request.account.is_bounded() {
+        true => limit.min(SMALL_RESPONSE_BYTES),
+        false => limit,
+    };
+    let expected = answer.body_len().map_or(limit, |len| len as usize);
+    let upstream = answer.upstream().clone();
+    let read = async {
+        let held = request
+            .account
+            .hold(HeldKind::BufferedAnswer, expected.min(limit) as u64);
+        held.await
+            .map_err(|NoRoom| "no memory is left".to_owned())?;
+        answer.read_whole(limit).await
+    };
+    let body = read_in_time(gw, request, &upstream, read).await?;
+    Some(whole_response(gw, request, answer, body))
+}
+
+fn whole_response(
+    gw: &Gateway,
+    request: &AdmittedRequest,
+    answer: &Answer,
+    body: Bytes,
+) -> BufferedResponse {
+    gw.quarantine
+        .record_answer(request.fingerprint, Now::read());
+    BufferedResponse {
+        status: answer.status,
+        headers: answer.headers.clone(),
+        body,
+    }
+}
+
+/// Reads from an upstream before the request's deadline; a failure is logged.
+async fn read_in_time<T>(
+    gw: &Gateway,
+    request: &AdmittedRequest,
+    upstream: &Rc<Upstream>,
+    read: impl Future<Output = Result<T, String>>,
+) -> Option<T> {
     let left = request.time_left(Now::read());
-    let read = tokio::time::timeout(left, answer.read_whole(limit)).await;
-    let reason = match read {
-        Ok(Ok(body)) => {
-            gw.quarantine
-                .record_answer(request.fingerprint, Now::read());
-            return Some(BufferedResponse {
-                status: answer.status,
-                headers: answer.headers.clone(),
-                body,
-            });
-        }
+    let reason = match tokio::time::timeout(left, read).await {
+        Ok(Ok(body)) => return Some(body),
         Ok(Err(reason)) => {
-            request.record_broken_run(gw, answer.upstream(), Now::read());
+            request.record_broken_run(gw, upstream, Now::read());
             reason
         }
         Err(_elapsed) => "the deadline passed".to_owned(),
     };
     gw.telemetry
-        .record_broken_answer(request, answer.upstream(), &reason);
+        .record_broken_answer(request, upstream, &reason);
     None
 }
 
--- a/src/gateway/answer/events.rs
+++ b/src/gateway/answer/events.rs
@@ -46,6 +46,11 @@
         Ok(Some(parse_events(bytes)))
     }
 
+    /// Returns the number of bytes of the event that has begun and not ended.
+    pub fn pending_len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns whether an event has begun and not ended.
     pub fn is_inside_event(&self) -> bool {
         !self.buf.is_empty()
--- /dev/null
+++ b/src/gateway/answer/held_memory.rs
@@ -0,0 +1,238 @@
+//! The accounts of held memory in use: requests wait here for room, and those that have to yield are
+//! let go.
+//!
+//! [`super::held_bytes`] decides. See `docs/design/slow-readers.md`.
+
+use super::held_bytes::{
+    AccountId, HeldBytes, HeldKind, HolderUrgency, MemoryRoom, NoRoom, YieldingRequest, budget,
+};
+use crate::clock::Now;
+use crate::gateway::settings::GatewaySettings;
+use crate::gateway::telemetry::Telemetry;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// The largest piece of an answer that is handed to a caller's connection at once.
+pub const PIECE_BYTES: usize = 8 * 1024;
+/// The most bytes that a caller's connection holds before it asks for no further piece.
+pub const CALLER_BUFFER_BYTES: usize = 8 * 1024;
+/// The most bytes that an upstream's connection reads ahead, and the longest head of an answer.
+pub const UPSTREAM_BUFFER_BYTES: usize = 16 * 1024;
+/// The kernel's buffer for bytes that a caller has not received, and for those that it sends.
+pub const CALLER_SOCKET_BYTES: usize = 32 * 1024;
+/// The kernel's buffer for bytes of an upstream that were not read yet: enough for a link that
+/// takes ten milliseconds and carries 50 Mbit/s.
+pub const UPSTREAM_SOCKET_BYTES: usize = 64 * 1024;
+/// What the connections of a request hold at most while it is served: two buffers each.
+const CONNECTION_BUFFERS: u64 = 32 * 1024;
+/// What a relayed answer holds beside them: a piece for the caller, and what was read ahead.
+const RELAYED_PIECE: u64 = (PIECE_BYTES + UPSTREAM_BUFFER_BYTES) as u64;
+/// How often room is looked for again: requests become stalled as time passes.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a request waits until those that yield have ended.
+const MAX_YIELD_WAIT: Duration = Duration::from_millis(300);
+/// How long a relay is paused at most: upstreams cut off an answer that sits unread for seconds.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// Ends a caller's connection.
+#[derive(Debug, Default)]
+pub struct ConnectionCut(Notify);
+
+impl ConnectionCut {
+    /// Waits until the connection has to end.
+    pub async fn wait(&self) {
+        self.0.notified().await;
+    }
+}
+
+/// The memory that a box holds for its requests.
+#[derive(Debug, Default)]
+pub struct HeldMemory {
+    is_bounded: Cell<bool>,
+    held: RefCell<HeldBytes>,
+    cuts: RefCell<HashMap<AccountId, Rc<ConnectionCut>>>,
+    freed: Notify,
+}
+
+impl HeldMemory {
+    /// Applies the settings: memory is bounded where contention is expected and a limit is stated.
+    pub fn apply(&self, settings: &GatewaySettings) {
+        let limit = settings
+            .memory_limit
+            .filter(|_| settings.expects_contention);
+        self.is_bounded.set(limit.is_some());
+        self.held
+            .borrow_mut()
+            .set_budget(limit.map_or(u64::MAX, budget));
+    }
+
+    /// Returns whether memory is bounded.
+    pub fn is_bounded(&self) -> bool {
+        self.is_bounded.get()
+    }
+
+    /// Returns the bytes held of a kind.
+    pub fn held(&self, kind: HeldKind) -> u64 {
+        self.held.borrow().held(kind)
+    }
+
+    /// Opens the account of a request; `cut` ends its caller's connection.
+    pub fn open(
+        self: &Rc<Self>,
+        request_id: &str,
+        cut: &Rc<ConnectionCut>,
+        telemetry: &Rc<Telemetry>,
+    ) -> RequestAccount {
+        if !self.is_bounded() {
+            return RequestAccount(None);
+        }
+        let id = self.held.borrow_mut().open(request_id);
+        self.cuts.borrow_mut().insert(id, cut.clone());
+        RequestAccount(Some(OpenAccount {
+            memory: self.clone(),
+            telemetry: telemetry.clone(),
+            id,
+        }))
+    }
+
+    fn close(&self, id: AccountId) {
+        self.held.borrow_mut().close(id);
+        self.cuts.borrow_mut().remove(&id);
+        self.freed.notify_one();
+    }
+
+    fn let_go(&self, request: &YieldingRequest) {
+        if let Some(cut) = self.cuts.borrow().get(&request.account) {
+            cut.0.notify_one();
+        }
+    }
+}
+
+/// The account of one request, closed when it is dropped. Where memory is not bounded, it allows
+/// everything and counts nothing.
+#[derive(Debug)]
+pub struct RequestAccount(Option<OpenAccount>);
+
+#[derive(Debug)]
+struct OpenAccount {
+    memory: Rc<HeldMemory>,
+    telemetry: Rc<Telemetry>,
+    id: AccountId,
+}
+
+impl RequestAccount {
+    /// Returns whether memory is bounded.
+    pub fn is_bounded(&self) -> bool {
+        self.0.is_some()
+    }
+
+    /// Sets the urgency of the request.
+    pub fn set_urgency(&self, urgency: HolderUrgency) {
+        if let Some(open) = &self.0 {
+            open.memory.held.borrow_mut().set_urgency(open.id, urgency);
+        }
+    }
+
+    /// Returns how much room is left.
+    pub fn room(&self) -> MemoryRoom {
+        self.0
+            .as_ref()
+            .map_or(MemoryRoom::Free, |open| open.memory.held.borrow().room())
+    }
+
+    /// Holds the buffers of the connections that serve the request.
+    pub async fn hold_connections(&self) -> Result<(), NoRoom> {
+        self.hold(HeldKind::ConnectionBuffers, CONNECTION_BUFFERS)
+            .await
+    }
+
+    /// Sets how many bytes of a kind are held; others that are stalled yield if that takes more
+    /// room than there is.
+    pub async fn hold(&self, kind: HeldKind, bytes: u64) -> Result<(), NoRoom> {
+        let Some(open) = &self.0 else {
+            return Ok(());
+        };
+        if open.resize(kind, bytes).is_ok() {
+            return Ok(());
+        }
+        if !open.make_room(bytes) {
+            return Err(NoRoom);
+        }
+        let held = async {
+            while open.resize(kind, bytes).is_err() {
+                open.memory.freed.notified().await;
+            }
+        };
+        timeout(MAX_YIELD_WAIT, held)
+            .await
+            .map_err(|_elapsed| NoRoom)
+    }
+
+    /// Sets how many bytes of a kind are held, if there is room now.
+    pub fn try_hold(&self, kind: HeldKind, bytes: u64) -> Result<(), NoRoom> {
+        self.0
+            .as_ref()
+            .map_or(Ok(()), |open| open.resize(kind, bytes))
+    }
+
+    /// Waits until there is room for the next piece of a relayed answer, beside `begun` bytes that
+    /// cannot be handed to the caller yet. Until then, nothing is read from the upstream.
+    pub async fn hold_piece(&self, begun: usize) -> Result<(), NoRoom> {
+        let Some(open) = &self.0 else {
+            return Ok(());
+        };
+        let bytes = RELAYED_PIECE + begun as u64;
+        if open.resize(HeldKind::RelayedPiece, bytes).is_ok() {
+            return Ok(());
+        }
+        let held = async {
+            while open.resize(HeldKind::RelayedPiece, bytes).is_err() {
+                open.make_room(bytes);
+                // Either something was freed, or more requests are stalled by now.
+                let _ = timeout(ROOM_CHECK_INTERVAL, open.memory.freed.notified()).await;
+            }
+        };
+        timeout(MAX_PAUSE, held).await.map_err(|_elapsed| NoRoom)
+    }
+
+    /// Records that the request waits for its caller from now on.
+    pub fn wait_for_caller(&self, now: Now) {
+        if let Some(open) = &self.0 {
+            open.memory.held.borrow_mut().wait_for_caller(open.id, now);
+        }
+    }
+
+    /// Records that the caller made progress; returns how long the request had waited for it.
+    pub fn record_progress(&self, now: Now) -> Duration {
+        self.0.as_ref().map_or(Duration::ZERO, |open| {
+            open.memory.held.borrow_mut().record_progress(open.id, now)
+        })
+    }
+}
+
+impl OpenAccount {
+    fn resize(&self, kind: HeldKind, bytes: u64) -> Result<(), NoRoom> {
+        self.memory.held.borrow_mut().resize(self.id, kind, bytes)
+    }
+
+    /// Lets go stalled requests until this many bytes fit; returns whether they will fit.
+    fn make_room(&self, bytes: u64) -> bool {
+        let yielding = self.memory.held.borrow_mut().make_room(bytes, Now::read());
+        let budget = self.memory.held.borrow().budget();
+        for request in &yielding {
+            self.telemetry.record_let_go(request, budget);
+            self.memory.let_go(request);
+        }
+        self.memory.held.borrow().will_fit(bytes)
+    }
+}
+
+impl Drop for OpenAccount {
+    fn drop(&mut self) {
+        self.memory.close(self.id);
+    }
+}
--- a/src/gateway/answer/refusal.rs
+++ b/src/gateway/answer/refusal.rs
@@ -3,6 +3,7 @@
 //! Only this module derives from the outcome of the attempts what a refusal may claim: only a
 //! request that certainly ran nowhere is reported as not run. See `docs/design/platform.md`.
 
+use super::held_bytes::MIN_STALL;
 use actix_http::body::BoxBody;
 use actix_http::{Response, StatusCode};
 use std::time::Duration;
@@ -28,6 +29,8 @@
     NoUpstream,
     /// Every upstream that was tried rejected the request as full.
     Full,
+    /// The box has no memory left for the request.
+    NoMemory,
     /// The process is about to exit, and the request might outlast it.
     Stopping,
     /// The deadline has passed.
@@ -63,6 +66,7 @@
             Self::ModelNamed => "model-named",
             Self::NoUpstream => "no-upstream",
             Self::Full => "full",
+            Self::NoMemory => "no-memory",
             Self::Stopping => "stopping",
             Self::Deadline => "deadline",
             Self::UpstreamFailed => "upstream-failed",
@@ -76,7 +80,7 @@
     }
 
     /// All reasons.
-    const ALL: [Self; 18] = [
+    const ALL: [Self; 19] = [
         Self::NoConfiguration,
         Self::Stale,
         Self::NoRoute,
@@ -86,6 +90,7 @@
         Self::ModelNamed,
         Self::NoUpstream,
         Self::Full,
+        Self::NoMemory,
         Self::Stopping,
         Self::Deadline,
         Self::UpstreamFailed,
@@ -116,6 +121,9 @@
             Self::ModelNamed => "it names a model on a route where the router chooses the model",
             Self::NoUpstream => "no upstream of the service was listed or accepted a connection",
             Self::Full => "every upstream that was tried rejected it",
+            Self::NoMemory => {
+                "the box held as many bytes for other requests as its memory allows, most of them for callers that read slowly"
+            }
             Self::Stopping => "the box was about to stop",
             Self::Deadline => "its deadline had passed",
             Self::UpstreamFailed => "its upstream failed and it must not be sent again",
@@ -141,6 +149,7 @@
         match self {
             Self::NoConfiguration | Self::NoUpstream => Some(Duration::from_millis(300)),
             Self::Full => Some(Duration::from_millis(150)),
+            Self::NoMemory => Some(MIN_STALL),
             // Another box may serve it at once.
             Self::Stale | Self::Stopping => Some(Duration::from_millis(10)),
             // An evacuation lasts for seconds at least.
--- a/src/gateway/answer/relay.rs
+++ b/src/gateway/answer/relay.rs
@@ -4,6 +4,7 @@
 //! response keeps the head that the first upstream sent. See `docs/design/platform.md`.
 
 use super::events::{EventSplitter, Events};
+use super::held_bytes::{MIN_STALL, NoRoom};
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::admit::request::{AdmittedRequest, AttemptPlan, NoAttempt};
@@ -126,6 +127,18 @@
 
     /// Returns the next events, `None` at the end, or why the stream cannot be completed.
     pub async fn next(&mut self) -> Option<Result<Bytes, StreamInterrupted>> {
+        let caller_wait = self.request.account.record_progress(Now::read());
+        let events = self.next_events(caller_wait).await;
+        self.request.account.wait_for_caller(Now::read());
+        events
+    }
+
+    async fn next_events(
+        &mut self,
+        caller_wait: Duration,
+    ) -> Option<Result<Bytes, StreamInterrupted>> {
+        // Upstreams cut off answers that sit unread, which says nothing about the upstream.
+        let was_read = caller_wait < MIN_STALL;
         loop {
             if let Some(events) = self.pending.take() {
                 let now = Now::read();
@@ -140,6 +153,9 @@
                 return Some(Ok(events.bytes));
             }
             let answer = self.answer.as_mut()?;
+            if let Err(interrupted) = hold_events(&self.request, &self.splitter).await {
+                return Some(Err(self.interrupt(interrupted)));
+            }
             let wait = gap_wait(&self.request).capped_at(self.request.time_left(Now::read()));
             let reason = match answer.next_chunk_within(&self.gw.connections, wait).await {
                 Some(BodyChunk::Bytes(bytes)) => match self.splitter.push(&bytes) {
@@ -155,30 +171,32 @@
                     return None;
                 }
                 Some(BodyChunk::End) => {
-                    self.record_broken_run();
+                    self.record_broken_run(was_read);
                     "the stream ended inside an event".to_owned()
                 }
                 Some(BodyChunk::Broken(reason)) => {
-                    self.record_broken_run();
+                    self.record_broken_run(was_read);
                     reason
                 }
                 None if self.should_keep_waiting(Now::read()) => continue,
                 None => "no event arrived in time".to_owned(),
             };
-            if let Err(interrupted) = self.resume_elsewhere(reason).await {
-                self.answer = None;
-                self.gw.telemetry.record_stream_cut(
-                    &self.request,
-                    self.event_count,
-                    &interrupted.0,
-                );
-                return Some(Err(interrupted));
+            if let Err(interrupted) = self.resume_elsewhere(reason, was_read).await {
+                return Some(Err(self.interrupt(interrupted)));
             }
         }
     }
 
-    fn record_broken_run(&self) {
-        if let Some(answer) = &self.answer {
+    fn interrupt(&mut self, interrupted: StreamInterrupted) -> StreamInterrupted {
+        self.answer = None;
+        self.gw
+            .telemetry
+            .record_stream_cut(&self.request, self.event_count, &interrupted.0);
+        interrupted
+    }
+
+    fn record_broken_run(&self, was_read: bool) {
+        if let Some(answer) = self.answer.as_ref().filter(|_| was_read) {
             self.request
                 .record_broken_run(&self.gw, answer.upstream(), Now::read());
         }
@@ -247,13 +265,19 @@
     }
 
     /// Resumes the stream at another upstream, after the last event that the caller has.
-    async fn resume_elsewhere(&mut self, reason: String) -> Result<(), StreamInterrupted> {
+    async fn resume_elsewhere(
+        &mut self,
+        reason: String,
+        was_read: bool,
+    ) -> Result<(), StreamInterrupted> {
         self.pace_timing = None;
         if let Some(answer) = self.answer.take() {
             self.gw
                 .telemetry
                 .record_broken_answer(&self.request, answer.upstream(), &reason);
-            answer.upstream().record_failure(Now::read());
+            if was_read {
+                answer.upstream().record_failure(Now::read());
+            }
         }
         self.splitter = EventSplitter::default();
         loop {
@@ -301,6 +325,15 @@
     }
 }
 
+/// Waits until there is room for the next events, and for the event that has begun.
+async fn hold_events(
+    request: &AdmittedRequest,
+    splitter: &EventSplitter,
+) -> Result<(), StreamInterrupted> {
+    let held = request.account.hold_piece(splitter.pending_len()).await;
+    held.map_err(|NoRoom| StreamInterrupted("no memory is left".to_owned()))
+}
+
 /// Returns how long a pause between events may be before another upstream resumes the stream.
 fn gap_wait(request: &AdmittedRequest) -> ResponseTimeout {
     let unlimited = ResponseTimeout::total_only(Duration::MAX);
--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -3,7 +3,7 @@
 //! Until the caller has received part of a response, the response may be dropped and another
 //! upstream or a larger model tried. From then on, [`super::relay`] relays the stream.
 
-use super::buffered::{BufferedResponse, read_response, refusal_reason};
+use super::buffered::{BufferedResponse, RelayedAnswer, read_response, refusal_reason};
 use super::events::EventSplitter;
 use super::refusal::RefusalReason;
 use super::relay::Relay;
@@ -44,6 +44,8 @@
     },
     /// A complete response; for stream requests, an upstream's error response.
     Buffered(BufferedResponse),
+    /// A large answer that is relayed piece by piece.
+    Relayed(RelayedAnswer),
 }
 
 /// Whether the first event was received.
--- a/src/gateway/attempt/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -7,13 +7,14 @@
 
 use super::upstream::Upstream;
 use crate::clock::Now;
+use crate::gateway::answer::held_memory::{UPSTREAM_BUFFER_BYTES, UPSTREAM_SOCKET_BYTES};
 use crate::gateway::control::store::UpstreamLife;
 use bytes::Bytes;
 use futures::future::{LocalBoxFuture, select_ok};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -78,9 +79,16 @@
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
     idle: RefCell<HashMap<UpstreamLife, Vec<Connection>>>,
+    /// Whether the buffers of new connections are bounded.
+    bounds_buffers: Cell<bool>,
 }
 
 impl ConnectionPool {
+    /// Sets whether the buffers of new connections are bounded.
+    pub fn set_bounds_buffers(&self, bounds_buffers: bool) {
+        self.bounds_buffers.set(bounds_buffers);
+    }
+
     /// Takes a connection that has been idle only briefly, if there is one.
     pub fn take_idle(&self, incarnation: &UpstreamLife, now: Now) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -102,7 +110,12 @@
             .await
             .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
         set_socket_options(&stream, address);
-        let (sender, connection) = http1::Builder::new()
+        let mut builder = http1::Builder::new();
+        if self.bounds_buffers.get() {
+            set_receive_buffer(&stream, address);
+            builder.max_buf_size(UPSTREAM_BUFFER_BYTES);
+        }
+        let (sender, connection) = builder
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -170,6 +183,13 @@
     }
 }
 
+fn set_receive_buffer(stream: &TcpStream, address: SocketAddr) {
+    let socket = socket2::SockRef::from(stream);
+    if let Err(err) = socket.set_recv_buffer_size(UPSTREAM_SOCKET_BYTES) {
+        log::debug!("cannot bound the receive buffer of the connection to {address}: {err}");
+    }
+}
+
 fn set_socket_options(stream: &TcpStream, address: SocketAddr) {
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on the connection to {address}: {err}");
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http::header::RETRY_AFTER;
 use http_body_util::{BodyExt as _, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -121,6 +121,15 @@
     Broken(String),
 }
 
+/// What was read of a body.
+#[derive(Debug)]
+pub enum ReadBody {
+    /// All of it.
+    Whole(Bytes),
+    /// The first bytes of a body that is longer than the limit.
+    Longer(Bytes),
+}
+
 impl Answer {
     /// Reads the next chunk of the body; `None` on a timeout.
     pub async fn next_chunk_within(
@@ -148,16 +157,31 @@
         }
     }
 
+    /// Returns the length of the body, if the upstream has stated it.
+    pub fn body_len(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
     /// Reads the whole body, or returns why it is incomplete.
     pub async fn read_whole(&mut self, limit: usize) -> Result<Bytes, String> {
-        let mut whole = bytes::BytesMut::new();
+        match self.read_up_to(limit).await? {
+            ReadBody::Whole(bytes) => Ok(bytes),
+            ReadBody::Longer(_) => Err(format!("the answer is larger than {limit} bytes")),
+        }
+    }
+
+    /// Reads the body to its end, or until it is longer than `limit`.
+    pub async fn read_up_to(&mut self, limit: usize) -> Result<ReadBody, String> {
+        let mut read = bytes::BytesMut::new();
         loop {
             match self.next_chunk().await {
-                BodyChunk::Bytes(bytes) if whole.len() + bytes.len() > limit => {
-                    return Err(format!("the answer is larger than {limit} bytes"));
+                BodyChunk::Bytes(bytes) => {
+                    read.extend_from_slice(&bytes);
+                    if read.len() > limit {
+                        return Ok(ReadBody::Longer(read.freeze()));
+                    }
                 }
-                BodyChunk::Bytes(bytes) => whole.extend_from_slice(&bytes),
-                BodyChunk::End => return Ok(whole.freeze()),
+                BodyChunk::End => return Ok(ReadBody::Whole(read.freeze())),
                 BodyChunk::Broken(reason) => return Err(reason),
             }
         }
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -124,6 +124,9 @@
         gw.telemetry
             .record_faulty_upstreams(state.faulty_upstream_count());
         drop(state);
+        if gw.held_memory.is_bounded() {
+            gw.telemetry.record_held_bytes(&gw.held_memory);
+        }
         gw.connections.close_stale(now);
         gw.sessions.borrow_mut().remove_expired(now);
     }
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -3,6 +3,8 @@
 //! `docs/OPERATIONS.md` shows how to find the cause of a failure from a request's id.
 
 use super::admit::request::{AdmittedRequest, AttemptPlan};
+use super::answer::held_bytes::{HeldKind, YieldingRequest};
+use super::answer::held_memory::HeldMemory;
 use super::answer::refusal::{Execution, RefusalReason};
 use super::attempt::crash_detection::InterruptedRun;
 use super::attempt::exchange::TryOutcome;
@@ -48,6 +50,8 @@
     peer_bytes: Counter<u64>,
     received_bytes: Counter<u64>,
     fetches: Counter<u64>,
+    held_bytes: Gauge<u64>,
+    let_go: Counter<u64>,
     config_version: Gauge<u64>,
     faulty_upstreams: Gauge<u64>,
     lag: Gauge<u64>,
@@ -92,6 +96,14 @@
                 .u64_counter("gatepier_fetches")
                 .with_description("Fetches from other boxes, by outcome.")
                 .build(),
+            held_bytes: meter
+                .u64_gauge("gatepier_held_bytes")
+                .with_description("Bytes held for requests, by kind.")
+                .build(),
+            let_go: meter
+                .u64_counter("gatepier_requests_let_go")
+                .with_description("Requests let go because their callers did not read.")
+                .build(),
             faulty_upstreams: meter
                 .u64_gauge("gatepier_faulty_upstreams")
                 .with_description("Upstreams whose entries cannot be read.")
@@ -400,6 +412,31 @@
         }
     }
 
+    /// Records that a request is let go because its caller made no progress and memory is short.
+    pub fn record_let_go(&self, request: &YieldingRequest, budget: u64) {
+        self.let_go.add(1, &[]);
+        log::warn!(
+            request = request.request_id.as_str(),
+            held_bytes = request.held,
+            without_progress_ms = millis(request.without_progress),
+            budget_bytes = budget;
+            "let go: its caller makes no progress and memory is short"
+        );
+    }
+
+    /// Records a large answer that was cut before its end.
+    pub fn record_relay_cut(&self, request: &AdmittedRequest, reason: &str) {
+        log::warn!(request = request.request_id.as_str(); "answer cut: {reason}");
+    }
+
+    /// Records the bytes held of each kind.
+    pub fn record_held_bytes(&self, memory: &HeldMemory) {
+        for kind in HeldKind::ALL {
+            let label = KeyValue::new("kind", kind.name());
+            self.held_bytes.record(memory.held(kind), &[label]);
+        }
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, kind: &'static str) {
         self.store_calls.add(1, &[KeyValue::new("kind", kind)]);
