--- a/src/gateway/answer/held_memory.rs
+++ b/src/gateway/answer/held_memory.rs
@@ -17,11 +17,11 @@
 use tokio::time::timeout;
 
 /// The largest piece of an answer that is handed to a caller's connection at once.
-pub const PIECE_BYTES: usize = 8 * 1024;
+pub const PIECE_BYTES: usize = 4 * 1024;
 /// The most bytes that a caller's connection holds before it asks for no further piece.
-pub const CALLER_BUFFER_BYTES: usize = 8 * 1024;
+pub const CALLER_BUFFER_BYTES: usize = 4 * 1024;
 /// The most bytes that an upstream's connection reads ahead, and the longest head of an answer.
-pub const UPSTREAM_BUFFER_BYTES: usize = 16 * 1024;
+pub const UPSTREAM_BUFFER_BYTES: usize = 8 * 1024;
 /// The kernel's buffer for bytes that a caller has not received, and for those that it sends.
 pub const CALLER_SOCKET_BYTES: usize = 32 * 1024;
 /// The kernel's buffer for bytes of an upstream that were not read yet: enough for a link that
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod escalation;
 mod fetch_planning;
 mod freshness;
+mod held_bytes;
 mod initial_sync;
 mod packing;
 mod peer_updates;
