--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -217,11 +217,11 @@
     };
     let idle_timeout = routes.limits.idle_timeout;
     loop {
-        account.wait_for_caller(Now::read());
+        account.wait_for_caller();
         let chunk = tokio::time::timeout(idle_timeout, payload.next())
             .await
             .map_err(|_elapsed| RefusalReason::NoBody)?;
-        account.record_progress(Now::read());
+        account.record_progress();
         let Some(chunk) = chunk else {
             break;
         };
--- a/src/gateway/answer/held_body.rs
+++ b/src/gateway/answer/held_body.rs
@@ -1,7 +1,6 @@
 //! The body of a buffered answer whose bytes are counted until the caller has taken them.
 
 use super::held_memory::{PIECE_BYTES, RequestAccount};
-use crate::clock::Now;
 use actix_http::body::{BodySize, MessageBody};
 use bytes::Bytes;
 use std::convert::Infallible;
@@ -38,14 +37,13 @@
         mut self: Pin<&mut Self>,
         _cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Infallible>>> {
-        let now = Now::read();
-        self.account.record_progress(now);
+        self.account.record_progress();
         if self.left.is_empty() {
             return Poll::Ready(None);
         }
         let len = self.left.len().min(PIECE_BYTES);
         let piece = self.left.split_to(len);
-        self.account.wait_for_caller(now);
+        self.account.wait_for_caller();
         Poll::Ready(Some(Ok(piece)))
     }
 }
--- a/src/gateway/answer/held_bytes.rs
+++ b/src/gateway/answer/held_bytes.rs
@@ -168,6 +168,13 @@
         self.held[kind as usize]
     }
 
+    /// Returns the bytes of one kind held for a request.
+    pub fn held_by(&self, id: AccountId, kind: HeldKind) -> u64 {
+        self.accounts
+            .get(&id)
+            .map_or(0, |account| account.held[kind as usize])
+    }
+
     /// Returns how much room is left.
     pub fn room(&self) -> MemoryRoom {
         // Computed in u128, since the budget may be any number.
@@ -246,7 +253,7 @@
         }
     }
 
-    /// Chooses the requests that have to yield so that this many bytes fit; none if they fit
+    /// Chooses the requests that have to yield so that this many more bytes fit; none if they fit
     /// already, or once those chosen before are closed, or if too few can yield.
     pub fn make_room(&mut self, bytes: u64, now: Now) -> Vec<YieldingRequest> {
         let mut excess = self.excess(bytes);
@@ -269,7 +276,7 @@
         Vec::new()
     }
 
-    /// Returns whether this many bytes fit once all requests that have to yield are closed.
+    /// Returns whether this many more bytes fit once all requests that have to yield are closed.
     pub fn will_fit(&self, bytes: u64) -> bool {
         self.excess(bytes) == 0
     }
--- a/src/gateway/answer/held_memory.rs
+++ b/src/gateway/answer/held_memory.rs
@@ -159,7 +159,7 @@
         if open.resize(kind, bytes).is_ok() {
             return Ok(());
         }
-        if !open.make_room(bytes) {
+        if !open.make_room(kind, bytes) {
             return Err(NoRoom);
         }
         let held = async {
@@ -191,7 +191,7 @@
         }
         let held = async {
             while open.resize(HeldKind::RelayedPiece, bytes).is_err() {
-                open.make_room(bytes);
+                open.make_room(HeldKind::RelayedPiece, bytes);
                 // Either something was freed, or more requests are stalled by now.
                 let _ = timeout(ROOM_CHECK_INTERVAL, open.memory.freed.notified()).await;
             }
@@ -200,15 +200,17 @@
     }
 
     /// Records that the request waits for its caller from now on.
-    pub fn wait_for_caller(&self, now: Now) {
+    pub fn wait_for_caller(&self) {
         if let Some(open) = &self.0 {
+            let now = Now::read();
             open.memory.held.borrow_mut().wait_for_caller(open.id, now);
         }
     }
 
     /// Records that the caller made progress; returns how long the request had waited for it.
-    pub fn record_progress(&self, now: Now) -> Duration {
+    pub fn record_progress(&self) -> Duration {
         self.0.as_ref().map_or(Duration::ZERO, |open| {
+            let now = Now::read();
             open.memory.held.borrow_mut().record_progress(open.id, now)
         })
     }
@@ -219,15 +221,15 @@
         self.memory.held.borrow_mut().resize(self.id, kind, bytes)
     }
 
-    /// Lets go stalled requests until this many bytes fit; returns whether they will fit.
-    fn make_room(&self, bytes: u64) -> bool {
-        let yielding = self.memory.held.borrow_mut().make_room(bytes, Now::read());
-        let budget = self.memory.held.borrow().budget();
-        for request in &yielding {
-            self.telemetry.record_let_go(request, budget);
-            self.memory.let_go(request);
+    /// Lets go stalled requests until this many bytes of a kind fit; returns whether they will.
+    fn make_room(&self, kind: HeldKind, bytes: u64) -> bool {
+        let mut held = self.memory.held.borrow_mut();
+        let more = bytes.saturating_sub(held.held_by(self.id, kind));
+        for request in held.make_room(more, Now::read()) {
+            self.telemetry.record_let_go(&request, held.budget());
+            self.memory.let_go(&request);
         }
-        self.memory.held.borrow().will_fit(bytes)
+        held.will_fit(more)
     }
 }
 
--- a/src/gateway/answer/piece_relay.rs
+++ b/src/gateway/answer/piece_relay.rs
@@ -69,7 +69,7 @@
 
     /// Returns the next piece, `None` at the end, or why the answer cannot be completed.
     pub async fn next(&mut self) -> Option<Result<Bytes, StreamInterrupted>> {
-        let caller_wait = self.request.account.record_progress(Now::read());
+        let caller_wait = self.request.account.record_progress();
         self.caller_wait += caller_wait;
         if self.pending.is_empty() {
             let answer = self.answer.as_mut()?;
@@ -95,7 +95,7 @@
         }
         let len = self.pending.len().min(PIECE_BYTES);
         let piece = self.pending.split_to(len);
-        self.request.account.wait_for_caller(Now::read());
+        self.request.account.wait_for_caller();
         Some(Ok(piece))
     }
 
--- a/src/gateway/answer/relay.rs
+++ b/src/gateway/answer/relay.rs
@@ -127,9 +127,9 @@
 
     /// Returns the next events, `None` at the end, or why the stream cannot be completed.
     pub async fn next(&mut self) -> Option<Result<Bytes, StreamInterrupted>> {
-        let caller_wait = self.request.account.record_progress(Now::read());
+        let caller_wait = self.request.account.record_progress();
         let events = self.next_events(caller_wait).await;
-        self.request.account.wait_for_caller(Now::read());
+        self.request.account.wait_for_caller();
         events
     }
 
