--- a/src/gateway/attempt/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -11,6 +11,7 @@
     ConnectionEvent, ConnectionMetrics, RestTimesByService, UpstreamConnections,
 };
 use crate::clock::Now;
+use crate::gateway::answer::held_memory::{UPSTREAM_BUFFER_BYTES, UPSTREAM_SOCKET_BYTES};
 use crate::gateway::control::store::UpstreamLife;
 use bytes::Bytes;
 use futures::future::{LocalBoxFuture, select_ok};
@@ -261,6 +262,8 @@
     rest_times: RestTimesByService,
     fleet: Cell<Fleet>,
     metrics: ConnectionMetrics,
+    /// Whether the buffers of new connections are bounded.
+    bounds_buffers: Cell<bool>,
 }
 
 impl ConnectionPool {
@@ -271,9 +274,15 @@
             rest_times: RestTimesByService::default(),
             fleet: Cell::default(),
             metrics,
+            bounds_buffers: Cell::default(),
         }
     }
 
+    /// Sets whether the buffers of new connections are bounded.
+    pub fn set_bounds_buffers(&self, bounds_buffers: bool) {
+        self.bounds_buffers.set(bounds_buffers);
+    }
+
     /// Sets what is known of the other boxes, with which limits are shared.
     pub fn set_fleet(&self, fleet: Fleet) {
         self.fleet.set(fleet);
@@ -406,7 +415,12 @@
             ConnectionOrigin::New | ConnectionOrigin::Kept => ConnectionEvent::Opened,
         });
         set_socket_options(&stream, address);
-        let (sender, connection) = http1::Builder::new()
+        let mut builder = http1::Builder::new();
+        if self.bounds_buffers.get() {
+            set_receive_buffer(&stream, address);
+            builder.max_buf_size(UPSTREAM_BUFFER_BYTES);
+        }
+        let (sender, connection) = builder
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -519,6 +533,13 @@
     }
 }
 
+fn set_receive_buffer(stream: &TcpStream, address: SocketAddr) {
+    let socket = socket2::SockRef::from(stream);
+    if let Err(err) = socket.set_recv_buffer_size(UPSTREAM_SOCKET_BYTES) {
+        log::debug!("cannot bound the receive buffer of the connection to {address}: {err}");
+    }
+}
+
 fn set_socket_options(stream: &TcpStream, address: SocketAddr) {
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on the connection to {address}: {err}");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod expected_wait;
 mod fetch_planning;
 mod freshness;
+mod held_bytes;
 mod initial_sync;
 mod load_reports;
 mod packing;
