--- a/src/gateway/place/choose.rs
+++ b/src/gateway/place/choose.rs
@@ -53,8 +53,6 @@
     pub prefix_source: PrefixSource,
     /// The speed that the upstream is believed to have.
     pub speed: SpeedBelief,
-    /// Whether no prompt is known to be pending there.
-    pub is_idle: bool,
 }
 
 impl PlacementChoice {
@@ -67,7 +65,7 @@
     /// Returns whether the time to the first event measures the prefill rate of the engine: it
     /// computes the whole prompt and, as far as is known, nothing else.
     pub fn measures_prefill_rate(&self) -> bool {
-        self.prefix_source == PrefixSource::Computed && self.is_idle
+        self.prefix_source == PrefixSource::Computed && self.queue_wait.is_zero()
     }
 }
 
@@ -108,7 +106,6 @@
         prefill: found.prefill,
         prefix_source: found.prefix_source,
         speed: upstream.speed().belief(now),
-        is_idle: upstream.pending_prefill(now).is_zero(),
     })
 }
 
--- a/src/gateway/place/engine_cost.rs
+++ b/src/gateway/place/engine_cost.rs
@@ -223,7 +223,7 @@
             + transfer_cost_ms
             + slot_cost_ms
             + health_cost_ms,
-        queue_wait: speed.time_for(queues.expected(upstream, speed, now)),
+        queue_wait: speed.time_for(upstream.pending_prefill(now)),
         prefill,
         prefix_source,
     }
--- a/src/gateway/place/engine_queue.rs
+++ b/src/gateway/place/engine_queue.rs
@@ -36,26 +36,12 @@
         }
     }
 
-    /// Returns the expected work of an engine, at the usual speed.
-    pub fn expected(&self, upstream: &Upstream, speed: SpeedBelief, now: Now) -> Duration {
-        self.with_draw(upstream, speed, 1.0, now)
-    }
-
-    /// Returns one of the values that the work may have, by a hash of request and engine.
+    /// Returns one of the values that the work of an engine may have, at the usual speed, by a hash
+    /// of request and engine.
     ///
     /// Requests that compare these values spread over engines whose reports are old, the more the
     /// older they are, and follow reports that are new.
     pub fn sampled(&self, upstream: &Upstream, speed: SpeedBelief, now: Now) -> Duration {
-        if self.mean_peer_seconds == 0.0 {
-            return self.expected(upstream, speed, now);
-        }
-        let weight = rendezvous_weight(upstream, !self.seed);
-        let fraction = (weight >> u32::BITS) as f64 / f64::from(u32::MAX);
-        self.with_draw(upstream, speed, 2.0 * fraction, now)
-    }
-
-    /// Returns the work of an engine if those of which nothing is known have `draw` times the mean.
-    fn with_draw(&self, upstream: &Upstream, speed: SpeedBelief, draw: f64, now: Now) -> Duration {
         let reported = upstream.peer_load();
         let remaining = reported.remaining_prefill(speed, now);
         let own = upstream.own_pending_prefill();
@@ -64,10 +50,16 @@
         }
         let age = now.monotonic.saturating_sub(reported.as_of);
         let known_part = (-age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64()).exp2();
-        let reported_seconds = reported.pending_prefill.as_secs_f64();
-        let seconds =
-            known_part * reported_seconds + (1.0 - known_part) * draw * self.mean_peer_seconds;
-        let estimated = Duration::try_from_secs_f64(seconds).unwrap_or(remaining);
-        own + estimated.max(remaining)
+        let known_seconds = known_part * reported.pending_prefill.as_secs_f64();
+        let other_seconds = (1.0 - known_part) * self.drawn_seconds(upstream);
+        let estimated = Duration::try_from_secs_f64(known_seconds + other_seconds);
+        own + estimated.unwrap_or(remaining).max(remaining)
+    }
+
+    /// Draws what other boxes may have at an engine of which nothing is known: up to twice the mean.
+    fn drawn_seconds(&self, upstream: &Upstream) -> f64 {
+        let weight = rendezvous_weight(upstream, !self.seed);
+        let fraction = (weight >> u32::BITS) as f64 / f64::from(u32::MAX);
+        2.0 * fraction * self.mean_peer_seconds
     }
 }
