--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -306,9 +306,9 @@
     fn measured_tokens(&self, gw: &Gateway, choice: &PlacementChoice) -> Option<f64> {
         let all_tokens = self.prompt.weighted_tokens();
         match choice.prefix_source {
-            PrefixSource::Computed if choice.is_idle => Some(all_tokens),
+            PrefixSource::Computed if choice.queue_wait.is_zero() => Some(all_tokens),
             // Large models read nearly all prompts behind a cached prefix.
-            PrefixSource::Cached if choice.is_idle && gw.controls_load(&self.service) => {
+            PrefixSource::Cached if choice.queue_wait.is_zero() && gw.controls_load(&self.service) => {
                 Some(all_tokens - self.prompt.shared_tokens as f64)
             }
             _ => None,
--- a/src/gateway/place/plain_cost.rs
+++ b/src/gateway/place/plain_cost.rs
@@ -137,7 +137,6 @@
         prefix_source: PrefixSource::Computed,
         expected: rooms.get(chosen).map(|room| room.wait),
         speed: SpeedBelief::USUAL,
-        is_idle: false,
     })
 }
 
