--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::metrics::Metrics;
 use crate::store::StoreError;
 use admit::listen;
+use admit::room::RoomState;
 use admit::routes::{NEUTRAL_RELATIVE_RANK, Route, RouteKind};
 use answer::return_schedule::ReturnSchedule;
 use attempt::connect::ConnectionPool;
@@ -107,6 +108,8 @@
     turn_queue: TurnQueue,
     /// When callers that were refused because of rate limits should come back.
     return_schedule: RefCell<ReturnSchedule>,
+    /// Who gets room at upstreams under load.
+    pub room: RoomState,
     /// The retry budgets by service; see [`Gateway::with_retry_window`].
     retry_windows: RefCell<HashMap<String, RetryWindow>>,
     /// Which version serves each session.
@@ -161,6 +164,7 @@
             caller_connections: Default::default(),
             turn_queue: TurnQueue::default(),
             return_schedule: RefCell::default(),
+            room: RoomState::default(),
             retry_windows: RefCell::default(),
             peer_loads: RefCell::default(),
             last_contacts: RefCell::default(),
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -2,8 +2,12 @@
 //! decides whether it may be served.
 
 pub mod listen;
+pub mod load_decision;
 pub mod prompt;
 pub mod request;
+pub mod room;
 pub mod routes;
 pub mod serve;
+pub mod service_demand;
+pub mod wait_queue;
 pub mod waiting;
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -69,6 +69,8 @@
     pub prompt: Prompt,
     /// The id of the session, or the request's own id if it belongs to none.
     pub session_id: String,
+    /// Whether the caller was refused before and has returned, on routes to services under load.
+    pub came_back: bool,
     /// Whether the caller leaves the choice of the model to the router.
     pub router_chooses_model: bool,
     /// The attempts so far, and what they prove.
--- /dev/null
+++ b/src/gateway/admit/room.rs
@@ -0,0 +1,310 @@
+//! How a request of a service under load gets room at an upstream: it is sent, waits in this box,
+//! or is refused.
+//!
+//! [`super::load_decision`] decides, and [`super::wait_queue`] holds the requests that wait. See
+//! `docs/design/waiting.md`.
+
+use super::load_decision::{
+    LoadDecision, LoadInputs, ReturnWindow, Standing, decide, time_until_room,
+};
+use super::request::AdmittedRequest;
+use super::service_demand::ServiceDemand;
+use super::wait_queue::{Urgency, WaitQueue, Waiter, WaitingPlace};
+use crate::clock::Now;
+use crate::gateway::Gateway;
+use crate::gateway::answer::refusal::{Execution, RefusalReason};
+use crate::gateway::answer::return_schedule::ReturnSchedule;
+use crate::gateway::place::choose::stable_hash;
+use crate::gateway::place::expected_wait::ExpectedWait;
+use std::cell::RefCell;
+use std::time::Duration;
+
+/// The part of the room for which callers are asked to come back; the rest is for new ones.
+const RETURNS_ROOM_FRACTION: f64 = 0.5;
+/// The shortest time until the first waiting request looks for room again.
+const MIN_PAUSE: Duration = Duration::from_millis(5);
+/// After a rejection, the report of the upstream may still say that there is room.
+const PAUSE_AFTER_REJECTION: Duration = Duration::from_millis(15);
+/// The turns of boxes for the same room are spread over at most the objective divided by this.
+const MAX_SPREAD_DIVISOR: u32 = 8;
+
+/// The state of a box that decides who gets room.
+#[derive(Debug, Default)]
+pub struct RoomState {
+    queue: RefCell<WaitQueue>,
+    demand: RefCell<ServiceDemand>,
+    returns: RefCell<ReturnSchedule>,
+}
+
+/// How a wait ended.
+enum WaitEnd {
+    /// There is room for the request.
+    Room,
+    /// It has waited as long as it may.
+    TimeOut,
+}
+
+impl Gateway {
+    /// Takes note of an arriving request of a service under load; returns whether its caller has
+    /// returned after a refusal.
+    pub fn record_arrival(
+        &self,
+        service: &str,
+        route: &str,
+        urgency: Urgency,
+        caller_time: Option<Duration>,
+        now: Now,
+    ) -> bool {
+        let mut demand = self.room.demand.borrow_mut();
+        demand.record_arrival(service, urgency, now);
+        caller_time.is_some_and(|time| demand.record_caller_time(route, time))
+    }
+
+    /// Counts a request that an upstream has served, and lets the next one look for room.
+    pub fn record_served(&self, request: &AdmittedRequest, now: Now) {
+        if !self.controls_load(&request.service) {
+            return;
+        }
+        let organisation = request.organisation_name();
+        let mut demand = self.room.demand.borrow_mut();
+        demand.record_served(&request.service, organisation, now);
+        drop(demand);
+        self.wake_waiting(&request.service, now);
+    }
+
+    /// Lets the first request that waits for a service look for room.
+    pub fn wake_waiting(&self, service: &str, now: Now) {
+        let demand = self.room.demand.borrow();
+        let queue = self.room.queue.borrow();
+        queue.wake_first(service, &*demand, now);
+    }
+
+    /// Returns the number of requests that wait for room.
+    pub fn waiting_for_room(&self) -> usize {
+        self.room.queue.borrow().len()
+    }
+
+    /// Returns when a refused caller should come back: callers return one after the other, at the
+    /// pace at which this box gets room.
+    fn return_after_overload(
+        &self,
+        request: &AdmittedRequest,
+        window: ReturnWindow,
+        now: Now,
+    ) -> Option<Duration> {
+        let service = request.service.as_str();
+        let served = self.room.demand.borrow().served_per_second(service, now);
+        let span = window.latest.saturating_sub(window.earliest);
+        let interval = Duration::try_from_secs_f64(1.0 / (served * RETURNS_ROOM_FRACTION));
+        let interval = interval.map_or(span, |interval| interval.min(span));
+        let jitter = interval.mul_f64(request.hash_fraction());
+        let mut returns = self.room.returns.borrow_mut();
+        let earliest = window.earliest + jitter;
+        returns.assign_within(service, earliest, window.latest, interval, now)
+    }
+}
+
+impl AdmittedRequest {
+    /// Waits until the request may be sent to an upstream; returns the reason if it is refused
+    /// instead. Services whose load is not controlled have room.
+    pub async fn wait_for_room(&self, gw: &Gateway) -> Result<(), RefusalReason> {
+        if !gw.controls_load(&self.service) {
+            return Ok(());
+        }
+        loop {
+            let now = Now::read();
+            let inputs = self.load_inputs(gw, now);
+            let decision = decide(&inputs);
+            self.log_decision(gw, &inputs, decision, now);
+            let at_most = match decision {
+                LoadDecision::Send => return Ok(()),
+                LoadDecision::Refuse { come_back } => {
+                    let come_back =
+                        come_back.and_then(|window| gw.return_after_overload(self, window, now));
+                    return Err(RefusalReason::Overloaded(come_back));
+                }
+                LoadDecision::Wait { .. } if gw.is_too_late_to_admit(self.route.kind, now) => {
+                    return Err(RefusalReason::Stopping);
+                }
+                LoadDecision::Wait { at_most } => at_most,
+            };
+            let waited = self.wait_in_queue(gw, &inputs, at_most, now).await;
+            gw.wake_waiting(&self.service, Now::read());
+            match (waited?, inputs.was_rejected_everywhere) {
+                (WaitEnd::Room, true) => {
+                    self.tries.allow_all_upstreams();
+                    return Ok(());
+                }
+                // After its wait it is offered to an upstream in any case.
+                (_, false) => return Ok(()),
+                (WaitEnd::TimeOut, true) => {}
+            }
+        }
+    }
+
+    /// Returns whether the request waits for room after upstreams rejected it, rather than being
+    /// retried at intervals.
+    pub fn waits_for_room(&self, gw: &Gateway) -> bool {
+        self.tries.was_refused() && gw.controls_load(&self.service)
+    }
+
+    /// Returns the name of the organisation; empty without one.
+    pub fn organisation_name(&self) -> &str {
+        let name = self.organisation.as_ref().map(|found| found.name.as_str());
+        name.unwrap_or_default()
+    }
+
+    /// Returns the urgency of the request in comparison with others.
+    fn urgency(&self) -> Urgency {
+        Urgency {
+            organisation: self.organisation.as_ref().map_or(0, |found| found.priority),
+            route: self.route.priority,
+        }
+    }
+
+    /// Returns a number from 0 to 1 that differs between requests.
+    fn hash_fraction(&self) -> f64 {
+        const STEPS: u64 = 1024;
+        (stable_hash(&self.request_id) % STEPS) as f64 / STEPS as f64
+    }
+
+    async fn wait_in_queue(
+        &self,
+        gw: &Gateway,
+        inputs: &LoadInputs,
+        at_most: Duration,
+        now: Now,
+    ) -> Result<WaitEnd, RefusalReason> {
+        let until = now.monotonic + at_most;
+        let not_before = match inputs.was_rejected_everywhere {
+            true => now.monotonic + PAUSE_AFTER_REJECTION,
+            false => now.monotonic,
+        };
+        let place = WaitingPlace::take(&gw.room.queue, self.waiter(inputs, now), now);
+        let place = place.ok_or(RefusalReason::Overloaded(None))?;
+        let mut room_since = None;
+        loop {
+            let now = Now::read();
+            let left = until.saturating_sub(now.monotonic);
+            if left.is_zero() {
+                return Ok(WaitEnd::TimeOut);
+            }
+            let demand = gw.room.demand.borrow();
+            let first = gw.room.queue.borrow().first(&self.service, &*demand, now);
+            drop(demand);
+            let pause = if first == Some(place.id()) {
+                let expected = gw.shortest_expected_wait(&self.service, &self.session_id, now);
+                let room_in = expected.map_or(Duration::ZERO, |expected| {
+                    time_until_room(expected, self.route.latency_objective)
+                });
+                let room_in = room_in.max(not_before.saturating_sub(now.monotonic));
+                match room_in.is_zero() {
+                    true => {
+                        let since = *room_since.get_or_insert(now.monotonic);
+                        let turn = since + self.turn_delay(gw, expected, now);
+                        if turn <= now.monotonic {
+                            return Ok(WaitEnd::Room);
+                        }
+                        turn.saturating_sub(now.monotonic)
+                    }
+                    false => {
+                        room_since = None;
+                        room_in.max(MIN_PAUSE)
+                    }
+                }
+            } else {
+                gw.wake_waiting(&self.service, now);
+                left
+            };
+            place.woken(pause.min(left)).await;
+        }
+    }
+
+    /// Returns when it is this request's turn among those of all boxes that see the same room: the
+    /// turns are spread over the time in which upstreams begin one request of each box.
+    fn turn_delay(&self, gw: &Gateway, expected: Option<ExpectedWait>, now: Now) -> Duration {
+        let run = expected.map_or(Duration::ZERO, |expected| expected.run);
+        let knowledge = gw.knowledge.borrow();
+        let upstreams = knowledge.available_upstreams(&self.service, now);
+        let slots: u32 = upstreams
+            .iter()
+            .map(|upstream| upstream.with_listed(|listed| listed.slots.max(1)))
+            .fold(0, u32::saturating_add);
+        let other_boxes = knowledge.box_count().saturating_sub(1) as f64;
+        let spread = run.as_secs_f64() * other_boxes / f64::from(slots.max(1));
+        let longest = self.route.latency_objective / MAX_SPREAD_DIVISOR;
+        let spread = Duration::try_from_secs_f64(spread).unwrap_or(longest);
+        spread.min(longest).mul_f64(self.hash_fraction())
+    }
+
+    fn waiter(&self, inputs: &LoadInputs, now: Now) -> Waiter {
+        let run = inputs.expected.map_or(Duration::ZERO, |expected| expected.run);
+        Waiter {
+            service: self.service.clone(),
+            organisation: self.organisation_name().to_owned(),
+            urgency: self.urgency(),
+            came_back: self.came_back,
+            latest_start: (now.monotonic + inputs.deadline_left).saturating_sub(run),
+            bytes: self.body.len(),
+        }
+    }
+
+    fn load_inputs(&self, gw: &Gateway, now: Now) -> LoadInputs {
+        let waits = gw.expected_waits(&self.service, &self.session_id, now);
+        let tried = self.tries.tried_upstreams();
+        let shortest = |untried_only: bool| {
+            let counted = waits
+                .iter()
+                .filter(|(upstream, _)| !untried_only || !tried.contains(upstream.incarnation()));
+            counted
+                .map(|(_, expected)| *expected)
+                .min_by_key(|expected| expected.total())
+        };
+        let untried = shortest(true);
+        let was_rejected_everywhere = untried.is_none() && self.tries.was_refused();
+        let mut inputs = LoadInputs {
+            expected: match was_rejected_everywhere {
+                true => shortest(false),
+                false => untried,
+            },
+            was_rejected_everywhere,
+            objective: self.route.latency_objective,
+            objective_left: self.objective_left(now),
+            deadline_left: self.time_left(now),
+            came_back: self.came_back,
+            standing: Standing::default(),
+        };
+        inputs.standing = self.standing(gw, &inputs, now);
+        inputs
+    }
+
+    fn standing(&self, gw: &Gateway, inputs: &LoadInputs, now: Now) -> Standing {
+        let demand = gw.room.demand.borrow();
+        let queue = gw.room.queue.borrow();
+        let organisation = self.organisation_name();
+        Standing {
+            is_less_urgent: demand.has_more_urgent(&self.service, self.urgency(), now),
+            is_over_share: demand.is_over_share(&self.service, organisation, now),
+            has_others_ahead: !queue.is_empty()
+                && queue.has_ahead(&self.waiter(inputs, now), &*demand, now),
+        }
+    }
+
+    fn log_decision(&self, gw: &Gateway, inputs: &LoadInputs, decision: LoadDecision, now: Now) {
+        if decision == LoadDecision::Send {
+            return;
+        }
+        let demand = gw.room.demand.borrow();
+        let share = demand.share(&self.service, self.organisation_name(), now);
+        gw.telemetry
+            .record_load_decision(self, inputs, decision, gw.waiting_for_room(), share);
+    }
+}
+
+/// Returns why a request that got no room is refused.
+pub fn refusal_without_room(request: &AdmittedRequest, reason: RefusalReason) -> RefusalReason {
+    match request.tries.ran() {
+        Execution::Never => reason,
+        Execution::Possible => request.tries.exhausted_reason(),
+    }
+}
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -3,6 +3,7 @@
 use super::prompt::Prompt;
 use super::request::{AdmittedRequest, lets_router_choose};
 use super::routes::{Caller, Route, RouteTable};
+use super::wait_queue::Urgency;
 use crate::clock::Now;
 use crate::fingerprint::{Fingerprint, RequestIdentity};
 use crate::gateway::answer::buffered::{self, BufferedResponse};
@@ -83,6 +84,15 @@
         .service_for(stable_hash(request_id))
         .ok_or(RefusalReason::NoRoute)?
         .to_owned();
+    let urgency = Urgency {
+        organisation: organisation.as_ref().map_or(0, |found| found.priority),
+        route: route.priority,
+    };
+    let is_plain = route.kind.stream_gap().is_none();
+    let caller_time = caller_timeout.map(|time| time.min(route.timeout));
+    let came_back = is_plain
+        && gw.controls_load(&service)
+        && gw.record_arrival(&service, &route.name, urgency, caller_time, now);
     let target = target_of(req);
     let fingerprint = Fingerprint::of(RequestIdentity {
         caller: organisation.as_ref().map(|found| found.name.as_str()),
@@ -105,6 +115,7 @@
         deadline: received.monotonic + timeout.min(route.timeout),
         prompt,
         session_id: session_id.to_owned(),
+        came_back,
         router_chooses_model,
         route,
         tries: TryHistory::default(),
--- a/src/gateway/answer/buffered.rs
+++ b/src/gateway/answer/buffered.rs
@@ -4,6 +4,7 @@
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::admit::request::{AdmittedRequest, AttemptPlan, NoAttempt};
+use crate::gateway::admit::room::refusal_without_room;
 use crate::gateway::admit::routes::RouteKind;
 use crate::gateway::attempt::connect::http1_types;
 use crate::gateway::attempt::exchange::{Answer, TryOutcome};
@@ -44,6 +45,9 @@
 ) -> Result<BufferedResponse, RefusalReason> {
     let mut failed_response = None;
     loop {
+        if let Err(reason) = request.wait_for_room(gw).await {
+            return failed_response.ok_or_else(|| refusal_without_room(request, reason));
+        }
         let plan = AttemptPlan {
             model: None,
             resume_after: None,
@@ -62,7 +66,8 @@
             }
             Ok(TryOutcome::NotRun(_) | TryOutcome::Unknown(_)) => {}
             Err(NoAttempt::NoUpstream)
-                if request.should_wait_for_upstream(gw, RETRY_DELAY, Now::read()) =>
+                if !request.waits_for_room(gw)
+                    && request.should_wait_for_upstream(gw, RETRY_DELAY, Now::read()) =>
             {
                 tokio::time::sleep(RETRY_DELAY).await;
                 request.tries.allow_all_upstreams();
@@ -111,6 +116,7 @@
                 timing.record_completion(now);
             }
             answer.finish(&gw.connections, now);
+            gw.record_served(request, now);
         }
         Some(_) => {
             if let Some(timing) = request.timing.take() {
--- a/src/gateway/answer/refusal.rs
+++ b/src/gateway/answer/refusal.rs
@@ -41,6 +41,9 @@
     WarmingUp(Duration),
     /// All upstreams state rate limits; this box may send to the first one after this long.
     RateLimited(Duration),
+    /// The service has no room for the request within its objective; room is expected after this
+    /// long, unless coming back would be in vain.
+    Overloaded(Option<Duration>),
     /// Operators have evacuated the halls of all upstreams.
     Evacuated,
     /// The request crashes the upstreams that run it.
@@ -69,6 +72,7 @@
             Self::Resting(_) => "resting",
             Self::WarmingUp(_) => "warming-up",
             Self::RateLimited(_) => "rate-limited",
+            Self::Overloaded(_) => "overloaded",
             Self::Evacuated => "evacuated",
             Self::CrashesUpstreams => "crashes-upstreams",
             Self::OnTrial(_) => "on-trial",
@@ -76,7 +80,7 @@
     }
 
     /// All reasons.
-    const ALL: [Self; 18] = [
+    const ALL: [Self; 19] = [
         Self::NoConfiguration,
         Self::Stale,
         Self::NoRoute,
@@ -92,6 +96,7 @@
         Self::Resting(Duration::ZERO),
         Self::WarmingUp(Duration::ZERO),
         Self::RateLimited(Duration::ZERO),
+        Self::Overloaded(None),
         Self::Evacuated,
         Self::CrashesUpstreams,
         Self::OnTrial(Duration::ZERO),
@@ -126,6 +131,9 @@
             Self::RateLimited(_) => {
                 "every upstream of the service stated a rate limit, and its share of this moment was used"
             }
+            Self::Overloaded(_) => {
+                "the expected wait at the upstreams of the service did not fit its objective or its deadline, or the room went to requests that go first"
+            }
             Self::Evacuated => "operators had evacuated the halls of all upstreams of the service",
             Self::CrashesUpstreams => {
                 "upstreams that ran this request crashed, the last one while the request was on trial there"
@@ -149,6 +157,7 @@
             // Another box may be allowed to send sooner.
             Self::WarmingUp(left) => Some(left.min(MAX_WARM_UP_WAIT)),
             Self::RateLimited(left) => Some(left),
+            Self::Overloaded(come_back) => come_back,
             _ => None,
         }
     }
--- a/src/gateway/answer/return_schedule.rs
+++ b/src/gateway/answer/return_schedule.rs
@@ -28,4 +28,21 @@
         self.0.insert(service.to_owned(), next);
         next.saturating_sub(now.monotonic)
     }
+
+    /// Does the same, unless the caller would have to come back later than `latest`.
+    pub fn assign_within(
+        &mut self,
+        service: &str,
+        earliest: Duration,
+        latest: Duration,
+        interval: Duration,
+        now: Now,
+    ) -> Option<Duration> {
+        let last = self.0.get(service).copied().unwrap_or_default();
+        let next = last.saturating_add(interval);
+        if next.saturating_sub(now.monotonic) > latest || earliest > latest {
+            return None;
+        }
+        Some(self.assign(service, earliest, interval, now))
+    }
 }
--- a/src/gateway/attempt/tries.rs
+++ b/src/gateway/attempt/tries.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Returns whether an upstream has stated that it did not run the request.
+    pub fn was_refused(&self) -> bool {
+        self.refused.get()
+    }
+
     /// Returns the number of tries that reached an upstream.
     pub fn sent_count(&self) -> u32 {
         self.sent_count.get()
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -124,6 +124,7 @@
         gw.telemetry
             .record_faulty_upstreams(state.faulty_upstream_count());
         drop(state);
+        gw.telemetry.record_waiting(gw.waiting_for_room());
         gw.connections.close_stale(now);
         gw.sessions.borrow_mut().remove_expired(now);
     }
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -2,10 +2,11 @@
 //!
 //! `docs/OPERATIONS.md` shows how to find the cause of a failure from a request's id.
 
+use super::admit::load_decision::{LoadDecision, LoadInputs};
 use super::admit::request::{AdmittedRequest, AttemptPlan};
 use super::answer::refusal::{Execution, RefusalReason};
 use super::attempt::crash_detection::InterruptedRun;
-use super::attempt::exchange::TryOutcome;
+use super::attempt::exchange::{NotRunReason, TryOutcome};
 use super::attempt::upstream::Upstream;
 use super::control::change::Change;
 use super::control::revision::EpochRevision;
@@ -44,6 +45,9 @@
     responses: Counter<u64>,
     refusals: Counter<u64>,
     attempts: Counter<u64>,
+    rejections: Counter<u64>,
+    load_decisions: Counter<u64>,
+    waiting: Gauge<u64>,
     store_calls: Counter<u64>,
     peer_bytes: Counter<u64>,
     received_bytes: Counter<u64>,
@@ -76,6 +80,18 @@
                 .u64_counter("gatepier_tries")
                 .with_description("Attempts at upstreams, by outcome.")
                 .build(),
+            rejections: meter
+                .u64_counter("gatepier_rejected_arrivals")
+                .with_description("Requests that upstreams rejected, by service.")
+                .build(),
+            load_decisions: meter
+                .u64_counter("gatepier_load_decisions")
+                .with_description("Requests that waited or were refused under load, by decision.")
+                .build(),
+            waiting: meter
+                .u64_gauge("gatepier_waiting_requests")
+                .with_description("Requests that wait in the box for room.")
+                .build(),
             store_calls: meter
                 .u64_counter("gatepier_store_calls")
                 .with_description("Calls to the platform's store, by kind.")
@@ -125,6 +141,10 @@
             TryOutcome::Unknown(_) => "unknown",
         };
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
+        if matches!(tried, TryOutcome::NotRun(NotRunReason::Refused(_))) {
+            let service = KeyValue::new("service", request.service.clone());
+            self.rejections.add(1, &[service]);
+        }
         let upstream = &choice.upstream;
         let listed = upstream.listed();
         log::info!(
@@ -327,6 +347,53 @@
         );
     }
 
+    /// Records that a request waits or is refused under load, and what this rests on.
+    pub fn record_load_decision(
+        &self,
+        request: &AdmittedRequest,
+        inputs: &LoadInputs,
+        decision: LoadDecision,
+        waiting: usize,
+        share: f64,
+    ) {
+        let (name, limit) = match decision {
+            LoadDecision::Send => ("send", None),
+            LoadDecision::Wait { at_most } => ("wait", Some(at_most)),
+            LoadDecision::Refuse { come_back } => {
+                ("refuse", come_back.map(|window| window.earliest))
+            }
+        };
+        self.load_decisions
+            .add(1, &[KeyValue::new("decision", name)]);
+        let expected = inputs.expected;
+        let report_age = expected.and_then(|expected| expected.report_age);
+        log::info!(
+            request = request.request_id.as_str(),
+            service = request.service.as_str(),
+            decision = name,
+            limit_ms = optional_millis(limit),
+            expected_queue_ms = optional_millis(expected.map(|expected| expected.queue)),
+            expected_run_ms = optional_millis(expected.map(|expected| expected.run)),
+            report_age_ms = optional_millis(report_age),
+            objective_left_ms = millis(inputs.objective_left),
+            deadline_left_ms = millis(inputs.deadline_left),
+            rejected = inputs.was_rejected_everywhere,
+            came_back = inputs.came_back,
+            less_urgent = inputs.standing.is_less_urgent,
+            over_share = inputs.standing.is_over_share,
+            others_ahead = inputs.standing.has_others_ahead,
+            waiting,
+            share;
+            "little room"
+        );
+    }
+
+    /// Records the number of requests that wait for room.
+    pub fn record_waiting(&self, waiting: usize) {
+        let waiting = u64::try_from(waiting).unwrap_or(u64::MAX);
+        self.waiting.record(waiting, &[]);
+    }
+
     /// Records a change of the box's knowledge.
     pub fn record_change(&self, change: &Change, source: &str, revision: u64) {
         if let Change::Routes(version) = change {
@@ -424,3 +491,10 @@
         self.lag.record(lag.map_or(0, millis), &[]);
     }
 }
+
+/// Returns a time for the log; -1 if there is none.
+fn optional_millis(time: Option<Duration>) -> i64 {
+    time.map_or(-1, |time| {
+        i64::try_from(millis(time)).unwrap_or(i64::MAX)
+    })
+}
--- /dev/null
+++ b/tests/gateway/load_patterns.rs
@@ -0,0 +1,362 @@
+//! Who is served, waits or is refused under patterns of load, over virtual time.
+//!
+//! Three upstreams serve six requests of 30 ms at a time each, and queue up to 24 more; callers want
+//! an answer within 150 ms, wait for 1.5 s, and come back once. Thresholds are what callers need: a
+//! refusal within a quarter of the objective still leaves time for another attempt, and being
+//! refused twice helps nobody.
+
+use super::{at, cases};
+use gatepier::clock::Now;
+use gatepier::gateway::admit::load_decision::{
+    LoadDecision, LoadInputs, Standing, decide, time_until_room,
+};
+use gatepier::gateway::admit::service_demand::ServiceDemand;
+use gatepier::gateway::admit::wait_queue::{Urgency, WaitQueue, Waiter, WaiterId};
+use gatepier::gateway::answer::return_schedule::ReturnSchedule;
+use gatepier::gateway::place::expected_wait::ExpectedWait;
+use googletest::prelude::*;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+const SERVICE: &str = "booking";
+const SLOTS: usize = 6;
+const QUEUE_PLACES: usize = 24;
+const RUN_MS: u64 = 30;
+const OBJECTIVE_MS: u64 = 150;
+const DEADLINE_MS: u64 = 1500;
+/// Upstreams state their load this often; boxes send by it and what they sent since.
+const REPORT_INTERVAL_MS: u64 = 40;
+/// What an upstream serves, in requests per millisecond.
+const UPSTREAM_RATE: f64 = SLOTS as f64 / RUN_MS as f64;
+const URGENT: Urgency = Urgency { organisation: 0, route: 0 };
+const LESS_URGENT: Urgency = Urgency { organisation: 0, route: 2 };
+
+/// Callers of one kind and organisation.
+#[derive(Debug, Clone, Copy)]
+struct Stream {
+    organisation: usize,
+    urgency: Urgency,
+    /// Requests per millisecond, and when they arrive.
+    rate: f64,
+    from_ms: u64,
+    to_ms: u64,
+    /// Whether they come back at once, and often, instead of when they are asked to.
+    repeats_at_once: bool,
+}
+
+impl Stream {
+    fn steady(organisation: usize, rate: f64, to_ms: u64) -> Self {
+        let urgency = URGENT;
+        Self { organisation, urgency, rate, from_ms: 0, to_ms, repeats_at_once: false }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    stream: usize,
+    began_ms: u64,
+    sent_ms: u64,
+    sends: u32,
+}
+
+/// What became of the requests of one stream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Outcome {
+    arrived: u32,
+    in_time: u32,
+    /// In time since the caller came back.
+    returned_in_time: u32,
+    late: u32,
+    refused_for_good: u32,
+    refused_again: u32,
+    refused_late: u32,
+    rejected: u32,
+}
+
+impl Outcome {
+    fn share_in_time(&self) -> f64 {
+        f64::from(self.in_time + self.returned_in_time) / f64::from(self.arrived)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Upstream {
+    running: Vec<(u64, Request, usize)>,
+    queued: VecDeque<(Request, usize)>,
+    reported: usize,
+    reported_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct BoxState {
+    queue: WaitQueue,
+    waiting: Vec<(WaiterId, Request, u64, bool)>,
+    demand: ServiceDemand,
+    returns: ReturnSchedule,
+    sent_since_report: Vec<usize>,
+}
+
+struct Fleet {
+    streams: Vec<Stream>,
+    boxes: Vec<BoxState>,
+    upstreams: Vec<Upstream>,
+    returning: Vec<(u64, Request)>,
+    outcomes: Vec<Outcome>,
+    now_ms: u64,
+    arrivals: usize,
+}
+
+impl Fleet {
+    fn new(boxes: usize, upstreams: usize, streams: Vec<Stream>) -> Self {
+        let new_box = |_| BoxState { sent_since_report: vec![0; upstreams], ..BoxState::default() };
+        Self {
+            outcomes: vec![Outcome::default(); streams.len()],
+            streams,
+            boxes: (0..boxes).map(new_box).collect(),
+            upstreams: (0..upstreams).map(|_| Upstream::default()).collect(),
+            returning: Vec::new(),
+            now_ms: 0,
+            arrivals: 0,
+        }
+    }
+
+    fn now(&self) -> Now {
+        at(self.now_ms)
+    }
+
+    fn run_until(&mut self, end_ms: u64) {
+        while self.now_ms < end_ms {
+            self.serve_at_upstreams();
+            self.look_for_room();
+            self.arrive();
+            self.now_ms += 1;
+        }
+    }
+
+    fn arrive(&mut self) {
+        let (due, later): (Vec<_>, Vec<_>) =
+            self.returning.drain(..).partition(|(at_ms, _)| *at_ms <= self.now_ms);
+        self.returning = later;
+        for (_, request) in due {
+            self.admit(Request { sent_ms: self.now_ms, sends: request.sends + 1, ..request });
+        }
+        for stream in 0..self.streams.len() {
+            let Stream { rate, from_ms, to_ms, .. } = self.streams[stream];
+            if !(from_ms..to_ms).contains(&self.now_ms) {
+                continue;
+            }
+            let count = |ms: u64| (ms as f64 * rate) as u64;
+            for _ in count(self.now_ms)..count(self.now_ms + 1) {
+                self.outcomes[stream].arrived += 1;
+                let (began_ms, sent_ms) = (self.now_ms, self.now_ms);
+                self.admit(Request { stream, began_ms, sent_ms, sends: 1 });
+            }
+        }
+    }
+
+    fn admit(&mut self, request: Request) {
+        // Any box may get the next request; a prime step spreads them.
+        self.arrivals += 7919;
+        let number = self.arrivals % self.boxes.len();
+        let now = self.now();
+        let urgency = self.streams[request.stream].urgency;
+        let left = Duration::from_millis(DEADLINE_MS - (self.now_ms - request.began_ms));
+        let demand = &mut self.boxes[number].demand;
+        demand.record_arrival(SERVICE, urgency, now);
+        let came_back = demand.record_caller_time("book", left);
+        self.decide_on(number, request, came_back, None);
+    }
+
+    fn expected(&self, number: usize, upstream: usize) -> ExpectedWait {
+        let known = &self.upstreams[upstream];
+        let age = self.now_ms - known.reported_ms;
+        let done = (age as f64 * UPSTREAM_RATE) as usize;
+        let sent = self.boxes[number].sent_since_report[upstream];
+        let ahead = known.reported.saturating_sub(done) + sent;
+        let queue = (ahead + 1).saturating_sub(SLOTS) as f64 / UPSTREAM_RATE;
+        ExpectedWait {
+            queue: Duration::from_millis(queue as u64),
+            run: Duration::from_millis(RUN_MS),
+            report_age: Some(Duration::from_millis(age)),
+        }
+    }
+
+    fn best(&self, number: usize) -> Option<(usize, ExpectedWait)> {
+        let waits = (0..self.upstreams.len()).map(|upstream| (upstream, self.expected(number, upstream)));
+        waits.min_by_key(|(_, expected)| expected.total())
+    }
+
+    fn waiter(&self, request: Request, came_back: bool) -> Waiter {
+        let latest_ms = request.began_ms + DEADLINE_MS - RUN_MS;
+        Waiter {
+            service: SERVICE.to_owned(),
+            organisation: self.streams[request.stream].organisation.to_string(),
+            urgency: self.streams[request.stream].urgency,
+            came_back,
+            latest_start: Duration::from_millis(latest_ms),
+            bytes: 0,
+        }
+    }
+
+    fn decide_on(&mut self, number: usize, request: Request, came_back: bool, rejected: Option<()>) {
+        let now = self.now();
+        let held = self.now_ms - request.sent_ms;
+        let waiter = self.waiter(request, came_back);
+        let this = &self.boxes[number];
+        let inputs = LoadInputs {
+            expected: self.best(number).map(|(_, expected)| expected),
+            was_rejected_everywhere: rejected.is_some(),
+            objective: Duration::from_millis(OBJECTIVE_MS),
+            objective_left: Duration::from_millis(OBJECTIVE_MS.saturating_sub(held)),
+            deadline_left: Duration::from_millis((request.began_ms + DEADLINE_MS).saturating_sub(self.now_ms)),
+            came_back,
+            standing: Standing {
+                is_less_urgent: this.demand.has_more_urgent(SERVICE, waiter.urgency, now),
+                is_over_share: this.demand.is_over_share(SERVICE, &waiter.organisation, now),
+                has_others_ahead: this.queue.has_ahead(&waiter, &this.demand, now),
+            },
+        };
+        match decide(&inputs) {
+            LoadDecision::Send => self.send(number, request, came_back),
+            LoadDecision::Wait { at_most } => {
+                let until = self.now_ms + at_most.as_millis() as u64;
+                let this = &mut self.boxes[number];
+                let (id, _) = this.queue.enter(waiter, now).unwrap();
+                this.waiting.push((id, request, until, came_back));
+            }
+            LoadDecision::Refuse { come_back } => {
+                let this = &mut self.boxes[number];
+                let delay = come_back.and_then(|window| {
+                    let interval = Duration::from_millis(20);
+                    this.returns.assign_within(SERVICE, window.earliest, window.latest, interval, now)
+                });
+                self.refuse(request, delay);
+            }
+        }
+    }
+
+    fn refuse(&mut self, request: Request, come_back: Option<Duration>) {
+        let outcome = &mut self.outcomes[request.stream];
+        let held = self.now_ms - request.sent_ms;
+        outcome.refused_late += u32::from(held > OBJECTIVE_MS / 4);
+        let stream = self.streams[request.stream];
+        let has_time = self.now_ms + 100 < request.began_ms + DEADLINE_MS;
+        if stream.repeats_at_once && request.sends < 6 && has_time {
+            self.returning.push((self.now_ms + 10, request));
+            return;
+        }
+        match come_back {
+            Some(delay) if request.sends == 1 => {
+                self.returning.push((self.now_ms + delay.as_millis() as u64, request));
+            }
+            _ => {
+                outcome.refused_again += u32::from(request.sends > 1);
+                outcome.refused_for_good += 1;
+            }
+        }
+    }
+
+    fn send(&mut self, number: usize, request: Request, came_back: bool) {
+        let Some((upstream, _)) = self.best(number) else {
+            return self.refuse(request, None);
+        };
+        self.boxes[number].sent_since_report[upstream] += 1;
+        if self.upstreams[upstream].queued.len() >= QUEUE_PLACES {
+            self.outcomes[request.stream].rejected += 1;
+            return self.decide_on(number, request, came_back, Some(()));
+        }
+        self.upstreams[upstream].queued.push_back((request, number));
+    }
+
+    fn serve_at_upstreams(&mut self) {
+        let now = self.now();
+        for index in 0..self.upstreams.len() {
+            let upstream = &mut self.upstreams[index];
+            let (done, running): (Vec<_>, Vec<_>) =
+                upstream.running.drain(..).partition(|(end, ..)| *end <= self.now_ms);
+            upstream.running = running;
+            while upstream.running.len() < SLOTS
+                && let Some((request, number)) = upstream.queued.pop_front()
+            {
+                upstream.running.push((self.now_ms + RUN_MS, request, number));
+            }
+            if self.now_ms % REPORT_INTERVAL_MS == index as u64 {
+                upstream.reported = upstream.running.len() + upstream.queued.len();
+                upstream.reported_ms = self.now_ms;
+                for other in &mut self.boxes {
+                    other.sent_since_report[index] = 0;
+                }
+            }
+            for (_, request, number) in done {
+                let organisation = self.streams[request.stream].organisation.to_string();
+                if let Some(this) = self.boxes.get_mut(number) {
+                    this.demand.record_served(SERVICE, &organisation, now);
+                }
+                let outcome = &mut self.outcomes[request.stream];
+                let since_first = self.now_ms - request.began_ms;
+                let since_sent = self.now_ms - request.sent_ms;
+                match (since_first <= OBJECTIVE_MS, since_sent <= OBJECTIVE_MS) {
+                    (true, _) => outcome.in_time += 1,
+                    (false, true) => outcome.returned_in_time += 1,
+                    (false, false) => outcome.late += 1,
+                }
+            }
+        }
+    }
+
+    /// Lets the first of each box go if there is room, and those that have waited long enough.
+    fn look_for_room(&mut self) {
+        let objective = Duration::from_millis(OBJECTIVE_MS);
+        for number in 0..self.boxes.len() {
+            loop {
+                let now = self.now();
+                let this = &self.boxes[number];
+                let first = this.queue.first(SERVICE, &this.demand, now);
+                let room_in = self.best(number).map(|(_, found)| time_until_room(found, objective));
+                let has_room = room_in.is_none_or(|wait| wait.is_zero());
+                let goes = |(id, _, until, _): &(WaiterId, Request, u64, bool)| {
+                    *until <= self.now_ms || (has_room && Some(*id) == first)
+                };
+                let Some(index) = this.waiting.iter().position(goes) else {
+                    break;
+                };
+                let this = &mut self.boxes[number];
+                let (id, request, _, came_back) = this.waiting.swap_remove(index);
+                this.queue.leave(id);
+                match self.now_ms + RUN_MS < request.began_ms + DEADLINE_MS {
+                    true => self.send(number, request, came_back),
+                    false => self.refuse(request, None),
+                }
+            }
+        }
+    }
+
+    fn total(&self) -> Outcome {
+        let mut total = Outcome::default();
+        for outcome in &self.outcomes {
+            total.arrived += outcome.arrived;
+            total.in_time += outcome.in_time;
+            total.returned_in_time += outcome.returned_in_time;
+            total.late += outcome.late;
+            total.refused_for_good += outcome.refused_for_good;
+            total.refused_again += outcome.refused_again;
+            total.refused_late += outcome.refused_late;
+            total.rejected += outcome.rejected;
+        }
+        total
+    }
+}
+
+/// Organisations that each send the same, together this multiple of what upstreams serve.
+fn equal_organisations(count: usize, load: f64, upstreams: usize, to_ms: u64) -> Vec<Stream> {
+    let rate = load * UPSTREAM_RATE * upstreams as f64 / count as f64;
+    (0..count).map(|organisation| Stream::steady(organisation, rate, to_ms)).collect()
+}
+
+cases! {
+    twice_the_capacity_for_ten_seconds => {
+        let mut fleet = Fleet::new(8, 3, equal_organisations(4, 2.0, 3, 10_000));
+        fleet.run_until(13_000);
+        println!("{:?}", fleet.total());
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,8 @@
 mod fetch_planning;
 mod freshness;
 mod initial_sync;
+mod load_decision;
+mod load_patterns;
 mod packing;
 mod peer_updates;
 mod placement;
@@ -20,6 +22,7 @@
 mod routes;
 mod streams;
 mod upstream_restarts;
+mod wait_queue;
 mod warm_up;
 
 use gatepier::clock::{Now, WallTime};
