--- a/src/gateway/admit/load_decision.rs
+++ b/src/gateway/admit/load_decision.rs
@@ -16,16 +16,25 @@
 const PROMPT_REFUSAL_DIVISOR: u32 = 4;
 /// A request that was not kept may be held for the latency objective divided by this.
 const SHORT_WAIT_DIVISOR: u32 = 8;
+/// New callers leave the latency objective divided by this unused: those who come back find room
+/// there, and it covers errors of the estimate.
+const SPARED_ROOM_DIVISOR: u32 = 8;
 /// Requests that yield to others leave the latency objective divided by this unused.
 const YIELDED_ROOM_DIVISOR: u32 = 4;
 
+/// A report older than this is no reason to refuse a request.
+const MAX_TRUSTED_REPORT_AGE: Duration = Duration::from_secs(1);
+/// Slots are free where the expected queue is shorter than the time to run divided by this.
+const FREE_SLOTS_DIVISOR: u32 = 8;
+
 /// What the decision on a request depends on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadInputs {
     /// The shortest expected wait among the upstreams that may be tried; `None` if there is none.
     pub expected: Option<ExpectedWait>,
-    /// Whether all upstreams have rejected the request, so that it can only wait for room.
-    pub was_rejected_everywhere: bool,
+    /// Whether all upstreams are full, by what they stated or because they rejected the request, so
+    /// that it can only wait for room.
+    pub is_full_everywhere: bool,
     /// The route's latency objective.
     pub objective: Duration,
     /// The time left until the objective is missed.
@@ -81,11 +90,10 @@
         // The attempt itself finds out why there is no upstream.
         return LoadDecision::Send;
     };
-    if inputs.was_rejected_everywhere {
-        return decide_after_rejections(inputs, expected);
+    if inputs.is_full_everywhere {
+        return decide_where_full(inputs, expected);
     }
-    let is_unknown = expected.report_age.is_none();
-    if is_unknown || expected.queue.is_zero() || inputs.fits_objective(expected) {
+    if is_free(expected) || inputs.fits_objective(expected) {
         return LoadDecision::Send;
     }
     match inputs.is_kept() {
@@ -94,6 +102,14 @@
     }
 }
 
+/// Returns whether slots are free, or nothing recent is known.
+fn is_free(expected: ExpectedWait) -> bool {
+    let is_known = expected
+        .report_age
+        .is_some_and(|age| age <= MAX_TRUSTED_REPORT_AGE);
+    !is_known || expected.queue <= expected.run / FREE_SLOTS_DIVISOR
+}
+
 /// Returns whether upstreams have room for a request that waits: later ones would be rejected, or
 /// miss their objective.
 pub fn has_room(expected: ExpectedWait, objective: Duration) -> bool {
@@ -102,14 +118,17 @@
 
 /// Returns how long it takes until there is room for a request that waits, if no other takes it.
 pub fn time_until_room(expected: ExpectedWait, objective: Duration) -> Duration {
-    match expected.report_age {
-        None => Duration::ZERO,
-        Some(_) => expected.total().saturating_sub(objective).min(expected.queue),
+    match is_free(expected) {
+        true => Duration::ZERO,
+        false => total(expected).saturating_sub(objective).min(expected.queue),
     }
 }
 
-/// All upstreams have rejected the request although there seemed to be room.
-fn decide_after_rejections(inputs: &LoadInputs, expected: ExpectedWait) -> LoadDecision {
+fn total(expected: ExpectedWait) -> Duration {
+    expected.queue.saturating_add(expected.run)
+}
+
+fn decide_where_full(inputs: &LoadInputs, expected: ExpectedWait) -> LoadDecision {
     if inputs.is_kept() {
         let at_most = inputs.latest_start(expected);
         return match at_most.is_zero() {
@@ -128,7 +147,7 @@
 /// The request stays until its deadline cannot be met; it is offered to an upstream before its
 /// objective is missed in any case.
 fn keep(inputs: &LoadInputs, expected: ExpectedWait) -> LoadDecision {
-    if expected.total() + DEADLINE_MARGIN > inputs.deadline_left {
+    if total(expected).saturating_add(DEADLINE_MARGIN) > inputs.deadline_left {
         return LoadDecision::Refuse { come_back: None };
     }
     let offer_in = inputs.objective_left.saturating_sub(expected.run);
@@ -156,7 +175,7 @@
     /// the refusal would come late, or its deadline leaves no time to return.
     fn is_kept(&self) -> bool {
         let is_prompt = self.elapsed() <= self.objective / PROMPT_REFUSAL_DIVISOR;
-        let can_return = self.latest_return() >= self.deadline_left / MIN_RETURN_DIVISOR;
+        let can_return = self.deadline_left / 2 >= self.objective;
         self.came_back || !is_prompt || !can_return
     }
 
@@ -176,10 +195,15 @@
     fn usable(&self, objective: Duration) -> Duration {
         let yields = u32::from(self.standing.is_less_urgent && !self.came_back)
             + u32::from(self.standing.is_over_share);
-        objective.saturating_sub(self.objective / YIELDED_ROOM_DIVISOR * yields)
+        let spared = match self.came_back {
+            true => Duration::ZERO,
+            false => self.objective / SPARED_ROOM_DIVISOR,
+        };
+        let unused = spared + self.objective / YIELDED_ROOM_DIVISOR * yields;
+        objective.saturating_sub(unused)
     }
 
     fn fits_objective(&self, expected: ExpectedWait) -> bool {
-        !self.standing.has_others_ahead && expected.total() <= self.usable(self.objective_left)
+        !self.standing.has_others_ahead && total(expected) <= self.usable(self.objective_left)
     }
 }
--- a/src/gateway/admit/room.rs
+++ b/src/gateway/admit/room.rs
@@ -14,6 +14,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::answer::refusal::{Execution, RefusalReason};
 use crate::gateway::answer::return_schedule::ReturnSchedule;
+use crate::gateway::control::store::UpstreamLife;
 use crate::gateway::place::choose::stable_hash;
 use crate::gateway::place::expected_wait::ExpectedWait;
 use std::cell::RefCell;
@@ -23,8 +24,10 @@
 const RETURNS_ROOM_FRACTION: f64 = 0.5;
 /// The shortest time until the first waiting request looks for room again.
 const MIN_PAUSE: Duration = Duration::from_millis(5);
-/// After a rejection, the report of the upstream may still say that there is room.
-const PAUSE_AFTER_REJECTION: Duration = Duration::from_millis(15);
+/// The shortest time after which a request that found all upstreams full looks for room.
+const PAUSE_WHERE_FULL: Duration = Duration::from_millis(15);
+/// A full upstream is looked at again after the time to run divided by this.
+const FULL_PAUSE_DIVISOR: u32 = 4;
 /// The turns of boxes for the same room are spread over at most the objective divided by this.
 const MAX_SPREAD_DIVISOR: u32 = 8;
 
@@ -36,6 +39,15 @@
     returns: RefCell<ReturnSchedule>,
 }
 
+/// The shortest expected waits for a request.
+#[derive(Debug, Clone, Copy, Default)]
+struct KnownRoom {
+    /// Where it may be sent.
+    open: Option<ExpectedWait>,
+    /// Where it would be rejected.
+    full: Option<ExpectedWait>,
+}
+
 /// How a wait ended.
 enum WaitEnd {
     /// There is room for the request.
@@ -79,6 +91,18 @@
         queue.wake_first(service, &*demand, now);
     }
 
+    /// Lets the first waiting request of each service look for room, since reports have arrived.
+    pub fn wake_all_waiting(&self, now: Now) {
+        let demand = self.room.demand.borrow();
+        self.room.queue.borrow().wake_first_of_each(&*demand, now);
+    }
+
+    fn is_first_waiting(&self, place: &WaitingPlace<'_>, service: &str, now: Now) -> bool {
+        let demand = self.room.demand.borrow();
+        let queue = self.room.queue.borrow();
+        queue.first(service, &*demand, now) == Some(place.id())
+    }
+
     /// Returns the number of requests that wait for room.
     pub fn waiting_for_room(&self) -> usize {
         self.room.queue.borrow().len()
@@ -130,7 +154,7 @@
             };
             let waited = self.wait_in_queue(gw, &inputs, at_most, now).await;
             gw.wake_waiting(&self.service, Now::read());
-            match (waited?, inputs.was_rejected_everywhere) {
+            match (waited?, inputs.is_full_everywhere) {
                 (WaitEnd::Room, true) => {
                     self.tries.allow_all_upstreams();
                     return Ok(());
@@ -176,8 +200,8 @@
         now: Now,
     ) -> Result<WaitEnd, RefusalReason> {
         let until = now.monotonic + at_most;
-        let not_before = match inputs.was_rejected_everywhere {
-            true => now.monotonic + PAUSE_AFTER_REJECTION,
+        let not_before = match inputs.is_full_everywhere {
+            true => now.monotonic + PAUSE_WHERE_FULL,
             false => now.monotonic,
         };
         let place = WaitingPlace::take(&gw.room.queue, self.waiter(inputs, now), now);
@@ -189,41 +213,55 @@
             if left.is_zero() {
                 return Ok(WaitEnd::TimeOut);
             }
-            let demand = gw.room.demand.borrow();
-            let first = gw.room.queue.borrow().first(&self.service, &*demand, now);
-            drop(demand);
-            let pause = if first == Some(place.id()) {
-                let expected = gw.shortest_expected_wait(&self.service, &self.session_id, now);
-                let room_in = expected.map_or(Duration::ZERO, |expected| {
-                    time_until_room(expected, self.route.latency_objective)
-                });
-                let room_in = room_in.max(not_before.saturating_sub(now.monotonic));
-                match room_in.is_zero() {
-                    true => {
-                        let since = *room_since.get_or_insert(now.monotonic);
-                        let turn = since + self.turn_delay(gw, expected, now);
-                        if turn <= now.monotonic {
-                            return Ok(WaitEnd::Room);
-                        }
-                        turn.saturating_sub(now.monotonic)
-                    }
-                    false => {
-                        room_since = None;
-                        room_in.max(MIN_PAUSE)
+            let pause = match gw.is_first_waiting(&place, &self.service, now) {
+                true => {
+                    let room_in = self.time_until_room(gw, now);
+                    let turn = self.turn(gw, room_in, &mut room_since, now).max(not_before);
+                    if turn <= now.monotonic {
+                        return Ok(WaitEnd::Room);
                     }
+                    turn - now.monotonic
+                }
+                false => {
+                    gw.wake_waiting(&self.service, now);
+                    left
                 }
-            } else {
-                gw.wake_waiting(&self.service, now);
-                left
             };
             place.woken(pause.min(left)).await;
         }
     }
 
+    /// Returns how long it takes until there is room, if nothing changes.
+    fn time_until_room(&self, gw: &Gateway, now: Now) -> Duration {
+        let room = self.known_room(gw, &[], now);
+        match (room.open, room.full) {
+            (Some(expected), _) => time_until_room(expected, self.route.latency_objective),
+            (None, Some(full)) => full.run / FULL_PAUSE_DIVISOR,
+            // The attempt itself finds out why there is no upstream.
+            (None, None) => Duration::ZERO,
+        }
+    }
+
+    /// Returns when the request may go: a little after room was seen, or looks for room again.
+    fn turn(
+        &self,
+        gw: &Gateway,
+        room_in: Duration,
+        room_since: &mut Option<Duration>,
+        now: Now,
+    ) -> Duration {
+        if !room_in.is_zero() {
+            *room_since = None;
+            return now.monotonic + room_in.max(MIN_PAUSE);
+        }
+        let since = *room_since.get_or_insert(now.monotonic);
+        since + self.turn_delay(gw, now)
+    }
+
     /// Returns when it is this request's turn among those of all boxes that see the same room: the
     /// turns are spread over the time in which upstreams begin one request of each box.
-    fn turn_delay(&self, gw: &Gateway, expected: Option<ExpectedWait>, now: Now) -> Duration {
-        let run = expected.map_or(Duration::ZERO, |expected| expected.run);
+    fn turn_delay(&self, gw: &Gateway, now: Now) -> Duration {
+        let run = gw.service_times.of(&self.service).usual;
         let knowledge = gw.knowledge.borrow();
         let upstreams = knowledge.available_upstreams(&self.service, now);
         let slots: u32 = upstreams
@@ -249,25 +287,32 @@
         }
     }
 
+    /// Returns the shortest waits at the upstreams that may be tried, and at those that are full:
+    /// they stated so, or rejected this request.
+    fn known_room(&self, gw: &Gateway, tried: &[UpstreamLife], now: Now) -> KnownRoom {
+        let service_time = gw.service_times.of(&self.service).usual;
+        let mut room = KnownRoom::default();
+        for (upstream, wait) in gw.expected_waits(&self.service, &self.session_id, now) {
+            let is_tried = tried.contains(upstream.incarnation());
+            let occupancy = upstream.load_estimate(service_time, now).occupancy;
+            let shortest = match is_tried || upstream.is_full(occupancy) {
+                true if is_tried && !self.tries.was_refused() => continue,
+                true => &mut room.full,
+                false => &mut room.open,
+            };
+            let known = shortest.get_or_insert(wait);
+            if wait.total() < known.total() {
+                *known = wait;
+            }
+        }
+        room
+    }
+
     fn load_inputs(&self, gw: &Gateway, now: Now) -> LoadInputs {
-        let waits = gw.expected_waits(&self.service, &self.session_id, now);
-        let tried = self.tries.tried_upstreams();
-        let shortest = |untried_only: bool| {
-            let counted = waits
-                .iter()
-                .filter(|(upstream, _)| !untried_only || !tried.contains(upstream.incarnation()));
-            counted
-                .map(|(_, expected)| *expected)
-                .min_by_key(|expected| expected.total())
-        };
-        let untried = shortest(true);
-        let was_rejected_everywhere = untried.is_none() && self.tries.was_refused();
+        let room = self.known_room(gw, &self.tries.tried_upstreams(), now);
         let mut inputs = LoadInputs {
-            expected: match was_rejected_everywhere {
-                true => shortest(false),
-                false => untried,
-            },
-            was_rejected_everywhere,
+            expected: room.open.or(room.full),
+            is_full_everywhere: room.open.is_none() && room.full.is_some(),
             objective: self.route.latency_objective,
             objective_left: self.objective_left(now),
             deadline_left: self.time_left(now),
--- a/src/gateway/admit/wait_queue.rs
+++ b/src/gateway/admit/wait_queue.rs
@@ -159,6 +159,17 @@
         }
     }
 
+    /// Does the same for each service that requests wait for.
+    pub fn wake_first_of_each(&self, shares: &impl ServedShares, now: Now) {
+        let waiting = self.groups.iter().filter(|group| group.waiting > 0);
+        let mut services: Vec<&str> = waiting.map(|group| group.service.as_str()).collect();
+        services.sort_unstable();
+        services.dedup();
+        for service in services {
+            self.wake_first(service, shares, now);
+        }
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -48,6 +48,8 @@
     rejections: Counter<u64>,
     load_decisions: Counter<u64>,
     waiting: Gauge<u64>,
+    expected_wait: Gauge<f64>,
+    invalid_load_reports: Counter<u64>,
     store_calls: Counter<u64>,
     peer_bytes: Counter<u64>,
     received_bytes: Counter<u64>,
@@ -92,6 +94,14 @@
                 .u64_gauge("gatepier_waiting_requests")
                 .with_description("Requests that wait in the box for room.")
                 .build(),
+            expected_wait: meter
+                .f64_gauge("gatepier_expected_wait_seconds")
+                .with_description("Expected time until an upstream runs a request, by upstream.")
+                .build(),
+            invalid_load_reports: meter
+                .u64_counter("gatepier_invalid_load_reports")
+                .with_description("Load reports of upstreams that cannot be read.")
+                .build(),
             store_calls: meter
                 .u64_counter("gatepier_store_calls")
                 .with_description("Calls to the platform's store, by kind.")
@@ -147,6 +157,13 @@
         }
         let upstream = &choice.upstream;
         let listed = upstream.listed();
+        let expected = choice.expected;
+        if let Some(expected) = expected {
+            let label = KeyValue::new("upstream", listed.instance.clone());
+            self.expected_wait
+                .record(expected.queue.as_secs_f64(), &[label]);
+        }
+        let report_age = expected.and_then(|expected| expected.report_age);
         log::info!(
             request = request.request_id.as_str(),
             fingerprint = request.fingerprint.to_string().as_str(),
@@ -162,6 +179,10 @@
             ahead_ms = millis(choice.queue_wait),
             reading_ms = millis(choice.prefill),
             beginning = choice.prefix_source.name(),
+            expected_wait_ms = expected.map_or(-1, |expected| signed_millis(expected.queue)),
+            expected_run_ms = expected.map_or(-1, |expected| signed_millis(expected.run)),
+            report_age_ms = report_age.map_or(-1, signed_millis),
+            work_time_percent = upstream.newest_report().and_then(|(load, _)| load.work_time_percent).map_or(-1, i64::from),
             outstanding = upstream.outstanding(),
             rest_ms = upstream.retry_after_left(Now::read()).map_or(0, millis),
             warm_up_ms = millis(upstream.warm_up_left(Now::read())),
@@ -230,6 +251,19 @@
         }
     }
 
+    /// Counts load reports that cannot be read, and logs them if a line is due.
+    pub fn record_invalid_load_reports(&self, upstream: &Upstream, count: u32, is_logged: bool) {
+        self.invalid_load_reports.add(count.into(), &[]);
+        if is_logged {
+            let instance = upstream.with_listed(|listed| listed.instance.clone());
+            log::warn!(
+                upstream = instance.as_str(),
+                count;
+                "the load report cannot be read; using the earlier ones"
+            );
+        }
+    }
+
     /// Records that a smaller model's answer was dropped to try a larger model.
     pub fn record_escalation(
         &self,
@@ -377,7 +411,7 @@
             report_age_ms = optional_millis(report_age),
             objective_left_ms = millis(inputs.objective_left),
             deadline_left_ms = millis(inputs.deadline_left),
-            rejected = inputs.was_rejected_everywhere,
+            full = inputs.is_full_everywhere,
             came_back = inputs.came_back,
             less_urgent = inputs.standing.is_less_urgent,
             over_share = inputs.standing.is_over_share,
@@ -494,7 +528,10 @@
 
 /// Returns a time for the log; -1 if there is none.
 fn optional_millis(time: Option<Duration>) -> i64 {
-    time.map_or(-1, |time| {
-        i64::try_from(millis(time)).unwrap_or(i64::MAX)
-    })
+    time.map_or(-1, signed_millis)
+}
+
+/// Returns milliseconds as a number that can be -1 where nothing is known.
+fn signed_millis(duration: Duration) -> i64 {
+    i64::try_from(millis(duration)).unwrap_or(i64::MAX)
 }
