--- a/src/gateway/admit/load_decision.rs
+++ b/src/gateway/admit/load_decision.rs
@@ -19,8 +19,13 @@
 /// New callers leave the latency objective divided by this unused: those who come back find room
 /// there, and it covers errors of the estimate.
 const SPARED_ROOM_DIVISOR: u32 = 8;
-/// Requests that yield to others leave the latency objective divided by this unused.
-const YIELDED_ROOM_DIVISOR: u32 = 4;
+/// The limits of new callers are spread over the latency objective divided by this. Boxes decide
+/// by the same reports, some tens of milliseconds old; with one limit for all, they would send
+/// everything until the next report and nothing after it.
+const SPREAD_DIVISOR: u32 = 4;
+/// Requests that yield to others leave this many eighths of the latency objective unused: the limits
+/// of new callers that do not yield lie within as much.
+const YIELDED_ROOM_EIGHTHS: u32 = 3;
 
 /// A report older than this is no reason to refuse a request.
 const MAX_TRUSTED_REPORT_AGE: Duration = Duration::from_secs(1);
@@ -41,12 +46,27 @@
     pub objective_left: Duration,
     /// The time left until the caller's deadline.
     pub deadline_left: Duration,
-    /// Whether the caller was refused before and has returned.
-    pub came_back: bool,
+    /// Whether the caller was refused before.
+    pub caller: CallerHistory,
+    /// A number that is drawn once for all sends of the request. It spreads the limits of requests,
+    /// so that boxes that see the same room do not all take it.
+    pub draw: u8,
     /// How the request compares with others for the same room.
     pub standing: Standing,
 }
 
+/// Whether a caller was refused before, by the time that it has used.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum CallerHistory {
+    /// It sends the request for the first time, as far as is known.
+    #[default]
+    New,
+    /// It repeats the request at once, which must not gain it anything.
+    RepeatsAtOnce,
+    /// It has returned some time after a refusal.
+    Returned,
+}
+
 /// How a request compares with others for the same room.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Standing {
@@ -120,7 +140,9 @@
 pub fn time_until_room(expected: ExpectedWait, objective: Duration) -> Duration {
     match is_free(expected) {
         true => Duration::ZERO,
-        false => total(expected).saturating_sub(objective).min(expected.queue),
+        false => total(expected)
+            .saturating_sub(objective)
+            .min(expected.queue),
     }
 }
 
@@ -176,7 +198,7 @@
     fn is_kept(&self) -> bool {
         let is_prompt = self.elapsed() <= self.objective / PROMPT_REFUSAL_DIVISOR;
         let can_return = self.deadline_left / 2 >= self.objective;
-        self.came_back || !is_prompt || !can_return
+        self.caller == CallerHistory::Returned || !is_prompt || !can_return
     }
 
     /// Returns the longest time after which the caller can come back and still be served within
@@ -193,14 +215,22 @@
 
     /// Returns the part of an objective that the request may use.
     fn usable(&self, objective: Duration) -> Duration {
-        let yields = u32::from(self.standing.is_less_urgent && !self.came_back)
-            + u32::from(self.standing.is_over_share);
-        let spared = match self.came_back {
-            true => Duration::ZERO,
-            false => self.objective / SPARED_ROOM_DIVISOR,
+        let yields = [
+            self.standing.is_less_urgent,
+            self.standing.is_over_share,
+            self.caller == CallerHistory::RepeatsAtOnce,
+        ];
+        let yields: u32 = yields.into_iter().map(u32::from).sum();
+        let spared = self.objective / SPARED_ROOM_DIVISOR;
+        let (unused, spread) = match self.caller {
+            CallerHistory::Returned => (Duration::ZERO, spared),
+            CallerHistory::New | CallerHistory::RepeatsAtOnce => {
+                (spared, self.objective / SPREAD_DIVISOR)
+            }
         };
-        let unused = spared + self.objective / YIELDED_ROOM_DIVISOR * yields;
-        objective.saturating_sub(unused)
+        let drawn = spread / (u32::from(u8::MAX) + 1) * u32::from(self.draw);
+        let yielded = self.objective / 8 * YIELDED_ROOM_EIGHTHS * yields;
+        objective.saturating_sub(unused + drawn + yielded)
     }
 
     fn fits_objective(&self, expected: ExpectedWait) -> bool {
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -1,5 +1,6 @@
 //! An admitted request, and its attempts at upstreams.
 
+use super::load_decision::CallerHistory;
 use super::prompt::Prompt;
 use super::routes::{Organisation, Route};
 use crate::clock::Now;
@@ -69,8 +70,8 @@
     pub prompt: Prompt,
     /// The id of the session, or the request's own id if it belongs to none.
     pub session_id: String,
-    /// Whether the caller was refused before and has returned, on routes to services under load.
-    pub came_back: bool,
+    /// Whether the caller was refused before, on routes to services under load.
+    pub caller: CallerHistory,
     /// Whether the caller leaves the choice of the model to the router.
     pub router_chooses_model: bool,
     /// The attempts so far, and what they prove.
--- a/src/gateway/admit/room.rs
+++ b/src/gateway/admit/room.rs
@@ -5,7 +5,7 @@
 //! `docs/design/waiting.md`.
 
 use super::load_decision::{
-    LoadDecision, LoadInputs, ReturnWindow, Standing, decide, time_until_room,
+    CallerHistory, LoadDecision, LoadInputs, ReturnWindow, Standing, decide, time_until_room,
 };
 use super::request::AdmittedRequest;
 use super::service_demand::ServiceDemand;
@@ -57,19 +57,21 @@
 }
 
 impl Gateway {
-    /// Takes note of an arriving request of a service under load; returns whether its caller has
-    /// returned after a refusal.
+    /// Takes note of an arriving request of a service under load; returns whether its caller was
+    /// refused before.
     pub fn record_arrival(
         &self,
         service: &str,
         route: &str,
+        organisation: &str,
         urgency: Urgency,
         caller_time: Option<Duration>,
         now: Now,
-    ) -> bool {
+    ) -> CallerHistory {
         let mut demand = self.room.demand.borrow_mut();
-        demand.record_arrival(service, urgency, now);
-        caller_time.is_some_and(|time| demand.record_caller_time(route, time))
+        demand.record_arrival(service, organisation, urgency, now);
+        let history = caller_time.map(|time| demand.record_caller_time(route, time));
+        history.unwrap_or_default()
     }
 
     /// Counts a request that an upstream has served, and lets the next one look for room.
@@ -276,12 +278,14 @@
     }
 
     fn waiter(&self, inputs: &LoadInputs, now: Now) -> Waiter {
-        let run = inputs.expected.map_or(Duration::ZERO, |expected| expected.run);
+        let run = inputs
+            .expected
+            .map_or(Duration::ZERO, |expected| expected.run);
         Waiter {
             service: self.service.clone(),
             organisation: self.organisation_name().to_owned(),
             urgency: self.urgency(),
-            came_back: self.came_back,
+            came_back: self.caller == CallerHistory::Returned,
             latest_start: (now.monotonic + inputs.deadline_left).saturating_sub(run),
             bytes: self.body.len(),
         }
@@ -316,7 +320,8 @@
             objective: self.route.latency_objective,
             objective_left: self.objective_left(now),
             deadline_left: self.time_left(now),
-            came_back: self.came_back,
+            caller: self.caller,
+            draw: (stable_hash(&self.fingerprint.to_string()) & 0xff) as u8,
             standing: Standing::default(),
         };
         inputs.standing = self.standing(gw, &inputs, now);
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -1,5 +1,6 @@
 //! Serves callers' requests: admission, the attempts at upstreams, and the response.
 
+use super::load_decision::CallerHistory;
 use super::prompt::Prompt;
 use super::request::{AdmittedRequest, lets_router_choose};
 use super::routes::{Caller, Route, RouteTable};
@@ -90,9 +91,14 @@
     };
     let is_plain = route.kind.stream_gap().is_none();
     let caller_time = caller_timeout.map(|time| time.min(route.timeout));
-    let came_back = is_plain
-        && gw.controls_load(&service)
-        && gw.record_arrival(&service, &route.name, urgency, caller_time, now);
+    let caller = match is_plain && gw.controls_load(&service) {
+        true => {
+            let name = organisation.as_ref().map(|found| found.name.as_str());
+            let name = name.unwrap_or_default();
+            gw.record_arrival(&service, &route.name, name, urgency, caller_time, now)
+        }
+        false => CallerHistory::New,
+    };
     let target = target_of(req);
     let fingerprint = Fingerprint::of(RequestIdentity {
         caller: organisation.as_ref().map(|found| found.name.as_str()),
@@ -115,7 +121,7 @@
         deadline: received.monotonic + timeout.min(route.timeout),
         prompt,
         session_id: session_id.to_owned(),
-        came_back,
+        caller,
         router_chooses_model,
         route,
         tries: TryHistory::default(),
--- a/src/gateway/admit/service_demand.rs
+++ b/src/gateway/admit/service_demand.rs
@@ -3,6 +3,7 @@
 //!
 //! Each box counts its own requests; see `docs/design/waiting.md`.
 
+use super::load_decision::CallerHistory;
 use super::wait_queue::{ServedShares, Urgency};
 use crate::clock::Now;
 use std::collections::HashMap;
@@ -14,20 +15,24 @@
 const URGENT_MEMORY: Duration = Duration::from_secs(2);
 /// The steps in which shares of organisations are compared; smaller differences do not matter.
 const SHARE_STEPS: f64 = 16.0;
-/// An organisation is over its share if it is served more than this multiple of an equal part.
-const OVER_SHARE_FACTOR: f64 = 2.0;
-/// The decayed number of served requests from which shares mean something.
-const MIN_SERVED: f64 = 8.0;
+/// An organisation is over its share if it asks for more than this multiple of an equal part.
+const OVER_SHARE_FACTOR: f64 = 1.5;
+/// The decayed number of requests from which shares mean something, and that of an organisation
+/// that counts as active.
+const MIN_ASKED: f64 = 8.0;
+const MIN_ACTIVE: f64 = 0.5;
 /// The maximum number of organisations, urgencies, routes or services that are counted.
 const MAX_COUNTED: usize = 1024;
 /// Organisations of which less than this is left are forgotten.
 const FORGOTTEN_BELOW: f64 = 0.01;
-/// Callers that state less than this part of the usual time have used some of it.
+/// Callers that state less than this part of the usual time have come back after a while.
 const RETURNED_BELOW: f64 = 0.95;
-/// How fast the usual time follows callers that state more, and those that state less. Returning
-/// callers state less, so the estimate stays close to the time of those that have not returned.
-const USUAL_TIME_RISE: f64 = 0.2;
-const USUAL_TIME_FALL: f64 = 0.02;
+/// Callers that state less than this part of it have used some time, so they repeat a request.
+const NEW_ABOVE: f64 = 0.995;
+/// The number of stated times that are counted for each route, to find the most frequent one.
+const COUNTED_TIMES: usize = 8;
+/// The count at which all are halved, so that a changed time is soon the most frequent one.
+const MAX_TIME_COUNT: u32 = 64;
 
 /// A number that halves with each half-life.
 #[derive(Debug, Clone, Copy, Default)]
@@ -48,11 +53,67 @@
     }
 }
 
+/// How often callers of a route state which time. New callers all state the same one, while those
+/// that repeat a request state what is left of it (the Misra-Gries summary of frequent items).
+#[derive(Debug, Default)]
+struct StatedTimes(Vec<(Duration, u32)>);
+
+impl StatedTimes {
+    /// Counts a stated time, and returns the most frequent one.
+    fn record(&mut self, stated: Duration) -> Option<Duration> {
+        let counts = &mut self.0;
+        if let Some((_, count)) = counts.iter_mut().find(|(time, _)| *time == stated) {
+            *count += 1;
+            if *count >= MAX_TIME_COUNT {
+                counts.iter_mut().for_each(|(_, count)| *count /= 2);
+            }
+        } else if counts.len() < COUNTED_TIMES {
+            counts.push((stated, 1));
+        } else {
+            for (_, count) in counts.iter_mut() {
+                *count = count.saturating_sub(1);
+            }
+            counts.retain(|(_, count)| *count > 0);
+        }
+        let most = counts.iter().max_by_key(|(time, count)| (*count, *time));
+        most.map(|(time, _)| *time)
+    }
+}
+
+/// Requests in all and by organisation.
+#[derive(Debug, Default)]
+struct Counts {
+    all: Decaying,
+    by_organisation: HashMap<String, Decaying>,
+}
+
+impl Counts {
+    fn record(&mut self, organisation: &str, now: Now) {
+        self.all.add_one(now);
+        let counts = &mut self.by_organisation;
+        if counts.len() >= MAX_COUNTED {
+            counts.retain(|_, count| count.get(now) >= FORGOTTEN_BELOW);
+        }
+        if let Some(count) = counts.get_mut(organisation) {
+            count.add_one(now);
+        } else if counts.len() < MAX_COUNTED {
+            let mut count = Decaying::default();
+            count.add_one(now);
+            counts.insert(organisation.to_owned(), count);
+        }
+    }
+
+    fn of(&self, organisation: &str, now: Now) -> f64 {
+        let count = self.by_organisation.get(organisation);
+        count.map_or(0.0, |count| count.get(now))
+    }
+}
+
 /// The demand for one service.
 #[derive(Debug, Default)]
 struct Demand {
-    served: Decaying,
-    served_by_organisation: HashMap<String, Decaying>,
+    asked: Counts,
+    served: Counts,
     last_arrivals: HashMap<Urgency, Duration>,
 }
 
@@ -60,15 +121,22 @@
 #[derive(Debug, Default)]
 pub struct ServiceDemand {
     services: HashMap<String, Demand>,
-    usual_times: HashMap<String, f64>,
+    stated_times: HashMap<String, StatedTimes>,
 }
 
 impl ServiceDemand {
     /// Counts the arrival of a request.
-    pub fn record_arrival(&mut self, service: &str, urgency: Urgency, now: Now) {
+    pub fn record_arrival(
+        &mut self,
+        service: &str,
+        organisation: &str,
+        urgency: Urgency,
+        now: Now,
+    ) {
         let Some(demand) = self.demand_mut(service) else {
             return;
         };
+        demand.asked.record(organisation, now);
         let is_recent = |at: &Duration| now.monotonic.saturating_sub(*at) < URGENT_MEMORY;
         if demand.last_arrivals.len() >= MAX_COUNTED {
             demand.last_arrivals.retain(|_, at| is_recent(at));
@@ -80,20 +148,8 @@
 
     /// Counts a request that an upstream has served.
     pub fn record_served(&mut self, service: &str, organisation: &str, now: Now) {
-        let Some(demand) = self.demand_mut(service) else {
-            return;
-        };
-        demand.served.add_one(now);
-        let counts = &mut demand.served_by_organisation;
-        if counts.len() >= MAX_COUNTED {
-            counts.retain(|_, count| count.get(now) >= FORGOTTEN_BELOW);
-        }
-        if let Some(count) = counts.get_mut(organisation) {
-            count.add_one(now);
-        } else if counts.len() < MAX_COUNTED {
-            let mut count = Decaying::default();
-            count.add_one(now);
-            counts.insert(organisation.to_owned(), count);
+        if let Some(demand) = self.demand_mut(service) {
+            demand.served.record(organisation, now);
         }
     }
 
@@ -107,16 +163,19 @@
         })
     }
 
-    /// Returns whether an organisation has clearly more than an equal part of what is served.
+    /// Returns whether an organisation asks for clearly more than an equal part.
+    ///
+    /// What it asks for counts rather than what it gets: an organisation that is held to its part
+    /// would otherwise be let go again and again.
     pub fn is_over_share(&self, service: &str, organisation: &str, now: Now) -> bool {
         let Some(demand) = self.services.get(service) else {
             return false;
         };
-        let counts = &demand.served_by_organisation;
-        let active = counts.values().filter(|count| count.get(now) >= 0.5).count();
-        let served = demand.served.get(now);
-        let own = counts.get(organisation).map_or(0.0, |count| count.get(now));
-        active > 1 && served >= MIN_SERVED && own > served / active as f64 * OVER_SHARE_FACTOR
+        let counts = demand.asked.by_organisation.values();
+        let active = counts.filter(|count| count.get(now) >= MIN_ACTIVE).count();
+        let asked = demand.asked.all.get(now);
+        let own = demand.asked.of(organisation, now);
+        active > 1 && asked >= MIN_ASKED && own > asked / active as f64 * OVER_SHARE_FACTOR
     }
 
     /// Returns the share of an organisation in what is served, from 0 to 1.
@@ -124,38 +183,37 @@
         let Some(demand) = self.services.get(service) else {
             return 0.0;
         };
-        let own = demand.served_by_organisation.get(organisation);
-        let own = own.map_or(0.0, |count| count.get(now));
-        own / demand.served.get(now).max(1.0)
+        demand.served.of(organisation, now) / demand.served.all.get(now).max(1.0)
     }
 
     /// Returns how many requests a second this box has served lately.
     pub fn served_per_second(&self, service: &str, now: Now) -> f64 {
-        let served = self.services.get(service).map(|demand| demand.served.get(now));
+        let served = self
+            .services
+            .get(service)
+            .map(|demand| demand.served.all.get(now));
         served.unwrap_or_default() * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
     }
 
-    /// Takes note of the time that a caller of a route will wait, and returns whether the caller
-    /// has returned after a refusal: it has clearly less time than callers usually have.
-    pub fn record_caller_time(&mut self, route: &str, time: Duration) -> bool {
-        let seconds = time.as_secs_f64();
-        let is_known = self.usual_times.contains_key(route);
-        if !is_known && self.usual_times.len() >= MAX_COUNTED {
-            return false;
+    /// Takes note of the time that a caller of a route states that it will wait, and returns
+    /// whether the caller was refused before: it has less time than callers usually state.
+    pub fn record_caller_time(&mut self, route: &str, stated: Duration) -> CallerHistory {
+        if !self.stated_times.contains_key(route) {
+            if self.stated_times.len() >= MAX_COUNTED {
+                return CallerHistory::New;
+            }
+            let times = StatedTimes::default();
+            self.stated_times.insert(route.to_owned(), times);
         }
-        if !is_known {
-            self.usual_times.insert(route.to_owned(), seconds);
+        let times = self.stated_times.get_mut(route);
+        let usual = times.and_then(|times| times.record(stated));
+        let usual = usual.filter(|usual| !usual.is_zero());
+        let part = usual.map_or(1.0, |usual| stated.as_secs_f64() / usual.as_secs_f64());
+        match part {
+            part if part < RETURNED_BELOW => CallerHistory::Returned,
+            part if part < NEW_ABOVE => CallerHistory::RepeatsAtOnce,
+            _ => CallerHistory::New,
         }
-        let Some(usual) = self.usual_times.get_mut(route) else {
-            return false;
-        };
-        let came_back = seconds < *usual * RETURNED_BELOW;
-        let step = match seconds > *usual {
-            true => USUAL_TIME_RISE,
-            false => USUAL_TIME_FALL,
-        };
-        *usual += (seconds - *usual) * step;
-        came_back
     }
 
     fn demand_mut(&mut self, service: &str) -> Option<&mut Demand> {
--- a/src/gateway/admit/wait_queue.rs
+++ b/src/gateway/admit/wait_queue.rs
@@ -134,7 +134,8 @@
     /// Returns the request of a service that goes first. Those that can no longer meet their
     /// deadline go last.
     pub fn first(&self, service: &str, shares: &impl ServedShares, now: Now) -> Option<WaiterId> {
-        self.first_entry(service, shares, now).map(|(entry, _)| entry.id)
+        self.first_entry(service, shares, now)
+            .map(|(entry, _)| entry.id)
     }
 
     /// Returns whether a request that waits goes before one that has just arrived.
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -2,7 +2,7 @@
 //!
 //! `docs/OPERATIONS.md` shows how to find the cause of a failure from a request's id.
 
-use super::admit::load_decision::{LoadDecision, LoadInputs};
+use super::admit::load_decision::{CallerHistory, LoadDecision, LoadInputs};
 use super::admit::request::{AdmittedRequest, AttemptPlan};
 use super::answer::refusal::{Execution, RefusalReason};
 use super::attempt::crash_detection::InterruptedRun;
@@ -412,7 +412,8 @@
             objective_left_ms = millis(inputs.objective_left),
             deadline_left_ms = millis(inputs.deadline_left),
             full = inputs.is_full_everywhere,
-            came_back = inputs.came_back,
+            came_back = inputs.caller == CallerHistory::Returned,
+            repeats_at_once = inputs.caller == CallerHistory::RepeatsAtOnce,
             less_urgent = inputs.standing.is_less_urgent,
             over_share = inputs.standing.is_over_share,
             others_ahead = inputs.standing.has_others_ahead,
