--- a/src/gateway/admit/load_decision.rs
+++ b/src/gateway/admit/load_decision.rs
@@ -130,19 +130,12 @@
     !is_known || expected.queue <= expected.run / FREE_SLOTS_DIVISOR
 }
 
-/// Returns whether upstreams have room for a request that waits: later ones would be rejected, or
-/// miss their objective.
-pub fn has_room(expected: ExpectedWait, objective: Duration) -> bool {
-    time_until_room(expected, objective).is_zero()
-}
-
-/// Returns how long it takes until there is room for a request that waits, if no other takes it.
-pub fn time_until_room(expected: ExpectedWait, objective: Duration) -> Duration {
+/// Returns how long it takes until the expected wait fits a limit, if no other request takes the
+/// room.
+pub fn time_until_room(expected: ExpectedWait, limit: Duration) -> Duration {
     match is_free(expected) {
         true => Duration::ZERO,
-        false => total(expected)
-            .saturating_sub(objective)
-            .min(expected.queue),
+        false => total(expected).saturating_sub(limit).min(expected.queue),
     }
 }
 
@@ -160,7 +153,7 @@
     }
     let short_wait = inputs.objective / SHORT_WAIT_DIVISOR;
     let at_most = short_wait.saturating_sub(inputs.elapsed());
-    match at_most.is_zero() || !has_room(expected, inputs.objective) {
+    match at_most.is_zero() || !time_until_room(expected, inputs.room_limit()).is_zero() {
         true => refuse(inputs, expected),
         false => LoadDecision::Wait { at_most },
     }
@@ -181,7 +174,7 @@
 }
 
 fn refuse(inputs: &LoadInputs, expected: ExpectedWait) -> LoadDecision {
-    let earliest = time_until_room(expected, inputs.usable(inputs.objective))
+    let earliest = time_until_room(expected, inputs.room_limit())
         .max(inputs.deadline_left / MIN_RETURN_DIVISOR);
     let latest = inputs.latest_return();
     let come_back = (earliest <= latest).then_some(ReturnWindow { earliest, latest });
@@ -189,6 +182,12 @@
 }
 
 impl LoadInputs {
+    /// Returns the expected wait up to which there is room for the request, if it waits or comes
+    /// back.
+    pub fn room_limit(&self) -> Duration {
+        self.usable(self.objective)
+    }
+
     fn elapsed(&self) -> Duration {
         self.objective.saturating_sub(self.objective_left)
     }
--- a/src/gateway/admit/room.rs
+++ b/src/gateway/admit/room.rs
@@ -111,22 +111,31 @@
     }
 
     /// Returns when a refused caller should come back: callers return one after the other, at the
-    /// pace at which this box gets room.
+    /// pace at which this box gets room. Those of an organisation over its share get none of the
+    /// others' room.
     fn return_after_overload(
         &self,
         request: &AdmittedRequest,
+        inputs: &LoadInputs,
         window: ReturnWindow,
         now: Now,
     ) -> Option<Duration> {
         let service = request.service.as_str();
-        let served = self.room.demand.borrow().served_per_second(service, now);
+        let is_over_share = inputs.standing.is_over_share;
+        let organisation = is_over_share.then(|| request.organisation_name());
+        let demand = self.room.demand.borrow();
+        let served = demand.served_per_second(service, organisation, now);
         let span = window.latest.saturating_sub(window.earliest);
         let interval = Duration::try_from_secs_f64(1.0 / (served * RETURNS_ROOM_FRACTION));
         let interval = interval.map_or(span, |interval| interval.min(span));
         let jitter = interval.mul_f64(request.hash_fraction());
-        let mut returns = self.room.returns.borrow_mut();
         let earliest = window.earliest + jitter;
-        returns.assign_within(service, earliest, window.latest, interval, now)
+        let schedule = match organisation {
+            Some(organisation) => format!("{service} {organisation}"),
+            None => service.to_owned(),
+        };
+        let mut returns = self.room.returns.borrow_mut();
+        returns.assign_within(&schedule, earliest, window.latest, interval, now)
     }
 }
 
@@ -145,8 +154,8 @@
             let at_most = match decision {
                 LoadDecision::Send => return Ok(()),
                 LoadDecision::Refuse { come_back } => {
-                    let come_back =
-                        come_back.and_then(|window| gw.return_after_overload(self, window, now));
+                    let come_back = come_back
+                        .and_then(|window| gw.return_after_overload(self, &inputs, window, now));
                     return Err(RefusalReason::Overloaded(come_back));
                 }
                 LoadDecision::Wait { .. } if gw.is_too_late_to_admit(self.route.kind, now) => {
@@ -217,7 +226,7 @@
             }
             let pause = match gw.is_first_waiting(&place, &self.service, now) {
                 true => {
-                    let room_in = self.time_until_room(gw, now);
+                    let room_in = self.time_until_room(gw, inputs.room_limit(), now);
                     let turn = self.turn(gw, room_in, &mut room_since, now).max(not_before);
                     if turn <= now.monotonic {
                         return Ok(WaitEnd::Room);
@@ -234,10 +243,10 @@
     }
 
     /// Returns how long it takes until there is room, if nothing changes.
-    fn time_until_room(&self, gw: &Gateway, now: Now) -> Duration {
+    fn time_until_room(&self, gw: &Gateway, limit: Duration, now: Now) -> Duration {
         let room = self.known_room(gw, &[], now);
         match (room.open, room.full) {
-            (Some(expected), _) => time_until_room(expected, self.route.latency_objective),
+            (Some(expected), _) => time_until_room(expected, limit),
             (None, Some(full)) => full.run / FULL_PAUSE_DIVISOR,
             // The attempt itself finds out why there is no upstream.
             (None, None) => Duration::ZERO,
--- a/src/gateway/admit/service_demand.rs
+++ b/src/gateway/admit/service_demand.rs
@@ -186,12 +186,13 @@
         demand.served.of(organisation, now) / demand.served.all.get(now).max(1.0)
     }
 
-    /// Returns how many requests a second this box has served lately.
-    pub fn served_per_second(&self, service: &str, now: Now) -> f64 {
-        let served = self
-            .services
-            .get(service)
-            .map(|demand| demand.served.all.get(now));
+    /// Returns how many requests a second this box has served lately, of one organisation or of
+    /// all.
+    pub fn served_per_second(&self, service: &str, organisation: Option<&str>, now: Now) -> f64 {
+        let served = self.services.get(service).map(|demand| match organisation {
+            Some(organisation) => demand.served.of(organisation, now),
+            None => demand.served.all.get(now),
+        });
         served.unwrap_or_default() * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
     }
 
