--- a/tests/gateway/refusals.rs
+++ b/tests/gateway/refusals.rs
@@ -3,8 +3,9 @@
 use super::cases;
 use gatepier::gateway::answer::refusal::{Execution, RefusalReason, response, status};
 use googletest::prelude::*;
+use std::time::Duration;
 
-const ALL: [RefusalReason; 12] = [
+const ALL: [RefusalReason; 13] = [
     RefusalReason::NoConfiguration,
     RefusalReason::Stale,
     RefusalReason::NoRoute,
@@ -14,10 +15,12 @@
     RefusalReason::ModelNamed,
     RefusalReason::NoUpstream,
     RefusalReason::Full,
+    RefusalReason::Overloaded(Some(RETURN)),
     RefusalReason::Stopping,
     RefusalReason::Deadline,
     RefusalReason::UpstreamFailed,
 ];
+const RETURN: Duration = Duration::from_millis(250);
 
 /// Status codes that guarantee that the request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -61,6 +64,17 @@
         }
     }
 
+    // Callers of an overloaded service come back when room is expected, and not where it is not.
+    refusal_under_load_says_when_to_come_back => {
+        let retry_after = |come_back| {
+            let response = response(RefusalReason::Overloaded(come_back), Execution::Never);
+            let value = response.headers().get("retry-after");
+            value.map(|value| value.to_str().unwrap().to_owned())
+        };
+        expect_that!(retry_after(Some(RETURN)), some(eq("0.250")));
+        expect_that!(retry_after(None), none());
+    }
+
     request_that_may_have_run_gets_no_retry_after => {
         for reason in ALL {
             let response = response(reason, Execution::Possible);
