--- a/src/gateway/admit/load_decision.rs
+++ b/src/gateway/admit/load_decision.rs
@@ -27,7 +27,8 @@
 /// of new callers that do not yield lie within as much.
 const YIELDED_ROOM_EIGHTHS: u32 = 3;
 
-/// A report older than this is no reason to refuse a request.
+/// A report older than this is no reason to refuse a request, nor one older than the expected wait:
+/// what was there then has been served.
 const MAX_TRUSTED_REPORT_AGE: Duration = Duration::from_secs(1);
 /// Slots are free where the expected queue is shorter than the time to run divided by this.
 const FREE_SLOTS_DIVISOR: u32 = 8;
@@ -122,12 +123,15 @@
     }
 }
 
+/// Returns whether a report still tells how full an upstream is.
+pub fn is_recent(expected: ExpectedWait) -> bool {
+    let longest = MAX_TRUSTED_REPORT_AGE.min(total(expected));
+    expected.report_age.is_some_and(|age| age <= longest)
+}
+
 /// Returns whether slots are free, or nothing recent is known.
 fn is_free(expected: ExpectedWait) -> bool {
-    let is_known = expected
-        .report_age
-        .is_some_and(|age| age <= MAX_TRUSTED_REPORT_AGE);
-    !is_known || expected.queue <= expected.run / FREE_SLOTS_DIVISOR
+    !is_recent(expected) || expected.queue <= expected.run / FREE_SLOTS_DIVISOR
 }
 
 /// Returns how long it takes until the expected wait fits a limit, if no other request takes the
--- a/src/gateway/admit/room.rs
+++ b/src/gateway/admit/room.rs
@@ -5,7 +5,8 @@
 //! `docs/design/waiting.md`.
 
 use super::load_decision::{
-    CallerHistory, LoadDecision, LoadInputs, ReturnWindow, Standing, decide, time_until_room,
+    CallerHistory, LoadDecision, LoadInputs, ReturnWindow, Standing, decide, is_recent,
+    time_until_room,
 };
 use super::request::AdmittedRequest;
 use super::service_demand::ServiceDemand;
@@ -28,6 +29,8 @@
 const PAUSE_WHERE_FULL: Duration = Duration::from_millis(15);
 /// A full upstream is looked at again after the time to run divided by this.
 const FULL_PAUSE_DIVISOR: u32 = 4;
+/// How often a stopping box sees whether a waiting request might outlast it.
+const MAX_PAUSE_WHILE_STOPPING: Duration = Duration::from_millis(100);
 /// The turns of boxes for the same room are spread over at most the objective divided by this.
 const MAX_SPREAD_DIVISOR: u32 = 8;
 
@@ -158,9 +161,6 @@
                         .and_then(|window| gw.return_after_overload(self, &inputs, window, now));
                     return Err(RefusalReason::Overloaded(come_back));
                 }
-                LoadDecision::Wait { .. } if gw.is_too_late_to_admit(self.route.kind, now) => {
-                    return Err(RefusalReason::Stopping);
-                }
                 LoadDecision::Wait { at_most } => at_most,
             };
             let waited = self.wait_in_queue(gw, &inputs, at_most, now).await;
@@ -224,6 +224,13 @@
             if left.is_zero() {
                 return Ok(WaitEnd::TimeOut);
             }
+            if gw.is_too_late_to_admit(self.route.kind, now) {
+                return Err(RefusalReason::Stopping);
+            }
+            let longest = match gw.is_stopping() {
+                true => MAX_PAUSE_WHILE_STOPPING,
+                false => left,
+            };
             let pause = match gw.is_first_waiting(&place, &self.service, now) {
                 true => {
                     let room_in = self.time_until_room(gw, inputs.room_limit(), now);
@@ -238,7 +245,7 @@
                     left
                 }
             };
-            place.woken(pause.min(left)).await;
+            place.woken(pause.min(left).min(longest)).await;
         }
     }
 
@@ -308,7 +315,8 @@
         for (upstream, wait) in gw.expected_waits(&self.service, &self.session_id, now) {
             let is_tried = tried.contains(upstream.incarnation());
             let occupancy = upstream.load_estimate(service_time, now).occupancy;
-            let shortest = match is_tried || upstream.is_full(occupancy) {
+            let is_full = is_recent(wait) && upstream.is_full(occupancy);
+            let shortest = match is_tried || is_full {
                 true if is_tried && !self.tries.was_refused() => continue,
                 true => &mut room.full,
                 false => &mut room.open,
--- a/tests/gateway/load_decision.rs
+++ b/tests/gateway/load_decision.rs
@@ -109,6 +109,13 @@
         expect_that!(decide(&returned_request(millis(115))), eq(LoadDecision::Send));
     }
 
+    // Where all boxes refuse, no answer brings a new report, and the queue has drained meanwhile.
+    reports_older_than_their_queue_are_no_reason_to_refuse => {
+        let drained = ExpectedWait { report_age: Some(millis(200)), ..wait_of(millis(150)) };
+        let inputs = LoadInputs { expected: Some(drained), ..new_request(RUN) };
+        expect_that!(decide(&inputs), eq(LoadDecision::Send));
+    }
+
     // Boxes that see the same room would otherwise all send, or all refuse, until the next report.
     limits_of_requests_are_spread => {
         let is_sent = |draw| {
