--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -1,5 +1,6 @@
 //! An admitted request, and its attempts at upstreams.
 
+use super::load_decision::CallerHistory;
 use super::prompt::Prompt;
 use super::routes::{Organisation, Route};
 use crate::clock::Now;
@@ -75,6 +76,8 @@
     pub prompt: Prompt,
     /// The id of the session, or the request's own id if it belongs to none.
     pub session_id: String,
+    /// Whether the caller was refused before, on routes to services under load.
+    pub caller: CallerHistory,
     /// Whether the caller leaves the choice of the model to the router.
     pub router_chooses_model: bool,
     /// The attempts so far, and what they prove.
@@ -308,7 +311,9 @@
         match choice.prefix_source {
             PrefixSource::Computed if choice.queue_wait.is_zero() => Some(all_tokens),
             // Large models read nearly all prompts behind a cached prefix.
-            PrefixSource::Cached if choice.queue_wait.is_zero() && gw.controls_load(&self.service) => {
+            PrefixSource::Cached
+                if choice.queue_wait.is_zero() && gw.controls_load(&self.service) =>
+            {
                 Some(all_tokens - self.prompt.shared_tokens as f64)
             }
             _ => None,
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -132,6 +132,7 @@
             let is_configured = |service: &str| routes.services.contains_key(service);
             gw.service_times.retain(is_configured);
         }
+        gw.telemetry.record_waiting(gw.waiting_for_room());
         gw.connections.close_stale(now);
         gw.sessions.borrow_mut().remove_expired(now);
     }
--- a/src/gateway/peers/load_reports.rs
+++ b/src/gateway/peers/load_reports.rs
@@ -149,6 +149,8 @@
                 report.apply_to(upstream, now);
             }
         }
+        drop(knowledge);
+        self.wake_all_waiting(now);
     }
 
     /// Returns the number of upstreams whose reports are sent between boxes.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,8 @@
 mod freshness;
 mod held_bytes;
 mod initial_sync;
+mod load_decision;
+mod load_patterns;
 mod load_reports;
 mod packing;
 mod peer_updates;
@@ -30,6 +32,7 @@
 mod shared_rates;
 mod streams;
 mod upstream_restarts;
+mod wait_queue;
 mod warm_up;
 
 use gatepier::clock::{Now, WallTime};
