--- a/src/gateway/admit/wait_queue.rs
+++ b/src/gateway/admit/wait_queue.rs
@@ -4,7 +4,7 @@
 //! time left. Waiting raises the urgency, so that nothing waits behind others for ever.
 //! See `docs/design/waiting.md`.
 
-use crate::clock::Now;
+use crate::clock::{Now, millis};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +15,7 @@
 /// The maximum total size of the bodies of waiting requests.
 pub const MAX_WAITING_BYTES: usize = 4 * 1024 * 1024;
 /// A request gains one level of urgency each time it has waited this long.
-const AGEING_TIME: Duration = Duration::from_millis(500);
+const AGEING_MS: u64 = 500;
 
 /// How urgent a request is; lower is more urgent. The organisation's priority is compared first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -31,7 +31,7 @@
     /// route's priority, and after these one of the organisation's.
     fn aged(self, waited: Duration) -> i64 {
         let level = i64::from(self.organisation) * (i64::from(u8::MAX) + 1) + i64::from(self.route);
-        let gained = waited.as_millis() / AGEING_TIME.as_millis();
+        let gained = millis(waited) / AGEING_MS;
         // Organisations' levels are far apart, so the gain doubles with each further wait.
         let gain = 1_i64 << gained.min(17) as u32;
         level - (gain - 1)
