Share the connection limit by requests in flight, and ask the kernel before writing

A box kept to a share that followed its requests only, so idle connections of two boxes could exceed the limit, and a connection whose end had arrived was used when its driver had not run yet. Each box may now have a connection for each request and an equal part of the rest, and the socket is asked for its end just before a request is written. Closes that were forgotten after 10 s left the safe rest too long; the shortest of 10 to 20 s counts.

--- a/src/gateway/attempt/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -21,6 +21,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::num::NonZeroU32;
 use std::rc::Rc;
@@ -47,6 +48,10 @@
 /// Maximum number of idle connections of a box under load control: some megabytes of buffers.
 const MAX_CONTROLLED_IDLE: usize = 256;
 
+/// How many connections a request that may not be repeated waits for, one after the other, while
+/// the box is too busy to use them in time.
+const MAX_CONFIRMATIONS: usize = 3;
+
 /// Whether an upstream is a model engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum UpstreamKind {
@@ -115,6 +120,8 @@
     ResetBeforeUse,
     /// The upstream has just done so with another one.
     JustReset,
+    /// The box was too busy to use a connection while it was known to be open.
+    Unconfirmed,
 }
 
 impl fmt::Display for NoConnection {
@@ -122,12 +129,24 @@
         match self {
             Self::Unreachable(err) => err.fmt(f),
             Self::ShareInUse => f.write_str("this box's share of the connection limit is in use"),
+            Self::Unconfirmed => f.write_str("no connection was confirmed in time"),
             Self::JustReset => f.write_str("the upstream has just reset a new connection"),
             Self::ResetBeforeUse => f.write_str("the connection was reset before it was used"),
         }
     }
 }
 
+/// How a request was lost with its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestLoss {
+    /// Nothing of it was written.
+    Unsent,
+    /// The connection broke this long after it was written.
+    Broken(Duration),
+    /// Nothing came back.
+    NoAnswer,
+}
+
 /// Why a request got no head of an answer.
 #[derive(Debug)]
 pub struct SendError {
@@ -142,6 +161,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    /// The same socket, to ask the kernel whether the upstream has closed it.
+    socket: socket2::Socket,
     ended: watch::Receiver<Option<Duration>>,
     idle_since: Duration,
     keep_time: Duration,
@@ -202,6 +223,14 @@
         self.sender.is_closed()
     }
 
+    /// Returns whether the kernel knows of no end of the connection, and of no data that follows an
+    /// answer. The driver learns of both only when it is scheduled.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = self.socket.peek(&mut byte);
+        peeked.is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Returns how long it had rested when the upstream ended it, if it did.
     pub fn rest_at_end(&self) -> Option<Duration> {
         let ended_at = (*self.ended.borrow())?;
@@ -346,34 +375,58 @@
         rules: ConnectionRules,
         now: Now,
     ) -> Result<Connection, NoConnection> {
-        let idle = match rules.is_repeatable {
-            true => known.take_for_repeatable(now),
-            false => known.take_for_single_run(now),
-        };
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => {
-                let demand = Demand::at(upstream, now);
-                let share = |limit| connection_limit::share(limit, self.fleet(), demand);
-                let share = rules.limit.map(share);
-                if !known.accepts_for_request(now) {
-                    return Err(NoConnection::JustReset);
-                }
-                if !known.make_room(share) {
-                    return Err(NoConnection::ShareInUse);
+        if rules.is_repeatable {
+            while let Some(connection) = known.take_for_repeatable(now) {
+                if connection.is_quiet() {
+                    return Ok(connection);
                 }
-                let opened = self.open_as(upstream, ConnectionOrigin::New, true).await;
-                opened.map_err(NoConnection::Unreachable)?
+                known.record_end(&connection, now);
             }
-        };
-        if !rules.is_repeatable {
+            return self.open_within_limit(upstream, known, rules, now).await;
+        }
+        known.record_single_run(now);
+        for _ in 0..MAX_CONFIRMATIONS {
+            let now = Now::read();
+            let mut connection = match known.take_for_single_run(now) {
+                Some(connection) => connection,
+                None => self.open_within_limit(upstream, known, rules, now).await?,
+            };
             let wait = known.settle_time_left(&connection, Now::read());
-            if connection.has_ended() || !connection.survives(wait).await {
-                known.record_end(&connection, Now::read());
+            let survived = !connection.has_ended() && connection.survives(wait).await;
+            let now = Now::read();
+            if !survived || !connection.is_quiet() {
+                known.record_end(&connection, now);
+                if connection.has_carried_answer() {
+                    continue;
+                }
                 return Err(NoConnection::ResetBeforeUse);
             }
+            // The wait may have ended late.
+            if known.is_confirmed(&connection, now) {
+                return Ok(connection);
+            }
         }
-        Ok(connection)
+        Err(NoConnection::Unconfirmed)
+    }
+
+    async fn open_within_limit(
+        &self,
+        upstream: &Upstream,
+        known: &UpstreamConnections,
+        rules: ConnectionRules,
+        now: Now,
+    ) -> Result<Connection, NoConnection> {
+        let demand = Demand::at(upstream, now);
+        let share = |limit| connection_limit::share(limit, self.fleet(), demand);
+        let share = rules.limit.map(share);
+        if !known.accepts_for_request(now) {
+            return Err(NoConnection::JustReset);
+        }
+        if !known.make_room(share) {
+            return Err(NoConnection::ShareInUse);
+        }
+        let opened = self.open_as(upstream, ConnectionOrigin::New, true).await;
+        opened.map_err(NoConnection::Unreachable)
     }
 
     /// Opens a new connection.
@@ -406,6 +459,7 @@
             ConnectionOrigin::New | ConnectionOrigin::Kept => ConnectionEvent::Opened,
         });
         set_socket_options(&stream, address);
+        let socket = socket2::SockRef::from(&stream).try_clone()?;
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
@@ -420,6 +474,7 @@
         Ok(Connection {
             sender,
             driver,
+            socket,
             ended,
             idle_since: now.monotonic,
             keep_time: IDLE_LIFETIME,
@@ -457,6 +512,10 @@
             false => MAX_IDLE_PER_UPSTREAM,
         };
         known.put_idle(connection, max_idle);
+        if let Some(limit) = known.limit().filter(|_| known.is_controlled()) {
+            let demand = Demand::at(upstream, now);
+            known.close_idle_beyond(connection_limit::share(limit, self.fleet(), demand));
+        }
     }
 
     /// Returns a connection to the pool after an answer.
@@ -476,10 +535,24 @@
         upstreams.values().map(|known| known.idle_count()).sum()
     }
 
-    /// Records that a connection broke after a request was written to it.
-    pub fn record_broken(&self, upstream: &Upstream, connection: &Connection, now: Now) {
-        if connection.is_controlled {
-            self.connections_to(upstream).record_end(connection, now);
+    /// Learns from a request that got no answer over a connection, which had rested for `rest` when
+    /// the request was written.
+    pub fn record_lost_request(
+        &self,
+        upstream: &Upstream,
+        connection: &Connection,
+        rest: Duration,
+        loss: RequestLoss,
+        now: Now,
+    ) {
+        let known = self.connections_to(upstream);
+        match loss {
+            RequestLoss::Unsent => known.record_end(connection, now),
+            // A connection that broke later had been accepted.
+            RequestLoss::Broken(since) if since > known.settle_time(now) => {}
+            RequestLoss::Broken(_) | RequestLoss::NoAnswer => {
+                known.record_lost_request(connection, rest, now);
+            }
         }
     }
 
--- a/src/gateway/attempt/connection_age.rs
+++ b/src/gateway/attempt/connection_age.rs
@@ -11,7 +11,8 @@
 
 /// Bounds on the settle time: below, timers are too coarse; above, a request loses too much time.
 const MIN_SETTLE: Duration = Duration::from_millis(4);
-const MAX_SETTLE: Duration = Duration::from_millis(40);
+/// Where an upstream has just reset a connection, this is the settle time of the next ones.
+pub const MAX_SETTLE: Duration = Duration::from_millis(40);
 /// The settle time as a multiple of the connect time, in addition to [`MIN_SETTLE`]: a reset takes
 /// one round trip and the time in which the upstream looks at the connection.
 const SETTLE_ROUND_TRIPS: u32 = 3;
@@ -33,7 +34,7 @@
 /// How far below the shortest rest at which a connection was closed a rest counts as safe, as a
 /// divisor.
 const SAFE_CLOSE_DIVISOR: u32 = 4;
-/// How long an early close is remembered.
+/// How long an early close is remembered at least, and at most twice as long.
 const EARLY_CLOSE_RETENTION: Duration = Duration::from_secs(10);
 
 /// How long a new connection to an upstream has to survive before it counts as accepted.
@@ -71,13 +72,39 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct RestTimes {
     keep_alive: Option<Duration>,
-    early_close: Option<EarlyClose>,
+    closes: ShortestClose,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct EarlyClose {
-    rest: Duration,
-    at: Duration,
+/// The shortest rest at which a connection was closed, of the current period and the one before.
+#[derive(Debug, Clone, Copy, Default)]
+struct ShortestClose {
+    period: u128,
+    current: Option<Duration>,
+    previous: Option<Duration>,
+}
+
+impl ShortestClose {
+    fn at(self, now: Now) -> Self {
+        let period = now.monotonic.as_nanos() / EARLY_CLOSE_RETENTION.as_nanos();
+        let (current, previous) = match period.saturating_sub(self.period) {
+            0 => (self.current, self.previous),
+            1 => (None, self.current),
+            _ => (None, None),
+        };
+        Self {
+            period: period.max(self.period),
+            current,
+            previous,
+        }
+    }
+
+    fn record(&mut self, rest: Duration) {
+        self.current = Some(self.current.map_or(rest, |known| known.min(rest)));
+    }
+
+    fn get(self) -> Option<Duration> {
+        self.current.into_iter().chain(self.previous).min()
+    }
 }
 
 impl RestTimes {
@@ -88,13 +115,8 @@
 
     /// Records that an upstream closed a connection after this rest.
     pub fn record_close(&mut self, rest: Duration, now: Now) {
-        let is_shortest = self.early_close(now).is_none_or(|known| rest <= known);
-        if is_shortest {
-            self.early_close = Some(EarlyClose {
-                rest,
-                at: now.monotonic,
-            });
-        }
+        self.closes = self.closes.at(now);
+        self.closes.record(rest);
     }
 
     /// Returns how long a connection is kept for requests that may be repeated.
@@ -105,7 +127,7 @@
     /// Returns the longest rest after which a request that may not be repeated is written.
     pub fn safe_rest(self, now: Now) -> Duration {
         let by_statement = (self.assumed_keep_alive() / SAFE_REST_DIVISOR).min(MAX_SAFE_REST);
-        match self.early_close(now) {
+        match self.closes.at(now).get() {
             Some(rest) => by_statement.min(rest / SAFE_CLOSE_DIVISOR),
             None => by_statement,
         }
@@ -114,12 +136,6 @@
     fn assumed_keep_alive(self) -> Duration {
         self.keep_alive.unwrap_or(ASSUMED_KEEP_ALIVE)
     }
-
-    fn early_close(self, now: Now) -> Option<Duration> {
-        let known = self.early_close?;
-        let age = now.monotonic.saturating_sub(known.at);
-        (age < EARLY_CLOSE_RETENTION).then_some(known.rest)
-    }
 }
 
 /// What is known of an open connection without a request.
--- a/src/gateway/attempt/connection_limit.rs
+++ b/src/gateway/attempt/connection_limit.rs
@@ -9,9 +9,6 @@
 use std::num::NonZeroU32;
 use std::time::Duration;
 
-/// The part of a limit that is divided equally, as a divisor: a box without requests may open
-/// connections at once, before the other boxes know of its demand.
-const EQUAL_PART_DIVISOR: u32 = 4;
 /// Maximum number of spare connections that a box holds to one upstream.
 const MAX_SPARE: u32 = 4;
 /// How many requests have to arrive for each spare connection while it stays usable, on average.
@@ -58,30 +55,26 @@
     }
 }
 
-/// Returns how many connections a box may open to an upstream for requests.
+/// Returns how many connections a box may have open to an upstream, idle ones included.
 ///
-/// One part of the limit is divided equally, the other by demand. As long as boxes agree on the
-/// demand and on their number, the shares add up to at most the limit. A box that hears no other
-/// box does not know the demand, so it uses an equal share of the whole limit.
+/// It may have one for each of its requests, and an equal part of what the requests of all boxes
+/// leave of the limit. If they need more than the limit, each box gets a part by its demand. As long
+/// as boxes agree on the demand and on their number, the shares add up to at most the limit. A box
+/// that hears no other box does not know the demand, so it uses an equal share of the limit.
 pub fn share(limit: NonZeroU32, fleet: Fleet, demand: Demand) -> u32 {
     let limit = limit.get();
     let boxes = fleet.boxes.max(1);
-    let equal_part = limit / EQUAL_PART_DIVISOR;
-    let demand_part = limit - equal_part;
     if boxes > 1 && !fleet.hears_others {
         return limit / boxes;
     }
-    let own = u64::from(demand.own);
-    let total = (own + u64::from(demand.others)).max(1);
-    let by_demand = u64::from(demand_part) * own / total;
-    equal_part / boxes + u32::try_from(by_demand).unwrap_or(demand_part)
-}
-
-/// Returns how many idle connections a box may hold to an upstream: an equal part of what the
-/// requests of all boxes leave of the limit, since boxes do not know each other's idle ones.
-pub fn idle_allowance(limit: NonZeroU32, fleet: Fleet, demand: Demand) -> u32 {
-    let in_use = demand.own.saturating_add(demand.others);
-    limit.get().saturating_sub(in_use) / fleet.boxes.max(1)
+    let total = u64::from(demand.own) + u64::from(demand.others);
+    match u64::from(limit).checked_sub(total) {
+        Some(left) => demand.own + u32::try_from(left / u64::from(boxes)).unwrap_or(0),
+        None => {
+            let part = u64::from(limit) * u64::from(demand.own) / total;
+            u32::try_from(part).unwrap_or(limit)
+        }
+    }
 }
 
 /// Returns whether a request may open a connection beside those that are already open.
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -4,7 +4,8 @@
 //! upstream's own statement or the proof that no byte was written. See `docs/design/platform.md`.
 
 use super::connect::{
-    Connection, ConnectionOrigin, ConnectionPool, ConnectionRules, NoConnection, http1_types,
+    Connection, ConnectionOrigin, ConnectionPool, ConnectionRules, NoConnection, RequestLoss,
+    http1_types,
 };
 use super::connection_age::parse_keep_alive;
 use super::headers::{HeaderNames, parse_load};
@@ -243,7 +244,8 @@
         Err(
             rejected @ (NoConnection::ShareInUse
             | NoConnection::ResetBeforeUse
-            | NoConnection::JustReset),
+            | NoConnection::JustReset
+            | NoConnection::Unconfirmed),
         ) => {
             let reason = NotRunReason::ConnectionRejected(rejected.to_string());
             (TryOutcome::NotRun(reason), None)
@@ -280,6 +282,8 @@
             Ok(req) => req,
             Err(reason) => return TryOutcome::NotRun(NotRunReason::NoConnection(reason)),
         };
+        let sent_at = Now::read();
+        let rest = connection.rest(sent_at);
         let answered = with_response_timeout(
             connections,
             upstream,
@@ -292,7 +296,13 @@
             Some(Ok(res)) => res,
             Some(Err(err)) => {
                 if options.connection.is_controlled {
-                    connections.record_broken(upstream, &connection, now);
+                    let loss = match err.is_unsent {
+                        true => RequestLoss::Unsent,
+                        false => {
+                            RequestLoss::Broken(now.monotonic.saturating_sub(sent_at.monotonic))
+                        }
+                    };
+                    connections.record_lost_request(upstream, &connection, rest, loss, now);
                     if err.is_unsent {
                         let reason = NotRunReason::ConnectionRejected(err.error.to_string());
                         return TryOutcome::NotRun(reason);
@@ -303,7 +313,13 @@
                 }
                 return TryOutcome::Unknown(UnknownReason::ConnectionBroken(err.error.to_string()));
             }
-            None => return TryOutcome::Unknown(UnknownReason::TimedOut),
+            None => {
+                if options.connection.is_controlled && connection.is_reused() {
+                    let loss = RequestLoss::NoAnswer;
+                    connections.record_lost_request(upstream, &connection, rest, loss, now);
+                }
+                return TryOutcome::Unknown(UnknownReason::TimedOut);
+            }
         };
         upstream.record_data_received(now);
         let (parts, body) = res.into_parts();
--- a/src/gateway/attempt/spare_connections.rs
+++ b/src/gateway/attempt/spare_connections.rs
@@ -1,7 +1,7 @@
 //! Opens connections ahead of need, and keeps the idle ones within this box's share of the limits.
 
 use super::connect::{ConnectionOrigin, ConnectionRules, UpstreamKind};
-use super::connection_limit::{Demand, Fleet, idle_allowance, share, spare_target};
+use super::connection_limit::{Demand, Fleet, share, spare_target};
 use super::upstream::Upstream;
 use super::upstream_connections::UpstreamConnections;
 use crate::clock::Now;
@@ -45,7 +45,7 @@
         let usable = known.usable_count(now);
         let target = spare_target(
             known.single_runs_per_second(now),
-            known.settle_time() + SPARE_INTERVAL,
+            known.settle_time(now) + SPARE_INTERVAL,
             known.safe_rest(now),
             usable.saturating_add(room(gw, &upstream, &known, now)),
         );
@@ -62,18 +62,13 @@
         && !upstream.with_listed(|listed| listed.draining)
 }
 
-/// Returns how many more idle connections the limit allows.
+/// Returns how many more connections the limit allows.
 fn room(gw: &Gateway, upstream: &Upstream, known: &UpstreamConnections, now: Now) -> u32 {
     let Some(limit) = known.limit() else {
         return u32::MAX;
     };
-    let (fleet, demand) = (gw.connections.fleet(), Demand::at(upstream, now));
-    let idle = u32::try_from(known.idle_count()).unwrap_or(u32::MAX);
-    let idle_room = idle_allowance(limit, fleet, demand).saturating_sub(idle);
-    let open = known.open_count().get();
-    share(limit, fleet, demand)
-        .saturating_sub(open)
-        .min(idle_room)
+    let share = share(limit, gw.connections.fleet(), Demand::at(upstream, now));
+    share.saturating_sub(known.open_count().get())
 }
 
 async fn open_ahead(gw: Rc<Gateway>, upstream: Rc<Upstream>, known: Rc<UpstreamConnections>) {
@@ -136,8 +131,7 @@
             if let (Some(limit), Some(upstream)) = (known.limit(), knowledge.upstream(&incarnation))
             {
                 let demand = Demand::at(upstream, now);
-                let allowance = idle_allowance(limit, self.connections.fleet(), demand);
-                known.close_idle_beyond(allowance);
+                known.close_idle_beyond(share(limit, self.connections.fleet(), demand));
             }
         }
     }
--- a/src/gateway/attempt/upstream_connections.rs
+++ b/src/gateway/attempt/upstream_connections.rs
@@ -1,7 +1,7 @@
 //! The idle connections to one upstream, and what was learned from those that ended.
 
 use super::connect::{Connection, ConnectionOrigin, ConnectionRules, UpstreamKind};
-use super::connection_age::{ConnectionState, RestTimes, SettleTime};
+use super::connection_age::{ConnectionState, MAX_SETTLE, RestTimes, SettleTime};
 use super::connection_limit::{RequestRate, may_open_for_request};
 use crate::clock::Now;
 use opentelemetry::KeyValue;
@@ -16,6 +16,8 @@
 const SPARE_PAUSE_AFTER_RESET: Duration = Duration::from_secs(1);
 /// How long none is opened for a request: some answers take as long, and make room.
 const PAUSE_AFTER_RESET: Duration = Duration::from_millis(40);
+/// How long new connections are given the longest settle time after the upstream reset one.
+const CAUTION_AFTER_RESET: Duration = Duration::from_secs(10);
 /// How long what was learned of an upstream is kept without a connection.
 const UNUSED_RETENTION: Duration = Duration::from_secs(60);
 
@@ -171,14 +173,35 @@
         self.rest_times.get().keep_time()
     }
 
-    /// Returns the settle time of new connections.
-    pub fn settle_time(&self) -> Duration {
-        self.settle.get().get()
+    /// Returns the settle time of connections. An upstream that has just reset one for want of room
+    /// is likely to reset the next, and may be slow to do so.
+    pub fn settle_time(&self, now: Now) -> Duration {
+        match self.was_reset_within(CAUTION_AFTER_RESET, now) {
+            true => MAX_SETTLE,
+            false => self.settle.get().get(),
+        }
+    }
+
+    /// Returns whether a request that may not be repeated may be written to a connection now.
+    pub fn is_confirmed(&self, connection: &Connection, now: Now) -> bool {
+        self.state(connection, now) == ConnectionState::Confirmed
+    }
+
+    fn state(&self, connection: &Connection, now: Now) -> ConnectionState {
+        let settle = match connection.has_carried_answer() {
+            // It holds its place among those that the upstream accepts.
+            true => self.settle.get().get(),
+            false => self.settle_time(now),
+        };
+        ConnectionState::after_rest(connection.rest(now), settle, self.safe_rest(now))
     }
 
     /// Returns how much longer a connection has to survive before it counts as confirmed.
     pub fn settle_time_left(&self, connection: &Connection, now: Now) -> Duration {
-        self.settle_time().saturating_sub(connection.rest(now))
+        match self.state(connection, now) {
+            ConnectionState::Settling(left) => left,
+            ConnectionState::Confirmed | ConnectionState::Rested => Duration::ZERO,
+        }
     }
 
     /// Returns the longest rest after which a request that may not be repeated is written.
@@ -186,6 +209,13 @@
         self.rest_times.get().safe_rest(now)
     }
 
+    /// Counts a request that may not be repeated.
+    pub fn record_single_run(&self, now: Now) {
+        let mut rate = self.single_run_rate.get();
+        rate.record(now);
+        self.single_run_rate.set(rate);
+    }
+
     /// Returns the rate of the requests that may not be repeated.
     pub fn single_runs_per_second(&self, now: Now) -> f64 {
         self.single_run_rate.get().per_second(now)
@@ -245,9 +275,6 @@
     /// be within the settle time. Of the confirmed ones it takes the oldest, so that all of them
     /// stay in use and none has to be replaced for its age.
     pub fn take_for_single_run(&self, now: Now) -> Option<Connection> {
-        let mut rate = self.single_run_rate.get();
-        rate.record(now);
-        self.single_run_rate.set(rate);
         self.drop_unusable(now);
         let states = self.states(now);
         let confirmed = |state: &ConnectionState| *state == ConnectionState::Confirmed;
@@ -270,11 +297,8 @@
     }
 
     fn states(&self, now: Now) -> Vec<ConnectionState> {
-        let (settle, safe_rest) = (self.settle_time(), self.safe_rest(now));
         let idle = self.idle.borrow();
-        let state = |connection: &Connection| {
-            ConnectionState::after_rest(connection.rest(now), settle, safe_rest)
-        };
+        let state = |connection| self.state(connection, now);
         idle.iter().map(state).collect()
     }
 
@@ -297,20 +321,22 @@
     /// that has rested longest.
     pub fn put_idle(&self, connection: Connection, max_idle: usize) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() >= max_idle && connection.is_controlled() {
-            drop(idle.remove(0));
-        }
-        if idle.len() < max_idle {
+        if connection.is_controlled() {
+            idle.push(connection);
+            let excess = idle.len().saturating_sub(max_idle);
+            idle.drain(..excess);
+        } else if idle.len() < max_idle {
             idle.push(connection);
         }
     }
 
-    /// Closes the oldest idle connections beyond a number.
-    pub fn close_idle_beyond(&self, allowance: u32) {
-        let allowance = usize::try_from(allowance).unwrap_or(usize::MAX);
+    /// Closes the oldest idle connections while more connections are open than a share.
+    pub fn close_idle_beyond(&self, share: u32) {
+        let excess = self.open.get().saturating_sub(share);
+        let excess = usize::try_from(excess).unwrap_or(usize::MAX);
         let mut idle = self.idle.borrow_mut();
-        let excess = idle.len().saturating_sub(allowance);
-        idle.drain(..excess);
+        let end = excess.min(idle.len());
+        idle.drain(..end);
     }
 
     /// Closes connections that were idle for too long.
@@ -337,7 +363,30 @@
         });
     }
 
-    /// Learns from a connection that the upstream ended, or that broke under a request.
+    /// Learns from a request that was written to a connection after this rest and lost with it: the
+    /// upstream had ended the connection, or forgotten it.
+    pub fn record_lost_request(&self, connection: &Connection, rest: Duration, now: Now) {
+        if connection.has_carried_answer() {
+            self.record_close(rest, now);
+        } else {
+            self.record_reset(rest, now);
+        }
+    }
+
+    fn record_close(&self, rest: Duration, now: Now) {
+        let mut rest_times = self.rest_times.get();
+        rest_times.record_close(rest, now);
+        self.rest_times.set(rest_times);
+    }
+
+    fn record_reset(&self, age: Duration, now: Now) {
+        let mut settle = self.settle.get();
+        settle.record_reset(age);
+        self.settle.set(settle);
+        self.last_reset.set(Some(now.monotonic));
+    }
+
+    /// Learns from a connection that the upstream ended without a request.
     pub fn record_end(&self, connection: &Connection, now: Now) {
         if !connection.is_controlled() {
             return;
@@ -346,15 +395,10 @@
             .rest_at_end()
             .unwrap_or_else(|| connection.rest(now));
         if connection.has_carried_answer() {
-            let mut rest_times = self.rest_times.get();
-            rest_times.record_close(rest, now);
-            self.rest_times.set(rest_times);
-            return;
+            self.record_close(rest, now);
+        } else {
+            self.record_reset(rest, now);
+            self.count(ConnectionEvent::ResetBeforeUse);
         }
-        let mut settle = self.settle.get();
-        settle.record_reset(rest);
-        self.settle.set(settle);
-        self.count(ConnectionEvent::ResetBeforeUse);
-        self.last_reset.set(Some(now.monotonic));
     }
 }
--- a/tests/gateway/connection_age.rs
+++ b/tests/gateway/connection_age.rs
@@ -63,6 +63,16 @@
         expect_that!(rest.safe_rest(at(60_000)), eq(ms(100)));
     }
 
+    // Otherwise the first close after the shortest one was forgotten would stand for all.
+    shortest_close_of_continuous_closes_is_never_forgotten => {
+        let mut rest = RestTimes::default();
+        for tick in 0..600 {
+            let is_short = tick % 50 == 0;
+            rest.record_close(if is_short { ms(60) } else { ms(900) }, at(tick * 100));
+            expect_that!(rest.safe_rest(at(tick * 100 + 50)), eq(ms(15)));
+        }
+    }
+
     connection_settles_then_is_confirmed_then_rests => {
         let state = |rest| ConnectionState::after_rest(ms(rest), ms(5), ms(100));
         expect_that!(state(0), eq(ConnectionState::Settling(ms(5))));
