--- a/src/gateway/answer/held_bytes.rs
+++ b/src/gateway/answer/held_bytes.rs
@@ -18,9 +18,12 @@
 const BUDGET_DIVISOR: u64 = 2;
 /// The divisor of the memory limit that gives the rest where the process needs nearly all of it.
 const MIN_REST_DIVISOR: u64 = 4;
-/// The part of the budget from which the room is tight, in percent. The rest is for what cannot
-/// pause: requests that arrive.
+/// The part of the budget from which the room is tight, in percent. The rest is for requests that
+/// need little.
 const TIGHT_PERCENT: u64 = 75;
+/// A request body over this many bytes is large: it is only held while the room is not tight, so
+/// that an upstream that reads slowly cannot take the room of all other requests.
+const LARGE_BODY_BYTES: u64 = 64 * 1024;
 /// How long a request must have waited for its caller before it may have to yield: longer than a
 /// lost packet takes to be sent again.
 pub const MIN_STALL: Duration = Duration::from_secs(1);
@@ -69,6 +72,25 @@
     Exhausted,
 }
 
+/// The share of the budget that a request may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BudgetShare {
+    /// All of it.
+    Whole,
+    /// Only what is left until the room is tight.
+    UntilTight,
+}
+
+impl BudgetShare {
+    /// Returns the share for this many bytes of a kind.
+    pub fn of(kind: HeldKind, bytes: u64) -> Self {
+        match kind == HeldKind::RequestBody && bytes > LARGE_BODY_BYTES {
+            true => Self::UntilTight,
+            false => Self::Whole,
+        }
+    }
+}
+
 /// The urgency of a request: the priority of its organisation, then that of its route; 0 is the
 /// most urgent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
@@ -177,17 +199,26 @@
 
     /// Returns how much room is left.
     pub fn room(&self) -> MemoryRoom {
-        // Computed in u128, since the budget may be any number.
-        let (total, budget) = (u128::from(self.total()), u128::from(self.budget));
-        if total >= budget {
+        if self.total() >= self.budget {
             MemoryRoom::Exhausted
-        } else if total * 100 >= budget * u128::from(TIGHT_PERCENT) {
+        } else if self.total() >= self.limit(BudgetShare::UntilTight) {
             MemoryRoom::Tight
         } else {
             MemoryRoom::Free
         }
     }
 
+    /// Returns how many bytes may be held in all after a share of the budget was used.
+    fn limit(&self, share: BudgetShare) -> u64 {
+        match share {
+            BudgetShare::Whole => self.budget,
+            // Divided first, since the budget may be any number.
+            BudgetShare::UntilTight => {
+                self.budget / 100 * TIGHT_PERCENT + self.budget % 100 * TIGHT_PERCENT / 100
+            }
+        }
+    }
+
     /// Opens the account of a request, which holds nothing yet.
     pub fn open(&mut self, request_id: &str) -> AccountId {
         let id = AccountId(self.next_id);
@@ -214,12 +245,12 @@
     /// Sets how many bytes of a kind are held for a request. Less is always possible; more only
     /// within the budget, otherwise nothing changes.
     pub fn resize(&mut self, id: AccountId, kind: HeldKind, bytes: u64) -> Result<(), NoRoom> {
-        let (total, budget) = (self.total(), self.budget);
+        let (total, limit) = (self.total(), self.limit(BudgetShare::of(kind, bytes)));
         let account = self.accounts.get_mut(&id).ok_or(NoRoom)?;
         let before = account.held[kind as usize];
         let fits = (total - before)
             .checked_add(bytes)
-            .is_some_and(|sum| sum <= budget);
+            .is_some_and(|sum| sum <= limit);
         if bytes > before && !fits {
             return Err(NoRoom);
         }
@@ -255,8 +286,8 @@
 
     /// Chooses the requests that have to yield so that this many more bytes fit; none if they fit
     /// already, or once those chosen before are closed, or if too few can yield.
-    pub fn make_room(&mut self, bytes: u64, now: Now) -> Vec<YieldingRequest> {
-        let mut excess = self.excess(bytes);
+    pub fn make_room(&mut self, bytes: u64, share: BudgetShare, now: Now) -> Vec<YieldingRequest> {
+        let mut excess = self.excess(bytes, share);
         if excess == 0 {
             return Vec::new();
         }
@@ -277,16 +308,18 @@
     }
 
     /// Returns whether this many more bytes fit once all requests that have to yield are closed.
-    pub fn will_fit(&self, bytes: u64) -> bool {
-        self.excess(bytes) == 0
+    pub fn will_fit(&self, bytes: u64, share: BudgetShare) -> bool {
+        self.excess(bytes, share) == 0
     }
 
-    /// Returns how far this many more bytes would exceed the budget once all requests that have to
-    /// yield are closed.
-    fn excess(&self, bytes: u64) -> u64 {
+    /// Returns how far this many more bytes would exceed a share of the budget once all requests that
+    /// have to yield are closed.
+    fn excess(&self, bytes: u64, share: BudgetShare) -> u64 {
         let yielding = self.accounts.values().filter(|account| account.is_yielding);
         let staying = self.total() - yielding.map(Account::total).sum::<u64>();
-        staying.saturating_add(bytes).saturating_sub(self.budget)
+        staying
+            .saturating_add(bytes)
+            .saturating_sub(self.limit(share))
     }
 
     fn stalled(&self, now: Now) -> Vec<(HolderUrgency, YieldingRequest)> {
--- a/src/gateway/answer/held_memory.rs
+++ b/src/gateway/answer/held_memory.rs
@@ -4,7 +4,8 @@
 //! [`super::held_bytes`] decides. See `docs/design/slow-readers.md`.
 
 use super::held_bytes::{
-    AccountId, HeldBytes, HeldKind, HolderUrgency, MemoryRoom, NoRoom, YieldingRequest, budget,
+    AccountId, BudgetShare, HeldBytes, HeldKind, HolderUrgency, MemoryRoom, NoRoom,
+    YieldingRequest, budget,
 };
 use crate::clock::Now;
 use crate::gateway::settings::GatewaySettings;
@@ -56,6 +57,37 @@
     held: RefCell<HeldBytes>,
     cuts: RefCell<HashMap<AccountId, Rc<ConnectionCut>>>,
     freed: Notify,
+    /// The bytes that requests wait for.
+    waiting: Cell<u64>,
+}
+
+/// What a request waits for that needs room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WaitFor {
+    /// Room that requests which have to yield are about to leave.
+    YieldingRequests,
+    /// Any room.
+    AnyRoom,
+}
+
+/// Counts bytes that a request waits for until it is dropped.
+struct WaitingBytes<'a> {
+    sum: &'a Cell<u64>,
+    bytes: u64,
+}
+
+impl<'a> WaitingBytes<'a> {
+    fn new(sum: &'a Cell<u64>, bytes: u64) -> Self {
+        let bytes = bytes.min(u64::MAX - sum.get());
+        sum.set(sum.get() + bytes);
+        Self { sum, bytes }
+    }
+}
+
+impl Drop for WaitingBytes<'_> {
+    fn drop(&mut self) {
+        self.sum.set(self.sum.get() - self.bytes);
+    }
 }
 
 impl HeldMemory {
@@ -159,17 +191,8 @@
         if open.resize(kind, bytes).is_ok() {
             return Ok(());
         }
-        if !open.make_room(kind, bytes) {
-            return Err(NoRoom);
-        }
-        let held = async {
-            while open.resize(kind, bytes).is_err() {
-                open.memory.freed.notified().await;
-            }
-        };
-        timeout(MAX_YIELD_WAIT, held)
-            .await
-            .map_err(|_elapsed| NoRoom)
+        let held = open.wait_for_room(kind, bytes, WaitFor::YieldingRequests);
+        timeout(MAX_YIELD_WAIT, held).await.unwrap_or(Err(NoRoom))
     }
 
     /// Sets how many bytes of a kind are held, if there is room now.
@@ -189,14 +212,8 @@
         if open.resize(HeldKind::RelayedPiece, bytes).is_ok() {
             return Ok(());
         }
-        let held = async {
-            while open.resize(HeldKind::RelayedPiece, bytes).is_err() {
-                open.make_room(HeldKind::RelayedPiece, bytes);
-                // Either something was freed, or more requests are stalled by now.
-                let _ = timeout(ROOM_CHECK_INTERVAL, open.memory.freed.notified()).await;
-            }
-        };
-        timeout(MAX_PAUSE, held).await.map_err(|_elapsed| NoRoom)
+        let held = open.wait_for_room(HeldKind::RelayedPiece, bytes, WaitFor::AnyRoom);
+        timeout(MAX_PAUSE, held).await.unwrap_or(Err(NoRoom))
     }
 
     /// Records that the request waits for its caller from now on.
@@ -221,15 +238,45 @@
         self.memory.held.borrow_mut().resize(self.id, kind, bytes)
     }
 
-    /// Lets go stalled requests until this many bytes of a kind fit; returns whether they will.
-    fn make_room(&self, kind: HeldKind, bytes: u64) -> bool {
+    /// Returns how many bytes have to be held beyond those of the kind that are held already.
+    fn lacking(&self, kind: HeldKind, bytes: u64) -> u64 {
+        let held = self.memory.held.borrow().held_by(self.id, kind);
+        bytes.saturating_sub(held)
+    }
+
+    /// Waits until this many bytes of a kind are held.
+    async fn wait_for_room(
+        &self,
+        kind: HeldKind,
+        bytes: u64,
+        wait_for: WaitFor,
+    ) -> Result<(), NoRoom> {
+        let lacking = self.lacking(kind, bytes);
+        while self.resize(kind, bytes).is_err() {
+            if !self.make_room(lacking, BudgetShare::of(kind, bytes))
+                && wait_for == WaitFor::YieldingRequests
+            {
+                return Err(NoRoom);
+            }
+            let _waiting = WaitingBytes::new(&self.memory.waiting, lacking);
+            // Either something was freed, or more requests are stalled by now.
+            let _ = timeout(ROOM_CHECK_INTERVAL, self.memory.freed.notified()).await;
+        }
+        // What was freed may have been enough for another request too.
+        self.memory.freed.notify_one();
+        Ok(())
+    }
+
+    /// Lets go stalled requests until this many more bytes fit beside those that other requests
+    /// wait for; returns whether they will.
+    fn make_room(&self, more: u64, share: BudgetShare) -> bool {
+        let needed = more.saturating_add(self.memory.waiting.get());
         let mut held = self.memory.held.borrow_mut();
-        let more = bytes.saturating_sub(held.held_by(self.id, kind));
-        for request in held.make_room(more, Now::read()) {
+        for request in held.make_room(needed, share, Now::read()) {
             self.telemetry.record_let_go(&request, held.budget());
             self.memory.let_go(&request);
         }
-        held.will_fit(more)
+        held.will_fit(needed, share)
     }
 }
 
