--- a/src/gateway/peers/engine_speeds.rs
+++ b/src/gateway/peers/engine_speeds.rs
@@ -7,6 +7,7 @@
 use super::gossip_targets::{GOSSIP_INTERVAL, GossipTargets};
 use crate::clock::Now;
 use crate::gateway::Gateway;
+use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::place::engine_speed::MeasuredSpeed;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -14,16 +15,26 @@
 
 /// The most reports in a datagram, and in a round, so that the bytes a second are bounded; if there
 /// are more, they are sent in turn.
-const MAX_REPORTS: usize = 150;
+pub const MAX_REPORTS: usize = 150;
 
 /// What one box has measured of one engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SpeedReport {
-    /// [`Upstream::short_hash`](crate::gateway::attempt::upstream::Upstream::short_hash).
+    /// [`Upstream::short_hash`].
     upstream: u32,
     measured: MeasuredSpeed,
 }
 
+impl SpeedReport {
+    /// Returns what this box has measured of an engine; `None` if there is nothing to tell.
+    pub fn of(upstream: &Upstream, now: Now) -> Option<Self> {
+        Some(Self {
+            upstream: upstream.short_hash(),
+            measured: upstream.speed().measured(now)?,
+        })
+    }
+}
+
 impl Gateway {
     /// Applies another box's measurements.
     pub fn apply_speed_reports(&self, reports: &[SpeedReport], now: Now) {
@@ -40,13 +51,10 @@
     /// Returns this box's measurements that are to be sent in a round.
     fn speed_reports(&self, round: usize, now: Now) -> Vec<SpeedReport> {
         let knowledge = self.knowledge.borrow();
-        let report = |upstream: &std::rc::Rc<crate::gateway::attempt::upstream::Upstream>| {
-            Some(SpeedReport {
-                upstream: upstream.short_hash(),
-                measured: upstream.speed().measured(now)?,
-            })
-        };
-        let mut reports: Vec<SpeedReport> = knowledge.upstreams().filter_map(report).collect();
+        let mut reports: Vec<SpeedReport> = knowledge
+            .upstreams()
+            .filter_map(|upstream| SpeedReport::of(upstream, now))
+            .collect();
         if reports.len() > MAX_REPORTS {
             let start = round.wrapping_mul(MAX_REPORTS) % reports.len();
             reports.rotate_left(start);
--- a/tests/gateway/engine_speed.rs
+++ b/tests/gateway/engine_speed.rs
@@ -3,6 +3,8 @@
 use super::{at, cases, listed};
 use gatepier::gateway::attempt::headers::parse_load;
 use gatepier::gateway::attempt::upstream::Upstream;
+use gatepier::gateway::peers::datagram;
+use gatepier::gateway::peers::engine_speeds::{MAX_REPORTS, SpeedReport};
 use gatepier::gateway::place::engine_speed::{EngineSpeed, SPEED_BOUNDS, SpeedBelief, SpeedSource};
 use gatepier::gateway::place::event_pace::EventPaces;
 use gatepier::gateway::place::prefill_rate::{PrefillModel, PrefillRates};
@@ -109,6 +111,18 @@
         expect_that!(learner.measured(at(0)), none());
     }
 
+    measurements_of_a_round_fit_one_packet => {
+        // 4 kB a second with a round each 0.3 s, regardless of the number of boxes.
+        let reports: Vec<SpeedReport> = (0..MAX_REPORTS)
+            .map(|number| {
+                let upstream = Upstream::new(listed(&format!("i-{number}"), "engine", "ikeja"));
+                upstream.speed().record(0.5, at(0));
+                SpeedReport::of(&upstream, at(0)).unwrap()
+            })
+            .collect();
+        expect_that!(datagram::encode(&reports).unwrap().len(), le(1200));
+    }
+
     old_measurements_are_not_sent => {
         let speed = speed_after(&[0.5]);
         expect_that!(speed.measured(at(0)), some(anything()));
