Findings of the review: idle placement, kept requests, returns, connections, memory

Faults found by reading, each mended: an idle fleet sent a request to the last candidate whatever it cost; a repeatable request whose first run broke was refused, though its caller could not return; shared rates counted where load is not controlled; one huge report switched a queue limit off; a request that left the queue kept the signal; relayed answers did not count as served; a kept connection counted as safe beyond the rest at which closes are known; a close of an idle spare counted as a reset for want of room; probes were taken for rested connections.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -234,10 +234,7 @@
     /// Returns how long an engine of a service takes to prefill this many prompt tokens for a
     /// model.
     pub fn prompt_prefill_time(&self, service: &str, model: Option<&str>, tokens: f64) -> Duration {
-        if let Some(time) = self
-            .rate_samples
-            .prefill_time(model.unwrap_or_default(), tokens)
-        {
+        if let Some(time) = self.shared_prefill_time(service, model, tokens) {
             return time;
         }
         self.with_model_pace(service, model, |pace| {
@@ -245,6 +242,19 @@
         })
     }
 
+    /// Returns the prefill time by the measurements of all boxes, where load is controlled.
+    fn shared_prefill_time(
+        &self,
+        service: &str,
+        model: Option<&str>,
+        tokens: f64,
+    ) -> Option<Duration> {
+        let time = self
+            .rate_samples
+            .prefill_time(model.unwrap_or_default(), tokens);
+        time.filter(|_| self.controls_load(service))
+    }
+
     /// Returns whether a model is the most expensive one of its service, or the only one.
     pub fn is_most_expensive(&self, service: &str, model: Option<&str>) -> bool {
         self.with_model_pace(service, model, |pace| pace.price_part >= 1.0)
@@ -267,7 +277,7 @@
         tokens: f64,
         took: Duration,
     ) -> Option<f64> {
-        if let Some(expected) = self.rate_samples.prefill_time(model, tokens) {
+        if let Some(expected) = self.shared_prefill_time(service, Some(model), tokens) {
             return prefill_rate::speed_of(expected, took);
         }
         self.with_model_pace(service, Some(model), |pace| {
--- a/src/gateway/admit/load_decision.rs
+++ b/src/gateway/admit/load_decision.rs
@@ -233,7 +233,7 @@
         };
         let drawn = spread / (u32::from(u8::MAX) + 1) * u32::from(self.draw);
         let yielded = self.objective / 8 * YIELDED_ROOM_EIGHTHS * yields;
-        objective.saturating_sub(unused + drawn + yielded)
+        objective.saturating_sub(unused.saturating_add(drawn).saturating_add(yielded))
     }
 
     fn fits_objective(&self, expected: ExpectedWait) -> bool {
--- a/src/gateway/admit/room.rs
+++ b/src/gateway/admit/room.rs
@@ -114,15 +114,15 @@
     }
 
     /// Returns when a refused caller should come back: callers return one after the other, at the
-    /// pace at which this box gets room. Those of an organisation over its share get none of the
-    /// others' room.
+    /// pace at which this box gets room, and those for whom there is no turn at any time that they
+    /// can wait. Those of an organisation over its share get none of the others' room.
     fn return_after_overload(
         &self,
         request: &AdmittedRequest,
         inputs: &LoadInputs,
         window: ReturnWindow,
         now: Now,
-    ) -> Option<Duration> {
+    ) -> Duration {
         let service = request.service.as_str();
         let is_over_share = inputs.standing.is_over_share;
         let organisation = is_over_share.then(|| request.organisation_name());
@@ -138,7 +138,9 @@
             None => service.to_owned(),
         };
         let mut returns = self.room.returns.borrow_mut();
-        returns.assign_within(&schedule, earliest, window.latest, interval, now)
+        let paced = returns.assign_within(&schedule, earliest, window.latest, interval, now);
+        // Callers without a time to return would repeat the request at once.
+        paced.unwrap_or_else(|| window.earliest + span.mul_f64(request.hash_fraction()))
     }
 }
 
@@ -158,7 +160,7 @@
                 LoadDecision::Send => return Ok(()),
                 LoadDecision::Refuse { come_back } => {
                     let come_back = come_back
-                        .and_then(|window| gw.return_after_overload(self, &inputs, window, now));
+                        .map(|window| gw.return_after_overload(self, &inputs, window, now));
                     return Err(RefusalReason::Overloaded(come_back));
                 }
                 LoadDecision::Wait { at_most } => at_most,
@@ -216,7 +218,13 @@
             false => now.monotonic,
         };
         let place = WaitingPlace::take(&gw.room.queue, self.waiter(inputs, now), now);
-        let place = place.ok_or(RefusalReason::Overloaded(None))?;
+        let Some(place) = place else {
+            // Without a place in the queue, only a request that upstreams would reject is refused.
+            return match inputs.is_full_everywhere {
+                true => Err(RefusalReason::Overloaded(None)),
+                false => Ok(WaitEnd::Room),
+            };
+        };
         let mut room_since = None;
         loop {
             let now = Now::read();
@@ -337,7 +345,11 @@
             objective: self.route.latency_objective,
             objective_left: self.objective_left(now),
             deadline_left: self.time_left(now),
-            caller: self.caller,
+            caller: match self.tries.ran() {
+                // A refusal would be no proof that it did not run, so the caller could not return.
+                Execution::Possible => CallerHistory::Returned,
+                Execution::Never => self.caller,
+            },
             draw: (stable_hash(&self.fingerprint.to_string()) & 0xff) as u8,
             standing: Standing::default(),
         };
--- a/src/gateway/admit/wait_queue.rs
+++ b/src/gateway/admit/wait_queue.rs
@@ -124,10 +124,17 @@
 
     /// Removes a request that waits no longer.
     pub fn leave(&mut self, id: WaiterId) {
-        if let Some(index) = self.entries.iter().position(|entry| entry.id == id) {
-            let entry = self.entries.swap_remove(index);
-            self.bytes -= entry.bytes;
-            self.groups[entry.group].waiting -= 1;
+        let Some(index) = self.entries.iter().position(|entry| entry.id == id) else {
+            return;
+        };
+        let entry = self.entries.swap_remove(index);
+        self.bytes -= entry.bytes;
+        self.groups[entry.group].waiting -= 1;
+        // Any other request of the service passes the signal on to the first.
+        let service = &self.groups[entry.group].service;
+        let is_same = |other: &&Entry| &self.groups[other.group].service == service;
+        if let Some(other) = self.entries.iter().find(is_same) {
+            other.signal.notify_one();
         }
     }
 
--- a/src/gateway/answer/piece_relay.rs
+++ b/src/gateway/answer/piece_relay.rs
@@ -136,6 +136,7 @@
         }
         if let Some(answer) = self.answer.take() {
             answer.finish(&self.gw.connections, now);
+            self.gw.record_served(&self.request, now);
         }
     }
 }
--- a/src/gateway/attempt/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -162,8 +162,9 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
-    /// The same socket, to ask the kernel whether the upstream has closed it.
-    socket: socket2::Socket,
+    /// The same socket, to ask the kernel whether the upstream has closed it; only where load is
+    /// controlled, since it is one more descriptor.
+    socket: Option<socket2::Socket>,
     ended: watch::Receiver<Option<Duration>>,
     idle_since: Duration,
     keep_time: Duration,
@@ -227,8 +228,11 @@
     /// Returns whether the kernel knows of no end of the connection, and of no data that follows an
     /// answer. The driver learns of both only when it is scheduled.
     pub fn is_quiet(&self) -> bool {
+        let Some(socket) = &self.socket else {
+            return !self.has_ended();
+        };
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = self.socket.peek(&mut byte);
+        let peeked = socket.peek(&mut byte);
         peeked.is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock)
     }
 
@@ -322,6 +326,12 @@
         self.fleet.get()
     }
 
+    /// Returns whether connections to any upstream under load control were used recently.
+    pub fn has_controlled(&self) -> bool {
+        let upstreams = self.upstreams.borrow();
+        upstreams.values().any(|known| known.is_controlled())
+    }
+
     /// Returns the connections to upstreams under load control that were used recently.
     pub fn controlled(&self) -> Vec<(UpstreamLife, Rc<UpstreamConnections>)> {
         let upstreams = self.upstreams.borrow();
@@ -473,7 +483,8 @@
             set_receive_buffer(&stream, address);
             builder.max_buf_size(UPSTREAM_BUFFER_BYTES);
         }
-        let socket = socket2::SockRef::from(&stream).try_clone()?;
+        let duplicate = || socket2::SockRef::from(&stream).try_clone();
+        let socket = known.is_controlled().then(duplicate).transpose()?;
         let (sender, connection) = builder
             .handshake(TokioIo::new(stream))
             .await
@@ -513,8 +524,14 @@
             return;
         }
         let known = self.connections_to(upstream);
-        connection.idle_since = now.monotonic;
-        let max_idle = match connection.is_controlled {
+        connection.idle_since = match known.is_controlled() {
+            // A probe passes the time at which it began.
+            true => connection.idle_since.max(now.monotonic),
+            false => now.monotonic,
+        };
+        // A box sends to the same engine too rarely for its connections to be worth their memory.
+        let is_kept_longer = connection.is_controlled && known.kind() == UpstreamKind::Plain;
+        let max_idle = match is_kept_longer {
             true => {
                 known.record_keep_alive(keep_alive);
                 connection.keep_time = known.keep_time();
--- a/src/gateway/attempt/load_report.rs
+++ b/src/gateway/attempt/load_report.rs
@@ -93,8 +93,9 @@
             own_outstanding,
         };
         self.update_usual_load(report);
-        if self.queue_limit.is_some_and(|limit| limit < load.waiting) {
-            self.queue_limit = Some(load.waiting);
+        let queued = queue_length(report.occupancy, slots);
+        if self.queue_limit.is_some_and(|limit| limit < queued) {
+            self.queue_limit = Some(queued);
         }
         self.newest = Some(report);
         true
@@ -118,7 +119,7 @@
             age < REJECTION_REPORT_AGE && known.occupancy >= f64::from(slots)
         };
         if let Some(stated) = self.newest.filter(states_rejection) {
-            self.queue_limit = Some(stated.load.waiting);
+            self.queue_limit = Some(queue_length(stated.occupancy, slots));
             return;
         }
         let load = ReportedLoad {
@@ -194,6 +195,11 @@
     }
 }
 
+/// Returns how many requests wait beyond the slots of the registry.
+fn queue_length(occupancy: f64, slots: u32) -> u32 {
+    (occupancy - f64::from(slots)).max(0.0) as u32
+}
+
 /// Returns how many requests a report places at an upstream. More requests may be stated as running
 /// than there are slots, or any number at all.
 fn plausible_occupancy(load: ReportedLoad, slots: u32) -> f64 {
--- a/src/gateway/attempt/spare_connections.rs
+++ b/src/gateway/attempt/spare_connections.rs
@@ -12,6 +12,8 @@
 
 /// Time between two checks for spare connections; a fraction of the time for which one is usable.
 const SPARE_INTERVAL: Duration = Duration::from_millis(25);
+/// Time between two checks whether load is controlled anywhere.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of these checks from one check of the idle connections to the next one: boxes learn of
 /// each other's demand about as often.
 const SPARE_CHECKS_PER_IDLE_CHECK: u32 = 8;
@@ -22,6 +24,10 @@
 /// Keeps connections ready; runs for the lifetime of the process.
 pub async fn keep_spare_connections(gw: Rc<Gateway>) {
     loop {
+        if !gw.connections.has_controlled() {
+            sleep(IDLE_CHECK_INTERVAL).await;
+            continue;
+        }
         gw.close_excess_idle(Now::read());
         for _ in 0..SPARE_CHECKS_PER_IDLE_CHECK {
             sleep(SPARE_INTERVAL).await;
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -293,18 +293,21 @@
         if load.work_time_percent.is_some() {
             self.states_work_time.set(true);
         }
-        self.set_last_shared_report(LastShared {
-            load,
-            at: now.monotonic,
-        });
-        self.add_to_load_history(load, as_of);
+        if self.add_to_load_history(load, as_of) {
+            self.set_last_shared_report(LastShared {
+                load,
+                at: now.monotonic,
+            });
+        }
     }
 
-    fn add_to_load_history(&self, load: ReportedLoad, as_of: Duration) {
+    /// Adds a report to what is known of the load; returns whether it is the newest one.
+    fn add_to_load_history(&self, load: ReportedLoad, as_of: Duration) -> bool {
         let slots = self.listed.borrow().slots;
         let mut history = self.load_history.get();
-        history.record(load, slots, as_of, self.outstanding());
+        let is_newest = history.record(load, slots, as_of, self.outstanding());
         self.load_history.set(history);
+        is_newest
     }
 
     /// Records that the upstream rejected a request because it was full.
--- a/src/gateway/attempt/upstream_connections.rs
+++ b/src/gateway/attempt/upstream_connections.rs
@@ -188,12 +188,17 @@
     }
 
     fn state(&self, connection: &Connection, now: Now) -> ConnectionState {
-        let settle = match connection.has_carried_answer() {
-            // It holds its place among those that the upstream accepts.
-            true => self.settle.get().get(),
-            false => self.settle_time(now),
-        };
-        ConnectionState::after_rest(connection.rest(now), settle, self.safe_rest(now))
+        let (rest, safe_rest) = (connection.rest(now), self.safe_rest(now));
+        if !connection.has_carried_answer() {
+            return ConnectionState::after_rest(rest, self.settle_time(now), safe_rest);
+        }
+        // It holds its place among those that the upstream accepts, but the upstream may close it at
+        // any time after the safe rest, however long it takes to settle.
+        let settle = self.settle.get().get();
+        match rest > safe_rest || settle > safe_rest {
+            true => ConnectionState::Rested,
+            false => ConnectionState::after_rest(rest, settle, safe_rest),
+        }
     }
 
     /// Returns how much longer a connection has to survive before it counts as confirmed.
@@ -379,7 +384,13 @@
         self.rest_times.set(rest_times);
     }
 
+    /// Learns from a connection that was ended before it carried an answer: by a reset for want of
+    /// room soon after it was accepted, or by a close of an idle one later.
     fn record_reset(&self, age: Duration, now: Now) {
+        if age > MAX_SETTLE {
+            self.record_close(age, now);
+            return;
+        }
         let mut settle = self.settle.get();
         settle.record_reset(age);
         self.settle.set(settle);
@@ -398,7 +409,9 @@
             self.record_close(rest, now);
         } else {
             self.record_reset(rest, now);
-            self.count(ConnectionEvent::ResetBeforeUse);
+            if rest <= MAX_SETTLE {
+                self.count(ConnectionEvent::ResetBeforeUse);
+            }
         }
     }
 }
--- a/src/gateway/peers/engine_speeds.rs
+++ b/src/gateway/peers/engine_speeds.rs
@@ -4,15 +4,19 @@
 //! A box sends only its own measurements, so that none comes back to where it was made and counts
 //! twice. See `docs/design/uneven-engines.md`.
 
-use super::gossip_targets::{GOSSIP_INTERVAL, GossipTargets};
+use super::gossip_targets::GossipTargets;
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::place::engine_speed::MeasuredSpeed;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::time::sleep;
 
+/// The time between two rounds: engines keep their speed for long, and a box that restarted hears
+/// from many others within seconds.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1200);
 /// The most reports in a datagram, and in a round, so that the bytes a second are bounded; if there
 /// are more, they are sent in turn.
 pub const MAX_REPORTS: usize = 150;
@@ -26,7 +30,7 @@
 }
 
 impl SpeedReport {
-    /// Returns what this box has measured of an engine; `None` if there is nothing to tell.
+    /// Returns what this box has measured of an engine; `None` if nothing was measured.
     pub fn of(upstream: &Upstream, now: Now) -> Option<Self> {
         Some(Self {
             upstream: upstream.short_hash(),
@@ -71,7 +75,7 @@
 ) {
     let mut targets = GossipTargets::new(gw);
     for round in 0.. {
-        sleep(GOSSIP_INTERVAL).await;
+        sleep(REPORT_INTERVAL).await;
         let receivers = targets.next_round(gw);
         let reports = gw.speed_reports(round, Now::read());
         if !reports.is_empty() {
--- a/src/gateway/peers/rate_samples.rs
+++ b/src/gateway/peers/rate_samples.rs
@@ -14,10 +14,10 @@
 use tokio::time::sleep;
 
 /// The time between two reports of a box: a box that restarted knows the rates soon after.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 /// The number of boxes that receive a report. As all boxes report, each receives this many reports
 /// per interval.
-const RECEIVERS: usize = 8;
+const RECEIVERS: usize = 4;
 
 /// Reports the measured rates, for as long as the process runs.
 pub async fn share_rate_samples(gw: &Gateway, send: impl AsyncFn(&[SocketAddr], RateReport)) {
@@ -25,11 +25,11 @@
     let mut offset = usize::from(stable_hash(&gw.incarnation) as u16);
     loop {
         sleep(REPORT_INTERVAL).await;
+        let now = Now::read();
+        gw.rate_samples.update_medians(now);
         if !gw.controls_any_engines() {
             continue;
         }
-        let now = Now::read();
-        gw.rate_samples.update_medians(now);
         if let Some(report) = gw.rate_samples.report(&gw.incarnation, now) {
             let receivers = rotating_subset(gw.other_boxes(), RECEIVERS, &mut offset);
             send(&receivers, report).await;
--- a/src/gateway/place/engine_speed.rs
+++ b/src/gateway/place/engine_speed.rs
@@ -248,7 +248,7 @@
                 speed: if slowdown == 0.0 {
                     1.0
                 } else {
-                    (-slowdown).exp2()
+                    bounded(-slowdown).exp2()
                 },
                 ..SpeedBelief::USUAL
             };
--- a/src/gateway/place/plain_cost.rs
+++ b/src/gateway/place/plain_cost.rs
@@ -184,15 +184,15 @@
         tried: &TryOutcome,
         now: Now,
     ) {
+        if !self.places_by_expected_wait(service) {
+            return;
+        }
         let upstream = &choice.upstream;
         let (invalid, is_logged) = upstream.take_invalid_reports(now);
         if invalid > 0 {
             self.telemetry
                 .record_invalid_load_reports(upstream, invalid, is_logged);
         }
-        if !self.places_by_expected_wait(service) {
-            return;
-        }
         match tried {
             TryOutcome::Answered(answer) if answer.status < FIRST_ERROR_STATUS => {
                 learn_service_time(&self.service_times, service, choice, answer.head_took, now);
@@ -268,6 +268,11 @@
     // All requests at the cheapest one cost the most that any of them has to.
     let mut low = cheapest.cost;
     let mut high = cheapest.fixed + cheapest.queue.wait_seconds(cheapest.occupancy + requests);
+    // So few requests change no cost: the upstreams with the least one share them.
+    if high <= low {
+        let is_cheapest = |room: &Room| f64::from(u8::from(room.cost <= low));
+        return rooms.iter().map(is_cheapest).collect();
+    }
     // Those that cost more even without further requests get none.
     let used: Vec<&Room> = rooms.iter().filter(|room| room.cost < high).collect();
     for _ in 0..LEVEL_SEARCH_STEPS {
@@ -281,10 +286,10 @@
     rooms.iter().map(|room| room.requests_up_to(high)).collect()
 }
 
-/// Picks an index by its part; the first one with the largest part if the parts are no numbers.
+/// Picks an index by its part; the last one with the largest part if the parts are no numbers.
 fn pick(parts: &[f64], seed: u64) -> Option<usize> {
     let total: f64 = parts.iter().sum();
-    // The upper bits suffice for a fraction, and are as random as any.
+    // The upper bits suffice for a fraction.
     let fraction = (seed >> 11) as f64 / (1u64 << 53) as f64;
     let mut left = fraction * total;
     for (index, part) in parts.iter().enumerate() {
--- a/tests/gateway/expected_wait.rs
+++ b/tests/gateway/expected_wait.rs
@@ -143,6 +143,17 @@
         expect_that!(wait(&unused, 0).queue, eq(Duration::ZERO));
     }
 
+    // A queue limit that follows such a report would never be reached again.
+    huge_figure_does_not_hide_that_the_queue_is_full => {
+        let upstream = upstream();
+        upstream.record_load_report(load(4, 24, None), at(0));
+        upstream.record_full(at(0));
+        upstream.record_load_report(load(4, u32::MAX, None), at(10));
+        upstream.record_full(at(10));
+        let occupancy = upstream.load_estimate(Duration::from_millis(30), at(10)).occupancy;
+        expect_that!(upstream.is_full(occupancy), eq(true));
+    }
+
     reborn_upstream_starts_without_the_reports_of_the_former => {
         let former = upstream();
         former.record_load_report(load(4, 24, Some(250)), at(0));
--- a/tests/gateway/load_decision.rs
+++ b/tests/gateway/load_decision.rs
@@ -13,7 +13,7 @@
 const RUN: Duration = Duration::from_millis(30);
 const REPORT_AGE: Duration = Duration::from_millis(50);
 
-fn millis(millis: u64) -> Duration {
+const fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
@@ -57,17 +57,33 @@
 
 /// All inputs that the extreme figures of reports and clocks may lead to.
 fn extreme_inputs() -> Vec<LoadInputs> {
-    let times = [
-        Duration::ZERO,
-        millis(1),
-        millis(150),
-        millis(5000),
-        Duration::MAX,
-    ];
     let mut all = Vec::new();
-    for queue in times {
-        for run in times {
-            for left in times {
+    for objective in EXTREME_TIMES {
+        for deadline_left in EXTREME_TIMES {
+            let extreme = extreme_waits().into_iter();
+            all.extend(extreme.map(|inputs| LoadInputs {
+                objective,
+                deadline_left,
+                ..inputs
+            }));
+        }
+    }
+    all
+}
+
+const EXTREME_TIMES: [Duration; 5] = [
+    Duration::ZERO,
+    millis(1),
+    millis(150),
+    millis(5000),
+    Duration::MAX,
+];
+
+fn extreme_waits() -> Vec<LoadInputs> {
+    let mut all = Vec::new();
+    for queue in EXTREME_TIMES {
+        for run in EXTREME_TIMES {
+            for left in EXTREME_TIMES {
                 for flags in 0..16u8 {
                     let is_set = |bit: u8| flags & (1 << bit) != 0;
                     all.push(LoadInputs {
--- a/tests/gateway/plain_placement.rs
+++ b/tests/gateway/plain_placement.rs
@@ -4,6 +4,7 @@
 use super::{at, cases, listed};
 use gatepier::gateway::attempt::headers::ReportedLoad;
 use gatepier::gateway::attempt::upstream::Upstream;
+use gatepier::gateway::control::store::ListedUpstream;
 use gatepier::gateway::place::choose::stable_hash;
 use gatepier::gateway::place::plain_cost::{PlainPlacement, choose_plain};
 use googletest::prelude::*;
@@ -199,6 +200,26 @@
         expect_that!(percentile(&run.since(SETTLED_MS), 99.0), lt(NEEDED_MS));
     }
 
+    // So few requests change no expected wait by a representable amount.
+    first_request_of_an_idle_fleet_stays_in_its_hall => {
+        let upstream = |name, hall| {
+            let entry = listed(name, "reservations", hall);
+            Upstream::new(ListedUpstream { slots: 8, ..entry })
+        };
+        let upstreams = [upstream("i-1", "ikeja"), upstream("i-2", "yaba")];
+        let candidates: Vec<&Rc<Upstream>> = upstreams.iter().collect();
+        for seed in 0..20 {
+            let placement = PlainPlacement {
+                hall: "ikeja",
+                hall_share: 0.33,
+                service_time: Duration::from_millis(50),
+                seed: stable_hash(&seed.to_string()),
+            };
+            let choice = choose_plain(&candidates, placement, at(0)).unwrap();
+            expect_that!(choice.upstream.listed().instance, eq("i-1"));
+        }
+    }
+
     placing_a_request_among_140_upstreams_takes_little => {
         // Prints the time, which is not judged: machines differ, and are shared.
         let hall = |number| if number % 3 == 0 { "ikeja" } else { "yaba" };
--- a/tests/gateway/refusals.rs
+++ b/tests/gateway/refusals.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use std::time::Duration;
 
-const ALL: [RefusalReason; 13] = [
+const ALL: [RefusalReason; 14] = [
     RefusalReason::NoConfiguration,
     RefusalReason::Stale,
     RefusalReason::NoRoute,
@@ -19,6 +19,7 @@
     RefusalReason::Stopping,
     RefusalReason::Deadline,
     RefusalReason::UpstreamFailed,
+    RefusalReason::NoMemory,
 ];
 const RETURN: Duration = Duration::from_millis(250);
 
--- a/tests/gateway/wait_queue.rs
+++ b/tests/gateway/wait_queue.rs
@@ -135,6 +135,20 @@
         expect_that!(queue.borrow().is_empty(), eq(true));
     }
 
+    // The caller of the first one may leave just as it is woken.
+    request_that_leaves_passes_its_signal_on => {
+        let queue = RefCell::new(WaitQueue::default());
+        let demand = ServiceDemand::default();
+        let first = WaitingPlace::take(&queue, waiter("a"), at(0)).unwrap();
+        let second = WaitingPlace::take(&queue, waiter("a"), at(1)).unwrap();
+        queue.borrow().wake_first(SERVICE, &demand, at(2));
+        drop(first);
+        let began = Instant::now();
+        let long = Duration::from_secs(20);
+        actix_rt::System::new().block_on(second.woken(long));
+        expect_that!(began.elapsed(), lt(long / 2));
+    }
+
     // Guards against callers that gain from repeating at once: they state nearly all of the time.
     only_callers_that_have_used_time_count_as_returned => {
         let mut demand = ServiceDemand::default();
