--- a/src/gateway/attempt/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -334,9 +334,21 @@
 
     /// Returns the connections to upstreams under load control that were used recently.
     pub fn controlled(&self) -> Vec<(UpstreamLife, Rc<UpstreamConnections>)> {
+        self.select(UpstreamConnections::is_controlled)
+    }
+
+    /// Returns those of them to plain upstreams.
+    pub fn controlled_plain(&self) -> Vec<(UpstreamLife, Rc<UpstreamConnections>)> {
+        self.select(|known| known.is_controlled() && known.kind() == UpstreamKind::Plain)
+    }
+
+    fn select(
+        &self,
+        is_selected: impl Fn(&UpstreamConnections) -> bool,
+    ) -> Vec<(UpstreamLife, Rc<UpstreamConnections>)> {
         let upstreams = self.upstreams.borrow();
-        let controlled = upstreams.iter().filter(|(_, known)| known.is_controlled());
-        controlled
+        let selected = upstreams.iter().filter(|(_, known)| is_selected(known));
+        selected
             .map(|(incarnation, known)| (incarnation.clone(), known.clone()))
             .collect()
     }
--- a/src/gateway/attempt/spare_connections.rs
+++ b/src/gateway/attempt/spare_connections.rs
@@ -40,8 +40,8 @@
 
 /// Opens spare connections to the upstreams that requests of this box are frequent at.
 fn open_spares(gw: &Rc<Gateway>, now: Now) {
-    for (incarnation, known) in gw.connections.controlled() {
-        if known.kind() != UpstreamKind::Plain || !known.accepts_new(now) {
+    for (incarnation, known) in gw.connections.controlled_plain() {
+        if !known.accepts_new(now) {
             continue;
         }
         let upstream = gw.knowledge.borrow().upstream(&incarnation).cloned();
