--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -10,6 +10,7 @@
 //! - Rate limits that upstreams state, sent to all, and requests to those upstreams, sent to the
 //!   other boxes that may send to them.
 //! - Load reports of plain upstreams, sent to all.
+//! - Prefill rates that boxes measured, sent to a few boxes in turn.
 //! - Speeds of engines as each box measured them, sent to one box in turn.
 //! - Requests that were running at upstreams when those crashed, sent to all.
 //! - Sessions that the old version served just before a roll-out, so that no box moves them in the
--- a/src/gateway/place/expected_wait.rs
+++ b/src/gateway/place/expected_wait.rs
@@ -53,8 +53,8 @@
     /// With all slots in use, one becomes free every `run / slots`. Below that the wait would be
     /// zero if the number were exact. It is not: other boxes send at the same time. The wait then
     /// grows with the utilization as in Sakasegawa's approximation of the M/M/c queue,
-    /// `utilization ^ sqrt(2 (slots + 1))`, whose exponent is 4 at seven slots and is taken for all
-    /// since roots of it are cheap. Its denominator stands for the backlog, which is known here.
+    /// `utilization ^ sqrt(2 (slots + 1))`, with the exponent of seven slots, 4, for all upstreams.
+    /// Its denominator stands for the backlog, which is known here.
     pub fn wait_seconds(self, others: f64) -> f64 {
         let interval = self.run_seconds / self.slots;
         let utilization = (others / self.slots).max(0.0);
--- a/src/gateway/place/plain_cost.rs
+++ b/src/gateway/place/plain_cost.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Cost of another hall, in service times, as everywhere else.
+/// Cost of another hall, in service times.
 const OTHER_HALL_COST_SERVICE_TIMES: f64 = 0.35;
 /// Cost of an upstream whose queue is known to be full, in service times: more than any queue, less
 /// than a back-off.
--- a/src/gateway/place/rate_samples.rs
+++ b/src/gateway/place/rate_samples.rs
@@ -15,7 +15,7 @@
 const MAX_SAMPLES: usize = 8;
 /// The fewest measurements of all boxes whose median is used.
 const MIN_SAMPLES: usize = 4;
-/// The most boxes whose measurements are kept; a median of more is hardly better.
+/// The most boxes whose measurements are kept.
 const MAX_REPORTING_BOXES: usize = 64;
 /// The most models of which measurements are kept; a fleet has fewer.
 const MAX_MODELS: usize = 32;
