--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -26,7 +26,9 @@
 use crate::metrics::Metrics;
 use crate::store::StoreError;
 use admit::listen;
+use admit::room::RoomState;
 use admit::routes::{NEUTRAL_RELATIVE_RANK, Route, RouteKind};
+use answer::held_memory::HeldMemory;
 use answer::return_schedule::ReturnSchedule;
 use attempt::connect::ConnectionPool;
 use attempt::crash_detection::{self, CrashDetector};
@@ -34,6 +36,7 @@
 use attempt::probe;
 use attempt::quarantine::Quarantine;
 use attempt::retries::RetryWindow;
+use attempt::spare_connections;
 use control::mirror::Mirror;
 use control::state::{ConfigFreshness, ControlPlaneState};
 use control::store::ControlStore;
@@ -41,11 +44,15 @@
 use peers::hub_poller::HubPoller;
 use peers::hubs::{HubState, choose_hubs};
 use peers::liveness::PeerLiveness;
+use peers::load_reports::SharedLoadReport;
 use peers::messages;
 use peers::outbox::Outbox;
 use peers::rate_limits::RateLimitReport;
+use place::event_pace::EventPaces;
 use place::peer_loads::{LongPrefillOutbox, PeerLoads};
-use place::prefill_rate::{PrefillModel, PrefillRates};
+use place::prefill_rate::{self, PrefillModel, PrefillRates};
+use place::rate_samples::RateSamples;
+use place::service_time::ServiceTimes;
 use place::turn_queue::TurnQueue;
 use settings::GatewaySettings;
 use std::cell::{Cell, RefCell};
@@ -89,7 +96,7 @@
     pub hub_queries: HubPoller,
     /// Notified when the box's copy of the store's items has changed.
     pub items_changed: Notify,
-    /// Idle connections to upstreams.
+    /// The connections to upstreams.
     pub connections: ConnectionPool,
     /// Runs that broke off, whose upstreams may have crashed.
     pub crashes: CrashDetector,
@@ -101,12 +108,16 @@
     pub rate_limits: Outbox<RateLimitReport>,
     /// Hashes of upstreams with rate limits to which requests are sent, to be announced.
     pub limited_sends: Outbox<u32>,
+    /// Load reports of plain upstreams, to be sent to other boxes.
+    pub load_reports: Outbox<SharedLoadReport>,
     /// Connections from callers.
     pub caller_connections: http_server::Connections,
     /// The requests that wait for their turn at upstreams with rate limits.
     turn_queue: TurnQueue,
     /// When callers that were refused because of rate limits should come back.
     return_schedule: RefCell<ReturnSchedule>,
+    /// Who gets room at upstreams under load.
+    pub room: RoomState,
     /// The retry budgets by service; see [`Gateway::with_retry_window`].
     retry_windows: RefCell<HashMap<String, RetryWindow>>,
     /// Which version serves each session.
@@ -117,12 +128,20 @@
     pub versions: RefCell<VersionMonitor>,
     /// How fast engines prefill prompts, by model.
     pub prefill_rates: PrefillRates,
+    /// The newest measurements of prefill rates by all boxes, where load is controlled.
+    pub rate_samples: RateSamples,
+    /// How long requests run at plain upstreams, by service.
+    pub service_times: ServiceTimes,
+    /// The usual time between events of streams, by model.
+    pub event_paces: EventPaces,
     /// The load that the other boxes put on upstreams.
     pub peer_loads: RefCell<PeerLoads>,
     /// Long prompt reads that have not been announced to the other boxes yet.
     pub long_prefills: LongPrefillOutbox,
+    /// The memory held for requests.
+    pub held_memory: Rc<HeldMemory>,
     /// Logs and metrics.
-    pub telemetry: Telemetry,
+    pub telemetry: Rc<Telemetry>,
     /// The name of this run of the box's process: the box's name and its start time.
     pub incarnation: String,
     /// The lease under which the box is registered.
@@ -142,7 +161,8 @@
         now: Now,
     ) -> Rc<Self> {
         let incarnation = format!("{}.{}", settings.name, now.wall.0);
-        Rc::new(Self {
+        let telemetry = Rc::new(Telemetry::new(metrics));
+        let gw = Rc::new(Self {
             sessions: RefCell::new(SessionVersions::new(settings.bounds.session_idle_limit)),
             versions: RefCell::new(VersionMonitor::new(&incarnation)),
             settings: RefCell::new(Rc::new(settings)),
@@ -152,28 +172,43 @@
             hubs: HubState::default(),
             hub_queries: HubPoller::default(),
             items_changed: Notify::new(),
-            connections: ConnectionPool::default(),
+            connections: ConnectionPool::new(telemetry.connection_metrics()),
             crashes: CrashDetector::default(),
             quarantine: Quarantine::default(),
             leaving_upstreams: Outbox::default(),
             rate_limits: Outbox::default(),
             limited_sends: Outbox::default(),
+            load_reports: Outbox::default(),
             caller_connections: Default::default(),
             turn_queue: TurnQueue::default(),
             return_schedule: RefCell::default(),
+            room: RoomState::default(),
             retry_windows: RefCell::default(),
             peer_loads: RefCell::default(),
             last_contacts: RefCell::default(),
             long_prefills: LongPrefillOutbox::default(),
             prefill_rates: PrefillRates::default(),
-            telemetry: Telemetry::new(metrics),
+            rate_samples: RateSamples::default(),
+            service_times: ServiceTimes::default(),
+            event_paces: EventPaces::default(),
+            held_memory: Rc::default(),
+            telemetry,
             incarnation,
             lease: Cell::new(None),
             started_at: now.monotonic,
             stopping_since: Cell::new(None),
             in_flight: Rc::default(),
             store_lost_since: Cell::new(None),
-        })
+        });
+        gw.bound_memory();
+        gw
+    }
+
+    /// Bounds the memory held for requests as the settings say.
+    fn bound_memory(&self) {
+        self.held_memory.apply(&self.settings());
+        self.connections
+            .set_bounds_buffers(self.held_memory.is_bounded());
     }
 
     /// Returns the settings in force.
@@ -184,6 +219,7 @@
     /// Applies changed settings; addresses take effect at the next start.
     pub fn reload(&self, settings: GatewaySettings) {
         *self.settings.borrow_mut() = Rc::new(settings);
+        self.bound_memory();
     }
 
     /// Returns a route's relative rank in the routing table in force, from 0 (most urgent) to 1.
@@ -198,11 +234,27 @@
     /// Returns how long an engine of a service takes to prefill this many prompt tokens for a
     /// model.
     pub fn prompt_prefill_time(&self, service: &str, model: Option<&str>, tokens: f64) -> Duration {
+        if let Some(time) = self.shared_prefill_time(service, model, tokens) {
+            return time;
+        }
         self.with_model_pace(service, model, |pace| {
             self.prefill_rates.prefill_time(pace, tokens)
         })
     }
 
+    /// Returns the prefill time by the measurements of all boxes, where load is controlled.
+    fn shared_prefill_time(
+        &self,
+        service: &str,
+        model: Option<&str>,
+        tokens: f64,
+    ) -> Option<Duration> {
+        let time = self
+            .rate_samples
+            .prefill_time(model.unwrap_or_default(), tokens);
+        time.filter(|_| self.controls_load(service))
+    }
+
     /// Returns whether a model is the most expensive one of its service, or the only one.
     pub fn is_most_expensive(&self, service: &str, model: Option<&str>) -> bool {
         self.with_model_pace(service, model, |pace| pace.price_part >= 1.0)
@@ -216,6 +268,23 @@
         });
     }
 
+    /// Returns the speed of an engine that a first event shows; see
+    /// [`PrefillRates::measured_speed`].
+    pub fn prefill_speed(
+        &self,
+        service: &str,
+        model: &str,
+        tokens: f64,
+        took: Duration,
+    ) -> Option<f64> {
+        if let Some(expected) = self.shared_prefill_time(service, Some(model), tokens) {
+            return prefill_rate::speed_of(expected, took);
+        }
+        self.with_model_pace(service, Some(model), |pace| {
+            self.prefill_rates.measured_speed(pace, tokens, took)
+        })
+    }
+
     fn with_model_pace<T>(
         &self,
         service: &str,
@@ -429,6 +498,7 @@
     listen::serve_readiness(&gw, &metrics)?;
     actix_rt::spawn(store_sync::sync_with_store(gw.clone(), store.clone()));
     actix_rt::spawn(probe::probe_unreachable_upstreams(gw.clone()));
+    actix_rt::spawn(spare_connections::keep_spare_connections(gw.clone()));
     actix_rt::spawn(crash_detection::check_interrupted_upstreams(gw.clone()));
     actix_rt::spawn(rollout_leader::lead_rollouts(gw.clone(), store.clone()));
     actix_rt::spawn(store_sync::expire_old_state(gw.clone()));
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -1,13 +1,15 @@
 //! An admitted request, and its attempts at upstreams.
 
+use super::load_decision::CallerHistory;
 use super::prompt::Prompt;
 use super::routes::{Organisation, Route};
 use crate::clock::Now;
 use crate::crash_ledger::{CrashRole, QuarantineState};
 use crate::fingerprint::Fingerprint;
 use crate::gateway::Gateway;
+use crate::gateway::answer::held_memory::RequestAccount;
 use crate::gateway::answer::refusal::Execution;
-use crate::gateway::attempt::connect::http1_types;
+use crate::gateway::attempt::connect::{ConnectionOrigin, http1_types};
 use crate::gateway::attempt::crash_detection::InterruptedRun;
 use crate::gateway::attempt::exchange::{
     NotRunReason, TryOptions, TryOutcome, UnknownReason, UpstreamRequest, try_upstream,
@@ -61,6 +63,11 @@
     pub headers: http1_types::HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// The memory that is held for the request.
+    pub account: Rc<RequestAccount>,
+    /// Whether the caller's version of HTTP has bodies without a stated length whose end is
+    /// marked.
+    pub accepts_chunks: bool,
     /// When the request head had been received.
     pub received: Duration,
     /// The deadline: the caller's, or the route's if that is earlier.
@@ -69,6 +76,8 @@
     pub prompt: Prompt,
     /// The id of the session, or the request's own id if it belongs to none.
     pub session_id: String,
+    /// Whether the caller was refused before, on routes to services under load.
+    pub caller: CallerHistory,
     /// Whether the caller leaves the choice of the model to the router.
     pub router_chooses_model: bool,
     /// The attempts so far, and what they prove.
@@ -184,20 +193,21 @@
         gw.count_limited_send(upstream, now);
         let limits = TryOptions {
             head_timeout: plan.head_wait.capped_at(left),
-            prefill: choice.prefill,
-            measures_prefill_rate: choice.measures_prefill_rate(),
-            may_reuse_connection: self.route.kind.is_repeatable(),
+            prefill: choice.prefill_work(),
+            measured_tokens: self.measured_tokens(gw, &choice),
+            connection: gw.connection_rules(&self.service, self.route.kind.is_repeatable()),
         };
         gw.long_prefills
             .push_if_long(&gw.incarnation, upstream, limits.prefill);
         let outgoing = self.build_outgoing(gw, &choice, plan, now);
         let timing = gw.start_response_timer(self, &choice, now);
-        let tried = try_upstream(&gw.connections, &gw.headers, upstream, outgoing, limits).await;
+        let (tried, connection) =
+            try_upstream(&gw.connections, &gw.headers, upstream, outgoing, limits).await;
         match self.route.kind.stream_gap() {
             Some(_) => gw.record_head(&tried, timing, Now::read()),
             None => *self.timing.borrow_mut() = timing,
         }
-        self.record_attempt(gw, &choice, &tried, plan);
+        self.record_attempt(gw, &choice, &tried, connection, plan);
         Ok(tried)
     }
 
@@ -273,11 +283,15 @@
         now: Now,
     ) -> Option<PlacementChoice> {
         let shared_prefix = self.shared_prefix_key(model);
+        let seed = stable_hash(&self.request_id);
+        if gw.places_by_expected_wait(&self.service) && shared_prefix.is_none() {
+            return gw.choose_by_expected_wait(&self.service, candidates, tried, seed, now);
+        }
         let criteria = PlacementParams {
             hall: &gw.settings().hall,
             prompt: self.shared_prompt(gw, shared_prefix.as_deref(), model),
             tried,
-            seed: stable_hash(&self.request_id),
+            seed,
             engines_to_compare: engines_to_compare(gw.knowledge.borrow().box_count()),
         };
         choose_placement(candidates, criteria, now)
@@ -290,6 +304,22 @@
         Some(format!("{part} {}", model.unwrap_or_default()))
     }
 
+    /// Returns the prompt tokens that an attempt measures the prefill rate with, if any: those that
+    /// the engine computes while, as far as is known, it computes nothing else.
+    fn measured_tokens(&self, gw: &Gateway, choice: &PlacementChoice) -> Option<f64> {
+        let all_tokens = self.prompt.weighted_tokens();
+        match choice.prefix_source {
+            PrefixSource::Computed if choice.queue_wait.is_zero() => Some(all_tokens),
+            // Large models read nearly all prompts behind a cached prefix.
+            PrefixSource::Cached
+                if choice.queue_wait.is_zero() && gw.controls_load(&self.service) =>
+            {
+                Some(all_tokens - self.prompt.shared_tokens as f64)
+            }
+            _ => None,
+        }
+    }
+
     fn shared_prompt<'a>(
         &self,
         gw: &Gateway,
@@ -379,6 +409,7 @@
         gw: &Gateway,
         choice: &PlacementChoice,
         tried: &TryOutcome,
+        connection: Option<ConnectionOrigin>,
         plan: AttemptPlan<'_>,
     ) {
         self.tries.record(tried);
@@ -400,7 +431,9 @@
             TryOutcome::Unknown(_) => self.finish_trial(),
             TryOutcome::Answered(_) | TryOutcome::NotRun(_) => {}
         }
-        gw.telemetry.record_attempt(self, choice, tried, plan);
+        gw.learn_from_attempt(&self.service, choice, tried, Now::read());
+        gw.telemetry
+            .record_attempt(self, choice, tried, connection, plan);
     }
 
     fn build_outgoing(
@@ -436,7 +469,7 @@
         }
         if self.route.kind.stream_gap().is_some() {
             let rank = self.organisation.as_ref().map_or(0, |found| found.priority);
-            let urgency = urgency(rank, self.route.priority, choice.prefill);
+            let urgency = urgency(rank, self.route.priority, choice.prefill_work());
             set(&names.urgency, &urgency.to_string());
         }
         if let Some(model) = plan.model {
--- a/src/gateway/answer/refusal.rs
+++ b/src/gateway/answer/refusal.rs
@@ -3,6 +3,7 @@
 //! Only this module derives from the outcome of the attempts what a refusal may claim: only a
 //! request that certainly ran nowhere is reported as not run. See `docs/design/platform.md`.
 
+use super::held_bytes::MIN_STALL;
 use actix_http::body::BoxBody;
 use actix_http::{Response, StatusCode};
 use std::time::Duration;
@@ -28,6 +29,8 @@
     NoUpstream,
     /// Every upstream that was tried rejected the request as full.
     Full,
+    /// The box has no memory left for the request.
+    NoMemory,
     /// The process is about to exit, and the request might outlast it.
     Stopping,
     /// The deadline has passed.
@@ -41,6 +44,9 @@
     WarmingUp(Duration),
     /// All upstreams state rate limits; this box may send to the first one after this long.
     RateLimited(Duration),
+    /// The service has no room for the request within its objective; room is expected after this
+    /// long, unless coming back would be in vain.
+    Overloaded(Option<Duration>),
     /// Operators have evacuated the halls of all upstreams.
     Evacuated,
     /// The request crashes the upstreams that run it.
@@ -63,12 +69,14 @@
             Self::ModelNamed => "model-named",
             Self::NoUpstream => "no-upstream",
             Self::Full => "full",
+            Self::NoMemory => "no-memory",
             Self::Stopping => "stopping",
             Self::Deadline => "deadline",
             Self::UpstreamFailed => "upstream-failed",
             Self::Resting(_) => "resting",
             Self::WarmingUp(_) => "warming-up",
             Self::RateLimited(_) => "rate-limited",
+            Self::Overloaded(_) => "overloaded",
             Self::Evacuated => "evacuated",
             Self::CrashesUpstreams => "crashes-upstreams",
             Self::OnTrial(_) => "on-trial",
@@ -76,7 +84,7 @@
     }
 
     /// All reasons.
-    const ALL: [Self; 18] = [
+    const ALL: [Self; 20] = [
         Self::NoConfiguration,
         Self::Stale,
         Self::NoRoute,
@@ -86,12 +94,14 @@
         Self::ModelNamed,
         Self::NoUpstream,
         Self::Full,
+        Self::NoMemory,
         Self::Stopping,
         Self::Deadline,
         Self::UpstreamFailed,
         Self::Resting(Duration::ZERO),
         Self::WarmingUp(Duration::ZERO),
         Self::RateLimited(Duration::ZERO),
+        Self::Overloaded(None),
         Self::Evacuated,
         Self::CrashesUpstreams,
         Self::OnTrial(Duration::ZERO),
@@ -116,6 +126,9 @@
             Self::ModelNamed => "it names a model on a route where the router chooses the model",
             Self::NoUpstream => "no upstream of the service was listed or accepted a connection",
             Self::Full => "every upstream that was tried rejected it",
+            Self::NoMemory => {
+                "the box held as many bytes for other requests as its memory allows, most of them for callers that read slowly"
+            }
             Self::Stopping => "the box was about to stop",
             Self::Deadline => "its deadline had passed",
             Self::UpstreamFailed => "its upstream failed and it must not be sent again",
@@ -126,6 +139,9 @@
             Self::RateLimited(_) => {
                 "every upstream of the service stated a rate limit, and its share of this moment was used"
             }
+            Self::Overloaded(_) => {
+                "the expected wait at the upstreams of the service did not fit its objective or its deadline, or the room went to requests that go first"
+            }
             Self::Evacuated => "operators had evacuated the halls of all upstreams of the service",
             Self::CrashesUpstreams => {
                 "upstreams that ran this request crashed, the last one while the request was on trial there"
@@ -141,6 +157,7 @@
         match self {
             Self::NoConfiguration | Self::NoUpstream => Some(Duration::from_millis(300)),
             Self::Full => Some(Duration::from_millis(150)),
+            Self::NoMemory => Some(MIN_STALL),
             // Another box may serve it at once.
             Self::Stale | Self::Stopping => Some(Duration::from_millis(10)),
             // An evacuation lasts for seconds at least.
@@ -149,6 +166,7 @@
             // Another box may be allowed to send sooner.
             Self::WarmingUp(left) => Some(left.min(MAX_WARM_UP_WAIT)),
             Self::RateLimited(left) => Some(left),
+            Self::Overloaded(come_back) => come_back,
             _ => None,
         }
     }
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -1,11 +1,15 @@
 //! What a box knows of each upstream: its registry entry, its load and its health.
 
 use super::headers::ReportedLoad;
+use super::load_report::{KnownRequests, LoadEstimate, LoadHistory};
 use crate::clock::Now;
 use crate::gateway::control::store::{ListedUpstream, UpstreamLife};
+use crate::gateway::peers::load_reports::LastShared;
 use crate::gateway::place::choose::stable_hash;
+use crate::gateway::place::engine_speed::{EngineSpeed, SpeedBelief};
 use crate::gateway::place::fleet_view::FleetView;
 use crate::gateway::place::rate_limits::UpstreamRateLimit;
+use crate::gateway::place::service_time::UpstreamFactor;
 use crate::gateway::place::warm_up::{WarmUp, WarmUpState};
 use crate::routing::backoff::RequestedBackoff;
 use crate::routing::placement::{LoadGuard, UpstreamLoad};
@@ -32,6 +36,8 @@
 /// How long a load report is trusted; upstreams serve two requests per second or more.
 const LOAD_REPORT_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Minimum time between two log lines about unreadable load reports of an upstream.
+const INVALID_REPORT_LOG_INTERVAL: Duration = Duration::from_secs(60);
 /// Penalty for a failure rate of 1, in units of slot utilization: an upstream that fails some of
 /// its requests loses to any other that is not nearly full.
 const FAILURE_RATE_PENALTY_UTILIZATION: f64 = 4.0;
@@ -51,6 +57,13 @@
     load: Arc<UpstreamLoad>,
     health: Cell<Health>,
     report: Cell<Option<LoadReport>>,
+    states_work_time: Cell<bool>,
+    load_history: Cell<LoadHistory>,
+    last_shared_report: Cell<Option<LastShared>>,
+    invalid_reports: Cell<u32>,
+    invalid_report_logged_at: Cell<Option<Duration>>,
+    service_factor: UpstreamFactor,
+    speed: EngineSpeed,
     lapsed_at: Cell<Option<Duration>>,
     pending_prefill: Rc<Cell<Duration>>,
     peer_load: Cell<PeerLoad>,
@@ -71,14 +84,17 @@
     pub outstanding: u32,
     /// When this was the case.
     pub as_of: Duration,
+    /// Whether placement considers that other engines' loads have changed as well since then; see
+    /// [`QueueEstimate`](crate::gateway::place::engine_queue::QueueEstimate).
+    pub counts_age: bool,
 }
 
 impl PeerLoad {
     /// Returns the prefill time still pending now, given that the engine has gone on since the
-    /// report.
-    fn remaining_prefill(self, now: Now) -> Duration {
+    /// report at its speed.
+    pub fn remaining_prefill(self, speed: SpeedBelief, now: Now) -> Duration {
         let age = now.monotonic.saturating_sub(self.as_of);
-        self.pending_prefill.saturating_sub(age)
+        self.pending_prefill.saturating_sub(speed.work_in(age))
     }
 }
 
@@ -140,6 +156,13 @@
             load: Arc::default(),
             health: Cell::default(),
             report: Cell::default(),
+            states_work_time: Cell::default(),
+            load_history: Cell::default(),
+            last_shared_report: Cell::default(),
+            invalid_reports: Cell::default(),
+            invalid_report_logged_at: Cell::default(),
+            service_factor: UpstreamFactor::default(),
+            speed: EngineSpeed::default(),
             lapsed_at: Cell::default(),
             pending_prefill: Rc::default(),
             peer_load: Cell::default(),
@@ -219,9 +242,20 @@
         self.pending_prefill.get()
     }
 
-    /// Returns the total time of the pending prefills of all boxes.
+    /// Returns the total time of the pending prefills of all boxes, at the usual speed.
     pub fn pending_prefill(&self, now: Now) -> Duration {
-        self.pending_prefill.get() + self.peer_load.get().remaining_prefill(now)
+        let speed = self.speed.belief(now);
+        self.pending_prefill.get() + self.peer_load.get().remaining_prefill(speed, now)
+    }
+
+    /// Returns what is known of the speed at which the upstream works.
+    pub fn speed(&self) -> &EngineSpeed {
+        &self.speed
+    }
+
+    /// Returns what the other boxes have in flight here, as far as they reported.
+    pub fn peer_load(&self) -> PeerLoad {
+        self.peer_load.get()
     }
 
     /// Sets what the other boxes have in flight here.
@@ -233,19 +267,125 @@
     pub fn add_peer_prefill(&self, prefill: Duration, now: Now) {
         let known = self.peer_load.get();
         self.peer_load.set(PeerLoad {
-            pending_prefill: known.remaining_prefill(now) + prefill,
-            outstanding: known.outstanding + 1,
+            pending_prefill: known.remaining_prefill(self.speed.belief(now), now) + prefill,
+            outstanding: known.outstanding.saturating_add(1),
             as_of: now.monotonic,
+            counts_age: known.counts_age,
         });
     }
 
     /// Records a load report from the head of an answer.
     pub fn record_load_report(&self, load: ReportedLoad, now: Now) {
+        if let Some(percent) = load.work_time_percent {
+            self.states_work_time.set(true);
+            self.speed.record_statement(percent, now);
+        }
         self.report.set(Some(LoadReport {
             load,
             at: now.monotonic,
             outstanding_at_report: self.outstanding(),
         }));
+        self.add_to_load_history(load, now.monotonic);
+    }
+
+    /// Records a report that another box received.
+    pub fn record_shared_report(&self, load: ReportedLoad, as_of: Duration, now: Now) {
+        if load.work_time_percent.is_some() {
+            self.states_work_time.set(true);
+        }
+        if self.add_to_load_history(load, as_of) {
+            self.set_last_shared_report(LastShared {
+                load,
+                at: now.monotonic,
+            });
+        }
+    }
+
+    /// Adds a report to what is known of the load; returns whether it is the newest one.
+    fn add_to_load_history(&self, load: ReportedLoad, as_of: Duration) -> bool {
+        let slots = self.listed.borrow().slots;
+        let mut history = self.load_history.get();
+        let is_newest = history.record(load, slots, as_of, self.outstanding());
+        self.load_history.set(history);
+        is_newest
+    }
+
+    /// Records that the upstream rejected a request because it was full.
+    pub fn record_full(&self, now: Now) {
+        let slots = self.listed.borrow().slots;
+        let mut history = self.load_history.get();
+        history.record_rejection(slots, self.outstanding(), now);
+        self.load_history.set(history);
+    }
+
+    /// Returns the newest load report and when it was made.
+    pub fn newest_report(&self) -> Option<(ReportedLoad, Duration)> {
+        self.load_history.get().newest()
+    }
+
+    /// Estimates the load from the reports and from what the boxes have in flight, given the
+    /// service time of the upstream's service.
+    pub fn load_estimate(&self, service_time: Duration, now: Now) -> LoadEstimate {
+        let known = KnownRequests {
+            own: self.outstanding(),
+            peers: self.peer_load.get().outstanding,
+        };
+        let slots = self.listed.borrow().slots;
+        self.load_history
+            .get()
+            .estimate(known, slots, service_time, now)
+    }
+
+    /// Returns how long work takes here by the newest report, as a multiple of the usual time.
+    pub fn stated_work_time(&self) -> f64 {
+        self.load_history.get().stated_work_time()
+    }
+
+    /// Returns whether an upstream with this many requests rejects more, as far as is known.
+    pub fn is_full(&self, occupancy: f64) -> bool {
+        let slots = self.listed.borrow().slots;
+        let limit = self.load_history.get().queue_limit();
+        limit.is_some_and(|limit| occupancy >= f64::from(slots) + f64::from(limit))
+    }
+
+    /// Returns how long requests run here, as a multiple of what the service's usual time and the
+    /// stated work time lead to expect.
+    pub fn service_factor(&self) -> &UpstreamFactor {
+        &self.service_factor
+    }
+
+    /// Returns the report that was sent last to other boxes or received from them.
+    pub fn last_shared_report(&self) -> Option<LastShared> {
+        self.last_shared_report.get()
+    }
+
+    /// Records the report that was sent last to other boxes or received from them.
+    pub fn set_last_shared_report(&self, shared: LastShared) {
+        self.last_shared_report.set(Some(shared));
+    }
+
+    /// Counts a load report that cannot be read.
+    pub fn record_invalid_report(&self) {
+        self.invalid_reports
+            .set(self.invalid_reports.get().saturating_add(1));
+    }
+
+    /// Returns the number of unreadable load reports since the last call, and whether they are to
+    /// be logged: at most once a minute.
+    pub fn take_invalid_reports(&self, now: Now) -> (u32, bool) {
+        let count = self.invalid_reports.take();
+        let logged_at = self.invalid_report_logged_at.get();
+        let is_due = logged_at
+            .is_none_or(|at| now.monotonic.saturating_sub(at) >= INVALID_REPORT_LOG_INTERVAL);
+        if count > 0 && is_due {
+            self.invalid_report_logged_at.set(Some(now.monotonic));
+        }
+        (count, count > 0 && is_due)
+    }
+
+    /// Returns whether the upstream has stated how long work takes at the moment.
+    pub fn states_work_time(&self) -> bool {
+        self.states_work_time.get()
     }
 
     /// Estimates the number of requests that the upstream has from all boxes.
@@ -442,12 +582,17 @@
     /// Returns the penalty for choosing the upstream, in units of slot utilization: its load, its
     /// failure rate and its back-off.
     pub fn penalty(&self, now: Now) -> f64 {
+        self.slot_utilization(now) + self.health_penalty(now)
+    }
+
+    /// Returns the part of the penalty that is due to the failure rate and the back-off.
+    pub fn health_penalty(&self, now: Now) -> f64 {
         let back_off = if self.is_backing_off(now) {
             BACK_OFF_PENALTY_UTILIZATION
         } else {
             0.0
         };
-        self.slot_utilization(now) + self.failure_penalty(now) + back_off
+        self.failure_penalty(now) + back_off
     }
 
     fn failure_penalty(&self, now: Now) -> f64 {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,6 +1,7 @@
 //! Exchange of state between boxes.
 
 pub mod datagram;
+pub mod engine_speeds;
 pub mod fetch;
 pub mod fetch_planner;
 pub mod gossip_targets;
@@ -8,8 +9,10 @@
 pub mod hubs;
 pub mod leaving_upstreams;
 pub mod liveness;
+pub mod load_reports;
 pub mod messages;
 pub mod outbox;
 pub mod packing;
 pub mod rate_limits;
+pub mod rate_samples;
 pub mod suspects;
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -9,6 +9,9 @@
 //! - Upstreams that have announced in an answer that they leave, sent to all.
 //! - Rate limits that upstreams state, sent to all, and requests to those upstreams, sent to the
 //!   other boxes that may send to them.
+//! - Load reports of plain upstreams, sent to all.
+//! - Prefill rates that boxes measured, sent to a few boxes in turn.
+//! - Speeds of engines as each box measured them, sent to one box in turn.
 //! - Requests that were running at upstreams when those crashed, sent to all.
 //! - Sessions that the old version served just before a roll-out, so that no box moves them in the
 //!   first half of the roll-out.
@@ -18,20 +21,25 @@
 //! `docs/design/platform.md`.
 
 use super::datagram;
+use super::engine_speeds::{self, SpeedReport};
 use super::fetch;
 use super::hub_poller;
 use super::hubs::{self, HubUpdate, PollRequest};
 use super::leaving_upstreams;
+use super::load_reports::{self, SharedLoadReport};
 use super::rate_limits::{self, RateLimitReport};
+use super::rate_samples;
 use super::suspects;
 use crate::clock::{Now, millis};
 use crate::error::{Error, Result};
 use crate::gateway::Gateway;
 use crate::gateway::attempt::quarantine::QuarantineUpdate;
+use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::control::membership::is_leader;
 use crate::gateway::control::rollout::Rollout;
 use crate::gateway::control::store::{ControlStore, RolloutOrder};
 use crate::gateway::place::peer_loads::{BoxLoad, LongPrefill, report_interval};
+use crate::gateway::place::rate_samples::RateReport;
 use crate::gateway::versions::statistics::StatisticsReport;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -79,6 +87,12 @@
     RateLimits(Vec<RateLimitReport>),
     /// Upstreams with rate limits to which the sender sends a request each, by their hashes.
     LimitedSends(Vec<u32>),
+    /// The prefill rates that the sender measured.
+    PrefillRates(RateReport),
+    /// Load reports of plain upstreams.
+    LoadReports(Vec<SharedLoadReport>),
+    /// Speeds of engines that the sender measured.
+    EngineSpeeds(Vec<SpeedReport>),
 }
 
 /// Exchanges messages with other boxes for as long as the process runs.
@@ -102,9 +116,18 @@
     let send_limits = async |to: &[SocketAddr], reports| {
         send(&gw, &socket, &PeerMessage::RateLimits(reports), to).await;
     };
+    let send_prefill_rates = async |to: &[SocketAddr], report| {
+        send(&gw, &socket, &PeerMessage::PrefillRates(report), to).await;
+    };
     let send_limited_sends = async |to: &[SocketAddr], hashes| {
         send(&gw, &socket, &PeerMessage::LimitedSends(hashes), to).await;
     };
+    let send_load_reports = async |to: &[SocketAddr], reports| {
+        send(&gw, &socket, &PeerMessage::LoadReports(reports), to).await;
+    };
+    let send_speeds = async |to: &[SocketAddr], reports| {
+        send(&gw, &socket, &PeerMessage::EngineSpeeds(reports), to).await;
+    };
     tokio::join!(
         receive(&gw, &store, &socket),
         report_versions(&gw, &socket),
@@ -116,6 +139,9 @@
         leaving_upstreams::broadcast_leaving(&gw, send_leaving),
         rate_limits::share_rate_limits(&gw, send_limits),
         rate_limits::announce_limited_sends(&gw, send_limited_sends),
+        rate_samples::share_rate_samples(&gw, send_prefill_rates),
+        load_reports::broadcast_load_reports(&gw, send_load_reports),
+        engine_speeds::share_engine_speeds(&gw, send_speeds),
         fetch::serve_fetches(gw.clone(), listener),
     );
     Ok(())
@@ -172,6 +198,9 @@
         PeerMessage::Leaving(hashes) => gw.apply_leaving_report(&hashes, now),
         PeerMessage::RateLimits(reports) => gw.apply_rate_limit_reports(&reports, now),
         PeerMessage::LimitedSends(hashes) => gw.count_peer_sends(&hashes, now),
+        PeerMessage::PrefillRates(report) => gw.rate_samples.apply_report(report, now),
+        PeerMessage::LoadReports(reports) => gw.apply_shared_load_reports(&reports, now),
+        PeerMessage::EngineSpeeds(reports) => gw.apply_speed_reports(&reports, now),
         PeerMessage::OldSessions(order, sessions) => {
             gw.sessions
                 .borrow_mut()
@@ -200,6 +229,9 @@
             Self::Leaving(_) => "leaving",
             Self::RateLimits(_) => "rate-limits",
             Self::LimitedSends(_) => "limited-sends",
+            Self::PrefillRates(_) => "prefill-rates",
+            Self::LoadReports(_) => "load-reports",
+            Self::EngineSpeeds(_) => "engine-speeds",
             Self::OldSessions(..) => "old-sessions",
             Self::Poll(_) => "questions",
             Self::HubUpdate(_) => "told",
@@ -342,7 +374,13 @@
         was_idle = is_idle;
         let now = Now::read();
         let state = gw.knowledge.borrow();
-        gw.peer_loads.borrow_mut().apply_to_upstreams(&state, now);
+        let controlled = gw.controlled_services();
+        let counts_ages = |upstream: &Upstream| {
+            upstream.with_listed(|listed| controlled.contains(&listed.service))
+        };
+        gw.peer_loads
+            .borrow_mut()
+            .apply_with_ages(&state, counts_ages, now);
     }
 }
 
--- a/src/gateway/place/choose.rs
+++ b/src/gateway/place/choose.rs
@@ -6,6 +6,8 @@
 
 use super::cache_affinity::rendezvous_weight;
 use super::engine_cost::{PlacementCost, PrefixSource, SharedPrompt, engine_costs};
+use super::engine_speed::SpeedBelief;
+use super::expected_wait::ExpectedWait;
 use crate::clock::Now;
 use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::control::store::UpstreamLife;
@@ -50,13 +52,17 @@
     pub prefill: Duration,
     /// Where the engine gets the shared prefix from; `Computed` for plain upstreams.
     pub prefix_source: PrefixSource,
+    /// The expected wait, where requests are placed by it.
+    pub expected: Option<ExpectedWait>,
+    /// The speed that the upstream is believed to have.
+    pub speed: SpeedBelief,
 }
 
 impl PlacementChoice {
-    /// Returns whether the time to the first event measures the prefill rate of the engine: it
-    /// computes the whole prompt and, as far as is known, nothing else.
-    pub fn measures_prefill_rate(&self) -> bool {
-        self.prefix_source == PrefixSource::Computed && self.queue_wait.is_zero()
+    /// Returns the time of this request's own prefill at the usual speed. Boxes that believe
+    /// different speeds can add it up.
+    pub fn prefill_work(&self) -> Duration {
+        self.speed.work_in(self.prefill)
     }
 }
 
@@ -77,22 +83,27 @@
         .collect();
     let costs = match params.prompt {
         Some(prompt) => engine_costs(&untried, params, prompt, now),
-        None => plain_costs(&untried, params.hall, now),
+        None => plain_costs(&untried, params.hall, now)
+            .into_iter()
+            .map(Some)
+            .collect(),
     };
     let tie = |upstream: &Upstream| std::cmp::Reverse(rendezvous_weight(upstream, params.seed));
-    let (upstream, found) =
-        untried
-            .into_iter()
-            .zip(costs)
-            .min_by(|(one, cost), (other, other_cost)| {
-                let by_cost = cost.cost.total_cmp(&other_cost.cost);
-                by_cost.then_with(|| tie(one).cmp(&tie(other)))
-            })?;
+    let (upstream, found) = untried
+        .into_iter()
+        .zip(costs)
+        .filter_map(|(upstream, cost)| Some((upstream, cost?)))
+        .min_by(|(one, cost), (other, other_cost)| {
+            let by_cost = cost.cost.total_cmp(&other_cost.cost);
+            by_cost.then_with(|| tie(one).cmp(&tie(other)))
+        })?;
     Some(PlacementChoice {
         upstream: upstream.clone(),
         queue_wait: found.queue_wait,
         prefill: found.prefill,
         prefix_source: found.prefix_source,
+        expected: None,
+        speed: upstream.speed().belief(now),
     })
 }
 
--- /dev/null
+++ b/src/gateway/place/load_control.rs
@@ -0,0 +1,47 @@
+//! Where boxes control the load of a service: reports are shared, requests are placed by the
+//! expected wait, and a shortage of room is divided.
+//!
+//! Elsewhere none of this takes effect. See `docs/design/load-control.md`.
+
+use crate::gateway::Gateway;
+use crate::gateway::attempt::upstream::Upstream;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+impl Gateway {
+    /// Returns whether boxes control the load of a service: the settings expect contention, or an
+    /// upstream of the service states how long work takes at the moment.
+    pub fn controls_load(&self, service: &str) -> bool {
+        self.settings().expects_contention || self.states_work_time(service)
+    }
+
+    /// Returns whether boxes control the load of any service with model engines.
+    pub fn controls_any_engines(&self) -> bool {
+        let routes = self.knowledge.borrow().routes().cloned();
+        let Some(routes) = routes else {
+            return false;
+        };
+        let mut services = routes.services.iter();
+        services.any(|(name, service)| service.engine.is_some() && self.controls_load(name))
+    }
+
+    /// Returns the services of known upstreams whose load boxes control.
+    pub fn controlled_services(&self) -> BTreeSet<String> {
+        let knowledge = self.knowledge.borrow();
+        let is_controlled = |upstream: &&Rc<Upstream>| {
+            self.settings().expects_contention || upstream.states_work_time()
+        };
+        let upstreams = knowledge.upstreams().filter(is_controlled);
+        let services =
+            upstreams.map(|upstream| upstream.with_listed(|listed| listed.service.clone()));
+        services.collect()
+    }
+
+    fn states_work_time(&self, service: &str) -> bool {
+        let knowledge = self.knowledge.borrow();
+        knowledge
+            .upstreams()
+            .filter(|upstream| upstream.states_work_time())
+            .any(|upstream| upstream.with_listed(|listed| listed.service == service))
+    }
+}
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -2,15 +2,21 @@
 //!
 //! `docs/OPERATIONS.md` shows how to find the cause of a failure from a request's id.
 
+use super::admit::load_decision::{CallerHistory, LoadDecision, LoadInputs};
 use super::admit::request::{AdmittedRequest, AttemptPlan};
+use super::answer::held_bytes::{HeldKind, YieldingRequest};
+use super::answer::held_memory::HeldMemory;
 use super::answer::refusal::{Execution, RefusalReason};
+use super::attempt::connect::ConnectionOrigin;
 use super::attempt::crash_detection::InterruptedRun;
-use super::attempt::exchange::TryOutcome;
+use super::attempt::exchange::{NotRunReason, TryOutcome};
 use super::attempt::upstream::Upstream;
+use super::attempt::upstream_connections::ConnectionMetrics;
 use super::control::change::Change;
 use super::control::revision::EpochRevision;
 use super::peers::hub_poller::FetchError;
 use super::place::choose::PlacementChoice;
+use super::place::engine_speed::{SpeedBelief, SpeedSource};
 use crate::clock::{Now, millis};
 use crate::crash_ledger::{CrashCheckResult, CrashRole};
 use crate::fingerprint::Fingerprint;
@@ -44,14 +50,23 @@
     responses: Counter<u64>,
     refusals: Counter<u64>,
     attempts: Counter<u64>,
+    rejections: Counter<u64>,
+    load_decisions: Counter<u64>,
+    waiting: Gauge<u64>,
+    expected_wait: Gauge<f64>,
+    invalid_load_reports: Counter<u64>,
+    connections: Counter<u64>,
     store_calls: Counter<u64>,
     peer_bytes: Counter<u64>,
     received_bytes: Counter<u64>,
     fetches: Counter<u64>,
+    held_bytes: Gauge<u64>,
+    let_go: Counter<u64>,
     config_version: Gauge<u64>,
     faulty_upstreams: Gauge<u64>,
     lag: Gauge<u64>,
     knowledge_age: Gauge<u64>,
+    engine_speed: Gauge<u64>,
 }
 
 impl Telemetry {
@@ -76,6 +91,30 @@
                 .u64_counter("gatepier_tries")
                 .with_description("Attempts at upstreams, by outcome.")
                 .build(),
+            rejections: meter
+                .u64_counter("gatepier_rejected_arrivals")
+                .with_description("Requests that upstreams rejected, by service.")
+                .build(),
+            load_decisions: meter
+                .u64_counter("gatepier_load_decisions")
+                .with_description("Requests that waited or were refused under load, by decision.")
+                .build(),
+            waiting: meter
+                .u64_gauge("gatepier_waiting_requests")
+                .with_description("Requests that wait in the box for room.")
+                .build(),
+            expected_wait: meter
+                .f64_gauge("gatepier_expected_wait_seconds")
+                .with_description("Expected time until an upstream runs a request, by upstream.")
+                .build(),
+            invalid_load_reports: meter
+                .u64_counter("gatepier_invalid_load_reports")
+                .with_description("Load reports of upstreams that cannot be read.")
+                .build(),
+            connections: meter
+                .u64_counter("gatepier_upstream_connections")
+                .with_description("Connections to upstreams, by event and kind of upstream.")
+                .build(),
             store_calls: meter
                 .u64_counter("gatepier_store_calls")
                 .with_description("Calls to the platform's store, by kind.")
@@ -92,6 +131,14 @@
                 .u64_counter("gatepier_fetches")
                 .with_description("Fetches from other boxes, by outcome.")
                 .build(),
+            held_bytes: meter
+                .u64_gauge("gatepier_held_bytes")
+                .with_description("Bytes held for requests, by kind.")
+                .build(),
+            let_go: meter
+                .u64_counter("gatepier_requests_let_go")
+                .with_description("Requests let go because their callers did not read.")
+                .build(),
             faulty_upstreams: meter
                 .u64_gauge("gatepier_faulty_upstreams")
                 .with_description("Upstreams whose entries cannot be read.")
@@ -104,6 +151,10 @@
                 .u64_gauge("gatepier_config_version")
                 .with_description("The version of the configuration in force.")
                 .build(),
+            engine_speed: meter
+                .u64_gauge("gatepier_engine_speed_percent")
+                .with_description("Speed that the box believes an engine to have, by upstream.")
+                .build(),
             knowledge_age: meter
                 .u64_gauge("gatepier_knowledge_age_ms")
                 .with_description("Age of the last proof that the box's knowledge is current.")
@@ -111,12 +162,18 @@
         }
     }
 
+    /// Returns the counter of connections to upstreams.
+    pub fn connection_metrics(&self) -> ConnectionMetrics {
+        ConnectionMetrics::new(self.connections.clone())
+    }
+
     /// Records an attempt at an upstream.
     pub fn record_attempt(
         &self,
         request: &AdmittedRequest,
         choice: &PlacementChoice,
         tried: &TryOutcome,
+        connection: Option<ConnectionOrigin>,
         plan: AttemptPlan<'_>,
     ) {
         let outcome = match tried {
@@ -125,8 +182,20 @@
             TryOutcome::Unknown(_) => "unknown",
         };
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
+        if matches!(tried, TryOutcome::NotRun(NotRunReason::Refused(_))) {
+            let service = KeyValue::new("service", request.service.clone());
+            self.rejections.add(1, &[service]);
+        }
         let upstream = &choice.upstream;
         let listed = upstream.listed();
+        let expected = choice.expected;
+        if let Some(expected) = expected {
+            let label = KeyValue::new("upstream", listed.instance.clone());
+            self.expected_wait
+                .record(expected.queue.as_secs_f64(), &[label]);
+        }
+        let report_age = expected.and_then(|expected| expected.report_age);
+        self.record_engine_speed(&listed.instance, choice.speed);
         log::info!(
             request = request.request_id.as_str(),
             fingerprint = request.fingerprint.to_string().as_str(),
@@ -142,7 +211,15 @@
             ahead_ms = millis(choice.queue_wait),
             reading_ms = millis(choice.prefill),
             beginning = choice.prefix_source.name(),
+            expected_wait_ms = expected.map_or(-1, |expected| signed_millis(expected.queue)),
+            expected_run_ms = expected.map_or(-1, |expected| signed_millis(expected.run)),
+            report_age_ms = report_age.map_or(-1, signed_millis),
+            work_time_percent = upstream.newest_report().and_then(|(load, _)| load.work_time_percent).map_or(-1, i64::from),
+            speed_percent = percent(choice.speed.speed),
+            speed_source = choice.speed.source.name(),
+            speed_age_ms = choice.speed.age.map_or(0, millis),
             outstanding = upstream.outstanding(),
+            connection = connection.map_or("none", ConnectionOrigin::name),
             rest_ms = upstream.retry_after_left(Now::read()).map_or(0, millis),
             warm_up_ms = millis(upstream.warm_up_left(Now::read())),
             limit = upstream.rate_limit().limit().map_or(String::new(), |limit| limit.to_string()).as_str();
@@ -150,6 +227,14 @@
         );
     }
 
+    /// Records the speed that the box believes an upstream to have, once it was measured.
+    fn record_engine_speed(&self, instance: &str, belief: SpeedBelief) {
+        if belief.source != SpeedSource::Default {
+            let upstream = KeyValue::new("upstream", instance.to_owned());
+            self.engine_speed.record(percent(belief.speed), &[upstream]);
+        }
+    }
+
     /// Records that a response broke off or came too late.
     pub fn record_broken_answer(
         &self,
@@ -210,6 +295,19 @@
         }
     }
 
+    /// Counts load reports that cannot be read, and logs them if a line is due.
+    pub fn record_invalid_load_reports(&self, upstream: &Upstream, count: u32, is_logged: bool) {
+        self.invalid_load_reports.add(count.into(), &[]);
+        if is_logged {
+            let instance = upstream.with_listed(|listed| listed.instance.clone());
+            log::warn!(
+                upstream = instance.as_str(),
+                count;
+                "the load report cannot be read; using the earlier ones"
+            );
+        }
+    }
+
     /// Records that a smaller model's answer was dropped to try a larger model.
     pub fn record_escalation(
         &self,
@@ -327,6 +425,54 @@
         );
     }
 
+    /// Records that a request waits or is refused under load, and what this rests on.
+    pub fn record_load_decision(
+        &self,
+        request: &AdmittedRequest,
+        inputs: &LoadInputs,
+        decision: LoadDecision,
+        waiting: usize,
+        share: f64,
+    ) {
+        let (name, limit) = match decision {
+            LoadDecision::Send => ("send", None),
+            LoadDecision::Wait { at_most } => ("wait", Some(at_most)),
+            LoadDecision::Refuse { come_back } => {
+                ("refuse", come_back.map(|window| window.earliest))
+            }
+        };
+        self.load_decisions
+            .add(1, &[KeyValue::new("decision", name)]);
+        let expected = inputs.expected;
+        let report_age = expected.and_then(|expected| expected.report_age);
+        log::info!(
+            request = request.request_id.as_str(),
+            service = request.service.as_str(),
+            decision = name,
+            limit_ms = optional_millis(limit),
+            expected_queue_ms = optional_millis(expected.map(|expected| expected.queue)),
+            expected_run_ms = optional_millis(expected.map(|expected| expected.run)),
+            report_age_ms = optional_millis(report_age),
+            objective_left_ms = millis(inputs.objective_left),
+            deadline_left_ms = millis(inputs.deadline_left),
+            full = inputs.is_full_everywhere,
+            came_back = inputs.caller == CallerHistory::Returned,
+            repeats_at_once = inputs.caller == CallerHistory::RepeatsAtOnce,
+            less_urgent = inputs.standing.is_less_urgent,
+            over_share = inputs.standing.is_over_share,
+            others_ahead = inputs.standing.has_others_ahead,
+            waiting,
+            share;
+            "little room"
+        );
+    }
+
+    /// Records the number of requests that wait for room.
+    pub fn record_waiting(&self, waiting: usize) {
+        let waiting = u64::try_from(waiting).unwrap_or(u64::MAX);
+        self.waiting.record(waiting, &[]);
+    }
+
     /// Records a change of the box's knowledge.
     pub fn record_change(&self, change: &Change, source: &str, revision: u64) {
         if let Change::Routes(version) = change {
@@ -400,6 +546,31 @@
         }
     }
 
+    /// Records that a request is let go because its caller made no progress and memory is short.
+    pub fn record_let_go(&self, request: &YieldingRequest, budget: u64) {
+        self.let_go.add(1, &[]);
+        log::warn!(
+            request = request.request_id.as_str(),
+            held_bytes = request.held,
+            without_progress_ms = millis(request.without_progress),
+            budget_bytes = budget;
+            "let go: its caller makes no progress and memory is short"
+        );
+    }
+
+    /// Records a large answer that was cut before its end.
+    pub fn record_relay_cut(&self, request: &AdmittedRequest, reason: &str) {
+        log::warn!(request = request.request_id.as_str(); "answer cut: {reason}");
+    }
+
+    /// Records the bytes held of each kind.
+    pub fn record_held_bytes(&self, memory: &HeldMemory) {
+        for kind in HeldKind::ALL {
+            let label = KeyValue::new("kind", kind.name());
+            self.held_bytes.record(memory.held(kind), &[label]);
+        }
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, kind: &'static str) {
         self.store_calls.add(1, &[KeyValue::new("kind", kind)]);
@@ -424,3 +595,18 @@
         self.lag.record(lag.map_or(0, millis), &[]);
     }
 }
+
+/// Returns a time for the log; -1 if there is none.
+fn optional_millis(time: Option<Duration>) -> i64 {
+    time.map_or(-1, signed_millis)
+}
+
+/// Returns milliseconds as a number that can be -1 where nothing is known.
+fn signed_millis(duration: Duration) -> i64 {
+    i64::try_from(millis(duration)).unwrap_or(i64::MAX)
+}
+
+/// Returns a fraction in whole percent.
+fn percent(fraction: f64) -> u64 {
+    (fraction * 100.0).round() as u64
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,14 +1,25 @@
 //! Tests of the decisions of the gateway, as functions of its state and the current time.
 
 mod boundary;
+mod connection_age;
+mod connection_limit;
 mod datagrams;
+mod engine_placement;
+mod engine_speed;
 mod escalation;
+mod expected_wait;
 mod fetch_planning;
 mod freshness;
+mod held_bytes;
 mod initial_sync;
+mod load_decision;
+mod load_patterns;
+mod load_reports;
 mod packing;
 mod peer_updates;
 mod placement;
+mod plain_fleet;
+mod plain_placement;
 mod quarantine;
 mod rate_limits;
 mod refusals;
@@ -18,8 +29,10 @@
 mod rollout_simulation;
 mod rollouts;
 mod routes;
+mod shared_rates;
 mod streams;
 mod upstream_restarts;
+mod wait_queue;
 mod warm_up;
 
 use gatepier::clock::{Now, WallTime};
