--- a/src/gateway/attempt/spare_connections.rs
+++ b/src/gateway/attempt/spare_connections.rs
@@ -97,7 +97,7 @@
 impl Gateway {
     /// Returns which connections a request of a service may use.
     pub fn connection_rules(&self, service: &str, is_repeatable: bool) -> ConnectionRules {
-        let is_controlled = self.controls_load(service);
+        let is_controlled = self.controls_connections(service);
         let knowledge = self.knowledge.borrow();
         let service = knowledge
             .routes()
--- a/src/gateway/place/load_control.rs
+++ b/src/gateway/place/load_control.rs
@@ -9,10 +9,20 @@
 use std::rc::Rc;
 
 impl Gateway {
-    /// Returns whether boxes control the load of a service: the settings expect contention, or an
-    /// upstream of the service states how long work takes at the moment.
+    /// Returns whether boxes control the load of a service: one of its upstreams states how long
+    /// work takes at the moment.
     pub fn controls_load(&self, service: &str) -> bool {
-        self.settings().expects_contention || self.states_work_time(service)
+        let knowledge = self.knowledge.borrow();
+        knowledge
+            .upstreams()
+            .filter(|upstream| upstream.states_work_time())
+            .any(|upstream| upstream.with_listed(|listed| listed.service == service))
+    }
+
+    /// Returns whether boxes control their connections to the upstreams of a service: they control
+    /// its load, or the settings expect contention.
+    pub fn controls_connections(&self, service: &str) -> bool {
+        self.settings().expects_contention || self.controls_load(service)
     }
 
     /// Returns whether boxes control the load of any service with model engines.
@@ -28,20 +38,10 @@
     /// Returns the services of known upstreams whose load boxes control.
     pub fn controlled_services(&self) -> BTreeSet<String> {
         let knowledge = self.knowledge.borrow();
-        let is_controlled = |upstream: &&Rc<Upstream>| {
-            self.settings().expects_contention || upstream.states_work_time()
-        };
-        let upstreams = knowledge.upstreams().filter(is_controlled);
+        let states_work_time = |upstream: &&Rc<Upstream>| upstream.states_work_time();
+        let upstreams = knowledge.upstreams().filter(states_work_time);
         let services =
             upstreams.map(|upstream| upstream.with_listed(|listed| listed.service.clone()));
         services.collect()
     }
-
-    fn states_work_time(&self, service: &str) -> bool {
-        let knowledge = self.knowledge.borrow();
-        knowledge
-            .upstreams()
-            .filter(|upstream| upstream.states_work_time())
-            .any(|upstream| upstream.with_listed(|listed| listed.service == service))
-    }
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -26,10 +26,8 @@
     pub memory_limit: Option<u64>,
     /// Whether the whole system starts for the first time, so that no box is registered yet.
     pub is_first_start: bool,
-    /// Whether callers are expected to compete for the room at upstreams and in boxes, so that
-    /// boxes control the load of all services. Services whose upstreams state how long work takes
-    /// at the moment are controlled in any case; see
-    /// [`Gateway::controls_load`](super::Gateway::controls_load).
+    /// Whether connections and memory are expected to run short, so that boxes control their
+    /// connections to all services and bound the memory held for slow readers.
     pub expects_contention: bool,
     /// The bounds that operators set.
     pub bounds: Bounds,
