An answer is not dropped for its size where another cannot replace it

Where memory is bounded, an answer over 64 kB whose end a caller of HTTP/1.0 could not see counted as no answer, though it was ready and its request may not be repeated.

--- a/src/gateway/answer/buffered.rs
+++ b/src/gateway/answer/buffered.rs
@@ -238,11 +238,14 @@
     answer: &mut Answer,
     limit: usize,
 ) -> Option<BufferedResponse> {
-    let limit = match request.account.is_bounded() {
+    // Only a failure may be dropped for its size: another upstream's answer can replace it.
+    let is_failure = answer.status >= FIRST_SERVER_ERROR_STATUS;
+    let limit = match request.account.is_bounded() && is_failure {
         true => limit.min(SMALL_RESPONSE_BYTES),
         false => limit,
     };
-    let expected = answer.body_len().map_or(limit, |len| len as usize);
+    let stated = answer.body_len().map(|len| len as usize);
+    let expected = stated.unwrap_or(SMALL_RESPONSE_BYTES);
     let upstream = answer.upstream().clone();
     let read = async {
         let held = request
