--- a/src/gateway/admit/load_decision.rs
+++ b/src/gateway/admit/load_decision.rs
@@ -123,7 +123,7 @@
     }
 }
 
-/// Returns whether a report still tells how full an upstream is.
+/// Returns whether a report is recent enough to show how full an upstream is.
 pub fn is_recent(expected: ExpectedWait) -> bool {
     let longest = MAX_TRUSTED_REPORT_AGE.min(total(expected));
     expected.report_age.is_some_and(|age| age <= longest)
--- a/src/gateway/peers/load_reports.rs
+++ b/src/gateway/peers/load_reports.rs
@@ -122,7 +122,7 @@
 }
 
 impl Gateway {
-    /// Queues the newest report of an upstream for the other boxes, if it tells them anything.
+    /// Queues the newest report of an upstream for the other boxes, if it differs from what they know.
     pub fn share_load_report(&self, upstream: &Upstream, now: Now) {
         let Some((load, as_of)) = upstream.newest_report() else {
             return;
--- a/src/gateway/place/event_pace.rs
+++ b/src/gateway/place/event_pace.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Number of ranges of slot utilization that are told apart: tokens take longer the more requests
+/// Number of ranges of slot utilization that are distinguished: tokens take longer the more requests
 /// run beside each other.
 const UTILIZATION_RANGES: usize = 4;
 /// The number of streams from which a usual pace is compared with.
--- a/src/gateway/place/rate_samples.rs
+++ b/src/gateway/place/rate_samples.rs
@@ -121,7 +121,7 @@
         }
     }
 
-    /// Computes the medians anew and drops old measurements. This is done once for many decisions,
+    /// Recomputes the medians and drops old measurements. This is done once for many decisions,
     /// which use the result.
     pub fn update_medians(&self, now: Now) {
         let is_recent = |at: Duration| now.monotonic.saturating_sub(at) < SAMPLE_LIFETIME;
