--- a/src/gateway/admit/wait_queue.rs
+++ b/src/gateway/admit/wait_queue.rs
@@ -51,6 +51,8 @@
     pub came_back: bool,
     /// The latest time at which it can start and still meet its deadline.
     pub latest_start: Duration,
+    /// The wait up to which it is sent; it looks for room with less.
+    pub room_limit: Duration,
     /// The size of its body.
     pub bytes: usize,
 }
@@ -67,6 +69,7 @@
     urgency: Urgency,
     came_back: bool,
     latest_start: Duration,
+    room_limit: Duration,
     bytes: usize,
     signal: Rc<Notify>,
 }
@@ -114,6 +117,7 @@
             urgency: waiter.urgency,
             came_back: waiter.came_back,
             latest_start: waiter.latest_start,
+            room_limit: waiter.room_limit,
             bytes: waiter.bytes,
             signal: signal.clone(),
             group: self.join_group(waiter),
@@ -145,9 +149,11 @@
             .map(|(entry, _)| entry.id)
     }
 
-    /// Returns whether a request that waits goes before one that has just arrived.
+    /// Returns whether a request that waits goes before one that has just arrived, and would take
+    /// the room that this one sees.
     pub fn has_ahead(&self, waiter: &Waiter, shares: &impl ServedShares, now: Now) -> bool {
-        let Some((_, (is_too_late, first_rank))) = self.first_entry(&waiter.service, shares, now)
+        let Some((first, (is_too_late, first_rank))) =
+            self.first_entry(&waiter.service, shares, now)
         else {
             return false;
         };
@@ -157,7 +163,7 @@
             !waiter.came_back,
             waiter.latest_start,
         );
-        !is_too_late && first_rank < own_rank
+        !is_too_late && first.room_limit >= waiter.room_limit && first_rank < own_rank
     }
 
     /// Wakes the first request of a service to see whether there is room for it.
--- a/tests/gateway/load_decision.rs
+++ b/tests/gateway/load_decision.rs
@@ -36,6 +36,8 @@
         caller: CallerHistory::New,
         draw: 0,
         standing: Standing::default(),
+        boxes: 8,
+        shortage: Duration::ZERO,
     }
 }
 
@@ -106,6 +108,8 @@
                             is_over_share: is_set(3),
                             has_others_ahead: is_set(3),
                         },
+                        boxes: usize::from(flags),
+                        shortage: left,
                     });
                 }
             }
--- a/tests/gateway/load_patterns.rs
+++ b/tests/gateway/load_patterns.rs
@@ -1,21 +1,28 @@
 //! Who is served, waits or is refused under patterns of load, over virtual time.
 //!
 //! Three upstreams serve six requests of 30 ms at a time each, and queue up to 24 more; callers want
-//! an answer within 150 ms, wait for 1.5 s, and come back once. Thresholds are what callers need: a
-//! refusal within a quarter of the objective still leaves time for another attempt, and being
-//! refused twice helps nobody.
+//! an answer within 150 ms, wait for 1.5 s, and come back once. Boxes know what the reports of the
+//! upstreams tell them. Thresholds are what callers need: a refusal within a quarter of the
+//! objective still leaves time for another attempt, and being refused twice helps nobody.
 
-use super::{at, cases};
+use super::{at, cases, listed};
 use gatepier::clock::Now;
 use gatepier::gateway::admit::load_decision::{
-    CallerHistory, LoadDecision, LoadInputs, Standing, decide, time_until_room,
+    CallerHistory, LoadDecision, LoadInputs, Standing, decide, is_recent, time_until_room,
 };
 use gatepier::gateway::admit::service_demand::ServiceDemand;
 use gatepier::gateway::admit::wait_queue::{Urgency, WaitQueue, Waiter, WaiterId};
 use gatepier::gateway::answer::return_schedule::ReturnSchedule;
+use gatepier::gateway::attempt::headers::ReportedLoad;
+use gatepier::gateway::attempt::upstream::Upstream;
 use gatepier::gateway::place::expected_wait::ExpectedWait;
+use gatepier::gateway::place::plain_cost::{PlainPlacement, choose_plain};
+use gatepier::routing::placement::LoadGuard;
 use googletest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 
 const SERVICE: &str = "booking";
@@ -24,8 +31,9 @@
 const RUN_MS: u64 = 30;
 const OBJECTIVE_MS: u64 = 150;
 const DEADLINE_MS: u64 = 1500;
-/// Upstreams state their load this often; boxes send by it and what they sent since.
-const REPORT_INTERVAL_MS: u64 = 10;
+/// Boxes hear of the load of each upstream this often, and this long after it was stated.
+const REPORT_INTERVAL_MS: u64 = 20;
+const REPORT_TRANSIT_MS: u64 = 5;
 /// What an upstream serves, in requests per millisecond.
 const UPSTREAM_RATE: f64 = SLOTS as f64 / RUN_MS as f64;
 const URGENT: Urgency = Urgency {
@@ -88,6 +96,8 @@
     refused_again: u32,
     refused_late: u32,
     rejected: u32,
+    /// Answered after the deadline.
+    in_vain: u32,
 }
 
 impl Outcome {
@@ -96,18 +106,30 @@
     }
 }
 
+/// A request at an upstream: from which box, and what counts it there.
+#[derive(Debug)]
+struct AtUpstream {
+    request: Request,
+    number: usize,
+    _in_flight: LoadGuard,
+}
+
 #[derive(Debug, Default)]
-struct Upstream {
-    running: Vec<(u64, Request, usize)>,
-    queued: VecDeque<(Request, usize)>,
+struct TrueUpstream {
+    running: Vec<(u64, AtUpstream)>,
+    queued: VecDeque<AtUpstream>,
+    idle_slot_ms: usize,
 }
 
-/// What a box knows of an upstream.
-#[derive(Debug, Clone, Copy, Default)]
-struct Known {
-    reported: usize,
-    reported_ms: u64,
-    sent_since: usize,
+impl TrueUpstream {
+    fn load(&self) -> ReportedLoad {
+        ReportedLoad {
+            running: self.running.len() as u32,
+            waiting: self.queued.len() as u32,
+            slots: SLOTS as u32,
+            work_time_percent: None,
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -116,7 +138,7 @@
     request: Request,
     caller: CallerHistory,
     until_ms: u64,
-    room_limit: Duration,
+    inputs: LoadInputs,
 }
 
 #[derive(Debug, Default)]
@@ -125,34 +147,45 @@
     waiting: Vec<Waiting>,
     demand: ServiceDemand,
     returns: ReturnSchedule,
-    known: Vec<Known>,
+    views: Vec<Rc<Upstream>>,
 }
 
 struct Fleet {
     streams: Vec<Stream>,
     boxes: Vec<BoxState>,
-    upstreams: Vec<Upstream>,
+    upstreams: Vec<TrueUpstream>,
+    reports: VecDeque<(u64, usize, ReportedLoad)>,
+    loses_reports: fn(u64) -> bool,
+    arrives_evenly: bool,
+    rng: StdRng,
     returning: Vec<(u64, Request)>,
     outcomes: Vec<Outcome>,
     now_ms: u64,
-    arrivals: usize,
     draw: u8,
 }
 
 impl Fleet {
     fn new(boxes: usize, upstreams: usize, streams: Vec<Stream>) -> Self {
+        let view = |number: usize| {
+            let mut entry = listed(&format!("i-{number}"), SERVICE, "hall");
+            entry.slots = SLOTS as u32;
+            Upstream::new(entry)
+        };
         let new_box = |_| BoxState {
-            known: vec![Known::default(); upstreams],
+            views: (0..upstreams).map(view).collect(),
             ..BoxState::default()
         };
         Self {
             outcomes: vec![Outcome::default(); streams.len()],
             streams,
             boxes: (0..boxes).map(new_box).collect(),
-            upstreams: (0..upstreams).map(|_| Upstream::default()).collect(),
+            upstreams: (0..upstreams).map(|_| TrueUpstream::default()).collect(),
+            reports: VecDeque::new(),
+            loses_reports: |_| false,
+            arrives_evenly: false,
+            rng: StdRng::seed_from_u64(7),
             returning: Vec::new(),
             now_ms: 0,
-            arrivals: 0,
             draw: 0,
         }
     }
@@ -164,6 +197,7 @@
     fn run_until(&mut self, end_ms: u64) {
         while self.now_ms < end_ms {
             self.serve_at_upstreams();
+            self.deliver_reports();
             self.look_for_room();
             self.arrive();
             self.now_ms += 1;
@@ -194,8 +228,7 @@
             if !(from_ms..to_ms).contains(&self.now_ms) {
                 continue;
             }
-            let count = |ms: u64| (ms as f64 * rate) as u64;
-            for _ in count(self.now_ms)..count(self.now_ms + 1) {
+            for _ in 0..self.arrivals_in_a_millisecond(rate) {
                 self.outcomes[stream].arrived += 1;
                 let (began_ms, sent_ms) = (self.now_ms, self.now_ms);
                 // Steps by an odd number draw all values equally often.
@@ -213,10 +246,18 @@
         }
     }
 
+    fn arrivals_in_a_millisecond(&mut self, rate: f64) -> u32 {
+        if self.arrives_evenly {
+            let count = |ms: u64| (ms as f64 * rate) as u32;
+            return count(self.now_ms + 1) - count(self.now_ms);
+        }
+        (0..20)
+            .map(|_| u32::from(self.rng.random::<f64>() < rate / 20.0))
+            .sum()
+    }
+
     fn admit(&mut self, request: Request) {
-        // Any box may get the next request; a prime step spreads them.
-        self.arrivals += 7919;
-        let number = self.arrivals % self.boxes.len();
+        let number = self.rng.random_range(0..self.boxes.len());
         let now = self.now();
         let urgency = self.streams[request.stream].urgency;
         let left = Duration::from_millis(DEADLINE_MS - (self.now_ms - request.began_ms));
@@ -227,28 +268,18 @@
         self.decide_on(number, request, caller);
     }
 
-    /// Returns what a box expects at an upstream, and whether the upstream is full.
-    fn expected(&self, number: usize, upstream: usize) -> (ExpectedWait, bool) {
-        let known = self.boxes[number].known[upstream];
-        let age = self.now_ms - known.reported_ms;
-        let done = (age as f64 * UPSTREAM_RATE) as usize;
-        let ahead = known.reported.saturating_sub(done) + known.sent_since;
-        let queue = (ahead + 1).saturating_sub(SLOTS) as f64 / UPSTREAM_RATE;
-        let expected = ExpectedWait {
-            queue: Duration::from_millis(queue as u64),
-            run: Duration::from_millis(RUN_MS),
-            report_age: Some(Duration::from_millis(age)),
-        };
-        (expected, ahead >= SLOTS + QUEUE_PLACES)
-    }
-
-    /// Returns the best upstream that may be tried, and whether there is one that is not full.
-    fn best(&self, number: usize, tried: u8) -> Option<(usize, ExpectedWait, bool)> {
-        let waits = (0..self.upstreams.len()).map(|upstream| {
-            let (expected, is_full) = self.expected(number, upstream);
-            (upstream, expected, is_full || tried & (1 << upstream) != 0)
+    /// Returns the best upstream that may be tried, and whether it is full.
+    fn best(&self, number: usize, tried: u8) -> Option<(ExpectedWait, bool)> {
+        let run = Duration::from_millis(RUN_MS);
+        let now = self.now();
+        let views = self.boxes[number].views.iter().enumerate();
+        let waits = views.map(|(index, view)| {
+            let wait = view.expected_wait(run, now);
+            let occupancy = view.load_estimate(run, now).occupancy;
+            let is_full = is_recent(wait) && view.is_full(occupancy);
+            (wait, is_full || tried & (1 << index) != 0)
         });
-        waits.min_by_key(|(_, expected, is_full)| (*is_full, expected.total()))
+        waits.min_by_key(|(wait, is_full)| (*is_full, wait.total()))
     }
 
     fn waiter(&self, request: Request, caller: CallerHistory) -> Waiter {
@@ -259,6 +290,7 @@
             urgency: self.streams[request.stream].urgency,
             came_back: caller == CallerHistory::Returned,
             latest_start: Duration::from_millis(latest_ms),
+            room_limit: Duration::ZERO,
             bytes: 0,
         }
     }
@@ -270,9 +302,9 @@
         let best = self.best(number, request.tried);
         let this = &self.boxes[number];
         let deadline_ms = request.began_ms + DEADLINE_MS;
-        let inputs = LoadInputs {
-            expected: best.map(|(_, expected, _)| expected),
-            is_full_everywhere: best.is_some_and(|(.., is_full)| is_full),
+        let mut inputs = LoadInputs {
+            expected: best.map(|(expected, _)| expected),
+            is_full_everywhere: best.is_some_and(|(_, is_full)| is_full),
             objective: Duration::from_millis(OBJECTIVE_MS),
             objective_left: Duration::from_millis(OBJECTIVE_MS.saturating_sub(held)),
             deadline_left: Duration::from_millis(deadline_ms.saturating_sub(self.now_ms)),
@@ -285,7 +317,15 @@
                     .is_over_share(SERVICE, &waiter.organisation, now),
                 has_others_ahead: this.queue.has_ahead(&waiter, &this.demand, now),
             },
+            boxes: self.boxes.len(),
+            shortage: Duration::ZERO,
         };
+        let spare = inputs.spare_occupancy(SLOTS as u32);
+        let seen = this
+            .views
+            .iter()
+            .filter_map(|view| view.last_seen_at_most(spare));
+        inputs.shortage = now.monotonic.saturating_sub(seen.max().unwrap_or_default());
         match decide(&inputs) {
             LoadDecision::Send => self.send(number, request, caller),
             LoadDecision::Wait { at_most } => {
@@ -296,7 +336,7 @@
                     request,
                     caller,
                     until_ms: self.now_ms + at_most.as_millis() as u64,
-                    room_limit: inputs.room_limit(),
+                    inputs,
                 });
             }
             LoadDecision::Refuse { come_back } => {
@@ -341,28 +381,61 @@
     }
 
     fn send(&mut self, number: usize, request: Request, caller: CallerHistory) {
-        let Some((index, ..)) = self.best(number, request.tried) else {
+        let now = self.now();
+        let views = self.boxes[number].views.iter().enumerate();
+        let untried: Vec<(usize, &Rc<Upstream>)> = views
+            .filter(|(index, _)| request.tried & (1 << index) == 0)
+            .collect();
+        let candidates: Vec<&Rc<Upstream>> = untried.iter().map(|(_, view)| *view).collect();
+        let placement = PlainPlacement {
+            hall: "hall",
+            hall_share: 1.0,
+            service_time: Duration::from_millis(RUN_MS),
+            seed: self.rng.random(),
+        };
+        let Some(choice) = choose_plain(&candidates, placement, now) else {
             return self.refuse(request, None);
         };
+        let chosen = |(_, view): &&(usize, &Rc<Upstream>)| Rc::ptr_eq(view, &choice.upstream);
+        let index = untried.iter().find(chosen).unwrap().0;
         let upstream = &mut self.upstreams[index];
-        let known = &mut self.boxes[number].known[index];
         if upstream.queued.len() < QUEUE_PLACES {
-            known.sent_since += 1;
-            upstream.queued.push_back((request, number));
+            let _in_flight = choice.upstream.begin_request();
+            upstream.queued.push_back(AtUpstream {
+                request,
+                number,
+                _in_flight,
+            });
             return;
         }
         // The rejection carries a report.
-        let reported = SLOTS + upstream.queued.len();
-        *known = Known {
-            reported,
-            reported_ms: self.now_ms,
-            sent_since: 0,
-        };
+        choice.upstream.record_load_report(upstream.load(), now);
+        choice.upstream.record_full(now);
         self.outcomes[request.stream].rejected += 1;
         let tried = request.tried | 1 << index;
         self.decide_on(number, Request { tried, ..request }, caller);
     }
 
+    /// Delivers what upstreams stated some time ago to all boxes.
+    fn deliver_reports(&mut self) {
+        for (index, upstream) in self.upstreams.iter().enumerate() {
+            if self.now_ms % REPORT_INTERVAL_MS == index as u64
+                && !(self.loses_reports)(self.now_ms)
+            {
+                self.reports
+                    .push_back((self.now_ms, index, upstream.load()));
+            }
+        }
+        while let Some((stated_ms, index, load)) = self.reports.front().copied()
+            && stated_ms + REPORT_TRANSIT_MS <= self.now_ms
+        {
+            self.reports.pop_front();
+            for view in self.boxes.iter().filter_map(|this| this.views.get(index)) {
+                view.record_shared_report(load, at(stated_ms).monotonic, self.now());
+            }
+        }
+    }
+
     fn serve_at_upstreams(&mut self) {
         let now = self.now();
         for index in 0..self.upstreams.len() {
@@ -373,32 +446,33 @@
                 .partition(|(end, ..)| *end <= self.now_ms);
             upstream.running = running;
             while upstream.running.len() < SLOTS
-                && let Some((request, number)) = upstream.queued.pop_front()
+                && let Some(next) = upstream.queued.pop_front()
             {
-                upstream
-                    .running
-                    .push((self.now_ms + RUN_MS, request, number));
+                let run_ms = self.rng.random_range(RUN_MS / 2..=RUN_MS * 3 / 2);
+                upstream.running.push((self.now_ms + run_ms, next));
             }
-            if self.now_ms % REPORT_INTERVAL_MS == index as u64 {
-                let reported = upstream.running.len() + upstream.queued.len();
-                for this in &mut self.boxes {
-                    let reported_ms = self.now_ms;
-                    this.known[index] = Known {
-                        reported,
-                        reported_ms,
-                        sent_since: 0,
-                    };
-                }
-            }
-            for (_, request, number) in done {
+            upstream.idle_slot_ms += SLOTS - upstream.running.len();
+            let load = upstream.load();
+            for (
+                _,
+                AtUpstream {
+                    request,
+                    number,
+                    _in_flight,
+                },
+            ) in done
+            {
+                drop(_in_flight);
                 let organisation = self.streams[request.stream].organisation.to_string();
                 if let Some(this) = self.boxes.get_mut(number) {
                     this.demand.record_served(SERVICE, &organisation, now);
+                    this.views[index].record_load_report(load, now);
                 }
                 let outcome = &mut self.outcomes[request.stream];
                 let since_first = self.now_ms - request.began_ms;
                 let since_sent = self.now_ms - request.sent_ms;
                 match (since_first <= OBJECTIVE_MS, since_sent <= OBJECTIVE_MS) {
+                    _ if since_first > DEADLINE_MS => outcome.in_vain += 1,
                     (true, _) => outcome.in_time += 1,
                     (false, true) => outcome.returned_in_time += 1,
                     (false, false) => outcome.late += 1,
@@ -416,13 +490,21 @@
                 let first = this.queue.first(SERVICE, &this.demand, now);
                 let best = self.best(number, 0);
                 let has_room = |limit| {
-                    best.is_none_or(|(_, found, is_full)| {
+                    best.is_none_or(|(found, is_full)| {
                         !is_full && time_until_room(found, limit).is_zero()
                     })
                 };
+                let wait_ms = best.map_or(0, |(found, _)| found.total().as_millis() as u64);
+                let end_ms = self.now_ms + wait_ms + RUN_MS;
+                let has_time = |request: Request| end_ms < request.began_ms + DEADLINE_MS;
                 let goes = |waiting: &Waiting| {
                     let is_first = Some(waiting.id) == first;
-                    waiting.until_ms <= self.now_ms || (is_first && has_room(waiting.room_limit))
+                    let held = Duration::from_millis(self.now_ms - waiting.request.sent_ms);
+                    let inputs = LoadInputs {
+                        objective_left: waiting.inputs.objective.saturating_sub(held),
+                        ..waiting.inputs
+                    };
+                    waiting.until_ms <= self.now_ms || (is_first && has_room(inputs.room_limit()))
                 };
                 let Some(index) = this.waiting.iter().position(goes) else {
                     break;
@@ -435,7 +517,7 @@
                     ..
                 } = this.waiting.swap_remove(index);
                 this.queue.leave(id);
-                match self.now_ms + RUN_MS < request.began_ms + DEADLINE_MS {
+                match has_time(request) {
                     true => self.send(
                         number,
                         Request {
@@ -454,7 +536,7 @@
     fn keep_upstreams(&mut self, count: usize) {
         self.upstreams.truncate(count);
         for this in &mut self.boxes {
-            this.known.truncate(count);
+            this.views.truncate(count);
         }
     }
 
@@ -469,6 +551,7 @@
             total.refused_again += outcome.refused_again;
             total.refused_late += outcome.refused_late;
             total.rejected += outcome.rejected;
+            total.in_vain += outcome.in_vain;
         }
         total
     }
@@ -499,9 +582,10 @@
 
 cases! {
     twice_the_capacity_for_ten_seconds => {
-        let mut fleet = Fleet::new(8, 3, equal_organisations(4, 2.0, 3, 10_000));
+        let mut fleet = Fleet::new(70, 3, equal_organisations(4, 2.0, 3, 10_000));
         fleet.run_until(13_000);
         let total = fleet.total();
+        println!("twice {total:?}");
         expect_fair_refusals(total);
         // What upstreams can serve goes to callers who have it in time.
         let in_time = f64::from(total.in_time + total.returned_in_time);
@@ -535,6 +619,41 @@
         expect_that!(in_time, ge(served), "{total:?}");
     }
 
+    a_third_more_than_one_upstream_of_three_serves_for_six_seconds => {
+        let mut fleet = Fleet::new(70, 3, equal_organisations(4, 0.43, 3, 10_000));
+        fleet.run_until(2000);
+        expect_that!(fleet.total().refused_for_good, eq(0));
+        fleet.keep_upstreams(1);
+        fleet.run_until(8000);
+        println!("during {:?} idle {}", fleet.total(), fleet.upstreams[0].idle_slot_ms);
+        fleet.run_until(13_000);
+        println!("after {:?}", fleet.total());
+        let total = fleet.total();
+        expect_fair_refusals(total);
+    }
+
+    // Refusing all, or sending everything by what was known, would each be wrong for three seconds.
+    reports_lost_for_three_seconds_at_the_peak => {
+        let mut fleet = Fleet::new(8, 3, equal_organisations(4, 1.2, 3, 10_000));
+        fleet.loses_reports = |ms| (3000..6000).contains(&ms);
+        fleet.run_until(13_000);
+        let total = fleet.total();
+        println!("lost {total:?}");
+        expect_fair_refusals(total);
+        let served = f64::from(total.in_time + total.returned_in_time + total.late);
+        expect_that!(served, ge(capacity(3, 10_000) * 0.95), "{total:?}");
+    }
+
+    twice_the_capacity_for_two_seconds => {
+        let mut streams = equal_organisations(4, 0.7, 3, 10_000);
+        streams.extend(equal_organisations(4, 1.3, 3, 3000).into_iter().map(|stream| Stream { from_ms: 1000, ..stream }));
+        let mut fleet = Fleet::new(70, 3, streams);
+        fleet.run_until(13_000);
+        let total = fleet.total();
+        println!("short {total:?}");
+        expect_fair_refusals(total);
+    }
+
     half_the_boxes_gone => {
         let mut fleet = Fleet::new(8, 3, equal_organisations(4, 0.8, 3, 10_000));
         fleet.run_until(2000);
@@ -561,6 +680,7 @@
 
     one_hall_cut_off_with_its_one_upstream => {
         let mut fleet = Fleet::new(3, 3, equal_organisations(4, 0.3, 3, 10_000));
+        fleet.arrives_evenly = true;
         fleet.run_until(2000);
         fleet.keep_upstreams(1);
         fleet.run_until(13_000);
--- a/tests/gateway/wait_queue.rs
+++ b/tests/gateway/wait_queue.rs
@@ -28,6 +28,7 @@
         urgency: URGENT,
         came_back: false,
         latest_start: Duration::from_secs(2),
+        room_limit: Duration::from_millis(100),
         bytes: 200,
     }
 }
