--- a/src/gateway/admit/load_decision.rs
+++ b/src/gateway/admit/load_decision.rs
@@ -122,10 +122,15 @@
         return LoadDecision::Send;
     };
     let has_room = is_free(expected) || inputs.fits(expected);
-    match inputs.is_kept() {
-        _ if has_room && !inputs.is_full_everywhere => LoadDecision::Send,
-        true => keep(inputs, expected),
-        false => refuse(inputs, expected),
+    if has_room && !inputs.is_full_everywhere {
+        return LoadDecision::Send;
+    }
+    if inputs.is_kept() {
+        return keep(inputs, expected);
+    }
+    match inputs.wait_for_place(expected) {
+        Duration::ZERO => refuse(inputs, expected),
+        at_most => LoadDecision::Wait { at_most },
     }
 }
 
@@ -266,8 +271,11 @@
     /// decide by the same reports, and would otherwise send everything until the next report and
     /// nothing after it.
     fn left_to_others(&self) -> Duration {
+        let repeats = self.caller == CallerHistory::RepeatsAtOnce;
         let yields = [
-            self.caller == CallerHistory::RepeatsAtOnce,
+            // Each repeat is another chance.
+            repeats,
+            repeats,
             self.standing.is_less_urgent,
             self.standing.is_over_share,
         ];
@@ -285,14 +293,32 @@
             .saturating_add(uncertainty / 2)
     }
 
+    /// Returns how long a request that could be answered in time waits for a place at upstreams that
+    /// are full, while a refusal is still prompt.
+    fn wait_for_place(&self, expected: ExpectedWait) -> Duration {
+        let prompt = self.objective / PROMPT_REFUSAL_DIVISOR;
+        let prompt_left = prompt.saturating_sub(self.elapsed());
+        match self.is_full_everywhere && self.fits(expected) {
+            true => self
+                .limit()
+                .saturating_sub(total(expected))
+                .min(prompt_left),
+            false => Duration::ZERO,
+        }
+    }
+
     /// Returns whether the request is expected to be answered in time, or before its deadline if its
     /// caller was told that it would find room.
     fn fits(&self, expected: ExpectedWait) -> bool {
+        !self.standing.has_others_ahead && total(expected) <= self.limit()
+    }
+
+    /// Returns the expected wait up to which the request is sent.
+    fn limit(&self) -> Duration {
         let limit = match self.caller {
             CallerHistory::Returned => self.objective.min(self.deadline_left),
             CallerHistory::New | CallerHistory::RepeatsAtOnce => self.objective_left,
         };
-        let limit = limit.saturating_sub(self.left_to_others());
-        !self.standing.has_others_ahead && total(expected) <= limit
+        limit.saturating_sub(self.left_to_others())
     }
 }
--- a/src/gateway/admit/room.rs
+++ b/src/gateway/admit/room.rs
@@ -358,7 +358,9 @@
             boxes: gw.knowledge.borrow().box_count(),
             shortage: Duration::ZERO,
         };
-        inputs.standing = self.standing(gw, &inputs, now);
+        inputs.standing = self.standing(gw, now);
+        // Whether others go first depends on the room that the request would take.
+        inputs.standing.has_others_ahead = self.has_others_ahead(gw, &inputs, now);
         inputs.shortage = self.shortage(gw, &inputs, now);
         inputs
     }
@@ -376,18 +378,22 @@
             .map_or(uptime, |seen| now.monotonic.saturating_sub(seen))
     }
 
-    fn standing(&self, gw: &Gateway, inputs: &LoadInputs, now: Now) -> Standing {
+    fn standing(&self, gw: &Gateway, now: Now) -> Standing {
         let demand = gw.room.demand.borrow();
-        let queue = gw.room.queue.borrow();
         let organisation = self.organisation_name();
         Standing {
             is_less_urgent: demand.has_more_urgent(&self.service, self.urgency(), now),
             is_over_share: demand.is_over_share(&self.service, organisation, now),
-            has_others_ahead: !queue.is_empty()
-                && queue.has_ahead(&self.waiter(inputs, now), &*demand, now),
+            has_others_ahead: false,
         }
     }
 
+    fn has_others_ahead(&self, gw: &Gateway, inputs: &LoadInputs, now: Now) -> bool {
+        let queue = gw.room.queue.borrow();
+        let demand = gw.room.demand.borrow();
+        !queue.is_empty() && queue.has_ahead(&self.waiter(inputs, now), &*demand, now)
+    }
+
     fn log_decision(&self, gw: &Gateway, inputs: &LoadInputs, decision: LoadDecision, now: Now) {
         if decision == LoadDecision::Send {
             return;
--- a/src/gateway/admit/wait_queue.rs
+++ b/src/gateway/admit/wait_queue.rs
@@ -145,16 +145,16 @@
     /// Returns the request of a service that goes first. Those that can no longer meet their
     /// deadline go last.
     pub fn first(&self, service: &str, shares: &impl ServedShares, now: Now) -> Option<WaiterId> {
-        self.first_entry(service, shares, now)
+        self.first_entry(service, Duration::ZERO, shares, now)
             .map(|(entry, _)| entry.id)
     }
 
     /// Returns whether a request that waits goes before one that has just arrived, and would take
     /// the room that this one sees.
     pub fn has_ahead(&self, waiter: &Waiter, shares: &impl ServedShares, now: Now) -> bool {
-        let Some((first, (is_too_late, first_rank))) =
-            self.first_entry(&waiter.service, shares, now)
-        else {
+        let limit = waiter.room_limit;
+        let first = self.first_entry(&waiter.service, limit, shares, now);
+        let Some((_, (is_too_late, first_rank))) = first else {
             return false;
         };
         let own_rank = (
@@ -163,12 +163,12 @@
             !waiter.came_back,
             waiter.latest_start,
         );
-        !is_too_late && first.room_limit >= waiter.room_limit && first_rank < own_rank
+        !is_too_late && first_rank < own_rank
     }
 
     /// Wakes the first request of a service to see whether there is room for it.
     pub fn wake_first(&self, service: &str, shares: &impl ServedShares, now: Now) {
-        if let Some((entry, _)) = self.first_entry(service, shares, now) {
+        if let Some((entry, _)) = self.first_entry(service, Duration::ZERO, shares, now) {
             entry.signal.notify_one();
         }
     }
@@ -214,9 +214,11 @@
         index
     }
 
+    /// Returns the first one among those that are sent up to a wait of `least_limit`.
     fn first_entry(
         &self,
         service: &str,
+        least_limit: Duration,
         shares: &impl ServedShares,
         now: Now,
     ) -> Option<(&Entry, (bool, Rank))> {
@@ -228,7 +230,11 @@
             is_of_service.then(|| shares.share_step(service, &group.organisation, now))
         };
         let share_steps: Vec<Option<u8>> = self.groups.iter().map(share_step).collect();
-        let ranked = self.entries.iter().filter_map(|entry| {
+        let takes_room = self
+            .entries
+            .iter()
+            .filter(|entry| entry.room_limit >= least_limit);
+        let ranked = takes_room.filter_map(|entry| {
             let waited = now.monotonic.saturating_sub(entry.since);
             let rank = (
                 entry.urgency.aged(waited),
--- a/src/gateway/place/load_control.rs
+++ b/src/gateway/place/load_control.rs
@@ -25,10 +25,10 @@
         self.settings().expects_contention || self.controls_load(service)
     }
 
-    /// Returns whether boxes divide the room at the upstreams of a plain service: they control its
-    /// load, or the settings expect contention.
+    /// Returns whether boxes divide the room at the upstreams of a service: they control its load,
+    /// and it is a plain one.
     pub fn controls_room(&self, service: &str) -> bool {
-        self.is_plain_service(service) && self.controls_connections(service)
+        self.is_plain_service(service) && self.controls_load(service)
     }
 
     /// Returns whether boxes control the load of any service with model engines.
@@ -41,14 +41,13 @@
         services.any(|(name, service)| service.engine.is_some() && self.controls_load(name))
     }
 
-    /// Returns the services of known upstreams whose load or room boxes control.
+    /// Returns the services of known upstreams whose load boxes control.
     pub fn controlled_services(&self) -> BTreeSet<String> {
         let knowledge = self.knowledge.borrow();
-        let service_of =
-            |upstream: &Rc<Upstream>| upstream.with_listed(|listed| listed.service.clone());
-        let services: BTreeSet<String> = knowledge.upstreams().map(service_of).collect();
-        let is_controlled =
-            |service: &String| self.controls_load(service) || self.controls_room(service);
-        services.into_iter().filter(is_controlled).collect()
+        let states_work_time = |upstream: &&Rc<Upstream>| upstream.states_work_time();
+        let upstreams = knowledge.upstreams().filter(states_work_time);
+        let services =
+            upstreams.map(|upstream| upstream.with_listed(|listed| listed.service.clone()));
+        services.collect()
     }
 }
