--- a/src/gateway/admit/load_decision.rs
+++ b/src/gateway/admit/load_decision.rs
@@ -17,6 +17,10 @@
 /// The uncertainty of the expected wait is at most the latency objective divided by this, so that
 /// old reports leave room to be used.
 const MAX_UNCERTAINTY_DIVISOR: u32 = 3;
+/// The longest uncertainty, so that multiples of it do not overflow.
+const MAX_UNCERTAINTY: Duration = Duration::from_secs(600);
+/// The number of values that are drawn to spread limits.
+const DRAWS: u32 = 256;
 /// Ends of requests differ from their average by about the time to run divided by this.
 const UNCERTAIN_RUN_DIVISOR: u32 = 2;
 
@@ -258,7 +262,7 @@
         let age = self.expected.and_then(|expected| expected.report_age);
         let age = age.unwrap_or_default();
         let others = self.boxes.saturating_sub(1) as f64 / self.boxes.max(1) as f64;
-        let longest = (self.objective / MAX_UNCERTAINTY_DIVISOR).min(Duration::from_secs(600));
+        let longest = (self.objective / MAX_UNCERTAINTY_DIVISOR).min(MAX_UNCERTAINTY);
         age.saturating_add(run / UNCERTAIN_RUN_DIVISOR)
             .min(longest)
             .mul_f64(others)
@@ -287,7 +291,7 @@
                 uncertainty.saturating_mul(1 + 2 * yields)
             }
         };
-        let drawn = uncertainty / 256 * u32::from(self.draw);
+        let drawn = uncertainty / DRAWS * u32::from(self.draw);
         kept_free
             .saturating_add(drawn)
             .saturating_add(uncertainty / 2)
--- a/src/gateway/admit/room.rs
+++ b/src/gateway/admit/room.rs
@@ -165,11 +165,13 @@
             };
             let waited = self.wait_in_queue(gw, &inputs, at_most, now).await;
             gw.wake_waiting(&self.service, Now::read());
-            if inputs.is_full_everywhere {
-                self.tries.allow_all_upstreams();
-            }
             match waited? {
-                WaitEnd::Room => return Ok(()),
+                WaitEnd::Room => {
+                    if inputs.is_full_everywhere {
+                        self.tries.allow_all_upstreams();
+                    }
+                    return Ok(());
+                }
                 WaitEnd::TimeOut => {}
             }
         }
@@ -361,7 +363,9 @@
         inputs.standing = self.standing(gw, now);
         // Whether others go first depends on the room that the request would take.
         inputs.standing.has_others_ahead = self.has_others_ahead(gw, &inputs, now);
-        inputs.shortage = self.shortage(gw, &inputs, now);
+        if decide(&inputs) != LoadDecision::Send {
+            inputs.shortage = self.shortage(gw, &inputs, now);
+        }
         inputs
     }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod held_bytes;
 mod initial_sync;
 mod load_decision;
+mod load_fleet;
 mod load_patterns;
 mod load_reports;
 mod packing;
