--- a/src/gateway/admit/load_decision.rs
+++ b/src/gateway/admit/load_decision.rs
@@ -17,6 +17,9 @@
 /// The uncertainty of the expected wait is at most the latency objective divided by this, so that
 /// old reports leave room to be used.
 const MAX_UNCERTAINTY_DIVISOR: u32 = 3;
+/// What requests leave to others is at most the objective without the time to run divided by this, so
+/// that those that yield to two others still find some room besides free slots.
+const YIELDED_PARTS: u32 = 6;
 /// The longest uncertainty, so that multiples of it do not overflow.
 const MAX_UNCERTAINTY: Duration = Duration::from_secs(600);
 /// The number of values that are drawn to spread limits.
@@ -288,7 +291,7 @@
         let kept_free = match self.caller {
             CallerHistory::Returned => uncertainty.saturating_mul(yields.min(1)),
             CallerHistory::New | CallerHistory::RepeatsAtOnce => {
-                uncertainty.saturating_mul(1 + 2 * yields)
+                uncertainty.saturating_add(self.yielded().saturating_mul(2 * yields))
             }
         };
         let drawn = uncertainty / DRAWS * u32::from(self.draw);
@@ -297,6 +300,16 @@
             .saturating_add(uncertainty / 2)
     }
 
+    /// Returns how much a request leaves to those before it: the uncertainty of the wait, as far as
+    /// the kinds after it still find some room besides free slots.
+    fn yielded(&self) -> Duration {
+        let run = self
+            .expected
+            .map_or(Duration::ZERO, |expected| expected.run);
+        self.uncertainty()
+            .min(self.objective.saturating_sub(run) / YIELDED_PARTS)
+    }
+
     /// Returns how long a request that could be answered in time waits for a place at upstreams that
     /// are full, while a refusal is still prompt.
     fn wait_for_place(&self, expected: ExpectedWait) -> Duration {
