--- a/tests/gateway/load_fleet.rs
+++ b/tests/gateway/load_fleet.rs
@@ -5,13 +5,14 @@
 //! an answer within 150 ms, wait for 1.5 s, and come back once. Boxes decide by the gateway's own
 //! functions, and know what the reports of the upstreams tell them.
 
+use super::load_patterns::{Outcome, Stream};
 use super::{at, listed};
 use gatepier::clock::Now;
 use gatepier::gateway::admit::load_decision::{
     CallerHistory, LoadDecision, LoadInputs, Standing, decide, is_recent, time_until_room,
 };
 use gatepier::gateway::admit::service_demand::ServiceDemand;
-use gatepier::gateway::admit::wait_queue::{Urgency, WaitQueue, Waiter, WaiterId};
+use gatepier::gateway::admit::wait_queue::{WaitQueue, Waiter, WaiterId};
 use gatepier::gateway::answer::return_schedule::ReturnSchedule;
 use gatepier::gateway::attempt::headers::ReportedLoad;
 use gatepier::gateway::attempt::upstream::Upstream;
@@ -35,42 +36,6 @@
 const REPORT_TRANSIT_MS: u64 = 5;
 /// What an upstream serves, in requests per millisecond.
 pub const UPSTREAM_RATE: f64 = SLOTS as f64 / RUN_MS as f64;
-pub const URGENT: Urgency = Urgency {
-    organisation: 0,
-    route: 0,
-};
-pub const LESS_URGENT: Urgency = Urgency {
-    organisation: 0,
-    route: 2,
-};
-
-/// Callers of one kind and organisation.
-#[derive(Debug, Clone, Copy)]
-pub struct Stream {
-    pub organisation: usize,
-    pub urgency: Urgency,
-    /// Requests per millisecond, and when they arrive.
-    pub rate: f64,
-    pub from_ms: u64,
-    pub to_ms: u64,
-    /// Whether they come back at once, and often, instead of when they are asked to.
-    pub repeats_at_once: bool,
-}
-
-impl Stream {
-    pub fn steady(organisation: usize, rate: f64, to_ms: u64) -> Self {
-        let urgency = URGENT;
-        Self {
-            organisation,
-            urgency,
-            rate,
-            from_ms: 0,
-            to_ms,
-            repeats_at_once: false,
-        }
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Request {
     stream: usize,
@@ -83,28 +48,6 @@
     tried: u8,
 }
 
-/// What became of the requests of one stream.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Outcome {
-    pub arrived: u32,
-    pub in_time: u32,
-    /// In time since the caller came back.
-    pub returned_in_time: u32,
-    pub late: u32,
-    pub refused_for_good: u32,
-    pub refused_again: u32,
-    pub refused_late: u32,
-    pub rejected: u32,
-    /// Answered after the deadline.
-    pub in_vain: u32,
-}
-
-impl Outcome {
-    pub fn share_in_time(&self) -> f64 {
-        f64::from(self.in_time + self.returned_in_time) / f64::from(self.arrived)
-    }
-}
-
 /// A request at an upstream: from which box, and what counts it there.
 #[derive(Debug)]
 struct AtUpstream {
--- a/tests/gateway/load_patterns.rs
+++ b/tests/gateway/load_patterns.rs
@@ -4,9 +4,68 @@
 //! another attempt, and being refused twice helps nobody.
 
 use super::cases;
-use super::load_fleet::{Fleet, LESS_URGENT, Outcome, Stream, UPSTREAM_RATE};
+use super::load_fleet::{Fleet, UPSTREAM_RATE};
+use gatepier::gateway::admit::wait_queue::Urgency;
 use googletest::prelude::*;
 
+const URGENT: Urgency = Urgency {
+    organisation: 0,
+    route: 0,
+};
+const LESS_URGENT: Urgency = Urgency {
+    organisation: 0,
+    route: 2,
+};
+
+/// Callers of one kind and organisation.
+#[derive(Debug, Clone, Copy)]
+pub struct Stream {
+    pub organisation: usize,
+    pub urgency: Urgency,
+    /// Requests per millisecond, and when they arrive.
+    pub rate: f64,
+    pub from_ms: u64,
+    pub to_ms: u64,
+    /// Whether they come back at once, and often, instead of when they are asked to.
+    pub repeats_at_once: bool,
+}
+
+impl Stream {
+    pub fn steady(organisation: usize, rate: f64, to_ms: u64) -> Self {
+        let urgency = URGENT;
+        Self {
+            organisation,
+            urgency,
+            rate,
+            from_ms: 0,
+            to_ms,
+            repeats_at_once: false,
+        }
+    }
+}
+
+/// What became of the requests of one stream.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Outcome {
+    pub arrived: u32,
+    pub in_time: u32,
+    /// In time since the caller came back.
+    pub returned_in_time: u32,
+    pub late: u32,
+    pub refused_for_good: u32,
+    pub refused_again: u32,
+    pub refused_late: u32,
+    pub rejected: u32,
+    /// Answered after the deadline.
+    pub in_vain: u32,
+}
+
+impl Outcome {
+    pub fn share_in_time(&self) -> f64 {
+        f64::from(self.in_time + self.returned_in_time) / f64::from(self.arrived)
+    }
+}
+
 /// Organisations that each send the same, together this multiple of what upstreams serve.
 fn equal_organisations(count: usize, load: f64, upstreams: usize, to_ms: u64) -> Vec<Stream> {
     let rate = load * UPSTREAM_RATE * upstreams as f64 / count as f64;
