Slow readers: lack of memory is not blamed on upstreams, buffered bytes are freed

Cause: read_response took a refusal by the budget for a broken answer, so the upstream counted a failure and the request was sent again or ended as upstream-failed. An answer without a length held 64 kB until its caller had all of it, and a whole one for HTTP/1.0 held 64 kB whatever its size. Change: lack of room ends the request as no-memory (502, it may have run) without blame; the buffered beginning of a relayed answer is freed once it is handed over, and a whole answer is counted by its size.

--- a/src/gateway/answer/buffered.rs
+++ b/src/gateway/answer/buffered.rs
@@ -83,6 +83,12 @@
         match request.run_attempt(gw, plan).await {
             Ok(TryOutcome::Answered(answer)) => {
                 match receive_response(gw, request, *answer).await {
+                    // Another run of the request would not make room for its answer.
+                    Received::NoRoom => {
+                        return failed_response
+                            .map(ResponseStart::Buffered)
+                            .ok_or(RefusalReason::NoMemory);
+                    }
                     Received::Whole(response) if response.status < FIRST_SERVER_ERROR_STATUS => {
                         return Ok(ResponseStart::Buffered(response));
                     }
@@ -142,6 +148,17 @@
     Begun(RelayedAnswer),
     /// Nothing that can be sent to the caller.
     Nothing,
+    /// An answer that this box has no room for.
+    NoRoom,
+}
+
+/// Why an answer was not read whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotRead {
+    /// It broke off, came too late or is too large.
+    Broken,
+    /// This box has no room for it.
+    NoRoom,
 }
 
 async fn receive_response(
@@ -152,8 +169,10 @@
     if may_relay(request, &answer) {
         return receive_or_relay(gw, request, answer).await;
     }
-    let response = read_response(gw, request, &mut answer, RESPONSE_BYTES_LIMIT).await;
-    finish_response(gw, request, answer, response)
+    match read_response(gw, request, &mut answer, RESPONSE_BYTES_LIMIT).await {
+        Err(NotRead::NoRoom) if answer.status < FIRST_SERVER_ERROR_STATUS => Received::NoRoom,
+        read => finish_response(gw, request, answer, read.ok()),
+    }
 }
 
 /// Records the end of a buffered response.
@@ -210,6 +229,10 @@
     match read_in_time(gw, request, &upstream, read).await {
         Some(ReadBody::Longer(first)) => begin_relay(gw, request, answer, first),
         Some(ReadBody::Whole(body)) => {
+            // No more than was held before.
+            let _ = request
+                .account
+                .try_hold(HeldKind::BufferedAnswer, body.len() as u64);
             let response = whole_response(gw, request, &answer, body);
             finish_response(gw, request, answer, Some(response))
         }
@@ -237,7 +260,7 @@
     request: &AdmittedRequest,
     answer: &mut Answer,
     limit: usize,
-) -> Option<BufferedResponse> {
+) -> Result<BufferedResponse, NotRead> {
     // Only a failure may be dropped for its size: another upstream's answer can replace it.
     let is_failure = answer.status >= FIRST_SERVER_ERROR_STATUS;
     let limit = match request.account.is_bounded() && is_failure {
@@ -246,17 +269,29 @@
     };
     let stated = answer.body_len().map(|len| len as usize);
     let expected = stated.unwrap_or(SMALL_RESPONSE_BYTES);
+    hold_answer(gw, request, answer, expected.min(limit)).await?;
     let upstream = answer.upstream().clone();
-    let read = async {
-        let held = request
-            .account
-            .hold(HeldKind::BufferedAnswer, expected.min(limit) as u64);
-        held.await
-            .map_err(|NoRoom| "no memory is left".to_owned())?;
-        answer.read_whole(limit).await
-    };
-    let body = read_in_time(gw, request, &upstream, read).await?;
-    Some(whole_response(gw, request, answer, body))
+    let read = answer.read_whole(limit);
+    let body = read_in_time(gw, request, &upstream, read).await;
+    let body = body.ok_or(NotRead::Broken)?;
+    // One without a length may have turned out to be larger or smaller.
+    hold_answer(gw, request, answer, body.len()).await?;
+    Ok(whole_response(gw, request, answer, body))
+}
+
+/// Holds this many bytes of an answer. Their lack is logged, and is no fault of the upstream.
+async fn hold_answer(
+    gw: &Gateway,
+    request: &AdmittedRequest,
+    answer: &Answer,
+    bytes: usize,
+) -> Result<(), NotRead> {
+    let held = request.account.hold(HeldKind::BufferedAnswer, bytes as u64);
+    held.await.map_err(|NoRoom| {
+        gw.telemetry
+            .record_broken_answer(request, answer.upstream(), "no memory is left");
+        NotRead::NoRoom
+    })
 }
 
 fn whole_response(
--- a/src/gateway/answer/piece_relay.rs
+++ b/src/gateway/answer/piece_relay.rs
@@ -4,7 +4,7 @@
 //! the connection to the caller ends before the body does, so that the answer never looks complete.
 //! See `docs/design/slow-readers.md`.
 
-use super::held_bytes::MIN_STALL;
+use super::held_bytes::{HeldKind, MIN_STALL};
 use super::held_memory::PIECE_BYTES;
 use super::relay::StreamInterrupted;
 use crate::clock::Now;
@@ -73,6 +73,8 @@
         self.caller_wait += caller_wait;
         if self.pending.is_empty() {
             let answer = self.answer.as_mut()?;
+            // The beginning that was buffered has been handed over; less is always possible.
+            let _ = self.request.account.try_hold(HeldKind::BufferedAnswer, 0);
             if self.request.account.hold_piece(0).await.is_err() {
                 let reason = "no memory is left".to_owned();
                 return Some(Err(self.interrupt(reason)));
--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -289,5 +289,6 @@
     mut answer: Answer,
 ) -> Option<BufferedResponse> {
     answer.upstream().record_failure(Now::read());
-    read_response(gw, request, &mut answer, FAILURE_BYTES_LIMIT).await
+    let read = read_response(gw, request, &mut answer, FAILURE_BYTES_LIMIT).await;
+    read.ok()
 }
--- a/src/lab/proxy.rs
+++ b/src/lab/proxy.rs
@@ -8,11 +8,13 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
 const BUFFER_BYTES: usize = 16 * 1024;
+/// The number of connections that wait until a link accepts them: more than a burst of callers opens.
+const BACKLOG: u32 = 1024;
 
 /// How a link treats connections and bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -72,7 +74,9 @@
     pub async fn open(&self, name: &str, target: SocketAddr) -> Result<SocketAddr> {
         let error = |err| Error::Unreachable(format!("cannot open the link {name}: {err}"));
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let listener = TcpListener::bind(any).await.map_err(error)?;
+        let socket = TcpSocket::new_v4().map_err(error)?;
+        socket.bind(any).map_err(error)?;
+        let listener = socket.listen(BACKLOG).map_err(error)?;
         let address = listener.local_addr().map_err(error)?;
         let (tx, rx) = watch::channel(LinkMode::Open);
         self.links
