--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -491,9 +491,11 @@
     store: Rc<dyn ControlStore>,
     reload: impl Fn() -> Result<GatewaySettings> + 'static,
 ) -> Result<()> {
+    // First of all, since a signal without a handler ends the process.
+    let stop_signal = listen::StopSignal::install()?;
+    let reload_signal = listen::ReloadSignal::install()?;
     let metrics = Metrics::new()?;
     let gw = Gateway::new(settings, headers, &metrics, Now::read());
-    let stop_signal = listen::StopSignal::install()?;
     let server = listen::serve_callers(&gw)?;
     listen::serve_readiness(&gw, &metrics)?;
     actix_rt::spawn(store_sync::sync_with_store(gw.clone(), store.clone()));
@@ -515,7 +517,7 @@
         callers = settings.caller_addr.to_string().as_str();
         "started"
     );
-    listen::reload_on_sighup(gw.clone(), reload)?;
+    actix_rt::spawn(reload_signal.reload_on_each(gw.clone(), reload));
     stop_signal.wait().await;
     listen::drain(&gw, server, &*store).await;
     Ok(())
--- a/src/gateway/admit/listen.rs
+++ b/src/gateway/admit/listen.rs
@@ -55,14 +55,24 @@
     signal(kind).map_err(|err| Error::Usage(format!("cannot install a signal handler: {err}")))
 }
 
-/// Reloads the settings on each SIGHUP; settings that cannot be read leave the old ones in force.
-pub fn reload_on_sighup(
-    gw: Rc<Gateway>,
-    reload: impl Fn() -> Result<GatewaySettings> + 'static,
-) -> Result<()> {
-    let mut reload_signal = subscribe(SignalKind::hangup())?;
-    actix_rt::spawn(async move {
-        while reload_signal.recv().await.is_some() {
+/// The signal that asks the process to read its settings again.
+#[derive(Debug)]
+pub struct ReloadSignal(Signal);
+
+impl ReloadSignal {
+    /// Installs the signal handler.
+    pub fn install() -> Result<Self> {
+        subscribe(SignalKind::hangup()).map(Self)
+    }
+
+    /// Reloads the settings on each signal; settings that cannot be read leave the old ones in
+    /// force.
+    pub async fn reload_on_each(
+        mut self,
+        gw: Rc<Gateway>,
+        reload: impl Fn() -> Result<GatewaySettings>,
+    ) {
+        while self.0.recv().await.is_some() {
             match reload() {
                 Ok(settings) => {
                     gw.reload(settings);
@@ -71,8 +81,7 @@
                 Err(err) => log::error!("settings stay as they were: {err}"),
             }
         }
-    });
-    Ok(())
+    }
 }
 
 fn listen(address: SocketAddr) -> Result<TcpListener> {
