Engines that usually state a longer time per work are believed slower

Cause: half of all prompts were placed with no measurement of the engine; what engines state of themselves counted for the moment only. Change: the usual level of an engine's statements, relative to the service's median, counts like three measurements, and is sent to other boxes.

--- a/src/gateway/peers/engine_speeds.rs
+++ b/src/gateway/peers/engine_speeds.rs
@@ -19,7 +19,7 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(1200);
 /// The most reports in a datagram, and in a round, so that the bytes a second are bounded; if there
 /// are more, they are sent in turn.
-pub const MAX_REPORTS: usize = 150;
+pub const MAX_REPORTS: usize = 130;
 
 /// What one box has measured of one engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -40,6 +40,7 @@
 use crate::gateway::control::store::{ControlStore, RolloutOrder};
 use crate::gateway::place::peer_loads::{BoxLoad, LongPrefill, report_interval};
 use crate::gateway::place::rate_samples::RateReport;
+use crate::gateway::place::stated_speed::update_service_levels;
 use crate::gateway::versions::statistics::StatisticsReport;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -381,6 +382,7 @@
         gw.peer_loads
             .borrow_mut()
             .apply_with_ages(&state, counts_ages, now);
+        update_service_levels(&state);
     }
 }
 
--- a/src/gateway/place/engine_speed.rs
+++ b/src/gateway/place/engine_speed.rs
@@ -1,9 +1,11 @@
 //! How fast an engine works, relative to the engines of its service.
 //!
-//! Engines differ in speed for as long as they run, and slow down for moments. The lasting part is
-//! learned from first events and from the pace of streams, by this box and by others; the momentary
-//! part is what the engine states in its load reports. See `docs/design/uneven-engines.md`.
+//! Engines differ in speed for as long as they run, and slow down for moments. The lasting part
+//! begins with what the engine usually states in its load reports and is learned from first events
+//! and from the pace of streams, by this box and by others; the momentary part is what the engine
+//! states beyond that. See `docs/design/uneven-engines.md`.
 
+use super::stated_speed::Statements;
 use crate::clock::Now;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
@@ -14,8 +16,11 @@
 /// After this time, past measurements count half, so that an engine that has changed is seen as it
 /// is within some tens of seconds.
 const HALF_LIFE: Duration = Duration::from_secs(15);
-/// Number of assumed measurements at the usual speed.
+/// Number of assumed measurements at the usual speed, for engines that state nothing.
 const PRIOR_MEASUREMENTS: f64 = 1.5;
+/// Number of measurements for which a stated speed counts: the pace of a stream is off by more than
+/// the speeds of engines differ if long prompts are read beside it.
+const STATED_MEASUREMENTS: f64 = 3.0;
 /// Weight from which further measurements of other boxes replace older ones.
 const MAX_WEIGHT: f64 = 32.0;
 /// Largest change by one measurement, in octaves (powers of two of the speed).
@@ -25,15 +30,6 @@
 const MIN_STEP_OCTAVES: f64 = 0.05;
 /// Measurements that count less than this are neither used nor sent to other boxes.
 const MIN_WEIGHT: f64 = 0.2;
-/// Bounds of a stated work time in percent, so that figures which mean nothing do little harm.
-const STATED_BOUNDS_PERCENT: (u32, u32) = (25, 400);
-/// Step of the figure that an engine usually states, in octaves; small, so that it settles at the
-/// median.
-const USUAL_STATEMENT_STEP_OCTAVES: f64 = 0.1;
-/// Age up to which a statement counts fully.
-const STATEMENT_FULL_AGE: Duration = Duration::from_millis(250);
-/// Age from which a statement counts no more.
-const STATEMENT_MAX_AGE: Duration = Duration::from_secs(1);
 /// Steps in which speeds are sent to other boxes, for each octave.
 const STEPS_PER_OCTAVE: f64 = 32.0;
 /// Steps in which weights are sent to other boxes, for each measurement.
@@ -46,6 +42,8 @@
     Own,
     /// Mostly measurements of other boxes.
     Peers,
+    /// What the engine usually states.
+    Stated,
     /// Nothing: the usual speed is assumed.
     Default,
 }
@@ -56,6 +54,7 @@
         match self {
             Self::Own => "own",
             Self::Peers => "peers",
+            Self::Stated => "stated",
             Self::Default => "default",
         }
     }
@@ -106,6 +105,8 @@
     octave_steps: i8,
     /// Number of measurements, in [`STEPS_PER_MEASUREMENT`]; older ones count less.
     weight_steps: u8,
+    /// What the engine usually states, in the same steps as the speed.
+    stated_steps: Option<i8>,
 }
 
 /// A weighted mean of logarithms of speeds; the weight fades with age.
@@ -153,51 +154,12 @@
     octaves.clamp(SPEED_BOUNDS.0.log2(), SPEED_BOUNDS.1.log2())
 }
 
-/// What an engine states about the present moment.
-#[derive(Debug, Clone, Copy, Default)]
-struct Statement {
-    /// Logarithm of the stated work time relative to the usual one.
-    octaves: f64,
-    /// The same, as the engine usually states it: an engine that always states the same figure
-    /// says nothing about the moment.
-    usual_octaves: f64,
-    /// When it was stated; `None` if nothing was.
-    at: Option<Duration>,
-}
-
-impl Statement {
-    fn record(self, percent: u32, now: Now) -> Self {
-        let percent = percent.clamp(STATED_BOUNDS_PERCENT.0, STATED_BOUNDS_PERCENT.1);
-        let octaves = (f64::from(percent) / 100.0).log2();
-        let change = (octaves - self.usual_octaves)
-            .clamp(-USUAL_STATEMENT_STEP_OCTAVES, USUAL_STATEMENT_STEP_OCTAVES);
-        Self {
-            octaves,
-            usual_octaves: self.usual_octaves + change,
-            at: Some(now.monotonic),
-        }
-    }
-
-    /// Returns the logarithm of the slowdown that the statement still stands for.
-    ///
-    /// A statement of being faster than usual counts for nothing: a lasting advantage is measured.
-    fn slowdown_octaves(self, now: Now) -> f64 {
-        let Some(at) = self.at else { return 0.0 };
-        let age = now.monotonic.saturating_sub(at);
-        let left = STATEMENT_MAX_AGE.saturating_sub(age).as_secs_f64();
-        let fading = STATEMENT_MAX_AGE
-            .saturating_sub(STATEMENT_FULL_AGE)
-            .as_secs_f64();
-        (self.octaves - self.usual_octaves).max(0.0) * (left / fading).min(1.0)
-    }
-}
-
 /// The speed of one incarnation of an engine, as one box sees it.
 #[derive(Debug, Default)]
 pub struct EngineSpeed {
     own: Cell<Estimate>,
     peers: Cell<Estimate>,
-    statement: Cell<Statement>,
+    statements: Cell<Statements>,
 }
 
 impl EngineSpeed {
@@ -212,22 +174,41 @@
 
     /// Records what the engine states: how long work takes there at the moment, in percent.
     pub fn record_statement(&self, percent: u32, now: Now) {
-        self.statement
-            .set(self.statement.get().record(percent, now));
+        self.statements
+            .set(self.statements.get().record(percent, now));
+    }
+
+    /// Returns what the engine has stated.
+    pub fn statements(&self) -> Statements {
+        self.statements.get()
+    }
+
+    /// Sets what the engines of the service usually state.
+    pub fn set_service_level(&self, octaves: f64) {
+        self.statements
+            .set(self.statements.get().with_service_level(octaves));
     }
 
     /// Returns what this box has measured itself, for other boxes.
     pub fn measured(&self, now: Now) -> Option<MeasuredSpeed> {
         let own = self.own.get();
         let weight = own.weight_at(now);
-        (weight >= MIN_WEIGHT).then_some(MeasuredSpeed {
-            octave_steps: (own.octaves * STEPS_PER_OCTAVE).round() as i8,
+        let stated = self.statements.get().own_level();
+        let is_known = weight >= MIN_WEIGHT || stated.is_some();
+        is_known.then_some(MeasuredSpeed {
+            octave_steps: octave_steps(own.octaves),
             weight_steps: (weight * STEPS_PER_MEASUREMENT).round() as u8,
+            stated_steps: stated.map(octave_steps),
         })
     }
 
     /// Adds what another box has measured.
     pub fn merge(&self, measured: MeasuredSpeed, now: Now) {
+        if let Some(steps) = measured.stated_steps {
+            let octaves = f64::from(steps) / STEPS_PER_OCTAVE;
+            self.statements
+                .set(self.statements.get().record_peer_level(octaves));
+        }
         let weight = f64::from(measured.weight_steps) / STEPS_PER_MEASUREMENT;
         if weight < MIN_WEIGHT {
             return;
@@ -241,20 +222,21 @@
     pub fn belief(&self, now: Now) -> SpeedBelief {
         let (own, peers) = (self.own.get(), self.peers.get());
         let (own_weight, peer_weight) = (own.weight_at(now), peers.weight_at(now));
-        let slowdown = self.statement.get().slowdown_octaves(now);
+        let statements = self.statements.get();
+        let slowdown = statements.slowdown_octaves(now);
+        let stated = statements.lasting_octaves();
         let weight = own_weight + peer_weight;
         if weight < MIN_WEIGHT {
-            return SpeedBelief {
-                speed: if slowdown == 0.0 {
-                    1.0
-                } else {
-                    bounded(-slowdown).exp2()
-                },
-                ..SpeedBelief::USUAL
-            };
+            return belief_without_measurements(statements, now);
         }
-        let sum = own.octaves * own_weight + peers.octaves * peer_weight;
-        let learned = sum / (weight + PRIOR_MEASUREMENTS);
+        let assumed_weight = match stated {
+            Some(_) => STATED_MEASUREMENTS,
+            None => PRIOR_MEASUREMENTS,
+        };
+        let sum = own.octaves * own_weight
+            + peers.octaves * peer_weight
+            + stated.unwrap_or_default() * assumed_weight;
+        let learned = sum / (weight + assumed_weight);
         let (source, as_of) = match own_weight >= peer_weight {
             true => (SpeedSource::Own, own.as_of),
             false => (SpeedSource::Peers, peers.as_of),
@@ -266,3 +248,19 @@
         }
     }
 }
+
+/// Returns what an engine is believed to do that only stated something, or nothing.
+fn belief_without_measurements(statements: Statements, now: Now) -> SpeedBelief {
+    let Some(lasting) = statements.lasting_octaves() else {
+        return SpeedBelief::USUAL;
+    };
+    SpeedBelief {
+        speed: bounded(lasting - statements.slowdown_octaves(now)).exp2(),
+        source: SpeedSource::Stated,
+        age: statements.age(now),
+    }
+}
+
+fn octave_steps(octaves: f64) -> i8 {
+    (octaves * STEPS_PER_OCTAVE).round() as i8
+}
