Long prompts go where they hold up few streams

Cause: 188 of 192 streams that paused too long ran beside a prompt of 300 ms and more to read, 179 of them at slow engines; placement did not count the streams there. Change: where boxes control the load, a prompt costs the risk that the streams beside it pause for longer than their route states; more engines are compared for long prompts.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -10,6 +10,7 @@
 pub mod event_pace;
 pub mod expected_wait;
 pub mod fleet_view;
+pub mod held_streams;
 pub mod load_control;
 pub mod peer_loads;
 pub mod plain_cost;
--- a/src/gateway/place/engine_cost.rs
+++ b/src/gateway/place/engine_cost.rs
@@ -8,6 +8,8 @@
 use super::cache_affinity::{CacheReplication, CachingEngines, rendezvous_weight};
 use super::choose::PlacementParams;
 use super::engine_queue::QueueEstimate;
+use super::held_streams::HeldStreams;
+use super::peer_loads::MIN_LONG_PREFILL;
 use crate::clock::Now;
 use crate::gateway::attempt::upstream::Upstream;
 use std::net::SocketAddr;
@@ -42,6 +44,8 @@
 const NOT_COMPARED_COST_MS: f64 = 5_500.0;
 /// Cost in milliseconds of one unit of the penalty for failures and back-off.
 const PENALTY_UNIT_COST_MS: f64 = 1_100.0;
+/// The most times more engines than usual that are compared for a long prompt.
+const MAX_LONG_PROMPT_COMPARISONS: f64 = 8.0;
 /// Number of bytes in a kilobyte.
 const BYTES_PER_KB: f64 = 1000.0;
 
@@ -60,9 +64,25 @@
     pub shared_tokens: f64,
     /// Size of the request body in bytes.
     pub request_bytes: usize,
+    /// The longest pause at which a stream beside this prompt is in time, where boxes control the
+    /// load; `None` elsewhere.
+    pub max_pause: Option<Duration>,
 }
 
 impl SharedPrompt<'_> {
+    /// Returns how many engines are compared for this prompt, given how many are usually.
+    ///
+    /// Boxes that compare many engines by old reports choose the same ones. Other boxes learn of a
+    /// long prompt at once, and long prompts are the rarer the longer they are; so are the engines
+    /// where they hold up no streams.
+    fn engines_to_compare(&self, usual: usize) -> usize {
+        if self.max_pause.is_none() {
+            return usual;
+        }
+        let lengths = self.suffix_prefill.as_secs_f64() / MIN_LONG_PREFILL.as_secs_f64();
+        (usual as f64 * lengths.clamp(1.0, MAX_LONG_PROMPT_COMPARISONS)) as usize
+    }
+
     /// Returns the cost of fetching the shared prefix, or `None` if computing it takes less time
     /// than that.
     fn fetch_cost_ms(&self) -> Option<f64> {
@@ -121,7 +141,8 @@
     let caching_engines = CachingEngines::among(candidates, prompt.prefix_key, prompt.replication);
     let fetch_sources = fetch_sources(candidates, &caching_engines, prompt, now);
     let queues = QueueEstimate::new(candidates, params.seed);
-    let is_sampled = sample(candidates, params.seed, params.engines_to_compare);
+    let sample_size = prompt.engines_to_compare(params.engines_to_compare);
+    let is_sampled = sample(candidates, params.seed, sample_size);
     let cost = |upstream: &&Rc<Upstream>| {
         let prefix_source = prefix_source(&caching_engines, &fetch_sources, upstream);
         engine_cost(upstream, params.hall, prompt, prefix_source, queues, now)
@@ -216,9 +237,15 @@
     let speed = upstream.speed().belief(now);
     let sampled_wait = speed.time_for(queues.sampled(upstream, speed, now));
     let prefill = speed.time_for(prefill);
+    let held_streams = prompt.max_pause.map(|max_pause| HeldStreams {
+        streams: f64::from(upstream.occupancy(now)),
+        max_pause,
+    });
+    let held_cost = held_streams.map(|held| held.cost_of(sampled_wait, prefill));
     PlacementCost {
         cost: millis(sampled_wait)
             + millis(prefill)
+            + millis(held_cost.unwrap_or_default())
             + prefix_cost_ms
             + transfer_cost_ms
             + slot_cost_ms
--- a/src/gateway/place/peer_loads.rs
+++ b/src/gateway/place/peer_loads.rs
@@ -17,7 +17,7 @@
 const REPORT_INTERVAL_PER_BOX: Duration = Duration::from_millis(15);
 /// Minimum length of a prefill that is announced to other boxes as it starts: the next report may
 /// be a second away.
-const MIN_LONG_PREFILL: Duration = Duration::from_millis(165);
+pub const MIN_LONG_PREFILL: Duration = Duration::from_millis(165);
 /// Number of report intervals after which a report expires if no other follows.
 const REPORT_LIFETIME_INTERVALS: u32 = 6;
 
--- a/tests/gateway/engine_placement.rs
+++ b/tests/gateway/engine_placement.rs
@@ -35,6 +35,8 @@
 const PACE_SPREAD_OCTAVES: f64 = 0.4;
 /// The shortest objective of streams, in milliseconds.
 const OBJECTIVE_MS: u64 = 1500;
+/// The longest pause of streams that callers count as in time.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
 const BOXES: usize = 85;
 const ENGINES: usize = 90;
 const SLOTS: u32 = 24;
@@ -181,6 +183,7 @@
         suffix_prefill: prefill,
         shared_tokens: 0.0,
         request_bytes: 1000,
+        max_pause: Some(MAX_PAUSE),
     }
 }
 
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -40,6 +40,7 @@
         suffix_prefill: Duration::from_millis(55),
         shared_tokens: 5000.0,
         request_bytes: 0,
+        max_pause: None,
     }
 }
 
