--- a/src/gateway/place/engine_cost.rs
+++ b/src/gateway/place/engine_cost.rs
@@ -236,8 +236,10 @@
     let health_cost_ms = (upstream.penalty(now) - slot_utilization) * PENALTY_UNIT_COST_MS;
     let speed = upstream.speed().belief(now);
     let sampled_wait = speed.time_for(queues.sampled(upstream, speed, now));
+    // Short prompts add to pauses only together, and are spread by the time that they wait.
+    let max_pause = prompt.max_pause.filter(|_| prefill >= MIN_LONG_PREFILL);
     let prefill = speed.time_for(prefill);
-    let held_streams = prompt.max_pause.map(|max_pause| HeldStreams {
+    let held_streams = max_pause.map(|max_pause| HeldStreams {
         streams: f64::from(upstream.occupancy(now)),
         max_pause,
     });
--- a/src/gateway/place/engine_speed.rs
+++ b/src/gateway/place/engine_speed.rs
@@ -16,11 +16,8 @@
 /// After this time, past measurements count half, so that an engine that has changed is seen as it
 /// is within some tens of seconds.
 const HALF_LIFE: Duration = Duration::from_secs(15);
-/// Number of assumed measurements at the usual speed, for engines that state nothing.
+/// Number of assumed measurements, at the speed that the engine states or else at the usual one.
 const PRIOR_MEASUREMENTS: f64 = 1.5;
-/// Number of measurements for which a stated speed counts: the pace of a stream is off by more than
-/// the speeds of engines differ if long prompts are read beside it.
-const STATED_MEASUREMENTS: f64 = 3.0;
 /// Weight from which further measurements of other boxes replace older ones.
 const MAX_WEIGHT: f64 = 32.0;
 /// Largest change by one measurement, in octaves (powers of two of the speed).
@@ -229,14 +226,10 @@
         if weight < MIN_WEIGHT {
             return belief_without_measurements(statements, now);
         }
-        let assumed_weight = match stated {
-            Some(_) => STATED_MEASUREMENTS,
-            None => PRIOR_MEASUREMENTS,
-        };
         let sum = own.octaves * own_weight
             + peers.octaves * peer_weight
-            + stated.unwrap_or_default() * assumed_weight;
-        let learned = sum / (weight + assumed_weight);
+            + stated.unwrap_or_default() * PRIOR_MEASUREMENTS;
+        let learned = sum / (weight + PRIOR_MEASUREMENTS);
         let (source, as_of) = match own_weight >= peer_weight {
             true => (SpeedSource::Own, own.as_of),
             false => (SpeedSource::Peers, peers.as_of),
--- a/src/gateway/place/held_streams.rs
+++ b/src/gateway/place/held_streams.rs
@@ -5,9 +5,10 @@
 
 use std::time::Duration;
 
-/// The fraction of the bound from which a pause may turn out too long: estimates of how long an
-/// engine reads are off by a factor of two where it slows for a moment.
-const SAFE_FRACTION_OF_BOUND: f64 = 0.5;
+/// Power of the expected pause over its bound by which the odds of exceeding the bound grow: an
+/// engine that slows for a moment, or has more to read than is known, takes twice the expected time
+/// once in some fifteen times.
+const ODDS_POWER: i32 = 4;
 
 /// The streams of an engine, and how long they may pause.
 #[derive(Debug, Clone, Copy)]
@@ -22,18 +23,22 @@
     /// Returns the cost of reading a prompt for this long after reading others, in time: a stream
     /// that pauses for too long counts as late by its bound.
     ///
-    /// Only what this prompt adds to the risk counts: streams that others make late anyway are not
-    /// charged twice.
+    /// Behind others, a prompt costs what it adds to their risk, but not less than alone: streams
+    /// begin between the prompts.
     pub fn cost_of(self, others: Duration, prompt: Duration) -> Duration {
         let added = self.risk_of(others.saturating_add(prompt)) - self.risk_of(others);
-        let cost = self.streams.max(0.0) * added * self.max_pause.as_secs_f64();
+        let risk = added.max(self.risk_of(prompt));
+        let cost = self.streams.max(0.0) * risk * self.max_pause.as_secs_f64();
         Duration::try_from_secs_f64(cost).unwrap_or(Duration::MAX)
     }
 
     /// Returns the probability that a pause expected to last this long exceeds the bound.
     fn risk_of(self, pause: Duration) -> f64 {
         let bound = self.max_pause.as_secs_f64().max(f64::MIN_POSITIVE);
-        let fraction = pause.as_secs_f64() / bound;
-        ((fraction - SAFE_FRACTION_OF_BOUND) / (1.0 - SAFE_FRACTION_OF_BOUND)).clamp(0.0, 1.0)
+        let odds = (pause.as_secs_f64() / bound).powi(ODDS_POWER);
+        match odds.is_finite() {
+            true => odds / (1.0 + odds),
+            false => 1.0,
+        }
     }
 }
