--- a/src/gateway/place/engine_cost.rs
+++ b/src/gateway/place/engine_cost.rs
@@ -240,7 +240,7 @@
     let max_pause = prompt.max_pause.filter(|_| prefill >= MIN_LONG_PREFILL);
     let prefill = speed.time_for(prefill);
     let held_streams = max_pause.map(|max_pause| HeldStreams {
-        streams: f64::from(upstream.occupancy(now)),
+        streams: queues.streams(upstream),
         max_pause,
     });
     let held_cost = held_streams.map(|held| held.cost_of(sampled_wait, prefill));
--- a/src/gateway/place/engine_queue.rs
+++ b/src/gateway/place/engine_queue.rs
@@ -19,6 +19,8 @@
 pub struct QueueEstimate {
     /// What the other boxes have at an engine on the mean, in seconds at the usual speed.
     mean_peer_seconds: f64,
+    /// The number of requests that the other boxes have at an engine on the mean.
+    mean_peer_requests: f64,
     seed: u64,
 }
 
@@ -26,12 +28,17 @@
     /// Prepares the estimate for a request, whose hash is given.
     pub fn new(candidates: &[&Rc<Upstream>], seed: u64) -> Self {
         let reported = candidates.iter().map(|upstream| upstream.peer_load());
-        let sum: f64 = reported
-            .filter(|load| load.counts_age)
-            .map(|load| load.pending_prefill.as_secs_f64())
-            .sum();
+        let (seconds, requests) = reported.filter(|load| load.counts_age).fold(
+            (0.0, 0.0),
+            |(seconds, requests), load| {
+                let pending = load.pending_prefill.as_secs_f64();
+                (seconds + pending, requests + f64::from(load.outstanding))
+            },
+        );
+        let engines = candidates.len().max(1) as f64;
         Self {
-            mean_peer_seconds: sum / candidates.len().max(1) as f64,
+            mean_peer_seconds: seconds / engines,
+            mean_peer_requests: requests / engines,
             seed,
         }
     }
@@ -56,6 +63,13 @@
         own + estimated.unwrap_or(remaining).max(remaining)
     }
 
+    /// Returns how many streams run at an engine: of what other boxes have there, half by their
+    /// reports and half as at other engines, since streams last about as long as reports are old.
+    pub fn streams(&self, upstream: &Upstream) -> f64 {
+        let peers = f64::from(upstream.peer_load().outstanding);
+        f64::from(upstream.outstanding()) + (peers + self.mean_peer_requests) / 2.0
+    }
+
     /// Draws what other boxes may have at an engine of which nothing is known: up to twice the mean.
     fn drawn_seconds(&self, upstream: &Upstream) -> f64 {
         let weight = rendezvous_weight(upstream, !self.seed);
