--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -320,12 +320,6 @@
         }
     }
 
-    /// Returns the longest pause that streams may make, where boxes control the load.
-    fn max_pause(&self, gw: &Gateway) -> Option<Duration> {
-        let bound = self.route.kind.stream_gap();
-        bound.filter(|_| gw.controls_load(&self.service))
-    }
-
     fn shared_prompt<'a>(
         &self,
         gw: &Gateway,
@@ -345,7 +339,7 @@
             suffix_prefill: time(all_tokens - shared_tokens),
             shared_tokens,
             request_bytes: self.body.len(),
-            max_pause: self.max_pause(gw),
+            max_pause: gw.controlled_pause(&self.service, self.route.kind),
         })
     }
 
--- a/src/gateway/place/load_control.rs
+++ b/src/gateway/place/load_control.rs
@@ -4,9 +4,11 @@
 //! Elsewhere none of this takes effect. See `docs/design/load-control.md`.
 
 use crate::gateway::Gateway;
+use crate::gateway::admit::routes::RouteKind;
 use crate::gateway::attempt::upstream::Upstream;
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 impl Gateway {
     /// Returns whether boxes control the load of a service: one of its upstreams states how long
@@ -19,6 +21,12 @@
             .any(|upstream| upstream.with_listed(|listed| listed.service == service))
     }
 
+    /// Returns the longest pause at which a stream of a route is in time, where boxes control the load
+    /// of its service.
+    pub fn controlled_pause(&self, service: &str, kind: RouteKind) -> Option<Duration> {
+        kind.stream_gap().filter(|_| self.controls_load(service))
+    }
+
     /// Returns whether boxes control their connections to the upstreams of a service: they control
     /// its load, or the settings expect contention.
     pub fn controls_connections(&self, service: &str) -> bool {
--- a/tests/gateway/engine_fleet.rs
+++ b/tests/gateway/engine_fleet.rs
@@ -6,7 +6,7 @@
 
 use super::{at, listed};
 use gatepier::gateway::attempt::headers::ReportedLoad;
-use gatepier::gateway::attempt::upstream::{PeerLoad, PendingPrefill, Upstream};
+use gatepier::gateway::attempt::upstream::{PendingPrefill, Upstream};
 use gatepier::gateway::control::state::ControlPlaneState;
 use gatepier::gateway::control::store::{ListedUpstream, Update};
 use gatepier::gateway::place::cache_affinity::CacheReplication;
