--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -339,6 +339,7 @@
             suffix_prefill: time(all_tokens - shared_tokens),
             shared_tokens,
             request_bytes: self.body.len(),
+            max_pause: gw.controlled_pause(&self.service, self.route.kind),
         })
     }
 
