--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -49,6 +49,7 @@
 use peers::outbox::Outbox;
 use peers::rate_limits::RateLimitReport;
 use place::event_pace::EventPaces;
+use place::model_trials::ModelTrials;
 use place::peer_loads::{LongPrefillOutbox, PeerLoads};
 use place::prefill_rate::{self, PrefillModel, PrefillRates};
 use place::rate_samples::RateSamples;
@@ -130,6 +131,8 @@
     pub prefill_rates: PrefillRates,
     /// The newest measurements of prefill rates by all boxes, where load is controlled.
     pub rate_samples: RateSamples,
+    /// How often answers of models between the smallest and the largest are good enough.
+    pub model_trials: ModelTrials,
     /// How long requests run at plain upstreams, by service.
     pub service_times: ServiceTimes,
     /// The usual time between events of streams, by model.
@@ -189,6 +192,7 @@
             long_prefills: LongPrefillOutbox::default(),
             prefill_rates: PrefillRates::default(),
             rate_samples: RateSamples::default(),
+            model_trials: ModelTrials::default(),
             service_times: ServiceTimes::default(),
             event_paces: EventPaces::default(),
             held_memory: Rc::default(),
@@ -255,6 +259,11 @@
         time.filter(|_| self.controls_load(service))
     }
 
+    /// Returns a model's price as a fraction of the most expensive model's; 1 if it is unknown.
+    pub fn price_part(&self, service: &str, model: &str) -> f64 {
+        self.with_model_pace(service, Some(model), |pace| pace.price_part)
+    }
+
     /// Returns whether a model is the most expensive one of its service, or the only one.
     pub fn is_most_expensive(&self, service: &str, model: Option<&str>) -> bool {
         self.with_model_pace(service, model, |pace| pace.price_part >= 1.0)
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -154,6 +154,14 @@
         has_room && self.may_run_again()
     }
 
+    /// Returns how many more runs the route allows.
+    pub fn runs_left(&self) -> u32 {
+        match self.may_run_again() {
+            true => self.route.max_attempts.max(1) - self.tries.possible_runs(),
+            false => 0,
+        }
+    }
+
     /// Returns whether the next run is the last one that the route allows, so that abandoning it
     /// would end the request.
     pub fn is_last_run(&self) -> bool {
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -5,6 +5,7 @@
 pub mod held_body;
 pub mod held_bytes;
 pub mod held_memory;
+pub mod larger_model;
 pub mod piece_relay;
 pub mod refusal;
 pub mod relay;
--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -5,6 +5,7 @@
 
 use super::buffered::{BufferedResponse, RelayedAnswer, read_response, refusal_reason};
 use super::events::EventSplitter;
+use super::larger_model::{AskedModel, larger_model};
 use super::refusal::RefusalReason;
 use super::relay::Relay;
 use crate::clock::Now;
@@ -14,7 +15,6 @@
 use crate::gateway::attempt::exchange::{Answer, BodyChunk, TryOutcome};
 use crate::gateway::attempt::response_timeout::{ResponseTimeout, with_response_timeout};
 use crate::gateway::attempt::retries::RetryReason;
-use crate::gateway::place::escalation::{EscalationDecision, StartedAnswer, judge_answer};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -64,12 +64,11 @@
     } else {
         &[]
     };
-    // The index into the route's list of models, which begins with the smallest.
-    let mut model_index = 0;
+    let mut asked = AskedModel::default();
     let mut repeat = RetryReason::Failure;
     let mut failure = None;
     loop {
-        let model = models.get(model_index).map(String::as_str);
+        let model = models.get(asked.index).map(String::as_str);
         let plan = AttemptPlan {
             model,
             resume_after: None,
@@ -79,14 +78,14 @@
         repeat = RetryReason::Failure;
         match request.run_attempt(gw, plan).await {
             Ok(TryOutcome::Answered(answer)) if is_success(&answer) => {
-                if let Some(larger) = escalation_target(gw, request, models, model_index, &answer) {
-                    model_index = larger;
+                if let Some(larger) = larger_model(gw, request, models, asked, &answer) {
+                    asked = larger;
                     repeat = RetryReason::Escalation;
                     request.tries.allow_all_upstreams();
                     continue;
                 }
                 let headers = answer.headers.clone();
-                let model = models.get(model_index).cloned();
+                let model = models.get(asked.index).cloned();
                 if let FirstEvent::Received(relay) =
                     receive_first_event(gw, request, *answer, model).await
                 {
@@ -121,91 +120,10 @@
     }
 }
 
-/// Returns the index of the larger model that should answer instead, if any.
-fn escalation_target(
-    gw: &Gateway,
-    request: &AdmittedRequest,
-    models: &[String],
-    model_index: usize,
-    answer: &Answer,
-) -> Option<usize> {
-    let confidence = confidence(gw, answer);
-    let now = Now::read();
-    let expected = request.expected_first_events(gw, models, now);
-    let left = request.objective_left(now);
-    let begun = StartedAnswer {
-        model_index,
-        confidence,
-        rank_fraction: gw.relative_rank(&request.route),
-    };
-    match judge_answer(begun, &expected, left) {
-        EscalationDecision::Accept => None,
-        EscalationDecision::AcceptUnsure => {
-            gw.telemetry.record_unsure_answer(
-                request,
-                model_index,
-                confidence,
-                "no larger model would meet the objective",
-                left,
-            );
-            None
-        }
-        EscalationDecision::Escalate(_) if !may_escalate(gw, request, now) => {
-            gw.telemetry.record_unsure_answer(
-                request,
-                model_index,
-                confidence,
-                "no retry left",
-                left,
-            );
-            None
-        }
-        EscalationDecision::Escalate(_) if !has_unlimited_upstream(gw, request, now) => {
-            gw.telemetry.record_unsure_answer(
-                request,
-                model_index,
-                confidence,
-                "no engine without a limit",
-                left,
-            );
-            None
-        }
-        EscalationDecision::Escalate(larger) => {
-            gw.telemetry
-                .record_escalation(request, model_index, larger, confidence);
-            Some(larger)
-        }
-    }
-}
-
 fn is_success(answer: &Answer) -> bool {
     (200..300).contains(&answer.status)
 }
 
-fn confidence(gw: &Gateway, answer: &Answer) -> Option<u32> {
-    let value = answer.headers.get(gw.headers.confidence.as_str())?;
-    value.to_str().ok()?.trim().parse().ok()
-}
-
-/// Returns whether a larger model may be tried. A request on trial runs only once: a second run
-/// could crash one more upstream.
-fn may_escalate(gw: &Gateway, request: &AdmittedRequest, now: Now) -> bool {
-    let has_room = gw.with_retry_window(&request.service, |window| {
-        window.has_budget(RetryReason::Escalation, now)
-    });
-    has_room && request.may_run_again() && !request.is_on_trial()
-}
-
-/// Returns whether an upstream without a rate limit takes requests now. What limited upstreams
-/// accept serves more callers with one answer each, and might not be available for this request
-/// once its answer is dropped.
-fn has_unlimited_upstream(gw: &Gateway, request: &AdmittedRequest, now: Now) -> bool {
-    let candidates = gw.candidates(&request.service, &request.session_id, now);
-    candidates
-        .iter()
-        .any(|upstream| upstream.rate_limit().limit().is_none())
-}
-
 /// Returns how long to wait for the head of a response.
 fn head_wait(
     gw: &Gateway,
--- a/src/gateway/attempt/retries.rs
+++ b/src/gateway/attempt/retries.rs
@@ -92,13 +92,25 @@
 
     /// Returns whether the budget allows a retry now.
     pub fn has_budget(&mut self, reason: RetryReason, now: Now) -> bool {
+        let allowed = self.allowed(reason, now);
+        self.retries.len() as f64 + 1.0 <= allowed
+    }
+
+    /// Returns which part of the budget is not spent, from 0 to 1.
+    pub fn free_part(&mut self, reason: RetryReason, now: Now) -> f64 {
+        let allowed = self.allowed(reason, now).max(f64::MIN_POSITIVE);
+        (1.0 - self.retries.len() as f64 / allowed).clamp(0.0, 1.0)
+    }
+
+    /// Returns how many retries the budget allows within the window that ends now.
+    fn allowed(&mut self, reason: RetryReason, now: Now) -> f64 {
         self.drop_expired(now);
         let earned = self.first_sends.len() as f64 * self.bound.ratio * USED_RATIO_FRACTION;
         let fraction = match reason {
             RetryReason::Failure => 1.0,
             RetryReason::Escalation => ESCALATION_BUDGET_FRACTION,
         };
-        self.retries.len() as f64 + 1.0 <= earned * fraction + self.bound.own_slack(self.boxes)
+        earned * fraction + self.bound.own_slack(self.boxes)
     }
 
     fn drop_expired(&mut self, now: Now) {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -11,6 +11,8 @@
 pub mod expected_wait;
 pub mod fleet_view;
 pub mod load_control;
+pub mod model_choice;
+pub mod model_trials;
 pub mod peer_loads;
 pub mod plain_cost;
 pub mod prefill_rate;
--- a/src/gateway/place/escalation.rs
+++ b/src/gateway/place/escalation.rs
@@ -69,10 +69,15 @@
 }
 
 impl StartedAnswer {
-    /// Returns the model's confidence if it is too low for the route.
-    fn insufficient_confidence(self) -> Option<u32> {
+    /// Returns the confidence in percent at which the route accepts an answer.
+    pub fn required_confidence(self) -> f64 {
         let span = MIN_CONFIDENCE_FIRST_RANK_PERCENT - MIN_CONFIDENCE_LAST_RANK_PERCENT;
-        let required = MIN_CONFIDENCE_FIRST_RANK_PERCENT - span * self.rank_fraction;
+        MIN_CONFIDENCE_FIRST_RANK_PERCENT - span * self.rank_fraction
+    }
+
+    /// Returns the model's confidence if it is too low for the route.
+    pub fn insufficient_confidence(self) -> Option<u32> {
+        let required = self.required_confidence();
         self.confidence
             .filter(|confidence| f64::from(*confidence) < required)
     }
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -17,6 +17,8 @@
 use super::peers::hub_poller::FetchError;
 use super::place::choose::PlacementChoice;
 use super::place::engine_speed::{SpeedBelief, SpeedSource};
+use super::place::escalation::EscalationDecision;
+use super::place::model_choice::{ChoiceSituation, ModelChoice, ModelOutlook};
 use crate::clock::{Now, millis};
 use crate::crash_ledger::{CrashCheckResult, CrashRole};
 use crate::fingerprint::Fingerprint;
@@ -325,6 +327,38 @@
         );
     }
 
+    /// Records a decision about an answer of low confidence, with what it depends on.
+    pub fn record_model_choice(
+        &self,
+        request: &AdmittedRequest,
+        situation: &ChoiceSituation,
+        models: &[ModelOutlook],
+        choice: &ModelChoice,
+    ) {
+        let expected = |model: &ModelOutlook| {
+            let expected = model.expected;
+            format!("{}/{}", millis(expected.total), millis(expected.queue_wait))
+        };
+        let expected: Vec<String> = models.iter().map(expected).collect();
+        let asked_next = match choice.decision {
+            EscalationDecision::Escalate(larger) => larger as i64,
+            EscalationDecision::Accept | EscalationDecision::AcceptUnsure => -1,
+        };
+        log::info!(
+            request = request.request_id.as_str(),
+            model = situation.answer.model_index,
+            confidence = situation.answer.confidence.unwrap_or(0),
+            asked_next,
+            expected_ms = expected.join(" ").as_str(),
+            left_ms = millis(situation.objective_left),
+            patience_ms = millis(situation.patience_left),
+            runs_left = situation.runs_left,
+            free_budget_percent = percent(situation.free_budget),
+            gain_percent = (choice.gain * 100.0) as i64;
+            "choosing the model: {}", choice.reason
+        );
+    }
+
     /// Records that a smaller model's answer is relayed although the model has low confidence in
     /// it.
     pub fn record_unsure_answer(
