--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -301,10 +301,17 @@
             tried,
             seed,
             engines_to_compare: engines_to_compare(gw.knowledge.borrow().box_count()),
+            pause_limit: self.pause_limit(gw),
         };
         choose_placement(candidates, criteria, now)
     }
 
+    /// Returns the longest pause of a stream that is in time, where others' pauses are considered.
+    pub fn pause_limit(&self, gw: &Gateway) -> Option<Duration> {
+        let limit = self.route.kind.stream_gap();
+        limit.filter(|_| gw.controls_connections(&self.service))
+    }
+
     /// Returns the key of the prompt's shared prefix. It contains the model, since engines cache
     /// what they have read by model.
     fn shared_prefix_key(&self, model: Option<&str>) -> Option<String> {
@@ -369,12 +376,15 @@
         now: Now,
     ) -> ExpectedFirstEvent {
         let choice = self.choose_upstream(gw, candidates, &[], model, now);
-        let (ahead, reading) = choice.map_or((Duration::ZERO, Duration::ZERO), |choice| {
-            (choice.queue_wait, choice.prefill)
+        let nothing = (Duration::ZERO, Duration::ZERO, 0);
+        let (ahead, reading, running) = choice.map_or(nothing, |choice| {
+            let running = choice.upstream.occupancy(now);
+            (choice.queue_wait, choice.prefill, running)
         });
         ExpectedFirstEvent {
             total: prefill_rate::FIRST_EVENT_OVERHEAD + ahead + reading,
             queue_wait: ahead,
+            running,
         }
     }
 
--- a/src/gateway/answer/larger_model.rs
+++ b/src/gateway/answer/larger_model.rs
@@ -95,6 +95,7 @@
         objective: request.route.latency_objective,
         objective_left: request.objective_left(now),
         patience_left: request.time_left(now),
+        pause_limit: request.pause_limit(gw),
         runs_left: match may_escalate(gw, request, now) {
             true => request.runs_left(),
             false => 0,
--- a/src/gateway/place/choose.rs
+++ b/src/gateway/place/choose.rs
@@ -39,6 +39,9 @@
     pub seed: u64,
     /// How many engines are compared, besides those that have the prefix cached.
     pub engines_to_compare: usize,
+    /// The longest pause of a stream that is in time, where prompts are kept from engines whose
+    /// streams they would make pause for longer.
+    pub pause_limit: Option<Duration>,
 }
 
 /// The upstream chosen for a request, and the load expected there.
--- a/src/gateway/place/engine_cost.rs
+++ b/src/gateway/place/engine_cost.rs
@@ -42,6 +42,9 @@
 const NOT_COMPARED_COST_MS: f64 = 5_500.0;
 /// Cost in milliseconds of one unit of the penalty for failures and back-off.
 const PENALTY_UNIT_COST_MS: f64 = 1_100.0;
+/// A prefill of the longest pause divided by this does not make streams late by itself; the rest is
+/// left to prompts that other boxes send at the same time.
+const HARMLESS_PAUSE_DIVISOR: u32 = 2;
 /// Number of bytes in a kilobyte.
 const BYTES_PER_KB: f64 = 1000.0;
 
@@ -124,7 +127,13 @@
     let is_sampled = sample(candidates, params.seed, params.engines_to_compare);
     let cost = |upstream: &&Rc<Upstream>| {
         let prefix_source = prefix_source(&caching_engines, &fetch_sources, upstream);
-        engine_cost(upstream, params.hall, prompt, prefix_source, queues, now)
+        let mut found = engine_cost(upstream, params.hall, prompt, prefix_source, queues, now);
+        let running = f64::from(upstream.occupancy(now));
+        let held_up = params
+            .pause_limit
+            .map(|limit| held_up_ms(found.prefill, limit));
+        found.cost += running * held_up.unwrap_or_default();
+        found
     };
     let numbered = candidates.iter().zip(&is_sampled);
     let compared: Vec<Option<PlacementCost>> = numbered
@@ -147,6 +156,12 @@
         .collect()
 }
 
+/// Returns the milliseconds for which a prefill holds up each stream that the engine runs, beyond
+/// the part of the longest pause that is left to the prompts of other boxes.
+fn held_up_ms(prefill: Duration, pause_limit: Duration) -> f64 {
+    millis(prefill.saturating_sub(pause_limit / HARMLESS_PAUSE_DIVISOR))
+}
+
 /// Returns the engines that others can fetch the shared prefix from; empty if fetching does not pay
 /// off.
 fn fetch_sources<'a>(
--- a/src/gateway/place/escalation.rs
+++ b/src/gateway/place/escalation.rs
@@ -47,6 +47,8 @@
     pub total: Duration,
     /// The part of it that is spent on the prompts queued before this one.
     pub queue_wait: Duration,
+    /// The number of requests that the engine runs meanwhile.
+    pub running: u32,
 }
 
 impl ExpectedFirstEvent {
--- a/src/gateway/place/model_choice.rs
+++ b/src/gateway/place/model_choice.rs
@@ -55,6 +55,8 @@
     pub objective_left: Duration,
     /// The time after which the caller has nothing: the route's timeout and what the caller stated.
     pub patience_left: Duration,
+    /// The longest pause of a stream that is in time.
+    pub pause_limit: Option<Duration>,
     /// How many more runs the route allows.
     pub runs_left: u32,
     /// The part of the retry budget for larger models that is not spent, from 0 to 1.
@@ -128,6 +130,11 @@
     ((confidence_percent - WRONG_BELOW_CONFIDENCE_PERCENT) / span).clamp(0.0, 1.0)
 }
 
+/// Returns the chance that a time is within a limit, of which it is expected to be this multiple.
+fn chance_in_time(ratio: f64) -> f64 {
+    1.0 / (1.0 + ratio.powf(IN_TIME_STEEPNESS))
+}
+
 /// What times, prices and room mean for one request.
 #[derive(Debug, Clone, Copy)]
 struct Scale {
@@ -205,12 +212,12 @@
         if left == 0.0 {
             return LATE_ANSWER_WORTH;
         }
-        let ratio = expected.as_secs_f64() / left;
-        let in_time = 1.0 / (1.0 + ratio.powf(IN_TIME_STEEPNESS));
+        let in_time = chance_in_time(expected.as_secs_f64() / left);
         in_time + (1.0 - in_time) * LATE_ANSWER_WORTH
     }
 
-    /// Returns what others lose: those that wait at the engine are delayed by the prefill.
+    /// Returns what others lose: those that wait at the engine are delayed by the prefill, and
+    /// streams that it runs pause for as long.
     fn room(&self, expected: ExpectedFirstEvent) -> f64 {
         let objective = self
             .situation
@@ -221,7 +228,12 @@
             .total
             .saturating_sub(expected.queue_wait + FIRST_EVENT_OVERHEAD);
         let waiting = expected.queue_wait.as_secs_f64() / objective * WAITING_PER_OBJECTIVE;
-        waiting * own.as_secs_f64() / objective
+        let delayed = waiting * own.as_secs_f64() / objective;
+        let paused = self.situation.pause_limit.map_or(0.0, |limit| {
+            let ratio = own.as_secs_f64() / limit.as_secs_f64().max(f64::MIN_POSITIVE);
+            f64::from(expected.running) * (1.0 - chance_in_time(ratio))
+        });
+        delayed + paused * (1.0 - LATE_ANSWER_WORTH)
     }
 
     /// Returns which part of the gain has to be given up for those with more doubt, from 0 to 1.
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -337,7 +337,8 @@
     ) {
         let expected = |model: &ModelOutlook| {
             let expected = model.expected;
-            format!("{}/{}", millis(expected.total), millis(expected.queue_wait))
+            let times = (millis(expected.total), millis(expected.queue_wait));
+            format!("{}/{}/{}", times.0, times.1, expected.running)
         };
         let expected: Vec<String> = models.iter().map(expected).collect();
         let asked_next = match choice.decision {
--- a/tests/gateway/engine_placement.rs
+++ b/tests/gateway/engine_placement.rs
@@ -278,6 +278,7 @@
                     tried: &[],
                     seed: request,
                     engines_to_compare: engines_to_compare(BOXES),
+                    pause_limit: None,
                 };
                 let choice = choose_placement(&reachable, params, now).unwrap();
                 let number = views[sender]
@@ -483,6 +484,7 @@
                     tried: &[],
                     seed: round * 100 + request,
                     engines_to_compare: engines_to_compare(BOXES),
+                    pause_limit: None,
                 };
                 choose_placement(&candidates, params, at(500)).unwrap();
             }
--- a/tests/gateway/escalation.rs
+++ b/tests/gateway/escalation.rs
@@ -14,6 +14,7 @@
     ExpectedFirstEvent {
         total: Duration::from_millis(total),
         queue_wait: Duration::from_millis(ahead),
+        running: 0,
     }
 }
 
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -28,6 +28,7 @@
         tried: &[],
         seed: draw,
         engines_to_compare: 100,
+        pause_limit: None,
     }
 }
 
