--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -23,10 +23,10 @@
 use crate::gateway::place::cache_affinity::CacheReplication;
 use crate::gateway::place::candidates::BackOff;
 use crate::gateway::place::choose::{
-    PlacementChoice, PlacementParams, choose_for_trial, choose_placement, engines_to_compare,
-    stable_hash,
+    MIN_COMPARED_IF_LONG, PlacementChoice, PlacementParams, choose_for_trial, choose_placement,
+    engines_to_compare, stable_hash,
 };
-use crate::gateway::place::engine_cost::{PrefixSource, SharedPrompt};
+use crate::gateway::place::engine_cost::{PrefixSource, SharedPrompt, holds_up_streams};
 use crate::gateway::place::escalation::ExpectedFirstEvent;
 use crate::gateway::place::prefill_rate;
 use crate::gateway::versions::local_statistics::ResponseTimer;
@@ -295,13 +295,23 @@
         if gw.places_by_expected_wait(&self.service) && shared_prefix.is_none() {
             return gw.choose_by_expected_wait(&self.service, candidates, tried, seed, now);
         }
+        let prompt = self.shared_prompt(gw, shared_prefix.as_deref(), model);
+        let pause_limit = self.pause_limit(gw);
+        let holds_up = |prompt: SharedPrompt<'_>| {
+            pause_limit.is_some_and(|limit| holds_up_streams(prompt.suffix_prefill, limit))
+        };
+        let usual = engines_to_compare(gw.knowledge.borrow().box_count());
+        let engines_to_compare = match prompt.is_some_and(holds_up) {
+            true => usual.max(MIN_COMPARED_IF_LONG),
+            false => usual,
+        };
         let criteria = PlacementParams {
             hall: &gw.settings().hall,
-            prompt: self.shared_prompt(gw, shared_prefix.as_deref(), model),
+            prompt,
             tried,
             seed,
-            engines_to_compare: engines_to_compare(gw.knowledge.borrow().box_count()),
-            pause_limit: self.pause_limit(gw),
+            engines_to_compare,
+            pause_limit,
         };
         choose_placement(candidates, criteria, now)
     }
--- a/src/gateway/place/choose.rs
+++ b/src/gateway/place/choose.rs
@@ -26,6 +26,10 @@
 /// Minimum number of engines that a box compares.
 const MIN_COMPARED_ENGINES: usize = 3;
 
+/// Minimum number of engines that a box compares for a prompt that makes the streams of an engine
+/// pause. Such prompts are too rare for boxes to pick the same engine at the same moment.
+pub const MIN_COMPARED_IF_LONG: usize = 12;
+
 /// What a placement decision depends on, besides the candidates.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementParams<'a> {
--- a/src/gateway/place/engine_cost.rs
+++ b/src/gateway/place/engine_cost.rs
@@ -162,6 +162,11 @@
     millis(prefill.saturating_sub(pause_limit / HARMLESS_PAUSE_DIVISOR))
 }
 
+/// Returns whether a prefill holds up the streams that an engine runs.
+pub fn holds_up_streams(prefill: Duration, pause_limit: Duration) -> bool {
+    held_up_ms(prefill, pause_limit) > 0.0
+}
+
 /// Returns the engines that others can fetch the shared prefix from; empty if fetching does not pay
 /// off.
 fn fetch_sources<'a>(
--- a/src/gateway/place/rate_samples.rs
+++ b/src/gateway/place/rate_samples.rs
@@ -17,8 +17,14 @@
 const MIN_SAMPLES: usize = 4;
 /// The most boxes whose measurements are kept.
 const MAX_REPORTING_BOXES: usize = 64;
-/// The most models of which measurements are kept; a fleet has fewer.
-const MAX_MODELS: usize = 32;
+/// The most models and lengths of which measurements are kept; a fleet has fewer.
+const MAX_MODELS: usize = 64;
+/// The number of tokens from which a prompt counts as long. How the time of a token grows with the
+/// length differs between engines, so both lengths are measured.
+const LONG_TOKENS: f64 = 8000.0;
+/// Between these numbers of tokens, the rate changes gradually from that of short prompts to that of
+/// long ones.
+const GRADUAL_TOKENS: (f64, f64) = (4000.0, 12_000.0);
 /// How long measurements count. A box receives several reports a second, so it has those of many
 /// others within this time.
 const SAMPLE_LIFETIME: Duration = Duration::from_secs(30);
@@ -58,7 +64,7 @@
 /// The newest measurements of one model, in tokens per millisecond.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct ModelRates {
-    /// Hash of the model's name.
+    /// Hash of the model's name, and whether the prompts were long.
     model: u64,
     tokens_per_ms: Vec<f32>,
 }
@@ -71,7 +77,7 @@
             return;
         }
         let mut own = self.own.borrow_mut();
-        let model = stable_hash(model);
+        let model = model_key(model, tokens >= LONG_TOKENS);
         if own.len() >= MAX_MODELS && !own.contains_key(&model) {
             return;
         }
@@ -148,7 +154,14 @@
     /// Returns the time in which an engine computes this many tokens; `None` as long as too few
     /// measurements are known.
     pub fn prefill_time(&self, model: &str, tokens: f64) -> Option<Duration> {
-        let rate = *self.medians.borrow().get(&stable_hash(model))?;
+        let medians = self.medians.borrow();
+        let median = |is_long| medians.get(&model_key(model, is_long)).copied();
+        let (from, to) = GRADUAL_TOKENS;
+        let long_part = ((tokens - from) / (to - from)).clamp(0.0, 1.0);
+        let rate = match (median(false), median(true)) {
+            (Some(short), Some(long)) => short + (long - short) * long_part,
+            (short, long) => short.or(long)?,
+        };
         Some(Duration::from_secs_f64(tokens.max(0.0) / rate / 1000.0))
     }
 
@@ -158,6 +171,11 @@
     }
 }
 
+/// Identifies a model and a class of lengths in reports.
+fn model_key(model: &str, is_long: bool) -> u64 {
+    stable_hash(model) ^ u64::from(is_long)
+}
+
 fn is_possible(tokens_per_ms: f32) -> bool {
     let (min, max) = RATE_BOUNDS_TOKENS_PER_MS;
     (min..=max).contains(&tokens_per_ms)
