--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -335,8 +335,9 @@
         let all_tokens = self.prompt.weighted_tokens();
         match choice.prefix_source {
             PrefixSource::Computed if choice.queue_wait.is_zero() => Some(all_tokens),
-            // Large models read nearly all prompts behind a cached prefix.
-            PrefixSource::Cached
+            // Large models compute nearly all prompts behind a prefix. One that is fetched is
+            // there, while one that is believed to be cached may have been evicted.
+            PrefixSource::Fetched(_)
                 if choice.queue_wait.is_zero() && gw.controls_load(&self.service) =>
             {
                 Some(all_tokens - self.prompt.shared_tokens as f64)
--- a/src/gateway/place/model_choice.rs
+++ b/src/gateway/place/model_choice.rs
@@ -25,7 +25,7 @@
 const MAX_PATIENCE_PART: f64 = 0.5;
 /// How many requests of the usual size wait at an engine whose queue is as long as the objective.
 /// Each of them is delayed by the prefill that is sent there.
-const WAITING_PER_OBJECTIVE: f64 = 20.0;
+const WAITING_PER_OBJECTIVE: f64 = 8.0;
 /// The free part of the retry budget below which repeats are kept for answers in more doubt.
 const SCARCE_BUDGET_PART: f64 = 0.25;
 /// How far scarcity raises the bar. The most doubtful answers are repeated until the budget is
