--- a/src/gateway/place/model_choice.rs
+++ b/src/gateway/place/model_choice.rs
@@ -16,6 +16,9 @@
 /// What a right answer is worth that comes after the objective: the caller is helped, though not
 /// as well.
 const LATE_ANSWER_WORTH: f64 = 0.5;
+/// What is lost of the worth of a stream that pauses for longer than its route allows: it is right
+/// and whole, and began in time.
+const PAUSE_LOSS: f64 = 0.25;
 /// How steeply the chance of being in time falls with the ratio of the expected time to the time
 /// left. One measured first event in ten takes 1.7 times the expected time, since other boxes send
 /// in the meantime.
@@ -27,7 +30,7 @@
 /// Each of them is delayed by the prefill that is sent there.
 const WAITING_PER_OBJECTIVE: f64 = 8.0;
 /// The free part of the retry budget below which repeats are kept for answers in more doubt.
-const SCARCE_BUDGET_PART: f64 = 0.25;
+const SCARCE_BUDGET_PART: f64 = 0.35;
 /// How far scarcity raises the bar. The most doubtful answers are repeated until the budget is
 /// spent.
 const MAX_SCARCITY: f64 = 0.95;
@@ -233,7 +236,7 @@
             let ratio = own.as_secs_f64() / limit.as_secs_f64().max(f64::MIN_POSITIVE);
             f64::from(expected.running) * (1.0 - chance_in_time(ratio))
         });
-        delayed + paused * (1.0 - LATE_ANSWER_WORTH)
+        delayed + paused * PAUSE_LOSS
     }
 
     /// Returns which part of the gain has to be given up for those with more doubt, from 0 to 1.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod load_decision;
 mod load_patterns;
 mod load_reports;
+mod model_choice;
 mod packing;
 mod peer_updates;
 mod placement;
