--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -157,7 +157,10 @@
     /// Returns how many more runs the route allows.
     pub fn runs_left(&self) -> u32 {
         match self.may_run_again() {
-            true => self.route.max_attempts.max(1) - self.tries.possible_runs(),
+            true => self
+                .route
+                .max_attempts
+                .saturating_sub(self.tries.possible_runs()),
             false => 0,
         }
     }
@@ -319,7 +322,7 @@
     /// Returns the longest pause of a stream that is in time, where others' pauses are considered.
     pub fn pause_limit(&self, gw: &Gateway) -> Option<Duration> {
         let limit = self.route.kind.stream_gap();
-        limit.filter(|_| gw.controls_connections(&self.service))
+        limit.filter(|_| gw.controls_load(&self.service))
     }
 
     /// Returns the key of the prompt's shared prefix. It contains the model, since engines cache
--- a/src/gateway/answer/larger_model.rs
+++ b/src/gateway/answer/larger_model.rs
@@ -39,7 +39,7 @@
         rank_fraction: gw.relative_rank(&request.route),
     };
     let expected = request.expected_first_events(gw, models, now);
-    let controlled = gw.controls_connections(&request.service);
+    let controlled = gw.controls_load(&request.service);
     if controlled {
         record_trial(gw, models, asked, begun);
     }
