--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -12,6 +12,8 @@
 pub mod fleet_view;
 pub mod held_streams;
 pub mod load_control;
+pub mod model_choice;
+pub mod model_trials;
 pub mod peer_loads;
 pub mod plain_cost;
 pub mod prefill_rate;
