--- a/src/gateway/place/model_choice.rs
+++ b/src/gateway/place/model_choice.rs
@@ -109,7 +109,10 @@
     let scale = Scale::new(situation);
     let terms = (index + 1..models.len()).filter_map(|larger| scale.terms(models, larger));
     let value = |terms: &Terms| terms.gain - terms.room;
-    let Some(best) = terms.max_by(|one, other| value(one).total_cmp(&value(other))) else {
+    let best = terms
+        .clone()
+        .max_by(|one, other| value(one).total_cmp(&value(other)));
+    let Some(best) = best else {
         return unsure(0.0, "no larger model would come before the deadline");
     };
     let accepted = rightness * scale.on_time_or_late();
@@ -121,7 +124,8 @@
     if net > 0.0 {
         return unsure(net, "few repeats left");
     }
-    match best.gain > accepted {
+    let mut terms = terms;
+    match terms.any(|terms| terms.gain > accepted) {
         true => unsure(net, "engines are busy"),
         false => unsure(net, "no larger model would help enough in time"),
     }
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -69,6 +69,27 @@
 };
 
 cases! {
+    // An engine that computes a long prompt makes all its streams pause for as long.
+    long_prompts_go_to_engines_without_streams => {
+        let candidates = upstreams(2);
+        let _stream = candidates[0].begin_request();
+        let long = SharedPrompt {
+            full_prefill: Duration::from_millis(1200),
+            suffix_prefill: Duration::from_millis(1200),
+            shared_tokens: 0.0,
+            ..fast_prompt("part")
+        };
+        let placed = |prompt, pause_limit| {
+            chosen(&candidates, PlacementParams { pause_limit, ..params(Some(prompt), 1) })
+        };
+        let limit = Some(Duration::from_secs(1));
+        expect_that!(placed(long, limit), eq("i-1"));
+        expect_that!(placed(long, None), eq("i-0"));
+        // A short prompt does not leave its hall for that.
+        let short = SharedPrompt { full_prefill: Duration::from_millis(30), suffix_prefill: Duration::from_millis(30), ..long };
+        expect_that!(placed(short, limit), eq("i-0"));
+    }
+
     short_wait_does_not_move_a_small_model_prompt_off_its_cached_prefix => {
         // Fails if computing a prefix again costs only the model's prefill time: for the smallest
         // model, a queue of 30 ms then moved a prompt to another engine, and 1.3 million tokens
--- a/tests/gateway/shared_rates.rs
+++ b/tests/gateway/shared_rates.rs
@@ -29,6 +29,22 @@
 }
 
 cases! {
+    // How the time of a token grows with the length of the prompt differs between engines.
+    long_prompts_have_a_rate_of_their_own => {
+        let rates = RateSamples::default();
+        for _ in 0..5 {
+            rates.record("largest", 2000.0, Duration::from_millis(100), at(0));
+            rates.record("largest", 24_000.0, Duration::from_millis(600), at(0));
+        }
+        rates.update_medians(at(0));
+        let millis = |tokens| rates.prefill_time("largest", tokens).map(|time| time.as_millis());
+        expect_that!(millis(2000.0), some(eq(100)));
+        expect_that!(millis(24_000.0), some(eq(600)));
+        // Longer prompts never seem to take less time.
+        let times: Vec<_> = (1..50).map(|thousands| millis(f64::from(thousands) * 1000.0)).collect();
+        expect_true!(times.is_sorted());
+    }
+
     // A request for the largest model is refused to callers who wait for it if it seems too slow.
     // 85 boxes see one first event of it every few seconds each.
     box_that_never_asked_a_model_knows_its_rate_from_others => {
