Connections: prove new ones by the health path, share the limit by steady demand

Cause 1: a request that may not be repeated was written to a settled connection, which an upstream without a processor resets later. Change: such a request needs an answer that has just come over its connection, of an earlier request or of the health path; the socket refuses a late first write, asks the kernel and counts what it took. The stand-in answers its health path beside the requests that it counts as received, and can reset late; a test with resets after 60 ms is added. No check is changed.

Cause 2: boxes shared the limit by the requests of the moment, which they hear of late, and knew of no other box in the first second. Change: shares by averaged demand (steady_demand), the fleet is known at the first request, and rested connections are proven instead of closed for new ones at the limit.

Also: a late answer no longer shortens the safe rest where the upstream is silent to all; kept connections that ended use up no confirmations; a loss after a proof counts as a failure of the upstream. connect.rs, exchange.rs are split by job.

--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -9,7 +9,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::answer::held_memory::RequestAccount;
 use crate::gateway::answer::refusal::Execution;
-use crate::gateway::attempt::connect::{ConnectionOrigin, http1_types};
+use crate::gateway::attempt::connection::{ConnectionOrigin, http1_types};
 use crate::gateway::attempt::crash_detection::InterruptedRun;
 use crate::gateway::attempt::exchange::{
     NotRunReason, TryOptions, TryOutcome, UnknownReason, UpstreamRequest, try_upstream,
--- a/src/gateway/admit/routes.rs
+++ b/src/gateway/admit/routes.rs
@@ -4,6 +4,7 @@
 //! whole table; tables are never modified, so a request sees one version from start to end.
 //! See `docs/design/platform.md`.
 
+use crate::gateway::attempt::connection_proof::HealthCheck;
 use crate::gateway::place::warm_up::WarmUp;
 use std::collections::HashMap;
 use std::num::NonZeroU32;
@@ -104,6 +105,8 @@
     /// How many connections each of its upstreams accepts from all boxes together; `None` without a
     /// limit.
     pub connection_limit: Option<NonZeroU32>,
+    /// How its upstreams are asked for their health; `None` if they have no path for it.
+    pub health_check: Option<HealthCheck>,
 }
 
 /// The capabilities of a service's model engines.
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -14,7 +14,7 @@
 use crate::gateway::answer::refusal::{self, Execution, RefusalReason};
 use crate::gateway::answer::relay::Relay;
 use crate::gateway::answer::stream::{self, ResponseStart};
-use crate::gateway::attempt::connect::http1_types;
+use crate::gateway::attempt::connection::http1_types;
 use crate::gateway::attempt::tries::TryHistory;
 use crate::gateway::control::state::ConfigFreshness;
 use crate::gateway::place::choose::stable_hash;
--- a/src/gateway/answer/piece_relay.rs
+++ b/src/gateway/answer/piece_relay.rs
@@ -10,7 +10,7 @@
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::admit::request::AdmittedRequest;
-use crate::gateway::attempt::exchange::{Answer, BodyChunk};
+use crate::gateway::attempt::upstream_answer::{Answer, BodyChunk};
 use bytes::Bytes;
 use std::fmt;
 use std::rc::Rc;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,8 +1,12 @@
 //! A single try of a request at an upstream, and the state kept for each upstream.
 
+pub mod acquire;
 pub mod connect;
+pub mod connection;
 pub mod connection_age;
 pub mod connection_limit;
+pub mod connection_proof;
+pub mod connection_write;
 pub mod crash_detection;
 pub mod exchange;
 pub mod headers;
@@ -12,6 +16,8 @@
 pub mod response_timeout;
 pub mod retries;
 pub mod spare_connections;
+pub mod steady_demand;
 pub mod tries;
 pub mod upstream;
+pub mod upstream_answer;
 pub mod upstream_connections;
--- a/src/gateway/attempt/connection_age.rs
+++ b/src/gateway/attempt/connection_age.rs
@@ -156,12 +156,21 @@
     pub fn after_rest(rest: Duration, settle: Duration, safe_rest: Duration) -> Self {
         match settle.checked_sub(rest) {
             Some(left) if !left.is_zero() => Self::Settling(left),
-            _ if rest <= safe_rest.max(settle * 2) => Self::Confirmed,
+            _ if rest <= usable_rest(settle, safe_rest) => Self::Confirmed,
             _ => Self::Rested,
         }
     }
 }
 
+/// Returns the longest rest after which a request that may not be repeated is written to a
+/// connection that has settled or, with a settle time of zero, has just carried an answer.
+///
+/// However short the safe rest is, an upstream that accepted or answered a moment ago had no reason
+/// to close the connection, and the box needs some time to write.
+pub fn usable_rest(settle: Duration, safe_rest: Duration) -> Duration {
+    safe_rest.max(settle * 2).max(MIN_SETTLE)
+}
+
 /// Parses the keep-alive time of a `Keep-Alive` header (`timeout=5, max=100`).
 pub fn parse_keep_alive(text: &str) -> Option<Duration> {
     let parameters = text.split(',').filter_map(|part| part.split_once('='));
--- /dev/null
+++ b/src/gateway/attempt/connection_write.rs
@@ -0,0 +1,136 @@
+//! The last check before a request that may not be repeated is written to a connection.
+//!
+//! Between the choice of a connection and the write, the box may have to wait for a processor while
+//! the upstream closes the connection. The socket itself therefore refuses the first write of such a
+//! request once its time is over or the kernel knows of an end, and counts what was written, which
+//! proves that a request without a written byte did not run. See `docs/design/connections.md`.
+
+use crate::clock::Now;
+use std::cell::Cell;
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// What may still be written to a connection, and how much was.
+#[derive(Debug, Default)]
+pub struct WriteGate {
+    write_by: Cell<Option<Duration>>,
+    written: Cell<u64>,
+    has_refused: Cell<bool>,
+}
+
+impl WriteGate {
+    /// Requires that the next write begins by a time on the monotonic clock, while the kernel knows
+    /// of no end of the connection.
+    pub fn require(&self, write_by: Duration) {
+        self.write_by.set(Some(write_by));
+    }
+
+    /// Returns how many bytes the kernel has taken.
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+
+    /// Returns whether a write was refused because it came too late.
+    pub fn has_refused(&self) -> bool {
+        self.has_refused.get()
+    }
+
+    /// Checks whether a write may begin.
+    fn check(&self, stream: &TcpStream) -> io::Result<()> {
+        let Some(write_by) = self.write_by.get() else {
+            return Ok(());
+        };
+        if Now::read().monotonic > write_by {
+            self.has_refused.set(true);
+            return Err(io::Error::new(
+                io::ErrorKind::TimedOut,
+                "the connection was no longer known to be open",
+            ));
+        }
+        match is_quiet(&socket2::SockRef::from(stream)) {
+            true => Ok(()),
+            false => Err(io::ErrorKind::ConnectionAborted.into()),
+        }
+    }
+
+    fn record(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(count)) = written {
+            self.write_by.set(None);
+            let count = u64::try_from(*count).unwrap_or(u64::MAX);
+            self.written.set(self.written.get().saturating_add(count));
+        }
+    }
+}
+
+/// Returns whether the kernel knows of no end of a connection, and of no data that waits.
+pub fn is_quiet(socket: &socket2::Socket) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    let peeked = socket.peek(&mut byte);
+    peeked.is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// A stream that asks a [`WriteGate`] before each write.
+#[derive(Debug)]
+pub struct GatedStream {
+    stream: TcpStream,
+    gate: Rc<WriteGate>,
+}
+
+impl GatedStream {
+    /// Lets a gate decide on the writes to a stream.
+    pub fn new(stream: TcpStream, gate: Rc<WriteGate>) -> Self {
+        Self { stream, gate }
+    }
+}
+
+impl AsyncRead for GatedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for GatedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.gate.check(&self.stream)?;
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.gate.record(&written);
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.gate.check(&self.stream)?;
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.gate.record(&written);
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -3,21 +3,20 @@
 //! Only this module decides whether a request may have run: [`TryOutcome::NotRun`] requires the
 //! upstream's own statement or the proof that no byte was written. See `docs/design/platform.md`.
 
-use super::connect::{
-    Connection, ConnectionOrigin, ConnectionPool, ConnectionRules, NoConnection, RequestLoss,
-    http1_types,
-};
-use super::connection_age::parse_keep_alive;
+use super::acquire::{ConnectionRules, NoConnection};
+use super::connect::ConnectionPool;
+use super::connection::{Connection, ConnectionOrigin, RequestLoss, SendError, http1_types};
 use super::headers::{HeaderNames, parse_load};
 use super::response_timeout::{ResponseTimeout, with_response_timeout};
 use super::upstream::{PendingPrefill, Upstream};
+use super::upstream_answer::{Answer, closes, keep_alive};
 use crate::clock::Now;
 use crate::routing::placement::LoadGuard;
 use crate::routing::signals::{ResponseSignals, SignalHeaders};
 use bytes::Bytes;
 use http::header::RETRY_AFTER;
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,7 +26,8 @@
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(2);
 /// The size limit of such a body.
 const REFUSAL_BODY_LIMIT: usize = 4096;
-const KEEP_ALIVE: &str = "keep-alive";
+/// How many further connections a request uses of which nothing was written to the one before.
+const MAX_OTHER_CONNECTIONS: usize = 2;
 const STATUS_MISDIRECTED_REQUEST: u16 = 421;
 
 /// A request as it is sent to one upstream.
@@ -105,128 +105,8 @@
     }
 }
 
-/// An upstream's answer whose body has still to be read.
-#[derive(Debug)]
-pub struct Answer {
-    /// The status.
-    pub status: u16,
-    /// The headers.
-    pub headers: http1_types::HeaderMap,
-    /// When the try began.
-    pub sent_at: Duration,
-    /// How long the upstream took from the complete request to the head of the answer.
-    pub head_took: Duration,
-    /// The prompt tokens whose prefill the time to the first event measures; `None` if it measures
-    /// none.
-    pub measured_tokens: Option<f64>,
-    body: Incoming,
-    connection: Option<Connection>,
-    upstream: Rc<Upstream>,
-    pending_prefill: Option<PendingPrefill>,
-    _load: LoadGuard,
-}
-
-/// The next chunk of a body.
-#[derive(Debug)]
-pub enum BodyChunk {
-    /// Data.
-    Bytes(Bytes),
-    /// The body is complete.
-    End,
-    /// The body ended early.
-    Broken(String),
-}
-
-/// What was read of a body.
-#[derive(Debug)]
-pub enum ReadBody {
-    /// All of it.
-    Whole(Bytes),
-    /// The first bytes of a body that is longer than the limit.
-    Longer(Bytes),
-}
-
-impl Answer {
-    /// Reads the next chunk of the body; `None` on a timeout.
-    pub async fn next_chunk_within(
-        &mut self,
-        connections: &ConnectionPool,
-        timeout: ResponseTimeout,
-    ) -> Option<BodyChunk> {
-        let upstream = self.upstream.clone();
-        with_response_timeout(connections, &upstream, timeout, self.next_chunk()).await
-    }
-
-    /// Reads the next chunk of the body.
-    pub async fn next_chunk(&mut self) -> BodyChunk {
-        loop {
-            let frame = self.body.frame().await;
-            self.upstream.record_data_received(Now::read());
-            match frame {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(bytes) => return BodyChunk::Bytes(bytes),
-                    Err(_trailers) => {}
-                },
-                Some(Err(err)) => return BodyChunk::Broken(err.to_string()),
-                None => return BodyChunk::End,
-            }
-        }
-    }
-
-    /// Returns the length of the body, if the upstream has stated it.
-    pub fn body_len(&self) -> Option<u64> {
-        self.body.size_hint().exact()
-    }
-
-    /// Reads the whole body, or returns why it is incomplete.
-    pub async fn read_whole(&mut self, limit: usize) -> Result<Bytes, String> {
-        match self.read_up_to(limit).await? {
-            ReadBody::Whole(bytes) => Ok(bytes),
-            ReadBody::Longer(_) => Err(format!("the answer is larger than {limit} bytes")),
-        }
-    }
-
-    /// Reads the body to its end, or until it is longer than `limit`.
-    pub async fn read_up_to(&mut self, limit: usize) -> Result<ReadBody, String> {
-        let mut read = bytes::BytesMut::new();
-        loop {
-            match self.next_chunk().await {
-                BodyChunk::Bytes(bytes) => {
-                    read.extend_from_slice(&bytes);
-                    if read.len() > limit {
-                        return Ok(ReadBody::Longer(read.freeze()));
-                    }
-                }
-                BodyChunk::End => return Ok(ReadBody::Whole(read.freeze())),
-                BodyChunk::Broken(reason) => return Err(reason),
-            }
-        }
-    }
-
-    /// Records that the first event arrived, so that the prefill is over.
-    pub fn finish_prefill(&mut self) {
-        self.pending_prefill = None;
-    }
-
-    /// Returns the upstream that sent the answer.
-    pub fn upstream(&self) -> &Rc<Upstream> {
-        &self.upstream
-    }
-
-    /// Returns the connection to the pool after a complete body, unless the upstream closes it.
-    pub fn finish(mut self, connections: &ConnectionPool, now: Now) {
-        self.upstream.record_success(now);
-        if let Some(connection) = self.connection.take()
-            && !closes(&self.headers)
-        {
-            let keep_alive = keep_alive(&self.headers);
-            connections.release_after_answer(&self.upstream, connection, keep_alive, now);
-        }
-    }
-}
-
 /// Options of a try.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct TryOptions {
     /// How long to wait for the head of the answer.
     pub head_timeout: ResponseTimeout,
@@ -255,7 +135,10 @@
         pending_prefill: upstream.begin_prefill(options.prefill),
         began: Now::read(),
     };
-    match connections.acquire(upstream, options.connection).await {
+    match connections
+        .acquire(upstream, &options.connection, headers)
+        .await
+    {
         Ok(connection) => {
             let origin = connection.origin();
             let tried = started
@@ -272,7 +155,8 @@
             rejected @ (NoConnection::ShareInUse
             | NoConnection::ResetBeforeUse
             | NoConnection::JustReset
-            | NoConnection::Unconfirmed),
+            | NoConnection::Unconfirmed
+            | NoConnection::Unproven),
         ) => {
             let reason = NotRunReason::ConnectionRejected(rejected.to_string());
             (TryOutcome::NotRun(reason), None)
@@ -310,60 +194,125 @@
             Ok(req) => req,
             Err(reason) => return TryOutcome::NotRun(NotRunReason::NoConnection(reason)),
         };
-        let sent_at = Now::read();
-        let rest = connection.rest(sent_at);
-        let answered = with_response_timeout(
-            connections,
-            upstream,
-            options.head_timeout,
-            connection.send(req),
-        )
-        .await;
-        let now = Now::read();
-        let res = match answered {
-            Some(Ok(res)) => res,
-            Some(Err(err)) => {
-                if options.connection.is_controlled {
-                    let loss = match err.is_unsent {
-                        true => RequestLoss::Unsent,
-                        false => {
-                            RequestLoss::Broken(now.monotonic.saturating_sub(sent_at.monotonic))
-                        }
-                    };
-                    connections.record_lost_request(upstream, &connection, rest, loss, now);
-                    if err.is_unsent {
-                        let reason = NotRunReason::ConnectionRejected(err.error.to_string());
-                        return TryOutcome::NotRun(reason);
-                    }
-                }
-                if !connection.is_reused() {
-                    upstream.record_failure(now);
-                }
-                return TryOutcome::Unknown(UnknownReason::ConnectionBroken(err.error.to_string()));
+        let mut other_connections = 0;
+        let (sent_at, rest, answered) = loop {
+            let sent_at = Now::read();
+            let rest = connection.rest(sent_at);
+            let sent = connection.send(req.clone());
+            let answered =
+                with_response_timeout(connections, upstream, options.head_timeout, sent).await;
+            let (Some(Err(err)), true) = (&answered, other_connections < MAX_OTHER_CONNECTIONS)
+            else {
+                break (sent_at, rest, answered);
+            };
+            if !options.connection.is_controlled || !allows_another(err, &connection) {
+                break (sent_at, rest, answered);
             }
-            None => {
-                if options.connection.is_controlled && connection.is_reused() {
-                    let loss = RequestLoss::NoAnswer;
-                    connections.record_lost_request(upstream, &connection, rest, loss, now);
-                }
-                return TryOutcome::Unknown(UnknownReason::TimedOut);
+            let next = connections.acquire(upstream, &options.connection, headers);
+            let Ok(next) = next.await else {
+                break (sent_at, rest, answered);
+            };
+            let former = std::mem::replace(&mut connection, next);
+            if !err.is_late {
+                let loss = RequestLoss::Unsent;
+                connections.record_lost_request(upstream, &former, rest, loss, Now::read());
             }
+            other_connections += 1;
         };
-        upstream.record_data_received(now);
-        let (parts, body) = res.into_parts();
-        let header_text = |name: &http::HeaderName| {
-            parts
-                .headers
-                .get(name.as_str())
-                .and_then(|value| value.to_str().ok())
+        let now = Now::read();
+        let exchange = Exchange {
+            connections,
+            headers,
+            upstream,
+            connection,
+            request_id,
+            is_controlled: options.connection.is_controlled,
+            sent_at,
+            now,
         };
-        match header_text(&headers.load).map(parse_load) {
-            Some(Some(load)) => upstream.record_load_report(load, now),
-            Some(None) => upstream.record_invalid_report(),
-            None => {}
+        match answered {
+            Some(Ok(res)) => exchange.read_head(self, res, options.measured_tokens).await,
+            Some(Err(err)) => exchange.fail(&err, rest),
+            None => exchange.time_out(rest),
+        }
+    }
+}
+
+/// Returns whether a request that was not written may use another connection at once: the upstream
+/// did not reject this one, but it was idle for too long.
+fn allows_another(err: &SendError, connection: &Connection) -> bool {
+    err.is_unsent && (err.is_late || connection.has_carried_answer())
+}
+
+/// A request that was given to a connection.
+struct Exchange<'a> {
+    connections: &'a ConnectionPool,
+    headers: &'a HeaderNames,
+    upstream: &'a Rc<Upstream>,
+    connection: Connection,
+    request_id: String,
+    is_controlled: bool,
+    sent_at: Now,
+    /// When the head arrived, or the wait for it ended.
+    now: Now,
+}
+
+impl Exchange<'_> {
+    /// Learns from a connection that broke before the head arrived, after it had rested for a time.
+    fn fail(self, err: &SendError, rest: Duration) -> TryOutcome {
+        let since = self.now.monotonic.saturating_sub(self.sent_at.monotonic);
+        if self.is_controlled {
+            let loss = match (err.is_unsent, err.is_late) {
+                (true, true) => RequestLoss::Late,
+                (true, false) => RequestLoss::Unsent,
+                (false, _) if self.connection.is_proven() => RequestLoss::BrokenAfterProof,
+                (false, _) => RequestLoss::Broken(since),
+            };
+            self.record_loss(rest, loss);
+            if err.is_unsent {
+                return TryOutcome::NotRun(NotRunReason::ConnectionRejected(err.error.to_string()));
+            }
+        }
+        // A kept connection may have rested for too long, unless it was proven just before.
+        if !self.connection.is_reused() || self.connection.is_proven() {
+            self.upstream.record_failure(self.now);
+        }
+        TryOutcome::Unknown(UnknownReason::ConnectionBroken(err.error.to_string()))
+    }
+
+    /// Learns from a request without an answer. Only if the upstream has answered others meanwhile,
+    /// it may have forgotten the connection; otherwise it is slow with all of them.
+    fn time_out(self, rest: Duration) -> TryOutcome {
+        let waited = self.now.monotonic.saturating_sub(self.sent_at.monotonic);
+        let silence = self
+            .upstream
+            .time_without_data(self.sent_at.monotonic, self.now);
+        let has_answered_others = silence < waited;
+        if self.is_controlled && self.connection.is_reused() && has_answered_others {
+            self.record_loss(rest, RequestLoss::NoAnswer);
         }
+        TryOutcome::Unknown(UnknownReason::TimedOut)
+    }
+
+    fn record_loss(&self, rest: Duration, loss: RequestLoss) {
+        let (connections, upstream) = (self.connections, self.upstream);
+        connections.record_lost_request(upstream, &self.connection, rest, loss, self.now);
+    }
+
+    /// Reads what the head of an answer says of the upstream and of the request.
+    async fn read_head(
+        self,
+        started: StartedTry,
+        res: http1_types::Response<Incoming>,
+        measured_tokens: Option<f64>,
+    ) -> TryOutcome {
+        let (upstream, headers, now) = (self.upstream, self.headers, self.now);
+        upstream.record_data_received(now);
+        let (parts, body) = res.into_parts();
+        record_load_report(upstream, &parts.headers, headers, now);
+        let header_text = |name| header_text(&parts.headers, name);
         let echoed_id = header_text(&headers.request_id);
-        if echoed_id.is_some_and(|echoed_id| echoed_id != request_id) {
+        if echoed_id.is_some_and(|echoed_id| echoed_id != self.request_id) {
             upstream.record_failure(now);
             return TryOutcome::Unknown(UnknownReason::MismatchedAnswer(
                 "it has the id of another request",
@@ -390,17 +339,10 @@
         if signs.rate_limit.is_some() || mismatch.is_none() {
             upstream
                 .rate_limit()
-                .record_statement(signs.rate_limit, self.began, now);
+                .record_statement(signs.rate_limit, started.began, now);
         }
         if is_refused {
-            if options.connection.is_controlled && !closes(&parts.headers) {
-                let rest = Limited::new(body, REFUSAL_BODY_LIMIT);
-                let ended = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, rest.collect()).await;
-                if matches!(ended, Ok(Ok(_))) {
-                    let keep_alive = keep_alive(&parts.headers);
-                    connections.release_after_answer(upstream, connection, keep_alive, now);
-                }
-            }
+            self.keep_after_refusal(&parts.headers, body).await;
             return TryOutcome::NotRun(NotRunReason::Refused(status));
         }
         if let Some(reason) = mismatch {
@@ -410,28 +352,51 @@
         TryOutcome::Answered(Box::new(Answer {
             status,
             headers: parts.headers,
-            sent_at: self.began.monotonic,
-            head_took: now.monotonic.saturating_sub(sent_at.monotonic),
-            measured_tokens: options.measured_tokens,
+            sent_at: started.began.monotonic,
+            head_took: now.monotonic.saturating_sub(self.sent_at.monotonic),
+            measured_tokens,
             body,
-            connection: Some(connection),
+            connection: Some(self.connection),
             upstream: upstream.clone(),
-            pending_prefill: Some(self.pending_prefill),
-            _load: self.load,
+            pending_prefill: Some(started.pending_prefill),
+            _load: started.load,
         }))
     }
+
+    /// Returns the connection to the pool if the body of a refusal ends soon.
+    async fn keep_after_refusal(self, received: &http1_types::HeaderMap, body: Incoming) {
+        if !self.is_controlled || closes(received) {
+            return;
+        }
+        let rest = Limited::new(body, REFUSAL_BODY_LIMIT);
+        let ended = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, rest.collect()).await;
+        if matches!(ended, Ok(Ok(_))) {
+            let (connection, keep_alive) = (self.connection, keep_alive(received));
+            self.connections
+                .release_after_answer(self.upstream, connection, keep_alive, self.now);
+        }
+    }
 }
 
-/// Returns whether the upstream closes the connection after this answer.
-fn closes(received: &http1_types::HeaderMap) -> bool {
-    let connection = received.get(hyper::header::CONNECTION);
-    connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+fn header_text<'a>(
+    received: &'a http1_types::HeaderMap,
+    name: &http::HeaderName,
+) -> Option<&'a str> {
+    received.get(name.as_str())?.to_str().ok()
 }
 
-/// Returns for how long the upstream states that it keeps idle connections.
-fn keep_alive(received: &http1_types::HeaderMap) -> Option<Duration> {
-    let stated = received.get(KEEP_ALIVE)?;
-    parse_keep_alive(stated.to_str().ok()?)
+/// Records the load that an upstream reports with an answer, if it does.
+pub fn record_load_report(
+    upstream: &Upstream,
+    received: &http1_types::HeaderMap,
+    names: &HeaderNames,
+    now: Now,
+) {
+    match header_text(received, &names.load).map(parse_load) {
+        Some(Some(load)) => upstream.record_load_report(load, now),
+        Some(None) => upstream.record_invalid_report(),
+        None => {}
+    }
 }
 
 /// Returns why an answer cannot be this upstream's answer to this request, if it cannot.
--- a/src/gateway/attempt/spare_connections.rs
+++ b/src/gateway/attempt/spare_connections.rs
@@ -1,7 +1,8 @@
 //! Opens connections ahead of need, and keeps the idle ones within this box's share of the limits.
 
-use super::connect::{ConnectionOrigin, ConnectionRules, UpstreamKind};
-use super::connection_limit::{Demand, Fleet, share, spare_target};
+use super::acquire::ConnectionRules;
+use super::connection::{ConnectionOrigin, UpstreamKind};
+use super::connection_limit::{Fleet, spare_target};
 use super::upstream::Upstream;
 use super::upstream_connections::UpstreamConnections;
 use crate::clock::Now;
@@ -31,6 +32,7 @@
         gw.close_excess_idle(Now::read());
         for _ in 0..SPARE_CHECKS_PER_IDLE_CHECK {
             sleep(SPARE_INTERVAL).await;
+            record_demand(&gw, Now::read());
             if !gw.is_stopping() {
                 open_spares(&gw, Now::read());
             }
@@ -38,6 +40,17 @@
     }
 }
 
+/// Records by which demand the limits are shared.
+fn record_demand(gw: &Gateway, now: Now) {
+    let fleet = gw.connections.fleet();
+    let knowledge = gw.knowledge.borrow();
+    for (incarnation, known) in gw.connections.controlled() {
+        if let Some(upstream) = knowledge.upstream(&incarnation) {
+            known.record_demand(upstream, fleet, now);
+        }
+    }
+}
+
 /// Opens spare connections to the upstreams that requests of this box are frequent at.
 fn open_spares(gw: &Rc<Gateway>, now: Now) {
     for (incarnation, known) in gw.connections.controlled_plain() {
@@ -70,11 +83,10 @@
 
 /// Returns how many more connections the limit allows.
 fn room(gw: &Gateway, upstream: &Upstream, known: &UpstreamConnections, now: Now) -> u32 {
-    let Some(limit) = known.limit() else {
-        return u32::MAX;
-    };
-    let share = share(limit, gw.connections.fleet(), Demand::at(upstream, now));
-    share.saturating_sub(known.open_count().get())
+    let share = known.share(upstream, gw.connections.fleet(), now);
+    share.map_or(u32::MAX, |share| {
+        share.saturating_sub(known.open_count().get())
+    })
 }
 
 async fn open_ahead(gw: Rc<Gateway>, upstream: Rc<Upstream>, known: Rc<UpstreamConnections>) {
@@ -98,6 +110,10 @@
     /// Returns which connections a request of a service may use.
     pub fn connection_rules(&self, service: &str, is_repeatable: bool) -> ConnectionRules {
         let is_controlled = self.controls_connections(service);
+        // The task that refreshes it may sleep while no load is controlled.
+        if is_controlled && !self.connections.has_controlled() {
+            self.connections.set_fleet(self.fleet(Now::read()));
+        }
         let knowledge = self.knowledge.borrow();
         let service = knowledge
             .routes()
@@ -111,6 +127,7 @@
             },
             is_controlled,
             limit: service.and_then(|service| service.connection_limit),
+            health_check: service.and_then(|service| service.health_check.clone()),
         }
     }
 
@@ -134,10 +151,11 @@
         self.connections.set_fleet(self.fleet(now));
         let knowledge = self.knowledge.borrow();
         for (incarnation, known) in controlled {
-            if let (Some(limit), Some(upstream)) = (known.limit(), knowledge.upstream(&incarnation))
-            {
-                let demand = Demand::at(upstream, now);
-                known.close_idle_beyond(share(limit, self.connections.fleet(), demand));
+            let upstream = knowledge.upstream(&incarnation);
+            let fleet = self.connections.fleet();
+            let share = upstream.and_then(|upstream| known.share(upstream, fleet, now));
+            if let Some(share) = share {
+                known.close_idle_beyond(share);
             }
         }
     }
--- a/src/gateway/attempt/upstream_connections.rs
+++ b/src/gateway/attempt/upstream_connections.rs
@@ -1,8 +1,11 @@
 //! The idle connections to one upstream, and what was learned from those that ended.
 
-use super::connect::{Connection, ConnectionOrigin, ConnectionRules, UpstreamKind};
-use super::connection_age::{ConnectionState, MAX_SETTLE, RestTimes, SettleTime};
-use super::connection_limit::{RequestRate, may_open_for_request};
+use super::acquire::ConnectionRules;
+use super::connection::{Connection, ConnectionOrigin, UpstreamKind};
+use super::connection_age::{ConnectionState, MAX_SETTLE, RestTimes, SettleTime, usable_rest};
+use super::connection_limit::{Demand, Fleet, RequestRate, may_open_for_request, share};
+use super::steady_demand::SteadyDemand;
+use super::upstream::Upstream;
 use crate::clock::Now;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
@@ -16,8 +19,12 @@
 const SPARE_PAUSE_AFTER_RESET: Duration = Duration::from_secs(1);
 /// How long none is opened for a request: some answers take as long, and make room.
 const PAUSE_AFTER_RESET: Duration = Duration::from_millis(40);
-/// How long new connections are given the longest settle time after the upstream reset one.
-const CAUTION_AFTER_RESET: Duration = Duration::from_secs(10);
+/// How long an upstream is in doubt after it reset a new connection or closed an idle one early, so
+/// that new ones are given the longest settle time. Some of its callers come back within it.
+const DOUBT: Duration = Duration::from_secs(10);
+/// Until when a request may be written to a connection, as a multiple of the rest up to which it is
+/// chosen; still below the shortest rest at which one was closed.
+const WRITE_TIME_FACTOR: u32 = 2;
 /// How long what was learned of an upstream is kept without a connection.
 const UNUSED_RETENTION: Duration = Duration::from_secs(60);
 
@@ -32,6 +39,10 @@
     Reused,
     /// The upstream ended one before it carried anything.
     ResetBeforeUse,
+    /// The upstream stated its health over one.
+    Proven,
+    /// It did not do so in time.
+    Unproven,
 }
 
 impl ConnectionEvent {
@@ -41,6 +52,8 @@
             Self::OpenedAhead => "opened-ahead",
             Self::Reused => "reused",
             Self::ResetBeforeUse => "reset-before-use",
+            Self::Proven => "proven",
+            Self::Unproven => "unproven",
         }
     }
 }
@@ -91,7 +104,10 @@
     rest_times: Rc<Cell<RestTimes>>,
     /// The requests that may not be repeated.
     single_run_rate: Cell<RequestRate>,
+    /// By which boxes share the limit.
+    demand: Cell<SteadyDemand>,
     last_reset: Cell<Option<Duration>>,
+    last_early_close: Cell<Option<Duration>>,
     last_used: Cell<Duration>,
     metrics: ConnectionMetrics,
 }
@@ -109,14 +125,16 @@
             settle: Cell::default(),
             rest_times,
             single_run_rate: Cell::default(),
+            demand: Cell::default(),
             last_reset: Cell::default(),
+            last_early_close: Cell::default(),
             last_used: Cell::new(Now::read().monotonic),
             metrics,
         }
     }
 
     /// Sets the kind of the upstream, and whether boxes control its load.
-    pub fn set_rules(&self, rules: ConnectionRules) {
+    pub fn set_rules(&self, rules: &ConnectionRules) {
         self.kind.set(rules.kind);
         self.is_controlled.set(rules.is_controlled);
         self.limit.set(rules.limit);
@@ -127,9 +145,26 @@
         self.kind.get()
     }
 
-    /// Returns how many connections the upstream accepts from all boxes together.
-    pub fn limit(&self) -> Option<NonZeroU32> {
-        self.limit.get()
+    /// Records the requests that need a connection, as this box knows of them.
+    pub fn record_demand(&self, upstream: &Upstream, fleet: Fleet, now: Now) {
+        let mut demand = self.demand.get();
+        match fleet.boxes > 1 && !fleet.hears_others {
+            true => demand.clear(),
+            false => demand.record(Demand::at(upstream, now), now),
+        }
+        self.demand.set(demand);
+    }
+
+    /// Returns this box's share of the limit; `None` without a limit.
+    pub fn share(&self, upstream: &Upstream, fleet: Fleet, now: Now) -> Option<u32> {
+        let demand = self.demand.get().get(Demand::at(upstream, now));
+        let limit = self.limit.get()?;
+        Some(share(limit, fleet, demand))
+    }
+
+    /// Returns whether the share allows one more connection without closing an idle one.
+    pub fn has_room(&self, share: Option<u32>) -> bool {
+        may_open_for_request(self.open.get(), share)
     }
 
     /// Returns whether boxes control the load of the upstream.
@@ -176,7 +211,7 @@
     /// Returns the settle time of connections. An upstream that has just reset one for want of room
     /// is likely to reset the next, and may be slow to do so.
     pub fn settle_time(&self, now: Now) -> Duration {
-        match self.was_reset_within(CAUTION_AFTER_RESET, now) {
+        match self.was_reset_within(DOUBT, now) {
             true => MAX_SETTLE,
             false => self.settle.get().get(),
         }
@@ -201,6 +236,29 @@
         }
     }
 
+    /// Returns until when a request may be written to a confirmed connection, on the monotonic clock:
+    /// some time after it is no longer chosen, as the box may wait for a processor.
+    pub fn usable_until(&self, connection: &Connection, now: Now) -> Duration {
+        let settle = match connection.has_carried_answer() {
+            true => Duration::ZERO,
+            false => self.settle_time(now),
+        };
+        connection.rested_since() + usable_rest(settle, self.safe_rest(now)) * WRITE_TIME_FACTOR
+    }
+
+    /// Returns whether the upstream has lately reset new connections or closed idle ones early, so
+    /// that a rested connection is proven rather than left for a new one.
+    pub fn is_in_doubt(&self, now: Now) -> bool {
+        is_within(self.last_reset.get(), DOUBT, now)
+            || is_within(self.last_early_close.get(), DOUBT, now)
+    }
+
+    /// Returns whether a connection has to be proven before a request that may not be repeated is
+    /// written to it: the upstream may still reset a new one, and may have closed a rested one.
+    pub fn needs_proof(&self, connection: &Connection, now: Now) -> bool {
+        !connection.has_carried_answer() || self.state(connection, now) == ConnectionState::Rested
+    }
+
     /// Returns how much longer a connection has to survive before it counts as confirmed.
     pub fn settle_time_left(&self, connection: &Connection, now: Now) -> Duration {
         match self.state(connection, now) {
@@ -237,14 +295,13 @@
     }
 
     fn was_reset_within(&self, time: Duration, now: Now) -> bool {
-        let last_reset = self.last_reset.get();
-        last_reset.is_some_and(|at| now.monotonic.saturating_sub(at) < time)
+        is_within(self.last_reset.get(), time, now)
     }
 
     /// Closes idle connections until the share allows one more; false if it does not.
     pub fn make_room(&self, share: Option<u32>) -> bool {
         let mut idle = self.idle.borrow_mut();
-        while !may_open_for_request(self.open.get(), share) {
+        while !self.has_room(share) {
             if idle.is_empty() {
                 return false;
             }
@@ -288,6 +345,14 @@
         self.take(oldest_confirmed.or_else(|| states.iter().position(settling))?)
     }
 
+    /// Takes the idle connection that was used last and has rested, to be proven for a request that
+    /// may not be repeated.
+    pub fn take_rested(&self, now: Now) -> Option<Connection> {
+        self.drop_unusable(now);
+        let newest = self.idle_count().checked_sub(1)?;
+        self.take(newest)
+    }
+
     fn take(&self, index: usize) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         if index >= idle.len() {
@@ -382,6 +447,20 @@
         let mut rest_times = self.rest_times.get();
         rest_times.record_close(rest, now);
         self.rest_times.set(rest_times);
+        self.last_early_close.set(Some(now.monotonic));
+    }
+
+    /// Learns from a request that was lost with a proven connection: the upstream ends connections for
+    /// another reason than their rest, so that it gets no further ones for a moment.
+    pub fn record_loss_after_proof(&self, now: Now) {
+        self.last_reset.set(Some(now.monotonic));
+    }
+
+    /// Learns from a connection that was ended instead of carrying its first answer. The request
+    /// kept it from being idle, so that its age says nothing about rests.
+    pub fn record_reset_under_proof(&self, now: Now) {
+        self.last_reset.set(Some(now.monotonic));
+        self.count(ConnectionEvent::ResetBeforeUse);
     }
 
     /// Learns from a connection that was ended before it carried an answer: by a reset for want of
@@ -415,3 +494,7 @@
         }
     }
 }
+
+fn is_within(event: Option<Duration>, time: Duration, now: Now) -> bool {
+    event.is_some_and(|at| now.monotonic.saturating_sub(at) < time)
+}
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -7,7 +7,7 @@
 use super::answer::held_bytes::{HeldKind, YieldingRequest};
 use super::answer::held_memory::HeldMemory;
 use super::answer::refusal::{Execution, RefusalReason};
-use super::attempt::connect::ConnectionOrigin;
+use super::attempt::connection::ConnectionOrigin;
 use super::attempt::crash_detection::InterruptedRun;
 use super::attempt::exchange::{NotRunReason, TryOutcome};
 use super::attempt::upstream::Upstream;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod boundary;
 mod connection_age;
 mod connection_limit;
+mod connection_write;
 mod datagrams;
 mod engine_placement;
 mod engine_speed;
@@ -30,6 +31,7 @@
 mod rollouts;
 mod routes;
 mod shared_rates;
+mod steady_demand;
 mod streams;
 mod upstream_restarts;
 mod wait_queue;
