--- a/src/gateway/answer/larger_model.rs
+++ b/src/gateway/answer/larger_model.rs
@@ -6,8 +6,8 @@
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::admit::request::AdmittedRequest;
-use crate::gateway::attempt::exchange::Answer;
 use crate::gateway::attempt::retries::RetryReason;
+use crate::gateway::attempt::upstream_answer::Answer;
 use crate::gateway::place::escalation::{
     EscalationDecision, ExpectedFirstEvent, StartedAnswer, judge_answer,
 };
--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -11,10 +11,11 @@
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::admit::request::{AdmittedRequest, AttemptPlan, NoAttempt};
-use crate::gateway::attempt::connect::http1_types;
-use crate::gateway::attempt::exchange::{Answer, BodyChunk, TryOutcome};
+use crate::gateway::attempt::connection::http1_types;
+use crate::gateway::attempt::exchange::TryOutcome;
 use crate::gateway::attempt::response_timeout::{ResponseTimeout, with_response_timeout};
 use crate::gateway::attempt::retries::RetryReason;
+use crate::gateway::attempt::upstream_answer::{Answer, BodyChunk};
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod boundary;
 mod connection_age;
 mod connection_limit;
+mod connection_write;
 mod datagrams;
 mod engine_fleet;
 mod engine_placement;
@@ -34,6 +35,7 @@
 mod routes;
 mod shared_rates;
 mod stated_speed;
+mod steady_demand;
 mod streams;
 mod upstream_restarts;
 mod wait_queue;
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -79,8 +79,8 @@
             shared_tokens: 0.0,
             ..fast_prompt("part")
         };
-        let placed = |prompt, pause_limit| {
-            chosen(&candidates, PlacementParams { pause_limit, ..params(Some(prompt), 1) })
+        let placed = |prompt, max_pause| {
+            chosen(&candidates, params(Some(SharedPrompt { max_pause, ..prompt }), 1))
         };
         let limit = Some(Duration::from_secs(1));
         expect_that!(placed(long, limit), eq("i-1"));
