--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -9,7 +9,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::answer::held_memory::RequestAccount;
 use crate::gateway::answer::refusal::Execution;
-use crate::gateway::attempt::connect::{ConnectionOrigin, http1_types};
+use crate::gateway::attempt::connection::{ConnectionOrigin, http1_types};
 use crate::gateway::attempt::crash_detection::InterruptedRun;
 use crate::gateway::attempt::exchange::{
     NotRunReason, TryOptions, TryOutcome, UnknownReason, UpstreamRequest, try_upstream,
@@ -154,6 +154,17 @@
         has_room && self.may_run_again()
     }
 
+    /// Returns how many more runs the route allows.
+    pub fn runs_left(&self) -> u32 {
+        match self.may_run_again() {
+            true => self
+                .route
+                .max_attempts
+                .saturating_sub(self.tries.possible_runs()),
+            false => 0,
+        }
+    }
+
     /// Returns whether the next run is the last one that the route allows, so that abandoning it
     /// would end the request.
     pub fn is_last_run(&self) -> bool {
@@ -310,8 +321,9 @@
         let all_tokens = self.prompt.weighted_tokens();
         match choice.prefix_source {
             PrefixSource::Computed if choice.queue_wait.is_zero() => Some(all_tokens),
-            // Large models read nearly all prompts behind a cached prefix.
-            PrefixSource::Cached
+            // Large models compute nearly all prompts behind a prefix. One that is fetched is
+            // there, while one that is believed to be cached may have been evicted.
+            PrefixSource::Fetched(_)
                 if choice.queue_wait.is_zero() && gw.controls_load(&self.service) =>
             {
                 Some(all_tokens - self.prompt.shared_tokens as f64)
@@ -339,6 +351,7 @@
             suffix_prefill: time(all_tokens - shared_tokens),
             shared_tokens,
             request_bytes: self.body.len(),
+            max_pause: gw.controlled_pause(&self.service, self.route.kind),
         })
     }
 
@@ -361,12 +374,15 @@
         now: Now,
     ) -> ExpectedFirstEvent {
         let choice = self.choose_upstream(gw, candidates, &[], model, now);
-        let (ahead, reading) = choice.map_or((Duration::ZERO, Duration::ZERO), |choice| {
-            (choice.queue_wait, choice.prefill)
+        let nothing = (Duration::ZERO, Duration::ZERO, 0);
+        let (ahead, reading, running) = choice.map_or(nothing, |choice| {
+            let running = choice.upstream.occupancy(now);
+            (choice.queue_wait, choice.prefill, running)
         });
         ExpectedFirstEvent {
             total: prefill_rate::FIRST_EVENT_OVERHEAD + ahead + reading,
             queue_wait: ahead,
+            running,
         }
     }
 
