Findings of the reviews of connections, model choice and placement

Connections: the connection that is given up is closed and its loss recorded before another one is acquired, whose failures are recorded and logged as those of the first; whether bytes were written is judged when the connection can write no more; a proof that a box noticed too late counts as late; answers that close the connection or are too long prove nothing and blame nobody. Model choice: the largest model after the middle one has to come before the caller gives up; a suspect request keeps its answer. Speeds: what was stated more than 15 s ago is not sent to other boxes.

--- a/src/gateway/answer/larger_model.rs
+++ b/src/gateway/answer/larger_model.rs
@@ -4,6 +4,7 @@
 //! elsewhere the fixed bars of [`escalation`](crate::gateway::place::escalation) do.
 
 use crate::clock::Now;
+use crate::crash_ledger::QuarantineState;
 use crate::gateway::Gateway;
 use crate::gateway::admit::request::AdmittedRequest;
 use crate::gateway::attempt::retries::RetryReason;
@@ -96,7 +97,8 @@
         objective_left: request.objective_left(now),
         patience_left: request.time_left(now),
         pause_limit: gw.controlled_pause(&request.service, request.route.kind),
-        runs_left: match may_escalate(gw, request, now) {
+        // The answer may be dropped only if another run is certain to be allowed.
+        runs_left: match may_escalate(gw, request, now) && is_not_suspect(gw, request, now) {
             true => request.runs_left(),
             false => 0,
         },
@@ -158,6 +160,11 @@
     has_room && request.may_run_again() && !request.is_on_trial()
 }
 
+/// Returns whether the request is not suspected to crash upstreams, which could stop its next run.
+fn is_not_suspect(gw: &Gateway, request: &AdmittedRequest, now: Now) -> bool {
+    gw.quarantine.state(request.fingerprint, now) == QuarantineState::Clear
+}
+
 /// Returns whether an upstream without a rate limit takes requests now. What limited upstreams
 /// accept serves more callers with one answer each, and might not be available for this request
 /// once its answer is dropped.
--- a/src/gateway/attempt/acquire.rs
+++ b/src/gateway/attempt/acquire.rs
@@ -142,7 +142,10 @@
         let mut confirmations = 0;
         while confirmations < MAX_CONFIRMATIONS {
             let now = Now::read();
-            let check = rules.health_check.as_ref();
+            // A health check waits for a slot like a request, and would come too late. This request is
+            // among those that are counted.
+            let has_free_slot = upstream.slot_utilization(now) <= 1.0;
+            let check = rules.health_check.as_ref().filter(|_| has_free_slot);
             // At its limit, the upstream may still count a connection that was closed for another,
             // so that a rested one is proven instead. If that takes too long, the upstream may have
             // forgotten them all.
@@ -242,6 +245,10 @@
             known.record_reset_under_proof(now);
             Err(NoConnection::ResetBeforeUse)
         }
+        Proof::Unusable => {
+            known.count(ConnectionEvent::Unproven);
+            Err(NoConnection::Unproven)
+        }
         Proof::Late => {
             known.count(ConnectionEvent::Unproven);
             match was_kept {
--- a/src/gateway/attempt/connection.rs
+++ b/src/gateway/attempt/connection.rs
@@ -312,11 +312,15 @@
     ) -> Result<http1_types::Response<hyper::body::Incoming>, SendError> {
         let written = self.gate.written();
         let sent = self.sender.try_send_request(req).await;
-        sent.map_err(|mut err| SendError {
-            // The request comes back only if nothing of it was written.
-            is_unsent: err.take_message().is_some() || self.gate.written() == written,
-            is_late: self.gate.has_refused(),
-            error: err.into_error(),
+        sent.map_err(|mut err| {
+            // The count is final once the driver cannot write any more.
+            self.driver.abort();
+            SendError {
+                // The request comes back only if nothing of it was written.
+                is_unsent: err.take_message().is_some() || self.gate.written() == written,
+                is_late: self.gate.has_refused(),
+                error: err.into_error(),
+            }
         })
     }
 }
--- a/src/gateway/attempt/connection_proof.rs
+++ b/src/gateway/attempt/connection_proof.rs
@@ -12,7 +12,7 @@
 use super::upstream_answer::closes;
 use crate::clock::Now;
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -35,8 +35,11 @@
 pub enum Proof {
     /// An answer has come, and the connection stays open.
     Open,
-    /// The upstream has ended the connection, or is going to after its answer.
+    /// The upstream has ended the connection.
     Ended,
+    /// The answer closes the connection or is too long, so that it proves nothing about the next
+    /// request; the upstream is not to blame.
+    Unusable,
     /// No answer came in time.
     Late,
 }
@@ -55,10 +58,16 @@
             return Proof::Late;
         }
     };
+    let began = Now::read();
     let exchange = exchange(connection, upstream, req, names);
-    timeout(PROOF_TIMEOUT, exchange)
-        .await
-        .unwrap_or(Proof::Late)
+    let proof = timeout(PROOF_TIMEOUT, exchange).await;
+    // A box that stood still finds an old answer.
+    let took = Now::read().monotonic.saturating_sub(began.monotonic);
+    match proof {
+        Ok(Proof::Open) if took > PROOF_TIMEOUT => Proof::Late,
+        Ok(proof) => proof,
+        Err(_elapsed) => Proof::Late,
+    }
 }
 
 async fn exchange(
@@ -75,7 +84,11 @@
     let (parts, body) = res.into_parts();
     record_load_report(upstream, &parts.headers, names, now);
     let body = Limited::new(body, PROOF_BODY_LIMIT).collect().await;
-    if body.is_err() || closes(&parts.headers) || !connection.becomes_ready().await {
+    let is_too_long = |err: &(dyn std::error::Error + 'static)| err.is::<LengthLimitError>();
+    if closes(&parts.headers) || body.as_ref().is_err_and(|err| is_too_long(&**err)) {
+        return Proof::Unusable;
+    }
+    if body.is_err() || !connection.becomes_ready().await {
         return Proof::Ended;
     }
     connection.record_proof(Now::read());
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -146,22 +146,23 @@
                 .await;
             (tried, Some(origin))
         }
-        Err(NoConnection::Unreachable(err)) => {
+        Err(no_connection) => (not_connected(upstream, no_connection), None),
+    }
+}
+
+/// Returns the outcome of a try for which there is no connection.
+fn not_connected(upstream: &Upstream, no_connection: NoConnection) -> TryOutcome {
+    TryOutcome::NotRun(match no_connection {
+        NoConnection::Unreachable(err) => {
             upstream.record_connect_failure(Now::read());
-            let reason = NotRunReason::NoConnection(err.to_string());
-            (TryOutcome::NotRun(reason), None)
+            NotRunReason::NoConnection(err.to_string())
         }
-        Err(
-            rejected @ (NoConnection::ShareInUse
-            | NoConnection::ResetBeforeUse
-            | NoConnection::JustReset
-            | NoConnection::Unconfirmed
-            | NoConnection::Unproven),
-        ) => {
-            let reason = NotRunReason::ConnectionRejected(rejected.to_string());
-            (TryOutcome::NotRun(reason), None)
-        }
-    }
+        rejected @ (NoConnection::ShareInUse
+        | NoConnection::ResetBeforeUse
+        | NoConnection::JustReset
+        | NoConnection::Unconfirmed
+        | NoConnection::Unproven) => NotRunReason::ConnectionRejected(rejected.to_string()),
+    })
 }
 
 /// A try for which a connection is still missing.
@@ -183,10 +184,14 @@
         request: UpstreamRequest,
         options: TryOptions,
     ) -> TryOutcome {
-        // A request that was chosen before the upstream had a limit is not counted against it.
-        let exceeds_limit = !self.was_limited && upstream.rate_limit().limit().is_some();
-        let takes_requests = !upstream.is_leaving() && !upstream.is_evacuated() && !exceeds_limit;
-        if !takes_requests || upstream.is_in_retry_after(Now::read()) {
+        let was_limited = self.was_limited;
+        let takes_requests = |upstream: &Upstream| {
+            // A request that was chosen before the upstream had a limit is not counted against it.
+            let exceeds_limit = !was_limited && upstream.rate_limit().limit().is_some();
+            let is_open = !upstream.is_leaving() && !upstream.is_evacuated() && !exceeds_limit;
+            is_open && !upstream.is_in_retry_after(Now::read())
+        };
+        if !takes_requests(upstream) {
             return TryOutcome::NotRun(NotRunReason::Unavailable);
         }
         let request_id = request.request_id.clone();
@@ -208,14 +213,18 @@
             if !options.connection.is_controlled || !allows_another(err, &connection) {
                 break (sent_at, rest, answered);
             }
-            let next = connections.acquire(upstream, &options.connection, headers);
-            let Ok(next) = next.await else {
-                break (sent_at, rest, answered);
-            };
-            let former = std::mem::replace(&mut connection, next);
             if !err.is_late {
                 let loss = RequestLoss::Unsent;
-                connections.record_lost_request(upstream, &former, rest, loss, Now::read());
+                connections.record_lost_request(upstream, &connection, rest, loss, Now::read());
+            }
+            drop(connection);
+            let next = connections.acquire(upstream, &options.connection, headers);
+            connection = match next.await {
+                Ok(next) => next,
+                Err(no_connection) => return not_connected(upstream, no_connection),
+            };
+            if !takes_requests(upstream) {
+                return TryOutcome::NotRun(NotRunReason::Unavailable);
             }
             other_connections += 1;
         };
--- a/src/gateway/place/engine_speed.rs
+++ b/src/gateway/place/engine_speed.rs
@@ -190,7 +190,9 @@
     pub fn measured(&self, now: Now) -> Option<MeasuredSpeed> {
         let own = self.own.get();
         let weight = own.weight_at(now);
-        let stated = self.statements.get().own_level();
+        let statements = self.statements.get();
+        let is_recent = statements.age(now).is_some_and(|age| age <= HALF_LIFE);
+        let stated = statements.own_level().filter(|_| is_recent);
         let is_known = weight >= MIN_WEIGHT || stated.is_some();
         is_known.then_some(MeasuredSpeed {
             octave_steps: octave_steps(own.octaves),
--- a/src/gateway/place/model_choice.rs
+++ b/src/gateway/place/model_choice.rs
@@ -164,8 +164,7 @@
     /// too close to the deadline.
     fn terms(&self, models: &[ModelOutlook], index: usize) -> Option<Terms> {
         let model = models.get(index)?;
-        let patience = self.situation.patience_left.mul_f64(MAX_PATIENCE_PART);
-        if model.expected.total > patience {
+        if model.expected.total > self.latest_first_event() {
             return None;
         }
         let largest = models.len() - 1;
@@ -185,6 +184,11 @@
         })
     }
 
+    /// Returns the longest time after which a larger model's first event still helps the caller.
+    fn latest_first_event(&self) -> Duration {
+        self.situation.patience_left.mul_f64(MAX_PATIENCE_PART)
+    }
+
     /// Returns what the largest model brings after a model whose answer is not good enough either.
     fn next_after(&self, models: &[ModelOutlook], index: usize) -> Terms {
         let (Some(first), Some(largest)) = (models.get(index), models.last()) else {
@@ -193,7 +197,10 @@
         if self.situation.runs_left < 2 {
             return Terms::default();
         }
-        let total = first.expected.total + largest.expected.total;
+        let total = first.expected.total.saturating_add(largest.expected.total);
+        if total > self.latest_first_event() {
+            return Terms::default();
+        }
         let next = Terms {
             index: models.len() - 1,
             gain: self.worth_after(total) - self.price * largest.price_part,
--- a/tests/gateway/model_choice.rs
+++ b/tests/gateway/model_choice.rs
@@ -180,6 +180,13 @@
         expect_that!(decide(situation(30), &all), eq(EscalationDecision::Escalate(MIDDLE)));
     }
 
+    the_middle_model_is_not_asked_for_what_the_largest_would_bring_too_late => {
+        // The caller would give up before the largest model answers; the middle one rarely helps.
+        let mut all = models(9000, 0);
+        all[MIDDLE] = outlook(800, 0, 0.5, 0.05);
+        expect_that!(decide(situation(30), &all), eq(EscalationDecision::AcceptUnsure));
+    }
+
     a_nearly_spent_budget_goes_to_the_most_doubtful => {
         let highest = |free_budget| highest_escalated(
             |confidence| ChoiceSituation { free_budget, ..situation(confidence) },
--- a/tests/gateway/stated_speed.rs
+++ b/tests/gateway/stated_speed.rs
@@ -42,6 +42,21 @@
         expect_that!(source, eq(SpeedSource::Stated));
     }
 
+    what_was_stated_long_ago_is_not_sent_to_other_boxes => {
+        // Otherwise a box that no longer sends to an engine would keep its old level alive.
+        let heard = EngineSpeed::default();
+        heard.record_statement(55, at(0));
+        let receives = |millis| {
+            let receiver = EngineSpeed::default();
+            if let Some(measured) = heard.measured(at(millis)) {
+                receiver.merge(measured, at(millis));
+            }
+            receiver.statements().level().is_some()
+        };
+        expect_true!(receives(1000));
+        expect_false!(receives(60_000));
+    }
+
     slow_moment_of_a_fast_engine_is_told_from_its_usual_speed => {
         let (_, upstreams) = uneven_engines();
         upstreams[0].speed().record_statement(137, at(1000));
