--- a/src/gateway/admit/load_decision.rs
+++ b/src/gateway/admit/load_decision.rs
@@ -184,8 +184,6 @@
     }
 }
 
-/// The caller is asked to come back when the shortage is expected to have ended, unless that is
-/// later than it would wait.
 /// The caller is asked to come back when the shortage is expected to have ended, unless that is
 /// unlikely while it would wait.
 fn refuse(inputs: &LoadInputs, expected: ExpectedWait) -> LoadDecision {
--- a/src/gateway/peers/rate_samples.rs
+++ b/src/gateway/peers/rate_samples.rs
@@ -27,9 +27,6 @@
         sleep(REPORT_INTERVAL).await;
         let now = Now::read();
         gw.rate_samples.update_medians(now);
-        if !gw.controls_any_engines() {
-            continue;
-        }
         if let Some(report) = gw.rate_samples.report(&gw.incarnation, now) {
             let receivers = rotating_subset(gw.other_boxes(), RECEIVERS, &mut offset);
             send(&receivers, report).await;
--- a/src/gateway/place/load_control.rs
+++ b/src/gateway/place/load_control.rs
@@ -39,16 +39,6 @@
         self.is_plain_service(service) && self.controls_load(service)
     }
 
-    /// Returns whether boxes control the load of any service with model engines.
-    pub fn controls_any_engines(&self) -> bool {
-        let routes = self.knowledge.borrow().routes().cloned();
-        let Some(routes) = routes else {
-            return false;
-        };
-        let mut services = routes.services.iter();
-        services.any(|(name, service)| service.engine.is_some() && self.controls_load(name))
-    }
-
     /// Returns the services of known upstreams whose load boxes control.
     pub fn controlled_services(&self) -> BTreeSet<String> {
         let knowledge = self.knowledge.borrow();
