--- a/src/gateway/admit/load_decision.rs
+++ b/src/gateway/admit/load_decision.rs
@@ -2,7 +2,7 @@
 //!
 //! A pure function of what is known at the moment; see `docs/design/waiting.md`.
 
-use crate::gateway::place::expected_wait::{ExpectedWait, Queue};
+use crate::gateway::place::expected_wait::ExpectedWait;
 use std::time::Duration;
 
 /// An upstream needs this long to let its answer through before the deadline.
@@ -14,24 +14,18 @@
 const MIN_RETURN_DIVISOR: u32 = 12;
 /// A refusal within the latency objective divided by this leaves the caller time to return.
 const PROMPT_REFUSAL_DIVISOR: u32 = 4;
-/// The uncertainty of the expected wait is at most the latency objective divided by this, so that
-/// old reports leave room to be used.
-const MAX_UNCERTAINTY_DIVISOR: u32 = 3;
-/// What requests leave to others is at most the objective without the time to run divided by this, so
-/// that those that yield to two others still find some room besides free slots.
-const YIELDED_PARTS: u32 = 6;
-/// The longest uncertainty, so that multiples of it do not overflow.
-const MAX_UNCERTAINTY: Duration = Duration::from_secs(600);
-/// The number of values that are drawn to spread limits.
-const DRAWS: u32 = 256;
-/// Ends of requests differ from their average by about the time to run divided by this.
-const UNCERTAIN_RUN_DIVISOR: u32 = 2;
-
-/// A shortage that has lasted this many times as long as the caller could stay away will hardly end
-/// while it does; where others go first, one that has lasted as long.
-const HOPELESS_SHORTAGE_RETURNS: u32 = 2;
-/// An upstream that uses less than this part of its slots has room to spare for any kind.
-const MIN_SPARE_UTILIZATION: f64 = 0.5;
+/// A request that was not kept may be held for the latency objective divided by this.
+const SHORT_WAIT_DIVISOR: u32 = 8;
+/// New callers leave the latency objective divided by this unused: those who come back find room
+/// there, and it covers errors of the estimate.
+const SPARED_ROOM_DIVISOR: u32 = 8;
+/// The limits of new callers are spread over the latency objective divided by this. Boxes decide
+/// by the same reports, some tens of milliseconds old; with one limit for all, they would send
+/// everything until the next report and nothing after it.
+const SPREAD_DIVISOR: u32 = 4;
+/// Requests that yield to others leave this many eighths of the latency objective unused: the limits
+/// of new callers that do not yield lie within as much.
+const YIELDED_ROOM_EIGHTHS: u32 = 3;
 
 /// A report older than this is no reason to refuse a request, nor one older than the expected wait:
 /// what was there then has been served.
@@ -60,10 +54,6 @@
     pub draw: u8,
     /// How the request compares with others for the same room.
     pub standing: Standing,
-    /// The number of boxes that decide by the same reports.
-    pub boxes: usize,
-    /// How long no upstream has stated a free slot.
-    pub shortage: Duration,
 }
 
 /// Whether a caller was refused before, by the time that it has used.
@@ -89,13 +79,6 @@
     pub has_others_ahead: bool,
 }
 
-impl Standing {
-    /// Returns whether the request leaves room to others.
-    fn yields(self) -> bool {
-        self.is_less_urgent || self.is_over_share
-    }
-}
-
 /// The decision on a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LoadDecision {
@@ -128,16 +111,15 @@
         // The attempt itself finds out why there is no upstream.
         return LoadDecision::Send;
     };
-    let has_room = is_free(expected) || inputs.fits(expected);
-    if has_room && !inputs.is_full_everywhere {
-        return LoadDecision::Send;
+    if inputs.is_full_everywhere {
+        return decide_where_full(inputs, expected);
     }
-    if inputs.is_kept() {
-        return keep(inputs, expected);
+    if is_free(expected) || inputs.fits_objective(expected) {
+        return LoadDecision::Send;
     }
-    match inputs.wait_for_place(expected) {
-        Duration::ZERO => refuse(inputs, expected),
-        at_most => LoadDecision::Wait { at_most },
+    match inputs.is_kept() {
+        true => keep(inputs, expected),
+        false => refuse(inputs, expected),
     }
 }
 
@@ -165,41 +147,40 @@
     expected.queue.saturating_add(expected.run)
 }
 
-/// The request waits until its deadline cannot be met, or room is no longer likely before that: a
-/// shortage is expected to last as long again as it has lasted.
+fn decide_where_full(inputs: &LoadInputs, expected: ExpectedWait) -> LoadDecision {
+    if inputs.is_kept() {
+        let at_most = inputs.latest_start(expected);
+        return match at_most.is_zero() {
+            true => LoadDecision::Refuse { come_back: None },
+            false => LoadDecision::Wait { at_most },
+        };
+    }
+    let short_wait = inputs.objective / SHORT_WAIT_DIVISOR;
+    let at_most = short_wait.saturating_sub(inputs.elapsed());
+    match at_most.is_zero() || !time_until_room(expected, inputs.room_limit()).is_zero() {
+        true => refuse(inputs, expected),
+        false => LoadDecision::Wait { at_most },
+    }
+}
+
+/// The request stays until its deadline cannot be met; it is offered to an upstream before its
+/// objective is missed in any case.
 fn keep(inputs: &LoadInputs, expected: ExpectedWait) -> LoadDecision {
     if total(expected).saturating_add(DEADLINE_MARGIN) > inputs.deadline_left {
         return LoadDecision::Refuse { come_back: None };
     }
-    let latest_start = inputs.latest_start(expected);
-    let at_most = match inputs.caller {
-        CallerHistory::Returned => latest_start,
-        CallerHistory::New | CallerHistory::RepeatsAtOnce => {
-            latest_start.saturating_sub(inputs.shortage) / 2
-        }
-    };
+    let offer_in = inputs.objective_left.saturating_sub(expected.run);
+    let at_most = offer_in.min(inputs.latest_start(expected));
     match at_most.is_zero() {
-        true => LoadDecision::Refuse { come_back: None },
+        true => LoadDecision::Send,
         false => LoadDecision::Wait { at_most },
     }
 }
 
-/// The caller is asked to come back when the shortage is expected to have ended, unless that is
-/// unlikely while it would wait.
 fn refuse(inputs: &LoadInputs, expected: ExpectedWait) -> LoadDecision {
-    let latest = inputs.latest_return();
-    // Shortages are expected to last as long again as they have lasted.
-    let hopeless_from = match inputs.standing.yields() {
-        true => latest,
-        false => latest.saturating_mul(HOPELESS_SHORTAGE_RETURNS),
-    };
-    let end_of_shortage = match inputs.shortage > hopeless_from {
-        true => Duration::MAX,
-        false => inputs.shortage.min(latest),
-    };
     let earliest = time_until_room(expected, inputs.room_limit())
-        .max(end_of_shortage)
         .max(inputs.deadline_left / MIN_RETURN_DIVISOR);
+    let latest = inputs.latest_return();
     let come_back = (earliest <= latest).then_some(ReturnWindow { earliest, latest });
     LoadDecision::Refuse { come_back }
 }
@@ -208,27 +189,9 @@
     /// Returns the expected wait up to which there is room for the request, if it waits or comes
     /// back.
     pub fn room_limit(&self) -> Duration {
-        self.objective.saturating_sub(self.left_to_others())
-    }
-
-    /// Returns how few requests at an upstream show that it has room to spare for requests of this
-    /// kind: all of them would be sent with one uncertainty more.
-    pub fn spare_occupancy(&self, slots: u32) -> f64 {
-        let all = Self {
-            draw: u8::MAX,
-            ..*self
-        };
-        let run = self
-            .expected
-            .map_or(Duration::ZERO, |expected| expected.run);
-        let queue = all
-            .room_limit()
-            .saturating_sub(run.saturating_add(self.uncertainty()));
-        let others = Queue::new(slots, run).others_at_wait(queue.as_secs_f64());
-        others.max(f64::from(slots) * MIN_SPARE_UTILIZATION)
+        self.usable(self.objective)
     }
 
-    /// Returns how long the request has been here.
     fn elapsed(&self) -> Duration {
         self.objective.saturating_sub(self.objective_left)
     }
@@ -253,87 +216,27 @@
             .saturating_sub(expected.run.saturating_add(DEADLINE_MARGIN))
     }
 
-    /// Returns by how much the wait may differ from what is expected: at twice the capacity it has
-    /// grown by the age of the report, and requests end at random. A box that decides alone knows
-    /// what it has sent.
-    fn uncertainty(&self) -> Duration {
-        let run = self
-            .expected
-            .map_or(Duration::ZERO, |expected| expected.run);
-        let age = self.expected.and_then(|expected| expected.report_age);
-        let age = age.unwrap_or_default();
-        let others = self.boxes.saturating_sub(1) as f64 / self.boxes.max(1) as f64;
-        let longest = (self.objective / MAX_UNCERTAINTY_DIVISOR).min(MAX_UNCERTAINTY);
-        age.saturating_add(run / UNCERTAIN_RUN_DIVISOR)
-            .min(longest)
-            .mul_f64(others)
-    }
-
-    /// Returns how much of the time the request leaves to others.
-    ///
-    /// Room for callers that were told to return, and for what is more urgent, is kept free by one
-    /// uncertainty of the wait or two. The limits of the requests are spread over another one: boxes
-    /// decide by the same reports, and would otherwise send everything until the next report and
-    /// nothing after it.
-    fn left_to_others(&self) -> Duration {
-        let repeats = self.caller == CallerHistory::RepeatsAtOnce;
+    /// Returns the part of an objective that the request may use.
+    fn usable(&self, objective: Duration) -> Duration {
         let yields = [
-            // Each repeat is another chance.
-            repeats,
-            repeats,
             self.standing.is_less_urgent,
             self.standing.is_over_share,
+            self.caller == CallerHistory::RepeatsAtOnce,
         ];
         let yields: u32 = yields.into_iter().map(u32::from).sum();
-        let uncertainty = self.uncertainty();
-        let kept_free = match self.caller {
-            CallerHistory::Returned => uncertainty.saturating_mul(yields.min(1)),
+        let spared = self.objective / SPARED_ROOM_DIVISOR;
+        let (unused, spread) = match self.caller {
+            CallerHistory::Returned => (Duration::ZERO, spared),
             CallerHistory::New | CallerHistory::RepeatsAtOnce => {
-                uncertainty.saturating_add(self.yielded().saturating_mul(2 * yields))
+                (spared, self.objective / SPREAD_DIVISOR)
             }
         };
-        let drawn = uncertainty / DRAWS * u32::from(self.draw);
-        kept_free
-            .saturating_add(drawn)
-            .saturating_add(uncertainty / 2)
+        let drawn = spread / (u32::from(u8::MAX) + 1) * u32::from(self.draw);
+        let yielded = self.objective / 8 * YIELDED_ROOM_EIGHTHS * yields;
+        objective.saturating_sub(unused.saturating_add(drawn).saturating_add(yielded))
     }
 
-    /// Returns how much a request leaves to those before it: the uncertainty of the wait, as far as
-    /// the kinds after it still find some room besides free slots.
-    fn yielded(&self) -> Duration {
-        let run = self
-            .expected
-            .map_or(Duration::ZERO, |expected| expected.run);
-        self.uncertainty()
-            .min(self.objective.saturating_sub(run) / YIELDED_PARTS)
-    }
-
-    /// Returns how long a request that could be answered in time waits for a place at upstreams that
-    /// are full, while a refusal is still prompt.
-    fn wait_for_place(&self, expected: ExpectedWait) -> Duration {
-        let prompt = self.objective / PROMPT_REFUSAL_DIVISOR;
-        let prompt_left = prompt.saturating_sub(self.elapsed());
-        match self.is_full_everywhere && self.fits(expected) {
-            true => self
-                .limit()
-                .saturating_sub(total(expected))
-                .min(prompt_left),
-            false => Duration::ZERO,
-        }
-    }
-
-    /// Returns whether the request is expected to be answered in time, or before its deadline if its
-    /// caller was told that it would find room.
-    fn fits(&self, expected: ExpectedWait) -> bool {
-        !self.standing.has_others_ahead && total(expected) <= self.limit()
-    }
-
-    /// Returns the expected wait up to which the request is sent.
-    fn limit(&self) -> Duration {
-        let limit = match self.caller {
-            CallerHistory::Returned => self.objective.min(self.deadline_left),
-            CallerHistory::New | CallerHistory::RepeatsAtOnce => self.objective_left,
-        };
-        limit.saturating_sub(self.left_to_others())
+    fn fits_objective(&self, expected: ExpectedWait) -> bool {
+        !self.standing.has_others_ahead && total(expected) <= self.usable(self.objective_left)
     }
 }
--- a/src/gateway/admit/room.rs
+++ b/src/gateway/admit/room.rs
@@ -79,7 +79,7 @@
 
     /// Counts a request that an upstream has served, and lets the next one look for room.
     pub fn record_served(&self, request: &AdmittedRequest, now: Now) {
-        if !self.controls_room(&request.service) {
+        if !self.controls_load(&request.service) {
             return;
         }
         let organisation = request.organisation_name();
@@ -122,7 +122,7 @@
         inputs: &LoadInputs,
         window: ReturnWindow,
         now: Now,
-    ) -> Option<Duration> {
+    ) -> Duration {
         let service = request.service.as_str();
         let is_over_share = inputs.standing.is_over_share;
         let organisation = is_over_share.then(|| request.organisation_name());
@@ -138,7 +138,9 @@
             None => service.to_owned(),
         };
         let mut returns = self.room.returns.borrow_mut();
-        returns.assign_within(&schedule, earliest, window.latest, interval, now)
+        let paced = returns.assign_within(&schedule, earliest, window.latest, interval, now);
+        // Callers without a time to return would repeat the request at once.
+        paced.unwrap_or_else(|| window.earliest + span.mul_f64(request.hash_fraction()))
     }
 }
 
@@ -146,7 +148,7 @@
     /// Waits until the request may be sent to an upstream; returns the reason if it is refused
     /// instead. Services whose load is not controlled have room.
     pub async fn wait_for_room(&self, gw: &Gateway) -> Result<(), RefusalReason> {
-        if !gw.controls_room(&self.service) {
+        if !gw.controls_load(&self.service) {
             return Ok(());
         }
         loop {
@@ -158,21 +160,21 @@
                 LoadDecision::Send => return Ok(()),
                 LoadDecision::Refuse { come_back } => {
                     let come_back = come_back
-                        .and_then(|window| gw.return_after_overload(self, &inputs, window, now));
+                        .map(|window| gw.return_after_overload(self, &inputs, window, now));
                     return Err(RefusalReason::Overloaded(come_back));
                 }
                 LoadDecision::Wait { at_most } => at_most,
             };
             let waited = self.wait_in_queue(gw, &inputs, at_most, now).await;
             gw.wake_waiting(&self.service, Now::read());
-            match waited? {
-                WaitEnd::Room => {
-                    if inputs.is_full_everywhere {
-                        self.tries.allow_all_upstreams();
-                    }
+            match (waited?, inputs.is_full_everywhere) {
+                (WaitEnd::Room, true) => {
+                    self.tries.allow_all_upstreams();
                     return Ok(());
                 }
-                WaitEnd::TimeOut => {}
+                // After its wait it is offered to an upstream in any case.
+                (_, false) => return Ok(()),
+                (WaitEnd::TimeOut, true) => {}
             }
         }
     }
@@ -180,7 +182,7 @@
     /// Returns whether the request waits for room after upstreams rejected it, rather than being
     /// retried at intervals.
     pub fn waits_for_room(&self, gw: &Gateway) -> bool {
-        self.tries.was_refused() && gw.controls_room(&self.service)
+        self.tries.was_refused() && gw.controls_load(&self.service)
     }
 
     /// Returns the name of the organisation; empty without one.
@@ -239,10 +241,6 @@
             };
             let pause = match gw.is_first_waiting(&place, &self.service, now) {
                 true => {
-                    let inputs = LoadInputs {
-                        objective_left: self.objective_left(now),
-                        ..*inputs
-                    };
                     let room_in = self.time_until_room(gw, inputs.room_limit(), now);
                     let turn = self.turn(gw, room_in, &mut room_since, now).max(not_before);
                     if turn <= now.monotonic {
@@ -262,8 +260,6 @@
     /// Returns how long it takes until there is room, if nothing changes.
     fn time_until_room(&self, gw: &Gateway, limit: Duration, now: Now) -> Duration {
         let room = self.known_room(gw, &[], now);
-        // A request whose deadline cannot be met is not sent.
-        let limit = limit.min(self.time_left(now));
         match (room.open, room.full) {
             (Some(expected), _) => time_until_room(expected, limit),
             (None, Some(full)) => full.run / FULL_PAUSE_DIVISOR,
@@ -315,7 +311,6 @@
             urgency: self.urgency(),
             came_back: self.caller == CallerHistory::Returned,
             latest_start: (now.monotonic + inputs.deadline_left).saturating_sub(run),
-            room_limit: inputs.room_limit(),
             bytes: self.body.len(),
         }
     }
@@ -357,47 +352,23 @@
             },
             draw: (stable_hash(&self.fingerprint.to_string()) & 0xff) as u8,
             standing: Standing::default(),
-            boxes: gw.knowledge.borrow().box_count(),
-            shortage: Duration::ZERO,
         };
-        inputs.standing = self.standing(gw, now);
-        // Whether others go first depends on the room that the request would take.
-        inputs.standing.has_others_ahead = self.has_others_ahead(gw, &inputs, now);
-        if decide(&inputs) != LoadDecision::Send {
-            inputs.shortage = self.shortage(gw, &inputs, now);
-        }
+        inputs.standing = self.standing(gw, &inputs, now);
         inputs
     }
 
-    /// Returns how long no upstream has stated that it has room to spare for such requests.
-    fn shortage(&self, gw: &Gateway, inputs: &LoadInputs, now: Now) -> Duration {
-        let knowledge = gw.knowledge.borrow();
-        let upstreams = knowledge.available_upstreams(&self.service, now);
-        let seen = upstreams.iter().filter_map(|upstream| {
-            let slots = upstream.with_listed(|listed| listed.slots);
-            upstream.last_seen_at_most(inputs.spare_occupancy(slots))
-        });
-        let uptime = gw.uptime(now);
-        seen.max()
-            .map_or(uptime, |seen| now.monotonic.saturating_sub(seen))
-    }
-
-    fn standing(&self, gw: &Gateway, now: Now) -> Standing {
+    fn standing(&self, gw: &Gateway, inputs: &LoadInputs, now: Now) -> Standing {
         let demand = gw.room.demand.borrow();
+        let queue = gw.room.queue.borrow();
         let organisation = self.organisation_name();
         Standing {
             is_less_urgent: demand.has_more_urgent(&self.service, self.urgency(), now),
             is_over_share: demand.is_over_share(&self.service, organisation, now),
-            has_others_ahead: false,
+            has_others_ahead: !queue.is_empty()
+                && queue.has_ahead(&self.waiter(inputs, now), &*demand, now),
         }
     }
 
-    fn has_others_ahead(&self, gw: &Gateway, inputs: &LoadInputs, now: Now) -> bool {
-        let queue = gw.room.queue.borrow();
-        let demand = gw.room.demand.borrow();
-        !queue.is_empty() && queue.has_ahead(&self.waiter(inputs, now), &*demand, now)
-    }
-
     fn log_decision(&self, gw: &Gateway, inputs: &LoadInputs, decision: LoadDecision, now: Now) {
         if decision == LoadDecision::Send {
             return;
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -106,7 +106,7 @@
     };
     let is_plain = route.kind.stream_gap().is_none();
     let caller_time = caller_timeout.map(|time| time.min(route.timeout));
-    let caller = match is_plain && gw.controls_room(&service) {
+    let caller = match is_plain && gw.controls_load(&service) {
         true => {
             let name = organisation.as_ref().map(|found| found.name.as_str());
             let name = name.unwrap_or_default();
--- a/src/gateway/admit/service_demand.rs
+++ b/src/gateway/admit/service_demand.rs
@@ -17,8 +17,6 @@
 const SHARE_STEPS: f64 = 16.0;
 /// An organisation is over its share if it asks for more than this multiple of an equal part.
 const OVER_SHARE_FACTOR: f64 = 1.5;
-/// Random arrivals rarely exceed an equal part by more than this many standard deviations.
-const OVER_SHARE_DEVIATIONS: f64 = 2.0;
 /// The decayed number of requests from which shares mean something, and that of an organisation
 /// that counts as active.
 const MIN_ASKED: f64 = 8.0;
@@ -177,9 +175,7 @@
         let active = counts.filter(|count| count.get(now) >= MIN_ACTIVE).count();
         let asked = demand.asked.all.get(now);
         let own = demand.asked.of(organisation, now);
-        let equal = asked / active.max(1) as f64;
-        let noise = equal.sqrt() * OVER_SHARE_DEVIATIONS;
-        active > 1 && asked >= MIN_ASKED && own > equal * OVER_SHARE_FACTOR + noise
+        active > 1 && asked >= MIN_ASKED && own > asked / active as f64 * OVER_SHARE_FACTOR
     }
 
     /// Returns the share of an organisation in what is served, from 0 to 1.
--- a/src/gateway/admit/wait_queue.rs
+++ b/src/gateway/admit/wait_queue.rs
@@ -51,8 +51,6 @@
     pub came_back: bool,
     /// The latest time at which it can start and still meet its deadline.
     pub latest_start: Duration,
-    /// The wait up to which it is sent; it looks for room with less.
-    pub room_limit: Duration,
     /// The size of its body.
     pub bytes: usize,
 }
@@ -69,7 +67,6 @@
     urgency: Urgency,
     came_back: bool,
     latest_start: Duration,
-    room_limit: Duration,
     bytes: usize,
     signal: Rc<Notify>,
 }
@@ -117,7 +114,6 @@
             urgency: waiter.urgency,
             came_back: waiter.came_back,
             latest_start: waiter.latest_start,
-            room_limit: waiter.room_limit,
             bytes: waiter.bytes,
             signal: signal.clone(),
             group: self.join_group(waiter),
@@ -145,16 +141,14 @@
     /// Returns the request of a service that goes first. Those that can no longer meet their
     /// deadline go last.
     pub fn first(&self, service: &str, shares: &impl ServedShares, now: Now) -> Option<WaiterId> {
-        self.first_entry(service, Duration::ZERO, shares, now)
+        self.first_entry(service, shares, now)
             .map(|(entry, _)| entry.id)
     }
 
-    /// Returns whether a request that waits goes before one that has just arrived, and would take
-    /// the room that this one sees.
+    /// Returns whether a request that waits goes before one that has just arrived.
     pub fn has_ahead(&self, waiter: &Waiter, shares: &impl ServedShares, now: Now) -> bool {
-        let limit = waiter.room_limit;
-        let first = self.first_entry(&waiter.service, limit, shares, now);
-        let Some((_, (is_too_late, first_rank))) = first else {
+        let Some((_, (is_too_late, first_rank))) = self.first_entry(&waiter.service, shares, now)
+        else {
             return false;
         };
         let own_rank = (
@@ -168,7 +162,7 @@
 
     /// Wakes the first request of a service to see whether there is room for it.
     pub fn wake_first(&self, service: &str, shares: &impl ServedShares, now: Now) {
-        if let Some((entry, _)) = self.first_entry(service, Duration::ZERO, shares, now) {
+        if let Some((entry, _)) = self.first_entry(service, shares, now) {
             entry.signal.notify_one();
         }
     }
@@ -214,11 +208,9 @@
         index
     }
 
-    /// Returns the first one among those that are sent up to a wait of `least_limit`.
     fn first_entry(
         &self,
         service: &str,
-        least_limit: Duration,
         shares: &impl ServedShares,
         now: Now,
     ) -> Option<(&Entry, (bool, Rank))> {
@@ -230,11 +222,7 @@
             is_of_service.then(|| shares.share_step(service, &group.organisation, now))
         };
         let share_steps: Vec<Option<u8>> = self.groups.iter().map(share_step).collect();
-        let takes_room = self
-            .entries
-            .iter()
-            .filter(|entry| entry.room_limit >= least_limit);
-        let ranked = takes_room.filter_map(|entry| {
+        let ranked = self.entries.iter().filter_map(|entry| {
             let waited = now.monotonic.saturating_sub(entry.since);
             let rank = (
                 entry.urgency.aged(waited),
--- a/src/gateway/attempt/load_report.rs
+++ b/src/gateway/attempt/load_report.rs
@@ -21,9 +21,6 @@
 const MAX_AGE: Duration = Duration::from_secs(20);
 /// A report that is younger than this came with a rejection that is being recorded.
 const REJECTION_REPORT_AGE: Duration = Duration::from_millis(5);
-/// The steps by which it is remembered when an upstream last had few requests.
-const LAST_SEEN_STEPS: usize = 10;
-const LAST_SEEN_STEPS_PER_SLOTS: f64 = 2.0;
 /// Bounds of the stated work time, in percent: outside of them it is taken for an error.
 const WORK_TIME_BOUNDS_PERCENT: (f64, f64) = (50.0, 1000.0);
 /// The work time that upstreams state as usual, in percent.
@@ -38,26 +35,6 @@
     usual_occupancy: f64,
     usual_work_time: f64,
     queue_limit: Option<u32>,
-    last_seen: LastSeen,
-}
-
-/// When an upstream last stated at most so many requests, in steps of half its slots.
-#[derive(Debug, Clone, Copy, Default)]
-struct LastSeen([Option<Duration>; LAST_SEEN_STEPS]);
-
-impl LastSeen {
-    fn record(&mut self, occupancy: f64, slots: u32, as_of: Duration) {
-        let step = (occupancy * LAST_SEEN_STEPS_PER_SLOTS / f64::from(slots.max(1))).ceil();
-        self.0
-            .iter_mut()
-            .skip(step as usize)
-            .for_each(|seen| *seen = Some(as_of));
-    }
-
-    fn get(&self, occupancy: f64, slots: u32) -> Option<Duration> {
-        let step = (occupancy * LAST_SEEN_STEPS_PER_SLOTS / f64::from(slots.max(1))) as usize;
-        self.0[step.min(LAST_SEEN_STEPS - 1)]
-    }
 }
 
 /// The newest report of an upstream.
@@ -116,7 +93,6 @@
             own_outstanding,
         };
         self.update_usual_load(report);
-        self.last_seen.record(report.occupancy, slots, as_of);
         let queued = queue_length(report.occupancy, slots);
         if self.queue_limit.is_some_and(|limit| limit < queued) {
             self.queue_limit = Some(queued);
@@ -161,11 +137,6 @@
         self.queue_limit
     }
 
-    /// Returns when the upstream last stated at most this many requests; `None` if it never did.
-    pub fn last_seen_at_most(&self, occupancy: f64, slots: u32) -> Option<Duration> {
-        self.last_seen.get(occupancy, slots)
-    }
-
     /// Returns the newest report and when it was made.
     pub fn newest(&self) -> Option<(ReportedLoad, Duration)> {
         self.newest.map(|known| (known.load, known.as_of))
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -336,12 +336,6 @@
             .estimate(known, slots, service_time, now)
     }
 
-    /// Returns when the upstream last stated at most this many requests; `None` if it never did.
-    pub fn last_seen_at_most(&self, occupancy: f64) -> Option<Duration> {
-        let slots = self.listed.borrow().slots;
-        self.load_history.get().last_seen_at_most(occupancy, slots)
-    }
-
     /// Returns how long work takes here by the newest report, as a multiple of the usual time.
     pub fn stated_work_time(&self) -> f64 {
         self.load_history.get().stated_work_time()
--- a/src/gateway/place/load_control.rs
+++ b/src/gateway/place/load_control.rs
@@ -33,12 +33,6 @@
         self.settings().expects_contention || self.controls_load(service)
     }
 
-    /// Returns whether boxes divide the room at the upstreams of a service: they control its load,
-    /// and it is a plain one.
-    pub fn controls_room(&self, service: &str) -> bool {
-        self.is_plain_service(service) && self.controls_load(service)
-    }
-
     /// Returns the services of known upstreams whose load boxes control.
     pub fn controlled_services(&self) -> BTreeSet<String> {
         let knowledge = self.knowledge.borrow();
--- a/src/gateway/place/plain_cost.rs
+++ b/src/gateway/place/plain_cost.rs
@@ -143,7 +143,7 @@
 impl Gateway {
     /// Returns whether requests of a service are placed by the expected wait.
     pub fn places_by_expected_wait(&self, service: &str) -> bool {
-        self.controls_room(service)
+        self.is_plain_service(service) && self.controls_load(service)
     }
 
     /// Chooses an upstream for a plain request among the candidates that have not been tried.
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -496,7 +496,6 @@
             less_urgent = inputs.standing.is_less_urgent,
             over_share = inputs.standing.is_over_share,
             others_ahead = inputs.standing.has_others_ahead,
-            shortage_ms = millis(inputs.shortage),
             waiting,
             share;
             "little room"
