--- a/src/gateway/place/stated_speed.rs
+++ b/src/gateway/place/stated_speed.rs
@@ -1,6 +1,6 @@
 //! What engines state in their load reports of how long work takes: usually, and at the moment.
 //!
-//! The usual level tells engines that are lasting slower or faster from others long before enough
+//! The usual level distinguishes engines that are permanently slower or faster long before enough
 //! answers are measured; what exceeds it is a slowdown of the moment. See
 //! `docs/design/uneven-engines.md`.
 
