Log when no upstream of a service accepts connections from a box

The lines of a box that is cut off from all upstreams could not tell whether the upstreams had failed or the box's own network: no line said what the box reaches at all, nor whether others reach the same upstreams. Each connection that is opened, or cannot be, is now counted by service; a line says that a service was lost, with how many upstreams failed and how, how long ago one was reached, and how many requests other boxes have in flight at the same upstreams. No decision uses it yet.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -175,7 +175,7 @@
             hubs: HubState::default(),
             hub_queries: HubPoller::default(),
             items_changed: Notify::new(),
-            connections: ConnectionPool::new(telemetry.connection_metrics()),
+            connections: ConnectionPool::new(telemetry.clone()),
             crashes: CrashDetector::default(),
             quarantine: Quarantine::default(),
             leaving_upstreams: Outbox::default(),
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -187,6 +187,7 @@
         }
         self.check_quarantine(gw, now)?;
         let mut candidates = gw.candidates(&self.service, &self.session_id, now);
+        gw.connections.set_listed(&self.service, candidates.len());
         let tried = self.tries.tried_upstreams();
         if self.is_on_trial() {
             let seed = stable_hash(&self.fingerprint.to_string());
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 pub mod load_report;
 pub mod probe;
 pub mod quarantine;
+pub mod reachability;
 pub mod response_timeout;
 pub mod retries;
 pub mod spare_connections;
--- a/src/gateway/attempt/acquire.rs
+++ b/src/gateway/attempt/acquire.rs
@@ -13,6 +13,7 @@
 use std::fmt;
 use std::io;
 use std::num::NonZeroU32;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// How many connections a request that may not be repeated waits for, one after the other, while
@@ -80,7 +81,7 @@
     /// Returns a connection for a request: a suitable idle one, or a new one.
     pub async fn acquire(
         &self,
-        upstream: &Upstream,
+        upstream: &Rc<Upstream>,
         rules: &ConnectionRules,
         names: &HeaderNames,
     ) -> Result<Connection, NoConnection> {
@@ -105,7 +106,7 @@
 
     async fn acquire_uncontrolled(
         &self,
-        upstream: &Upstream,
+        upstream: &Rc<Upstream>,
         known: &UpstreamConnections,
         is_repeatable: bool,
     ) -> Result<Connection, NoConnection> {
@@ -118,7 +119,7 @@
 
     async fn acquire_repeatable(
         &self,
-        upstream: &Upstream,
+        upstream: &Rc<Upstream>,
         known: &UpstreamConnections,
     ) -> Result<Connection, NoConnection> {
         let now = Now::read();
@@ -133,7 +134,7 @@
 
     async fn acquire_single_run(
         &self,
-        upstream: &Upstream,
+        upstream: &Rc<Upstream>,
         known: &UpstreamConnections,
         rules: &ConnectionRules,
         names: &HeaderNames,
@@ -182,7 +183,7 @@
 
     async fn open_within_limit(
         &self,
-        upstream: &Upstream,
+        upstream: &Rc<Upstream>,
         known: &UpstreamConnections,
         now: Now,
     ) -> Result<Connection, NoConnection> {
--- a/src/gateway/attempt/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -9,12 +9,14 @@
     Connection, ConnectionOrigin, OpenGuard, Opening, RequestLoss, UpstreamKind,
 };
 use super::connection_limit::Fleet;
+use super::reachability::Reachability;
 use super::upstream::Upstream;
 use super::upstream_connections::{
     ConnectionEvent, ConnectionMetrics, RestTimesByService, UpstreamConnections,
 };
 use crate::clock::Now;
 use crate::gateway::control::store::UpstreamLife;
+use crate::gateway::telemetry::Telemetry;
 use futures::future::{LocalBoxFuture, select_ok};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -38,19 +40,24 @@
     upstreams: RefCell<HashMap<UpstreamLife, Rc<UpstreamConnections>>>,
     rest_times: RestTimesByService,
     fleet: Cell<Fleet>,
+    /// Which services this box's own connections reach.
+    reach: RefCell<Reachability>,
     metrics: ConnectionMetrics,
+    telemetry: Rc<Telemetry>,
     /// Whether the buffers of new connections are bounded.
     bounds_buffers: Cell<bool>,
 }
 
 impl ConnectionPool {
     /// Creates an empty pool.
-    pub fn new(metrics: ConnectionMetrics) -> Self {
+    pub fn new(telemetry: Rc<Telemetry>) -> Self {
         Self {
             upstreams: RefCell::default(),
             rest_times: RestTimesByService::default(),
             fleet: Cell::default(),
-            metrics,
+            reach: RefCell::default(),
+            metrics: telemetry.connection_metrics(),
+            telemetry,
             bounds_buffers: Cell::default(),
         }
     }
@@ -113,14 +120,14 @@
     }
 
     /// Opens a new connection.
-    pub async fn open(&self, upstream: &Upstream) -> io::Result<Connection> {
+    pub async fn open(&self, upstream: &Rc<Upstream>) -> io::Result<Connection> {
         self.open_as(upstream, ConnectionOrigin::New, false).await
     }
 
     /// Opens a new connection for a purpose.
     pub async fn open_as(
         &self,
-        upstream: &Upstream,
+        upstream: &Rc<Upstream>,
         origin: ConnectionOrigin,
         is_controlled: bool,
     ) -> io::Result<Connection> {
@@ -135,7 +142,9 @@
             bounds_buffers: self.bounds_buffers.get(),
         };
         let address = upstream.with_listed(|listed| listed.address);
-        let (connection, took) = Connection::open(address, opening, open).await?;
+        let opened = Connection::open(address, opening, open).await;
+        self.record_reach(upstream, opened.as_ref().err(), Now::read());
+        let (connection, took) = opened?;
         known.record_connect(took);
         known.count(match origin {
             ConnectionOrigin::OpenedAhead => ConnectionEvent::OpenedAhead,
@@ -228,7 +237,7 @@
     ///
     /// A second connection is opened after a short delay, so that one lost packet does not make an
     /// upstream look dead.
-    pub async fn probe(&self, upstream: &Upstream) -> bool {
+    pub async fn probe(&self, upstream: &Rc<Upstream>) -> bool {
         let now = Now::read();
         let second = async {
             tokio::time::sleep(SECOND_PROBE_DELAY).await;
@@ -250,6 +259,30 @@
         }
     }
 
+    /// Learns from a connection that was opened, or could not be, whether this box reaches the
+    /// upstream's service.
+    fn record_reach(&self, upstream: &Rc<Upstream>, err: Option<&io::Error>, now: Now) {
+        let mut reach = self.reach.borrow_mut();
+        let change = match err {
+            None => reach.record_success(upstream, now),
+            Some(err) => reach.record_failure(upstream, err, now),
+        };
+        if let Some(change) = change {
+            let service = upstream.with_listed(|listed| listed.service.clone());
+            self.telemetry.record_reach_change(&service, &change);
+        }
+    }
+
+    /// Sets how many upstreams of a service requests may be sent to.
+    pub fn set_listed(&self, service: &str, listed: usize) {
+        self.reach.borrow_mut().set_listed(service, listed);
+    }
+
+    /// Forgets what failed connections showed long ago.
+    pub fn expire_reach(&self, now: Now) {
+        self.reach.borrow_mut().expire(now);
+    }
+
     /// Closes connections that have been idle for too long, and forgets upstreams without any.
     pub fn close_stale(&self, now: Now) {
         let mut upstreams = self.upstreams.borrow_mut();
--- a/src/gateway/attempt/response_timeout.rs
+++ b/src/gateway/attempt/response_timeout.rs
@@ -4,6 +4,7 @@
 use super::upstream::Upstream;
 use crate::clock::Now;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// How long to wait for data from an upstream.
@@ -46,7 +47,7 @@
 /// already done.
 pub async fn with_response_timeout<T>(
     connections: &ConnectionPool,
-    upstream: &Upstream,
+    upstream: &Rc<Upstream>,
     timeout: ResponseTimeout,
     future: impl Future<Output = T>,
 ) -> Option<T> {
@@ -96,7 +97,7 @@
 
 async fn probe_alongside<T>(
     connections: &ConnectionPool,
-    upstream: &Upstream,
+    upstream: &Rc<Upstream>,
     future: Pin<&mut impl Future<Output = T>>,
 ) -> ProbeResult<T> {
     tokio::select! {
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -134,6 +134,7 @@
         }
         gw.telemetry.record_waiting(gw.waiting_for_room());
         gw.connections.close_stale(now);
+        gw.connections.expire_reach(now);
         gw.sessions.borrow_mut().remove_expired(now);
     }
 }
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -10,6 +10,7 @@
 use super::attempt::connection::ConnectionOrigin;
 use super::attempt::crash_detection::InterruptedRun;
 use super::attempt::exchange::{NotRunReason, TryOutcome};
+use super::attempt::reachability::{LossEvidence, ReachChange};
 use super::attempt::upstream::Upstream;
 use super::attempt::upstream_connections::ConnectionMetrics;
 use super::control::change::Change;
@@ -58,6 +59,7 @@
     expected_wait: Gauge<f64>,
     invalid_load_reports: Counter<u64>,
     connections: Counter<u64>,
+    lost_services: Counter<u64>,
     store_calls: Counter<u64>,
     peer_bytes: Counter<u64>,
     received_bytes: Counter<u64>,
@@ -117,6 +119,10 @@
                 .u64_counter("gatepier_upstream_connections")
                 .with_description("Connections to upstreams, by event and kind of upstream.")
                 .build(),
+            lost_services: meter
+                .u64_counter("gatepier_lost_services")
+                .with_description("How often no upstream of a service was reached, by service.")
+                .build(),
             store_calls: meter
                 .u64_counter("gatepier_store_calls")
                 .with_description("Calls to the platform's store, by kind.")
@@ -265,6 +271,38 @@
         }
     }
 
+    /// Records that this box reaches no upstream of a service, or that it does again.
+    pub fn record_reach_change(&self, service: &str, change: &ReachChange) {
+        match change {
+            ReachChange::Lost(evidence) => self.record_lost_service(service, evidence),
+            ReachChange::Regained(after) => log::info!(
+                service,
+                lost_ms = millis(*after);
+                "upstreams of the service accept connections again"
+            ),
+        }
+    }
+
+    /// What other boxes have in flight at these upstreams shows whether those reach them.
+    fn record_lost_service(&self, service: &str, evidence: &LossEvidence) {
+        self.lost_services
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+        let failed = || evidence.failed.iter();
+        let own_in_flight: u32 = failed().map(|upstream| upstream.outstanding()).sum();
+        let peers_in_flight: u32 = failed()
+            .map(|upstream| upstream.peer_load().outstanding)
+            .sum();
+        log::warn!(
+            service,
+            failed = evidence.failed.len(),
+            refused = evidence.refused,
+            last_success_ms = optional_millis(evidence.last_success),
+            own_in_flight,
+            peers_in_flight;
+            "no upstream of the service accepts connections from this box"
+        );
+    }
+
     /// Records a request that was running at an upstream when it crashed.
     pub fn record_request_at_crash(&self, upstream: &Upstream, run: InterruptedRun) {
         let instance = upstream.with_listed(|listed| listed.instance.clone());
