--- a/src/lab/proxy.rs
+++ b/src/lab/proxy.rs
@@ -15,6 +15,8 @@
 const BUFFER_BYTES: usize = 16 * 1024;
 /// The number of connections that wait until a link accepts them: more than a burst of callers opens.
 const BACKLOG: u32 = 1024;
+/// The number of connections that fill the queue of a listener without a backlog.
+const MAX_FILLERS: usize = 3;
 
 /// How a link treats connections and bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -32,6 +34,13 @@
     StalledFromTarget,
     /// Existing and new connections are reset.
     Reset,
+    /// New connections are refused; existing ones are not affected.
+    RefusingNew,
+    /// Existing connections are reset, and new ones are refused.
+    Refusing,
+    /// Nothing is answered, as behind a network partition: new connections hang, and the bytes of
+    /// existing ones are held back.
+    Unreachable,
     /// Bytes from the target are dropped and the connection is closed, so that the answer to a
     /// request that took effect is lost.
     DropAnswers,
@@ -74,16 +83,18 @@
     pub async fn open(&self, name: &str, target: SocketAddr) -> Result<SocketAddr> {
         let error = |err| Error::Unreachable(format!("cannot open the link {name}: {err}"));
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let socket = TcpSocket::new_v4().map_err(error)?;
-        socket.bind(any).map_err(error)?;
-        let listener = socket.listen(BACKLOG).map_err(error)?;
-        let address = listener.local_addr().map_err(error)?;
+        let reservation = bind(any).map_err(error)?;
+        let address = reservation.local_addr().map_err(error)?;
+        let listener = listen(address, BACKLOG).map_err(error)?;
         let (tx, rx) = watch::channel(LinkMode::Open);
         self.links
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .insert(name.to_owned(), tx);
-        actix_rt::spawn(accept(listener, target, rx));
+        actix_rt::spawn(async move {
+            serve(address, listener, target, rx).await;
+            drop(reservation);
+        });
         Ok(address)
     }
 
@@ -96,8 +107,82 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, mode: watch::Receiver<LinkMode>) {
+/// Binds a socket to an address that others may be bound to as well. While none of them listens,
+/// connections to the address are refused.
+fn bind(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    bind(address)?.listen(backlog)
+}
+
+/// Serves a link, listening at its address while its mode allows that.
+async fn serve(
+    address: SocketAddr,
+    first_listener: TcpListener,
+    target: SocketAddr,
+    mut mode: watch::Receiver<LinkMode>,
+) {
     let reservations = Rc::new(BandwidthReservations::default());
+    let mut listener = Some(first_listener);
+    loop {
+        let present = *mode.borrow_and_update();
+        match present {
+            LinkMode::RefusingNew | LinkMode::Refusing => {
+                drop(listener.take());
+                wait_for_change(&mut mode).await;
+            }
+            LinkMode::Unreachable => {
+                drop(listener.take());
+                let _unanswered = leave_unanswered(address);
+                wait_for_change(&mut mode).await;
+            }
+            _ => {
+                let open = listener.take().map_or_else(|| listen(address, BACKLOG), Ok);
+                let Ok(open) = open else {
+                    return;
+                };
+                let link_mode = mode.clone();
+                tokio::select! {
+                    () = accept(&open, target, &link_mode, &reservations) => return,
+                    () = wait_for_change(&mut mode) => listener = Some(open),
+                }
+            }
+        }
+    }
+}
+
+/// Waits until the mode changes, which it never does without its sender.
+async fn wait_for_change(mode: &mut watch::Receiver<LinkMode>) {
+    if mode.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Listens without room for a connection, so that new ones hang until the sockets are dropped.
+fn leave_unanswered(address: SocketAddr) -> std::io::Result<(TcpListener, Vec<socket2::Socket>)> {
+    let listener = listen(address, 0)?;
+    let mut fillers = Vec::new();
+    for _ in 0..MAX_FILLERS {
+        let filler = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+        filler.set_nonblocking(true)?;
+        // It may stay in progress, which means that the queue is full.
+        let _ = filler.connect(&address.into());
+        fillers.push(filler);
+    }
+    Ok((listener, fillers))
+}
+
+async fn accept(
+    listener: &TcpListener,
+    target: SocketAddr,
+    mode: &watch::Receiver<LinkMode>,
+    reservations: &Rc<BandwidthReservations>,
+) {
     while let Ok((caller, _)) = listener.accept().await {
         let present = *mode.borrow();
         if present == LinkMode::Closed {
@@ -141,7 +226,7 @@
             }
         }
         () = wait_until_closed((*mode).clone()) => {
-            if *mode.borrow() == LinkMode::Reset {
+            if matches!(*mode.borrow(), LinkMode::Reset | LinkMode::Refusing) {
                 sockets.iter().flatten().for_each(reset);
             }
         }
@@ -154,7 +239,12 @@
 }
 
 async fn wait_until_closed(mut mode: watch::Receiver<LinkMode>) {
-    let is_closing = |mode: &LinkMode| matches!(mode, LinkMode::Closed | LinkMode::Reset);
+    let is_closing = |mode: &LinkMode| {
+        matches!(
+            mode,
+            LinkMode::Closed | LinkMode::Reset | LinkMode::Refusing
+        )
+    };
     if mode.wait_for(is_closing).await.is_err() {
         std::future::pending::<()>().await;
     }
@@ -163,7 +253,7 @@
 /// Returns whether a mode holds back the bytes of a direction.
 fn is_stalled(mode: LinkMode, is_answer: bool) -> bool {
     match mode {
-        LinkMode::Stalled => true,
+        LinkMode::Stalled | LinkMode::Unreachable => true,
         LinkMode::StalledToTarget => !is_answer,
         LinkMode::StalledFromTarget => is_answer,
         _ => false,
