--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -152,6 +152,8 @@
     started_at: Duration,
     stopping_since: Cell<Option<Duration>>,
     in_flight: Rc<Cell<u32>>,
+    /// The tunnels that are open for other boxes.
+    served_tunnels: Rc<Cell<u32>>,
     store_lost_since: Cell<Option<Duration>>,
 }
 
@@ -202,6 +204,7 @@
             started_at: now.monotonic,
             stopping_since: Cell::new(None),
             in_flight: Rc::default(),
+            served_tunnels: Rc::default(),
             store_lost_since: Cell::new(None),
         });
         gw.bound_memory();
@@ -421,8 +424,17 @@
 
     /// Counts a request as in flight until the guard is dropped.
     pub fn track_request(&self) -> InFlightGuard {
-        self.in_flight.set(self.in_flight.get() + 1);
-        InFlightGuard(self.in_flight.clone())
+        InFlightGuard::new(&self.in_flight)
+    }
+
+    /// Counts a tunnel that is open for another box until the guard is dropped.
+    pub fn track_tunnel(&self) -> InFlightGuard {
+        InFlightGuard::new(&self.served_tunnels)
+    }
+
+    /// Returns the number of tunnels that are open for other boxes.
+    pub fn served_tunnels(&self) -> u32 {
+        self.served_tunnels.get()
     }
 
     /// Returns the number of requests in flight.
@@ -447,16 +459,27 @@
 
     /// Returns whether a request might outlast the process.
     pub fn is_too_late_to_admit(&self, kind: RouteKind, now: Now) -> bool {
-        let Some(since) = self.stopping_since.get() else {
-            return false;
-        };
+        match kind.stream_gap() {
+            Some(_) => self.is_too_late_for_streams(now),
+            None => self.has_stopped_for(self.admission_after_stop(), now),
+        }
+    }
+
+    /// Returns whether a stream, also one of another box, might outlast the process.
+    pub fn is_too_late_for_streams(&self, now: Now) -> bool {
+        let admission_end = self.admission_after_stop().min(STREAM_ADMISSION_AFTER_STOP);
+        self.has_stopped_for(admission_end, now)
+    }
+
+    /// Returns for how long after the stop signal plain requests are admitted.
+    fn admission_after_stop(&self) -> Duration {
         let stop_duration = self.settings().bounds.max_stop_duration();
-        let admission_end = stop_duration.saturating_sub(NO_ADMISSION_BEFORE_EXIT);
-        let admission_end = match kind.stream_gap() {
-            Some(_) => admission_end.min(STREAM_ADMISSION_AFTER_STOP),
-            None => admission_end,
-        };
-        now.monotonic.saturating_sub(since) > admission_end
+        stop_duration.saturating_sub(NO_ADMISSION_BEFORE_EXIT)
+    }
+
+    fn has_stopped_for(&self, time: Duration, now: Now) -> bool {
+        let since = self.stopping_since.get();
+        since.is_some_and(|since| now.monotonic.saturating_sub(since) > time)
     }
 }
 
@@ -481,10 +504,18 @@
     }
 }
 
-/// Counts a request as in flight until it is dropped.
+/// Counts a request or a tunnel as in flight until it is dropped.
 #[derive(Debug)]
 pub struct InFlightGuard(Rc<Cell<u32>>);
 
+impl InFlightGuard {
+    /// Adds one to a count.
+    pub fn new(count: &Rc<Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.0.set(self.0.get().saturating_sub(1));
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -9,16 +9,18 @@
 use crate::gateway::Gateway;
 use crate::gateway::answer::held_memory::RequestAccount;
 use crate::gateway::answer::refusal::Execution;
-use crate::gateway::attempt::connection::{ConnectionOrigin, http1_types};
+use crate::gateway::attempt::connection::http1_types;
 use crate::gateway::attempt::crash_detection::InterruptedRun;
 use crate::gateway::attempt::exchange::{
-    NotRunReason, TryOptions, TryOutcome, UnknownReason, UpstreamRequest, try_upstream,
+    NotRunReason, TryOptions, TryOutcome, UnknownReason, UpstreamRequest, UsedConnection,
+    try_upstream,
 };
 use crate::gateway::attempt::headers::{ANY_MODEL, urgency};
 use crate::gateway::attempt::response_timeout::ResponseTimeout;
 use crate::gateway::attempt::retries::RetryReason;
 use crate::gateway::attempt::tries::TryHistory;
 use crate::gateway::attempt::upstream::Upstream;
+use crate::gateway::attempt::upstream_paths::OutOfReach;
 use crate::gateway::control::store::UpstreamLife;
 use crate::gateway::place::cache_affinity::CacheReplication;
 use crate::gateway::place::candidates::BackOff;
@@ -122,6 +124,8 @@
     Paused(BackOff),
     /// Operators have evacuated the halls of all upstreams.
     Evacuated,
+    /// Neither this box nor another one can connect to the service.
+    OutOfReach(OutOfReach),
     /// The retry budget does not allow another send.
     OutOfBudget,
     /// The deadline has passed, or is too close.
@@ -186,6 +190,7 @@
             return Err(NoAttempt::OutOfTime);
         }
         self.check_quarantine(gw, now)?;
+        self.check_reach(gw, now)?;
         let mut candidates = gw.candidates(&self.service, &self.session_id, now);
         gw.connections.set_listed(&self.service, candidates.len());
         let tried = self.tries.tried_upstreams();
@@ -232,6 +237,16 @@
         pause.map_or(NoAttempt::NoUpstream, NoAttempt::Paused)
     }
 
+    /// Refuses to try where it is known that no connection can be opened.
+    fn check_reach(&self, gw: &Gateway, now: Now) -> Result<(), NoAttempt> {
+        match gw.connections.out_of_reach(&self.service, now) {
+            Some(reason) if !gw.connections.has_idle(&self.service) => {
+                Err(NoAttempt::OutOfReach(reason))
+            }
+            Some(_) | None => Ok(()),
+        }
+    }
+
     /// Decides whether a request that may have crashed upstreams may be sent; begins its trial if
     /// it has to prove itself.
     fn check_quarantine(&self, gw: &Gateway, now: Now) -> Result<(), NoAttempt> {
@@ -426,7 +441,7 @@
         gw: &Gateway,
         choice: &PlacementChoice,
         tried: &TryOutcome,
-        connection: Option<ConnectionOrigin>,
+        connection: Option<UsedConnection>,
         plan: AttemptPlan<'_>,
     ) {
         self.tries.record(tried);
--- a/src/gateway/answer/buffered.rs
+++ b/src/gateway/answer/buffered.rs
@@ -186,7 +186,8 @@
     let now = Now::read();
     match response.as_ref().map(|response| response.status) {
         Some(status) if status < FIRST_SERVER_ERROR_STATUS => {
-            if let Some(timing) = request.timing.take() {
+            let timing = request.timing.take().filter(|_| answer.is_direct());
+            if let Some(timing) = timing {
                 timing.record_completion(now);
             }
             answer.finish(&gw.connections, now);
@@ -196,9 +197,9 @@
             if let Some(timing) = request.timing.take() {
                 timing.record_failure();
             }
-            answer.upstream().record_failure(now);
+            answer.record_failure(now);
         }
-        None => answer.upstream().record_failure(now),
+        None => answer.record_failure(now),
     }
     response.map_or(Received::Nothing, Received::Whole)
 }
@@ -351,9 +352,13 @@
             RefusalReason::RateLimited(gw.return_delay(&request.service, left, Now::read()))
         }
         NoAttempt::Evacuated if request.tries.ran() == Execution::Never => RefusalReason::Evacuated,
-        NoAttempt::NoUpstream | NoAttempt::OutOfBudget | NoAttempt::Evacuated => {
-            request.tries.exhausted_reason()
+        NoAttempt::OutOfReach(reason) if request.tries.ran() == Execution::Never => {
+            RefusalReason::OutOfReach(reason)
         }
+        NoAttempt::NoUpstream
+        | NoAttempt::OutOfBudget
+        | NoAttempt::Evacuated
+        | NoAttempt::OutOfReach(_) => request.tries.exhausted_reason(),
     }
 }
 
--- a/src/gateway/answer/piece_relay.rs
+++ b/src/gateway/answer/piece_relay.rs
@@ -111,7 +111,7 @@
             let now = Now::read();
             self.request
                 .record_broken_run(&self.gw, answer.upstream(), now);
-            answer.upstream().record_failure(now);
+            answer.record_failure(now);
         }
     }
 
--- a/src/gateway/answer/refusal.rs
+++ b/src/gateway/answer/refusal.rs
@@ -4,6 +4,7 @@
 //! request that certainly ran nowhere is reported as not run. See `docs/design/platform.md`.
 
 use super::held_bytes::MIN_STALL;
+use crate::gateway::attempt::upstream_paths::OutOfReach;
 use actix_http::body::BoxBody;
 use actix_http::{Response, StatusCode};
 use std::time::Duration;
@@ -49,6 +50,8 @@
     Overloaded(Option<Duration>),
     /// Operators have evacuated the halls of all upstreams.
     Evacuated,
+    /// Neither this box nor another one that it asked can connect to the upstreams.
+    OutOfReach(OutOfReach),
     /// The request crashes the upstreams that run it.
     CrashesUpstreams,
     /// The request ran at several upstreams when they crashed, and another send of it is on trial
@@ -78,13 +81,14 @@
             Self::RateLimited(_) => "rate-limited",
             Self::Overloaded(_) => "overloaded",
             Self::Evacuated => "evacuated",
+            Self::OutOfReach(_) => "out-of-reach",
             Self::CrashesUpstreams => "crashes-upstreams",
             Self::OnTrial(_) => "on-trial",
         }
     }
 
     /// All reasons.
-    const ALL: [Self; 20] = [
+    const ALL: [Self; 21] = [
         Self::NoConfiguration,
         Self::Stale,
         Self::NoRoute,
@@ -103,6 +107,7 @@
         Self::RateLimited(Duration::ZERO),
         Self::Overloaded(None),
         Self::Evacuated,
+        Self::OutOfReach(OutOfReach::ThisBox),
         Self::CrashesUpstreams,
         Self::OnTrial(Duration::ZERO),
     ];
@@ -143,6 +148,9 @@
                 "the expected wait at the upstreams of the service did not fit its objective or its deadline, or the room went to requests that go first"
             }
             Self::Evacuated => "operators had evacuated the halls of all upstreams of the service",
+            Self::OutOfReach(_) => {
+                "no upstream of the service accepted connections from the box, and no other box could connect for it"
+            }
             Self::CrashesUpstreams => {
                 "upstreams that ran this request crashed, the last one while the request was on trial there"
             }
@@ -159,7 +167,10 @@
             Self::Full => Some(Duration::from_millis(150)),
             Self::NoMemory => Some(MIN_STALL),
             // Another box may serve it at once.
-            Self::Stale | Self::Stopping => Some(Duration::from_millis(10)),
+            Self::Stale | Self::Stopping | Self::OutOfReach(OutOfReach::ThisBox) => {
+                Some(Duration::from_millis(10))
+            }
+            Self::OutOfReach(OutOfReach::AllBoxes) => Some(ALL_BOXES_RETRY_DELAY),
             // An evacuation lasts for seconds at least.
             Self::Evacuated => Some(Duration::from_secs(1)),
             Self::OnTrial(left) | Self::Resting(left) => Some(left),
@@ -172,6 +183,8 @@
     }
 }
 
+/// When to come back to a fleet that reaches no upstream: each box probes some of them in this time.
+const ALL_BOXES_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// The longest time until some box may send to an upstream that is warming up.
 const MAX_WARM_UP_WAIT: Duration = Duration::from_millis(500);
 
@@ -213,7 +226,10 @@
     }
     if matches!(
         reason,
-        RefusalReason::Stopping | RefusalReason::Stale | RefusalReason::NoBody
+        RefusalReason::Stopping
+            | RefusalReason::Stale
+            | RefusalReason::NoBody
+            | RefusalReason::OutOfReach(OutOfReach::ThisBox)
     ) {
         builder.force_close();
     }
--- a/src/gateway/answer/relay.rs
+++ b/src/gateway/answer/relay.rs
@@ -107,8 +107,13 @@
         let now = Now::read();
         answer.finish_prefill();
         gw.record_first_event(request, &answer, model.as_deref().unwrap_or_default(), now);
-        let pace_timing = gw.start_event_timer(request, answer.upstream(), PACE_EVENTS - 1, now);
-        let initial_utilization = Some(answer.upstream().slot_utilization(now));
+        let upstream = answer.upstream();
+        let pace_timing = match answer.is_direct() {
+            true => gw.start_event_timer(request, upstream, PACE_EVENTS - 1, now),
+            false => None,
+        };
+        let is_measured = answer.is_direct();
+        let initial_utilization = is_measured.then(|| upstream.slot_utilization(now));
         let resume_after = request.headers.get(gw.headers.last_event_id.as_str());
         let last_id = resume_after
             .and_then(|value| value.to_str().ok())
@@ -297,7 +302,7 @@
                 .telemetry
                 .record_broken_answer(&self.request, answer.upstream(), &reason);
             if was_read {
-                answer.upstream().record_failure(Now::read());
+                answer.record_failure(Now::read());
             }
         }
         self.splitter = EventSplitter::default();
@@ -325,7 +330,9 @@
                     return Ok(());
                 }
                 Ok(_) => {}
-                Err(NoAttempt::NoUpstream) if !self.request.time_left(Now::read()).is_zero() => {
+                Err(NoAttempt::NoUpstream | NoAttempt::OutOfReach(_))
+                    if !self.request.time_left(Now::read()).is_zero() =>
+                {
                     tokio::time::sleep(RESUME_RETRY_DELAY).await;
                     self.request.tries.allow_all_upstreams();
                 }
--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -13,7 +13,9 @@
 use crate::gateway::admit::request::{AdmittedRequest, AttemptPlan, NoAttempt};
 use crate::gateway::attempt::connection::http1_types;
 use crate::gateway::attempt::exchange::TryOutcome;
-use crate::gateway::attempt::response_timeout::{ResponseTimeout, with_response_timeout};
+use crate::gateway::attempt::response_timeout::{
+    ResponseTimeout, WatchedUpstream, with_response_timeout,
+};
 use crate::gateway::attempt::retries::RetryReason;
 use crate::gateway::attempt::upstream_answer::{Answer, BodyChunk};
 use std::rc::Rc;
@@ -168,7 +170,7 @@
         false => ResponseTimeout::total_only(Duration::MAX),
     };
     let wait = wait.capped_at(request.time_left(now));
-    let upstream = answer.upstream().clone();
+    let (upstream, path) = (answer.upstream().clone(), answer.path().clone());
     let read = async {
         loop {
             match answer.next_chunk().await {
@@ -185,13 +187,18 @@
             }
         }
     };
-    let reason = match with_response_timeout(&gw.connections, &upstream, wait, read).await {
+    let watched = WatchedUpstream {
+        connections: &gw.connections,
+        upstream: &upstream,
+        path: &path,
+    };
+    let reason = match with_response_timeout(watched, wait, read).await {
         Some(Ok(events)) => {
             let relay = Relay::new(gw, request, answer, splitter, events, model);
             return FirstEvent::Received(Box::new(relay));
         }
         Some(Err(reason)) => {
-            upstream.record_failure(Now::read());
+            answer.record_failure(Now::read());
             request.record_broken_run(gw, &upstream, Now::read());
             reason
         }
@@ -207,7 +214,7 @@
     request: &AdmittedRequest,
     mut answer: Answer,
 ) -> Option<BufferedResponse> {
-    answer.upstream().record_failure(Now::read());
+    answer.record_failure(Now::read());
     let read = read_response(gw, request, &mut answer, FAILURE_BYTES_LIMIT).await;
     read.ok()
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -22,3 +22,5 @@
 pub mod upstream;
 pub mod upstream_answer;
 pub mod upstream_connections;
+pub mod upstream_paths;
+pub mod upstream_stream;
--- a/src/gateway/attempt/acquire.rs
+++ b/src/gateway/attempt/acquire.rs
@@ -9,9 +9,9 @@
 use super::headers::HeaderNames;
 use super::upstream::Upstream;
 use super::upstream_connections::{ConnectionEvent, UpstreamConnections};
+use super::upstream_paths::ConnectError;
 use crate::clock::Now;
 use std::fmt;
-use std::io;
 use std::num::NonZeroU32;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,8 +39,8 @@
 /// Why there is no connection for a request, so that no byte of it was written.
 #[derive(Debug)]
 pub enum NoConnection {
-    /// The upstream accepted no connection.
-    Unreachable(io::Error),
+    /// No connection could be opened.
+    Unreachable(ConnectError),
     /// The box's share of the upstream's connection limit is in use.
     ShareInUse,
     /// The upstream ended the connection right after accepting it, as it does with connections for
@@ -52,6 +52,8 @@
     Unconfirmed,
     /// The upstream did not state its health over a new connection in time.
     Unproven,
+    /// The time for the request's answer ended before.
+    TooLate,
 }
 
 impl fmt::Display for NoConnection {
@@ -62,6 +64,7 @@
             Self::Unconfirmed => f.write_str("no connection was confirmed in time"),
             Self::Unproven => f.write_str("the upstream did not state its health in time"),
             Self::JustReset => f.write_str("the upstream has just reset a new connection"),
+            Self::TooLate => f.write_str("no connection was opened in time"),
             Self::ResetBeforeUse => f.write_str("the connection was reset before it was used"),
         }
     }
@@ -113,7 +116,7 @@
         if is_repeatable && let Some(connection) = known.take_newest(Now::read()) {
             return Ok(connection);
         }
-        let opened = self.open(upstream).await;
+        let opened = self.open_as(upstream, ConnectionOrigin::New, false).await;
         opened.map_err(NoConnection::Unreachable)
     }
 
--- a/src/gateway/attempt/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -14,18 +14,17 @@
 use super::upstream_connections::{
     ConnectionEvent, ConnectionMetrics, RestTimesByService, UpstreamConnections,
 };
+use super::upstream_paths::ConnectError;
+use super::upstream_stream::UpstreamStream;
 use crate::clock::Now;
 use crate::gateway::control::store::UpstreamLife;
+use crate::gateway::peers::tunnel_client::Tunnels;
 use crate::gateway::telemetry::Telemetry;
-use futures::future::{LocalBoxFuture, select_ok};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Delay before a probe opens a second connection: several round trips.
-const SECOND_PROBE_DELAY: Duration = Duration::from_millis(50);
 /// Maximum number of idle connections kept for one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 4;
 /// The same under load control, where they are kept within the box's share of the limit.
@@ -37,13 +36,15 @@
 /// alone: an address may be taken over by another service, and an upstream may restart.
 #[derive(Debug)]
 pub struct ConnectionPool {
-    upstreams: RefCell<HashMap<UpstreamLife, Rc<UpstreamConnections>>>,
+    pub(super) upstreams: RefCell<HashMap<UpstreamLife, Rc<UpstreamConnections>>>,
     rest_times: RestTimesByService,
     fleet: Cell<Fleet>,
     /// Which services this box's own connections reach.
-    reach: RefCell<Reachability>,
+    pub(super) reach: RefCell<Reachability>,
+    /// The ways through other boxes to services that it does not reach.
+    pub(super) tunnels: Tunnels,
     metrics: ConnectionMetrics,
-    telemetry: Rc<Telemetry>,
+    pub(super) telemetry: Rc<Telemetry>,
     /// Whether the buffers of new connections are bounded.
     bounds_buffers: Cell<bool>,
 }
@@ -56,6 +57,7 @@
             rest_times: RestTimesByService::default(),
             fleet: Cell::default(),
             reach: RefCell::default(),
+            tunnels: Tunnels::default(),
             metrics: telemetry.connection_metrics(),
             telemetry,
             bounds_buffers: Cell::default(),
@@ -111,26 +113,33 @@
             return known.clone();
         }
         let service = upstream.with_listed(|listed| listed.service.clone());
-        let created = Rc::new(UpstreamConnections::new(
-            self.rest_times.of(&service),
-            self.metrics.clone(),
-        ));
+        let rest_times = self.rest_times.of(&service);
+        let metrics = self.metrics.clone();
+        let created = Rc::new(UpstreamConnections::new(service, rest_times, metrics));
         upstreams.insert(upstream.incarnation().clone(), created.clone());
         created
     }
 
-    /// Opens a new connection.
-    pub async fn open(&self, upstream: &Rc<Upstream>) -> io::Result<Connection> {
-        self.open_as(upstream, ConnectionOrigin::New, false).await
+    /// Opens a new connection for a purpose, by the way that leads to the upstream now.
+    pub async fn open_as(
+        &self,
+        upstream: &Rc<Upstream>,
+        origin: ConnectionOrigin,
+        is_controlled: bool,
+    ) -> Result<Connection, ConnectError> {
+        let opening = self.connect(upstream);
+        self.open_over(upstream, origin, is_controlled, opening)
+            .await
     }
 
-    /// Opens a new connection for a purpose.
-    pub async fn open_as(
+    /// Opens a new connection over a stream that is being opened.
+    pub(super) async fn open_over(
         &self,
         upstream: &Rc<Upstream>,
         origin: ConnectionOrigin,
         is_controlled: bool,
-    ) -> io::Result<Connection> {
+        stream: impl Future<Output = Result<UpstreamStream, ConnectError>>,
+    ) -> Result<Connection, ConnectError> {
         let known = self.connections_to(upstream);
         // Counted before the first packet is sent, so that requests that arrive together do not
         // exceed the share.
@@ -141,11 +150,12 @@
             asks_kernel: known.is_controlled(),
             bounds_buffers: self.bounds_buffers.get(),
         };
-        let address = upstream.with_listed(|listed| listed.address);
-        let opened = Connection::open(address, opening, open).await;
-        self.record_reach(upstream, opened.as_ref().err(), Now::read());
-        let (connection, took) = opened?;
-        known.record_connect(took);
+        let began = Now::read();
+        let stream = stream.await?;
+        let now = Now::read();
+        let connection = Connection::establish(stream, opening, open, now).await;
+        let connection = connection.map_err(ConnectError::Upstream)?;
+        known.record_connect(now.monotonic.saturating_sub(began.monotonic));
         known.count(match origin {
             ConnectionOrigin::OpenedAhead => ConnectionEvent::OpenedAhead,
             ConnectionOrigin::New | ConnectionOrigin::Kept => ConnectionEvent::Opened,
@@ -163,7 +173,7 @@
         keep_alive: Option<Duration>,
         now: Now,
     ) {
-        if connection.has_ended() {
+        if connection.has_ended() || self.is_needless_tunnel(upstream, &connection, now) {
             return;
         }
         let known = self.connections_to(upstream);
@@ -233,56 +243,6 @@
         }
     }
 
-    /// Returns whether an upstream accepts connections now, and records the result.
-    ///
-    /// A second connection is opened after a short delay, so that one lost packet does not make an
-    /// upstream look dead.
-    pub async fn probe(&self, upstream: &Rc<Upstream>) -> bool {
-        let now = Now::read();
-        let second = async {
-            tokio::time::sleep(SECOND_PROBE_DELAY).await;
-            self.open(upstream).await
-        };
-        let attempts: [LocalBoxFuture<'_, _>; 2] =
-            [Box::pin(self.open(upstream)), Box::pin(second)];
-        match select_ok(attempts).await {
-            Ok((connection, _)) => {
-                upstream.record_connect_success();
-                self.release(upstream, connection, None, now);
-                true
-            }
-            Err(err) => {
-                log::debug!("probe could not connect to the upstream: {err}");
-                upstream.record_connect_failure(Now::read());
-                false
-            }
-        }
-    }
-
-    /// Learns from a connection that was opened, or could not be, whether this box reaches the
-    /// upstream's service.
-    fn record_reach(&self, upstream: &Rc<Upstream>, err: Option<&io::Error>, now: Now) {
-        let mut reach = self.reach.borrow_mut();
-        let change = match err {
-            None => reach.record_success(upstream, now),
-            Some(err) => reach.record_failure(upstream, err, now),
-        };
-        if let Some(change) = change {
-            let service = upstream.with_listed(|listed| listed.service.clone());
-            self.telemetry.record_reach_change(&service, &change);
-        }
-    }
-
-    /// Sets how many upstreams of a service requests may be sent to.
-    pub fn set_listed(&self, service: &str, listed: usize) {
-        self.reach.borrow_mut().set_listed(service, listed);
-    }
-
-    /// Forgets what failed connections showed long ago.
-    pub fn expire_reach(&self, now: Now) {
-        self.reach.borrow_mut().expire(now);
-    }
-
     /// Closes connections that have been idle for too long, and forgets upstreams without any.
     pub fn close_stale(&self, now: Now) {
         let mut upstreams = self.upstreams.borrow_mut();
--- a/src/gateway/attempt/connection.rs
+++ b/src/gateway/attempt/connection.rs
@@ -1,6 +1,7 @@
 //! One open connection to an upstream.
 
 use super::connection_write::{GatedStream, WriteGate, is_quiet};
+use super::upstream_stream::{ConnectionPath, UpstreamStream};
 use crate::clock::Now;
 use crate::gateway::answer::held_memory::{UPSTREAM_BUFFER_BYTES, UPSTREAM_SOCKET_BYTES};
 use bytes::Bytes;
@@ -107,6 +108,7 @@
     idle_since: Duration,
     keep_time: Duration,
     origin: ConnectionOrigin,
+    path: ConnectionPath,
     is_controlled: bool,
     gate: Rc<WriteGate>,
     has_carried_answer: bool,
@@ -145,37 +147,46 @@
     pub bounds_buffers: bool,
 }
 
+/// Opens a socket to an upstream.
+pub async fn dial(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+    set_socket_options(&stream, address);
+    Ok(stream)
+}
+
 impl Connection {
-    /// Opens a connection, and returns it with the time that this took.
-    pub async fn open(
-        address: SocketAddr,
+    /// Begins to speak HTTP over a stream.
+    pub async fn establish(
+        stream: UpstreamStream,
         opening: Opening,
         open: OpenGuard,
-    ) -> io::Result<(Self, Duration)> {
-        let began = Now::read();
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-            .await
-            .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
-        let now = Now::read();
-        set_socket_options(&stream, address);
+        now: Now,
+    ) -> io::Result<Self> {
         let mut builder = http1::Builder::new();
         if opening.bounds_buffers {
-            set_receive_buffer(&stream, address);
+            if let Some(socket) = stream.socket() {
+                set_receive_buffer(socket);
+            }
             builder.max_buf_size(UPSTREAM_BUFFER_BYTES);
         }
-        let duplicate = || socket2::SockRef::from(&stream).try_clone();
-        let socket = opening.asks_kernel.then(duplicate).transpose()?;
+        let asked = stream.socket().filter(|_| opening.asks_kernel);
+        let socket = asked
+            .map(|socket| socket2::SockRef::from(socket).try_clone())
+            .transpose()?;
+        let path = stream.path();
         let gate = Rc::<WriteGate>::default();
         let io = TokioIo::new(GatedStream::new(stream, gate.clone()));
         let (sender, connection) = builder.handshake(io).await.map_err(io::Error::other)?;
         let (end, ended) = watch::channel(None);
         let driver = actix_rt::spawn(async move {
             if let Err(err) = connection.await {
-                log::trace!("connection to {address} ended: {err}");
+                log::trace!("connection to an upstream ended: {err}");
             }
             end.send_replace(Some(Now::read().monotonic));
         });
-        let opened = Self {
+        Ok(Self {
             sender,
             driver,
             socket,
@@ -183,13 +194,18 @@
             idle_since: now.monotonic,
             keep_time: IDLE_LIFETIME,
             origin: opening.origin,
+            path,
             is_controlled: opening.is_controlled,
             gate,
             has_carried_answer: false,
             is_proven: false,
             _open: open,
-        };
-        Ok((opened, now.monotonic.saturating_sub(began.monotonic)))
+        })
+    }
+
+    /// Returns by which way it reaches the upstream.
+    pub fn path(&self) -> &ConnectionPath {
+        &self.path
     }
 
     /// Returns whether an earlier request was sent over this connection.
@@ -339,10 +355,10 @@
     pub use hyper::http::{HeaderMap, Method, Request, Response};
 }
 
-fn set_receive_buffer(stream: &TcpStream, address: SocketAddr) {
+fn set_receive_buffer(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
     if let Err(err) = socket.set_recv_buffer_size(UPSTREAM_SOCKET_BYTES) {
-        log::debug!("cannot bound the receive buffer of the connection to {address}: {err}");
+        log::debug!("cannot bound the receive buffer of a connection to an upstream: {err}");
     }
 }
 
--- a/src/gateway/attempt/connection_age.rs
+++ b/src/gateway/attempt/connection_age.rs
@@ -119,6 +119,11 @@
         self.closes.record(rest);
     }
 
+    /// Forgets at which rests connections were closed.
+    pub fn forget_closes(&mut self) {
+        self.closes = ShortestClose::default();
+    }
+
     /// Returns how long a connection is kept for requests that may be repeated.
     pub fn keep_time(self) -> Duration {
         (self.assumed_keep_alive() / KEEP_DIVISOR).min(MAX_KEEP)
--- a/src/gateway/attempt/connection_write.rs
+++ b/src/gateway/attempt/connection_write.rs
@@ -5,6 +5,7 @@
 //! request once its time is over or the kernel knows of an end, and counts what was written, which
 //! proves that a request without a written byte did not run. See `docs/design/connections.md`.
 
+use super::upstream_stream::UpstreamStream;
 use crate::clock::Now;
 use std::cell::Cell;
 use std::io;
@@ -14,7 +15,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// What may still be written to a connection, and how much was.
 #[derive(Debug, Default)]
@@ -42,7 +42,7 @@
     }
 
     /// Checks whether a write may begin.
-    fn check(&self, stream: &TcpStream) -> io::Result<()> {
+    fn check(&self, stream: &UpstreamStream) -> io::Result<()> {
         let Some(write_by) = self.write_by.get() else {
             return Ok(());
         };
@@ -53,7 +53,7 @@
                 "the connection was no longer known to be open",
             ));
         }
-        match is_quiet(&socket2::SockRef::from(stream)) {
+        match stream.is_quiet() {
             true => Ok(()),
             false => Err(io::ErrorKind::ConnectionAborted.into()),
         }
@@ -78,14 +78,17 @@
 /// A stream that asks a [`WriteGate`] before each write.
 #[derive(Debug)]
 pub struct GatedStream {
-    stream: TcpStream,
+    stream: UpstreamStream,
     gate: Rc<WriteGate>,
 }
 
 impl GatedStream {
     /// Lets a gate decide on the writes to a stream.
-    pub fn new(stream: TcpStream, gate: Rc<WriteGate>) -> Self {
-        Self { stream, gate }
+    pub fn new(stream: impl Into<UpstreamStream>, gate: Rc<WriteGate>) -> Self {
+        Self {
+            stream: stream.into(),
+            gate,
+        }
     }
 }
 
--- a/src/gateway/attempt/crash_detection.rs
+++ b/src/gateway/attempt/crash_detection.rs
@@ -1,17 +1,20 @@
 //! Detects whether an upstream crashed when runs at it were interrupted.
 //!
 //! A broken connection alone is no proof: connections get reset, and halls get cut off from the
-//! network. If the upstream's address refuses a new connection right afterwards, its process is
-//! gone, and any of the requests that ran there may be the cause.
+//! network. If the upstream's address refuses a new connection right afterwards, and another box that
+//! asks as well, its process is gone, and any of the requests that ran there may be the cause.
 
 use super::upstream::Upstream;
+use super::upstream_paths::{ConnectError, ProbeWay};
 use crate::clock::Now;
 use crate::crash_ledger::{CrashCheckResult, CrashRole};
 use crate::fingerprint::Fingerprint;
 use crate::gateway::Gateway;
 use crate::gateway::control::store::UpstreamLife;
+use crate::gateway::peers::tunnel_client::{PeerChoice, PeerFailure, TunnelError, TunnelTarget};
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -163,11 +166,7 @@
 async fn check(gw: Rc<Gateway>, upstream: Rc<Upstream>) {
     sleep(CHECK_DELAY).await;
     let now = Now::read();
-    let opened = gw.connections.open(&upstream).await;
-    let found = CrashCheckResult::from_connect_result(&opened);
-    if let Ok(connection) = opened {
-        gw.connections.release(&upstream, connection, None, now);
-    }
+    let found = gw.check_for_crash(&upstream, now).await;
     gw.telemetry.record_upstream_check(&upstream, found);
     for run in gw.crashes.finish_check(upstream.incarnation(), found) {
         if run.role == CrashRole::OnTrial {
@@ -175,3 +174,59 @@
         }
     }
 }
+
+impl Gateway {
+    /// Finds out whether an upstream has crashed.
+    ///
+    /// A refusal may come from a fault of this box's own network, so that another box is asked as
+    /// well.
+    async fn check_for_crash(&self, upstream: &Rc<Upstream>, now: Now) -> CrashCheckResult {
+        let (service, hall) =
+            upstream.with_listed(|listed| (listed.service.clone(), listed.hall.clone()));
+        if !self.connections.is_lost(&service, now) {
+            match self.connections.open_by(upstream, ProbeWay::Direct).await {
+                Ok(connection) => {
+                    self.connections.release(upstream, connection, None, now);
+                    return CrashCheckResult::Alive;
+                }
+                Err(ConnectError::Upstream(err))
+                    if err.kind() != io::ErrorKind::ConnectionRefused =>
+                {
+                    return CrashCheckResult::Unreachable;
+                }
+                Err(_) => {}
+            }
+        }
+        let target = TunnelTarget {
+            upstream: upstream.short_hash(),
+            service: &service,
+        };
+        self.ask_for_crash(target, &hall).await
+    }
+
+    /// Asks boxes of the upstream's hall first, since few faults of the network lie between them.
+    async fn ask_for_crash(&self, target: TunnelTarget<'_>, hall: &str) -> CrashCheckResult {
+        let tunnels = self.connections.tunnels();
+        let is_other_hall = self.settings().hall != hall;
+        for choice in [PeerChoice::OfHall(hall), PeerChoice::Any] {
+            match tunnels.open(target, choice, Now::read()).await {
+                Ok(_) => return CrashCheckResult::Alive,
+                Err(TunnelError::Refused) => return CrashCheckResult::Crashed,
+                Err(TunnelError::Unanswered | TunnelError::NotListed) => {
+                    return CrashCheckResult::Unreachable;
+                }
+                // The hall may be cut off.
+                Err(TunnelError::NoPeer(Some(PeerFailure::Unreachable)))
+                    if is_other_hall && choice != PeerChoice::Any =>
+                {
+                    return CrashCheckResult::Unreachable;
+                }
+                Err(TunnelError::NoPeer(_)) => {}
+            }
+        }
+        match self.connections.is_lost(target.service, Now::read()) {
+            true => CrashCheckResult::Unreachable,
+            false => CrashCheckResult::Crashed,
+        }
+    }
+}
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -7,7 +7,7 @@
 use super::connect::ConnectionPool;
 use super::connection::{Connection, ConnectionOrigin, RequestLoss, SendError, http1_types};
 use super::headers::{HeaderNames, parse_load};
-use super::response_timeout::{ResponseTimeout, with_response_timeout};
+use super::response_timeout::{ResponseTimeout, WatchedUpstream, with_response_timeout};
 use super::upstream::{PendingPrefill, Upstream};
 use super::upstream_answer::{Answer, closes, keep_alive};
 use crate::clock::Now;
@@ -18,8 +18,10 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// How long the end of a refusal's body may take for its connection to be kept; refusals have no
 /// body, or a short one that arrives with the head.
@@ -120,31 +122,43 @@
     pub connection: ConnectionRules,
 }
 
-/// Sends a request to one upstream and waits for the head of the answer; also returns the origin of
-/// the connection that it used, if there was one.
+/// The connection that a try used.
+#[derive(Debug, Clone, Copy)]
+pub struct UsedConnection {
+    /// Where it came from.
+    pub origin: ConnectionOrigin,
+    /// The box through which it led, if it was no direct one.
+    pub through: Option<SocketAddr>,
+}
+
+/// Sends a request to one upstream and waits for the head of the answer; also returns the connection
+/// that it used, if there was one.
 pub async fn try_upstream(
     connections: &ConnectionPool,
     headers: &HeaderNames,
     upstream: &Rc<Upstream>,
     request: UpstreamRequest,
     options: TryOptions,
-) -> (TryOutcome, Option<ConnectionOrigin>) {
+) -> (TryOutcome, Option<UsedConnection>) {
     let started = StartedTry {
         was_limited: upstream.rate_limit().limit().is_some(),
         load: upstream.begin_request(),
         pending_prefill: upstream.begin_prefill(options.prefill),
         began: Now::read(),
     };
-    match connections
-        .acquire(upstream, &options.connection, headers)
-        .await
-    {
+    // Other boxes may be asked for a way, one after the other.
+    let acquiring = connections.acquire(upstream, &options.connection, headers);
+    let acquired = timeout(options.head_timeout.total, acquiring).await;
+    match acquired.unwrap_or(Err(NoConnection::TooLate)) {
         Ok(connection) => {
-            let origin = connection.origin();
+            let used = UsedConnection {
+                origin: connection.origin(),
+                through: connection.path().peer(),
+            };
             let tried = started
                 .send(connections, headers, upstream, connection, request, options)
                 .await;
-            (tried, Some(origin))
+            (tried, Some(used))
         }
         Err(no_connection) => (not_connected(upstream, no_connection), None),
     }
@@ -154,9 +168,10 @@
 fn not_connected(upstream: &Upstream, no_connection: NoConnection) -> TryOutcome {
     TryOutcome::NotRun(match no_connection {
         NoConnection::Unreachable(err) => {
-            upstream.record_connect_failure(Now::read());
+            err.record(upstream, Now::read());
             NotRunReason::NoConnection(err.to_string())
         }
+        NoConnection::TooLate => NotRunReason::NoConnection(no_connection.to_string()),
         rejected @ (NoConnection::ShareInUse
         | NoConnection::ResetBeforeUse
         | NoConnection::JustReset
@@ -174,6 +189,10 @@
 }
 
 impl StartedTry {
+    fn age(&self, now: Now) -> Duration {
+        now.monotonic.saturating_sub(self.began.monotonic)
+    }
+
     /// Sends the request over a connection and waits for the head of the answer.
     async fn send(
         self,
@@ -203,9 +222,16 @@
         let (sent_at, rest, answered) = loop {
             let sent_at = Now::read();
             let rest = connection.rest(sent_at);
+            let path = connection.path().clone();
             let sent = connection.send(req.clone());
-            let answered =
-                with_response_timeout(connections, upstream, options.head_timeout, sent).await;
+            let watched = WatchedUpstream {
+                connections,
+                upstream,
+                path: &path,
+            };
+            let left = options.head_timeout.total.saturating_sub(self.age(sent_at));
+            let head_timeout = options.head_timeout.capped_at(left);
+            let answered = with_response_timeout(watched, head_timeout, sent).await;
             let (Some(Err(err)), true) = (&answered, other_connections < MAX_OTHER_CONNECTIONS)
             else {
                 break (sent_at, rest, answered);
@@ -283,7 +309,8 @@
             }
         }
         // A kept connection may have rested for too long, unless it was proven just before.
-        if !self.connection.is_reused() || self.connection.is_proven() {
+        let is_own_end = !self.connection.is_reused() || self.connection.is_proven();
+        if is_own_end && !self.connection.path().was_lost() {
             self.upstream.record_failure(self.now);
         }
         TryOutcome::Unknown(UnknownReason::ConnectionBroken(err.error.to_string()))
@@ -363,8 +390,10 @@
             headers: parts.headers,
             sent_at: started.began.monotonic,
             head_took: now.monotonic.saturating_sub(self.sent_at.monotonic),
-            measured_tokens,
+            // The way through another box takes time that is not the upstream's.
+            measured_tokens: measured_tokens.filter(|_| self.connection.path().peer().is_none()),
             body,
+            path: self.connection.path().clone(),
             connection: Some(self.connection),
             upstream: upstream.clone(),
             pending_prefill: Some(started.pending_prefill),
@@ -378,7 +407,7 @@
             return;
         }
         let rest = Limited::new(body, REFUSAL_BODY_LIMIT);
-        let ended = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, rest.collect()).await;
+        let ended = timeout(REFUSAL_BODY_TIMEOUT, rest.collect()).await;
         if matches!(ended, Ok(Ok(_))) {
             let (connection, keep_alive) = (self.connection, keep_alive(received));
             self.connections
--- a/src/gateway/attempt/reachability.rs
+++ b/src/gateway/attempt/reachability.rs
@@ -10,12 +10,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How many upstreams have to refuse connections, with none accepting one in between, before a
-/// service counts as lost; services with fewer upstreams need all of them. Fewer would take the
-/// crash of two upstreams for a fault of this box.
+/// How many upstreams have to fail one after the other, with none accepting a connection in between,
+/// before a service counts as lost; services with fewer upstreams need all of them. Fewer would take
+/// the crash of two upstreams for a fault of this box.
 const MIN_FAILED_UPSTREAMS: usize = 3;
 /// How long a failed connection counts; unreachable upstreams are probed several times in it.
 const FAILURE_LIFETIME: Duration = Duration::from_secs(3);
+/// How long a loss has to last before it counts as certain: a probe of the upstreams that have not
+/// failed, and its time-out.
+const LOSS_SETTLE_TIME: Duration = Duration::from_millis(400);
 
 /// What this box's own connections showed of each service.
 #[derive(Debug, Default)]
@@ -47,16 +50,18 @@
 struct ServiceReach {
     /// The number of upstreams that requests may be sent to.
     listed: usize,
-    /// The failures since the last success, by upstream.
-    failures: HashMap<u32, ConnectFailure>,
+    /// The upstreams that accept no connections.
+    failures: HashMap<u32, FailingUpstream>,
     last_success: Option<Duration>,
     lost_since: Option<Duration>,
 }
 
 #[derive(Debug)]
-struct ConnectFailure {
+struct FailingUpstream {
     upstream: Rc<Upstream>,
-    at: Duration,
+    /// When it failed for the first time since it accepted a connection.
+    since: Duration,
+    last_failure: Duration,
     is_refusal: bool,
 }
 
@@ -73,7 +78,7 @@
     pub fn record_success(&mut self, upstream: &Upstream, now: Now) -> Option<ReachChange> {
         let service = upstream.with_listed(|listed| listed.service.clone());
         let known = self.reach_of(&service);
-        known.failures.clear();
+        known.failures.remove(&upstream.short_hash());
         known.last_success = Some(now.monotonic);
         let since = known.lost_since.take()?;
         Some(ReachChange::Regained(now.monotonic.saturating_sub(since)))
@@ -88,12 +93,17 @@
     ) -> Option<ReachChange> {
         let service = upstream.with_listed(|listed| listed.service.clone());
         let known = self.reach_of(&service);
-        let failure = ConnectFailure {
-            upstream: upstream.clone(),
-            at: now.monotonic,
-            is_refusal: err.kind() == io::ErrorKind::ConnectionRefused,
-        };
-        known.failures.insert(upstream.short_hash(), failure);
+        let failing = known
+            .failures
+            .entry(upstream.short_hash())
+            .or_insert_with(|| FailingUpstream {
+                upstream: upstream.clone(),
+                since: now.monotonic,
+                last_failure: now.monotonic,
+                is_refusal: false,
+            });
+        failing.last_failure = now.monotonic;
+        failing.is_refusal = err.kind() == io::ErrorKind::ConnectionRefused;
         if known.lost_since.is_some() || !known.has_failed(now) {
             return None;
         }
@@ -107,12 +117,30 @@
         known.is_some_and(|known| known.lost_since.is_some() && known.has_failed(now))
     }
 
+    /// Returns whether a service has been lost for a while, so that a crash of several upstreams
+    /// together is ruled out: the others would have accepted a probe.
+    pub fn is_lost_for_certain(&self, service: &str, now: Now) -> bool {
+        let since = self
+            .services
+            .get(service)
+            .and_then(|known| known.lost_since);
+        let is_settled = |since| now.monotonic.saturating_sub(since) >= LOSS_SETTLE_TIME;
+        self.is_lost(service, now) && since.is_some_and(is_settled)
+    }
+
     /// Returns the services that are lost.
     pub fn lost_services(&self, now: Now) -> Vec<String> {
         let lost = self.services.keys().filter(|name| self.is_lost(name, now));
         lost.cloned().collect()
     }
 
+    /// Returns whether no connection to an upstream could be opened lately.
+    pub fn has_failed_lately(&self, upstream: &Upstream, now: Now) -> bool {
+        let known = upstream.with_listed(|listed| self.services.get(&listed.service));
+        let failure = known.and_then(|known| known.failures.get(&upstream.short_hash()));
+        failure.is_some_and(|failure| failure.is_recent(now))
+    }
+
     /// Forgets services whose failures are too old to say anything.
     pub fn expire(&mut self, now: Now) {
         for known in self.services.values_mut() {
@@ -129,26 +157,40 @@
 }
 
 impl ServiceReach {
+    /// Returns whether so many upstreams have begun to fail since the last success that the fault is
+    /// not theirs. An upstream that failed before it says nothing more by failing again.
     fn has_failed(&self, now: Now) -> bool {
         let recent = self
             .failures
             .values()
-            .filter(|failed| failed.is_recent(now));
-        recent.count() >= self.listed.clamp(1, MIN_FAILED_UPSTREAMS)
+            .filter(|failing| failing.is_recent(now));
+        let new = self.new_failures(now).count();
+        let were_well = self.listed.saturating_sub(recent.count() - new);
+        new >= were_well.clamp(1, MIN_FAILED_UPSTREAMS)
+    }
+
+    /// Returns the upstreams that have begun to fail since the last success.
+    fn new_failures(&self, now: Now) -> impl Iterator<Item = &FailingUpstream> {
+        let is_new = |failing: &FailingUpstream| {
+            self.last_success
+                .is_none_or(|success| failing.since > success)
+        };
+        let recent = self.failures.values();
+        recent.filter(move |failing| failing.is_recent(now) && is_new(failing))
     }
 
     fn evidence(&self, now: Now) -> LossEvidence {
-        let failures = || self.failures.values();
+        let failing = || self.new_failures(now);
         LossEvidence {
-            failed: failures().map(|failed| failed.upstream.clone()).collect(),
-            refused: failures().filter(|failed| failed.is_refusal).count(),
+            failed: failing().map(|failing| failing.upstream.clone()).collect(),
+            refused: failing().filter(|failing| failing.is_refusal).count(),
             last_success: self.last_success.map(|at| now.monotonic.saturating_sub(at)),
         }
     }
 }
 
-impl ConnectFailure {
+impl FailingUpstream {
     fn is_recent(&self, now: Now) -> bool {
-        now.monotonic.saturating_sub(self.at) < FAILURE_LIFETIME
+        now.monotonic.saturating_sub(self.last_failure) < FAILURE_LIFETIME
     }
 }
--- a/src/gateway/attempt/response_timeout.rs
+++ b/src/gateway/attempt/response_timeout.rs
@@ -2,6 +2,8 @@
 
 use super::connect::ConnectionPool;
 use super::upstream::Upstream;
+use super::upstream_paths::ProbeWay;
+use super::upstream_stream::ConnectionPath;
 use crate::clock::Now;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -37,6 +39,17 @@
     }
 }
 
+/// The upstream that a wait depends on, and the way of the connection to it.
+#[derive(Debug, Clone, Copy)]
+pub struct WatchedUpstream<'a> {
+    /// The box's connections.
+    pub connections: &'a ConnectionPool,
+    /// The upstream.
+    pub upstream: &'a Rc<Upstream>,
+    /// By which way the connection reaches it. Another way shows nothing about this connection.
+    pub path: &'a ConnectionPath,
+}
+
 /// Interval at which a wait checks whether the upstream has sent data to other requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -46,11 +59,11 @@
 /// more time than a silent one, since another upstream would have to repeat the prefill that it has
 /// already done.
 pub async fn with_response_timeout<T>(
-    connections: &ConnectionPool,
-    upstream: &Rc<Upstream>,
+    watched: WatchedUpstream<'_>,
     timeout: ResponseTimeout,
     future: impl Future<Output = T>,
 ) -> Option<T> {
+    let upstream = watched.upstream;
     let began = Now::read().monotonic;
     let mut future = std::pin::pin!(future);
     let mut poll_wait = timeout
@@ -73,7 +86,7 @@
                     return None;
                 }
                 if silence >= silence_limit {
-                    let probed = probe_alongside(connections, upstream, future.as_mut()).await;
+                    let probed = probe_alongside(watched, future.as_mut()).await;
                     match probed {
                         ProbeResult::Completed(outcome) => return Some(outcome),
                         // Each probe opens a connection to the upstream, so probe less and less
@@ -96,15 +109,15 @@
 }
 
 async fn probe_alongside<T>(
-    connections: &ConnectionPool,
-    upstream: &Rc<Upstream>,
+    watched: WatchedUpstream<'_>,
     future: Pin<&mut impl Future<Output = T>>,
 ) -> ProbeResult<T> {
+    let way = ProbeWay::of(watched.path);
     tokio::select! {
         outcome = future => ProbeResult::Completed(outcome),
-        is_alive = connections.probe(upstream) => {
+        is_alive = watched.connections.probe(watched.upstream, way) => {
             if is_alive {
-                upstream.record_data_received(Now::read());
+                watched.upstream.record_data_received(Now::read());
                 return ProbeResult::Alive;
             }
             ProbeResult::Dead
--- a/src/gateway/attempt/spare_connections.rs
+++ b/src/gateway/attempt/spare_connections.rs
@@ -99,7 +99,7 @@
             .connections
             .release(&upstream, connection, None, Now::read()),
         Err(err) => {
-            upstream.record_connect_failure(Now::read());
+            err.record(&upstream, Now::read());
             let instance = upstream.with_listed(|listed| listed.instance.clone());
             log::info!(upstream = instance.as_str(); "cannot open a connection ahead: {err}");
         }
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -449,6 +449,16 @@
         self.health.set(health);
     }
 
+    /// Forgets failures for which this box's own network was to blame.
+    pub fn withdraw_failures(&self) {
+        let health = self.health.get();
+        self.health.set(Health {
+            successes: health.successes,
+            updated_at: health.updated_at,
+            ..Health::default()
+        });
+    }
+
     /// Records that the upstream accepts connections.
     pub fn record_connect_success(&self) {
         let mut health = self.health.get();
--- a/src/gateway/attempt/upstream_answer.rs
+++ b/src/gateway/attempt/upstream_answer.rs
@@ -3,8 +3,9 @@
 use super::connect::ConnectionPool;
 use super::connection::{Connection, http1_types};
 use super::connection_age::parse_keep_alive;
-use super::response_timeout::{ResponseTimeout, with_response_timeout};
+use super::response_timeout::{ResponseTimeout, WatchedUpstream, with_response_timeout};
 use super::upstream::{PendingPrefill, Upstream};
+use super::upstream_stream::ConnectionPath;
 use crate::clock::Now;
 use crate::routing::placement::LoadGuard;
 use bytes::Bytes;
@@ -31,6 +32,7 @@
     pub measured_tokens: Option<f64>,
     pub(super) body: Incoming,
     pub(super) connection: Option<Connection>,
+    pub(super) path: ConnectionPath,
     pub(super) upstream: Rc<Upstream>,
     pub(super) pending_prefill: Option<PendingPrefill>,
     pub(super) _load: LoadGuard,
@@ -63,8 +65,13 @@
         connections: &ConnectionPool,
         timeout: ResponseTimeout,
     ) -> Option<BodyChunk> {
-        let upstream = self.upstream.clone();
-        with_response_timeout(connections, &upstream, timeout, self.next_chunk()).await
+        let (upstream, path) = (self.upstream.clone(), self.path.clone());
+        let watched = WatchedUpstream {
+            connections,
+            upstream: &upstream,
+            path: &path,
+        };
+        with_response_timeout(watched, timeout, self.next_chunk()).await
     }
 
     /// Reads the next chunk of the body.
@@ -118,6 +125,23 @@
         self.pending_prefill = None;
     }
 
+    /// Returns by which way the answer comes.
+    pub fn path(&self) -> &ConnectionPath {
+        &self.path
+    }
+
+    /// Returns whether its times are the upstream's alone, and not those of another box as well.
+    pub fn is_direct(&self) -> bool {
+        self.path.peer().is_none()
+    }
+
+    /// Records that the upstream failed to answer, unless the way to it was lost.
+    pub fn record_failure(&self, now: Now) {
+        if !self.path.was_lost() {
+            self.upstream.record_failure(now);
+        }
+    }
+
     /// Returns the upstream that sent the answer.
     pub fn upstream(&self) -> &Rc<Upstream> {
         &self.upstream
--- a/src/gateway/attempt/upstream_connections.rs
+++ b/src/gateway/attempt/upstream_connections.rs
@@ -6,6 +6,7 @@
 use super::connection_limit::{Demand, Fleet, RequestRate, may_open_for_request, share};
 use super::steady_demand::SteadyDemand;
 use super::upstream::Upstream;
+use super::upstream_stream::ConnectionPath;
 use crate::clock::Now;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
@@ -92,6 +93,7 @@
 /// The connections to one incarnation of an upstream.
 #[derive(Debug)]
 pub struct UpstreamConnections {
+    service: String,
     /// The idle connections; the last one was used last.
     idle: RefCell<Vec<Connection>>,
     open: Rc<Cell<u32>>,
@@ -114,8 +116,13 @@
 
 impl UpstreamConnections {
     /// Creates the state of an upstream without connections.
-    pub fn new(rest_times: Rc<Cell<RestTimes>>, metrics: ConnectionMetrics) -> Self {
+    pub fn new(
+        service: String,
+        rest_times: Rc<Cell<RestTimes>>,
+        metrics: ConnectionMetrics,
+    ) -> Self {
         Self {
+            service,
             idle: RefCell::default(),
             open: Rc::default(),
             opening_ahead: Cell::default(),
@@ -133,6 +140,11 @@
         }
     }
 
+    /// Returns the service of the upstream.
+    pub fn service(&self) -> &str {
+        &self.service
+    }
+
     /// Sets the kind of the upstream, and whether boxes control its load.
     pub fn set_rules(&self, rules: &ConnectionRules) {
         self.kind.set(rules.kind);
@@ -409,6 +421,21 @@
         idle.drain(..end);
     }
 
+    /// Closes the idle connections that lead by some way.
+    pub fn close_idle_by_path(&self, is_meant: impl Fn(&ConnectionPath) -> bool) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|connection| !is_meant(connection.path()));
+    }
+
+    /// Forgets which connections ended early, since this box's own network ended them.
+    pub fn forget_ends(&self) {
+        self.last_reset.set(None);
+        self.last_early_close.set(None);
+        let mut rest_times = self.rest_times.get();
+        rest_times.forget_closes();
+        self.rest_times.set(rest_times);
+    }
+
     /// Closes connections that were idle for too long.
     pub fn close_expired(&self, now: Now) {
         self.drop_unusable(now);
--- a/src/gateway/peers/fetch.rs
+++ b/src/gateway/peers/fetch.rs
@@ -10,12 +10,12 @@
 use crate::gateway::control::mirror::PackedChanges;
 use crate::wire::{self, MESSAGE_BYTES_LIMIT, WireError};
 use bytes::{Bytes, BytesMut};
+use h2::server::SendResponse;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
 /// How long a box may take to accept a connection: a few round trips between halls plus the
@@ -26,11 +26,7 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
 /// The longest duration of a fetch, in case a sender never ends: the largest message takes 6.7 s at
 /// 10 Mbit/s.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(8);
-/// The most fetches that a box serves concurrently: the boxes of a hall of two hundred that start
-/// together, a third of which fetch from each of three readers. Their response is packed once, so a
-/// waiting fetch holds only some ten kilobytes.
-const MAX_CONCURRENT_FETCHES: u32 = 64;
+pub const FETCH_TIMEOUT: Duration = Duration::from_secs(8);
 /// How long a box without state holds a snapshot request. Shorter than the silence timeout, so that
 /// the requesting box learns that this one is alive.
 const FIRST_STATE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -40,8 +36,6 @@
 const SNAPSHOT_CACHE_TTL: Duration = Duration::from_millis(300);
 /// The flow-control window in bytes: usually a whole change, so that a fetch takes one round trip.
 const WINDOW_BYTES: u32 = 1024 * 1024;
-/// The pause after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// The path for fetching changes.
 const ITEMS_PATH: &str = "/items";
 /// The path for fetching a snapshot, used by starting boxes.
@@ -231,54 +225,23 @@
     WireError::NoAnswer(reason.to_owned())
 }
 
-/// Serves fetches for as long as the process runs.
-pub async fn serve_fetches(gw: Rc<Gateway>, listener: TcpListener) {
-    let active = Rc::new(Cell::new(0));
-    loop {
-        match listener.accept().await {
-            Ok((stream, from)) if active.get() < MAX_CONCURRENT_FETCHES => {
-                active.set(active.get() + 1);
-                let (gw, active) = (gw.clone(), active.clone());
-                actix_rt::spawn(async move {
-                    match timeout(FETCH_TIMEOUT, serve_fetch(&gw, stream)).await {
-                        Ok(Ok(())) => {}
-                        Ok(Err(err)) => log::debug!("fetch by {from} failed: {err}"),
-                        Err(_elapsed) => log::info!("fetch by {from} took too long"),
-                    }
-                    active.set(active.get() - 1);
-                });
-            }
-            // The connection is closed at once, and the hub assigns the box another source.
-            Ok((_, from)) => log::info!("too many concurrent fetches, rejected {from}"),
-            Err(err) => {
-                log::warn!("cannot accept a fetch connection: {err}");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-async fn serve_fetch(gw: &Gateway, stream: TcpStream) -> Result<(), WireError> {
-    let mut connection = h2::server::handshake(stream)
-        .await
+/// Responds to a fetch.
+pub async fn serve_fetch(
+    gw: &Gateway,
+    uri: &http::Uri,
+    respond: &mut SendResponse<Bytes>,
+) -> Result<(), WireError> {
+    let query = uri.query().and_then(FetchRequest::parse);
+    let (head, answer) = match (uri.path(), query) {
+        (ITEMS_PATH, Some(request)) => (http::Response::new(()), pack(gw, request)?),
+        (SNAPSHOT_PATH, None) => serve_snapshot(gw).await?,
+        _ => return Err(WireError::NoAnswer("unknown path or query".to_owned())),
+    };
+    gw.telemetry.count_peer_bytes("items", answer.len());
+    let mut body = respond
+        .send_response(head, false)
         .map_err(connection_lost)?;
-    while let Some(accepted) = connection.accept().await {
-        let (req, mut respond) = accepted.map_err(connection_lost)?;
-        let (head, answer) = match (
-            req.uri().path(),
-            req.uri().query().and_then(FetchRequest::parse),
-        ) {
-            (ITEMS_PATH, Some(request)) => (http::Response::new(()), pack(gw, request)?),
-            (SNAPSHOT_PATH, None) => serve_snapshot(gw).await?,
-            _ => return Err(WireError::NoAnswer("unknown path or query".to_owned())),
-        };
-        gw.telemetry.count_peer_bytes("items", answer.len());
-        let mut body = respond
-            .send_response(head, false)
-            .map_err(connection_lost)?;
-        body.send_data(answer, true).map_err(connection_lost)?;
-    }
-    Ok(())
+    body.send_data(answer, true).map_err(connection_lost)
 }
 
 fn pack(gw: &Gateway, request: FetchRequest) -> Result<Bytes, WireError> {
--- a/src/gateway/peers/liveness.rs
+++ b/src/gateway/peers/liveness.rs
@@ -33,7 +33,7 @@
     ) -> Vec<&'a BoxEntry> {
         let liveness_timeout = liveness_timeout(boxes.len());
         let is_live = |entry: &&&BoxEntry| {
-            entry.address == own || self.is_live(entry.address, liveness_timeout, now)
+            entry.address == own || self.was_heard_within(entry.address, liveness_timeout, now)
         };
         boxes.iter().filter(is_live).copied().collect()
     }
@@ -49,9 +49,9 @@
         contacts.any(|at| now.monotonic.saturating_sub(*at) <= time)
     }
 
-    /// Returns whether a box has sent a message within the timeout.
-    fn is_live(&self, from: SocketAddr, liveness_timeout: Duration, now: Now) -> bool {
+    /// Returns whether a box has sent a message within a time.
+    pub fn was_heard_within(&self, from: SocketAddr, time: Duration, now: Now) -> bool {
         let last_message = self.0.get(&from);
-        last_message.is_some_and(|at| now.monotonic.saturating_sub(*at) <= liveness_timeout)
+        last_message.is_some_and(|at| now.monotonic.saturating_sub(*at) <= time)
     }
 }
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -22,11 +22,11 @@
 
 use super::datagram;
 use super::engine_speeds::{self, SpeedReport};
-use super::fetch;
 use super::hub_poller;
 use super::hubs::{self, HubUpdate, PollRequest};
 use super::leaving_upstreams;
 use super::load_reports::{self, SharedLoadReport};
+use super::peer_server;
 use super::rate_limits::{self, RateLimitReport};
 use super::rate_samples;
 use super::suspects;
@@ -143,7 +143,7 @@
         rate_samples::share_rate_samples(&gw, send_prefill_rates),
         load_reports::broadcast_load_reports(&gw, send_load_reports),
         engine_speeds::share_engine_speeds(&gw, send_speeds),
-        fetch::serve_fetches(gw.clone(), listener),
+        peer_server::serve_peers(gw.clone(), listener),
     );
     Ok(())
 }
--- a/src/gateway/place/plain_cost.rs
+++ b/src/gateway/place/plain_cost.rs
@@ -194,7 +194,9 @@
                 .record_invalid_load_reports(upstream, invalid, is_logged);
         }
         match tried {
-            TryOutcome::Answered(answer) if answer.status < FIRST_ERROR_STATUS => {
+            TryOutcome::Answered(answer)
+                if answer.status < FIRST_ERROR_STATUS && answer.is_direct() =>
+            {
                 learn_service_time(&self.service_times, service, choice, answer.head_took, now);
             }
             TryOutcome::NotRun(NotRunReason::Refused(FULL_STATUS)) => upstream.record_full(now),
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -7,9 +7,8 @@
 use super::answer::held_bytes::{HeldKind, YieldingRequest};
 use super::answer::held_memory::HeldMemory;
 use super::answer::refusal::{Execution, RefusalReason};
-use super::attempt::connection::ConnectionOrigin;
 use super::attempt::crash_detection::InterruptedRun;
-use super::attempt::exchange::{NotRunReason, TryOutcome};
+use super::attempt::exchange::{NotRunReason, TryOutcome, UsedConnection};
 use super::attempt::reachability::{LossEvidence, ReachChange};
 use super::attempt::upstream::Upstream;
 use super::attempt::upstream_connections::ConnectionMetrics;
@@ -60,6 +59,8 @@
     invalid_load_reports: Counter<u64>,
     connections: Counter<u64>,
     lost_services: Counter<u64>,
+    tunnels: Counter<u64>,
+    tunnel_bytes: Counter<u64>,
     store_calls: Counter<u64>,
     peer_bytes: Counter<u64>,
     received_bytes: Counter<u64>,
@@ -123,6 +124,14 @@
                 .u64_counter("gatepier_lost_services")
                 .with_description("How often no upstream of a service was reached, by service.")
                 .build(),
+            tunnels: meter
+                .u64_counter("gatepier_tunnels")
+                .with_description("Tunnels to upstreams through a box, by side and outcome.")
+                .build(),
+            tunnel_bytes: meter
+                .u64_counter("gatepier_tunnel_bytes")
+                .with_description("Bytes of upstreams relayed to other boxes.")
+                .build(),
             store_calls: meter
                 .u64_counter("gatepier_store_calls")
                 .with_description("Calls to the platform's store, by kind.")
@@ -181,7 +190,7 @@
         request: &AdmittedRequest,
         choice: &PlacementChoice,
         tried: &TryOutcome,
-        connection: Option<ConnectionOrigin>,
+        connection: Option<UsedConnection>,
         plan: AttemptPlan<'_>,
     ) {
         let outcome = match tried {
@@ -203,6 +212,8 @@
                 .record(expected.queue.as_secs_f64(), &[label]);
         }
         let report_age = expected.and_then(|expected| expected.report_age);
+        let through = connection.and_then(|used| used.through);
+        let through = through.map(|peer| peer.to_string());
         self.record_engine_speed(&listed.instance, choice.speed);
         log::info!(
             request = request.request_id.as_str(),
@@ -227,7 +238,8 @@
             speed_source = choice.speed.source.name(),
             speed_age_ms = choice.speed.age.map_or(0, millis),
             outstanding = upstream.outstanding(),
-            connection = connection.map_or("none", ConnectionOrigin::name),
+            connection = connection.map_or("none", |used| used.origin.name()),
+            through = through.as_deref().unwrap_or(""),
             rest_ms = upstream.retry_after_left(Now::read()).map_or(0, millis),
             warm_up_ms = millis(upstream.warm_up_left(Now::read())),
             limit = upstream.rate_limit().limit().map_or(String::new(), |limit| limit.to_string()).as_str();
@@ -303,6 +315,20 @@
         );
     }
 
+    /// Counts a tunnel that was served to another box, or that another box served.
+    pub fn count_tunnel(&self, side: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("side", side),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.tunnels.add(1, &labels);
+    }
+
+    /// Counts bytes of an upstream that were relayed to another box.
+    pub fn count_tunnel_bytes(&self, bytes: u64) {
+        self.tunnel_bytes.add(bytes, &[]);
+    }
+
     /// Records a request that was running at an upstream when it crashed.
     pub fn record_request_at_crash(&self, upstream: &Upstream, run: InterruptedRun) {
         let instance = upstream.with_listed(|listed| listed.instance.clone());
--- a/src/gateway/versions/recording.rs
+++ b/src/gateway/versions/recording.rs
@@ -65,7 +65,9 @@
             timer.record_failure();
             return;
         }
-        timer.record_completion(now);
+        if answer.is_direct() {
+            timer.record_completion(now);
+        }
     }
 
     /// Starts to time the events of a stream; `gaps` is the number of intervals that are timed.
