Take back retries that were not sent

What callers saw: with all connections of a box reset and new ones refused, two of six streams were cut though another box reached the engines.

Cause: a request that had run somewhere spent one retry of the box's budget on each attempt, also on those that met a refused connection, so that a box without upstreams spent its budget on nothing. The class: what one box cannot reach, taken for use of upstreams.

Change: a retry that was not sent is taken back after its attempt.

--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -115,6 +115,15 @@
     pub retry_kind: RetryReason,
 }
 
+/// What an attempt costs of the retry budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BudgetCharge {
+    /// Nothing, since the request has reached no upstream yet.
+    First,
+    /// A retry.
+    Retry,
+}
+
 /// Why no attempt was made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoAttempt {
@@ -202,9 +211,8 @@
         let choice = self.choose_upstream(gw, &candidates, &tried, plan.model, now);
         let choice = choice.ok_or_else(|| self.no_upstream_reason(gw, now))?;
         let upstream = &choice.upstream;
-        if !self.charge_retry_budget(gw, plan.retry_kind, now) {
-            return Err(NoAttempt::OutOfBudget);
-        }
+        let charge = self.charge_retry_budget(gw, plan.retry_kind, now);
+        let charge = charge.ok_or(NoAttempt::OutOfBudget)?;
         self.tries.exclude_upstream(upstream);
         upstream.record_warm_up_send(now);
         gw.count_limited_send(upstream, now);
@@ -220,6 +228,9 @@
         let timing = gw.start_response_timer(self, &choice, now);
         let (tried, connection) =
             try_upstream(&gw.connections, &gw.headers, upstream, outgoing, limits).await;
+        if charge == BudgetCharge::Retry && !tried.was_sent() {
+            gw.with_retry_window(&self.service, |window| window.take_back(now.monotonic));
+        }
         match self.route.kind.stream_gap() {
             Some(_) => gw.record_head(&tried, timing, Now::read()),
             None => *self.timing.borrow_mut() = timing,
@@ -421,18 +432,24 @@
         self.route.latency_objective.saturating_sub(elapsed)
     }
 
-    /// Charges the retry budget for an attempt; false if the budget does not allow it.
+    /// Charges the retry budget for an attempt; `None` if the budget does not allow it.
     ///
     /// The first attempt is free, and adds to the budget once.
-    fn charge_retry_budget(&self, gw: &Gateway, retry_kind: RetryReason, now: Now) -> bool {
+    fn charge_retry_budget(
+        &self,
+        gw: &Gateway,
+        retry_kind: RetryReason,
+        now: Now,
+    ) -> Option<BudgetCharge> {
         gw.with_retry_window(&self.service, |window| {
             if self.tries.sent_count() > 0 {
-                return window.try_spend(retry_kind, now);
+                let is_spent = window.try_spend(retry_kind, now);
+                return is_spent.then_some(BudgetCharge::Retry);
             }
             if self.tries.count_first_once() {
                 window.record_first(now);
             }
-            true
+            Some(BudgetCharge::First)
         })
     }
 
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -58,6 +58,20 @@
     Unknown(UnknownReason),
 }
 
+impl TryOutcome {
+    /// Returns whether the request was sent, so that it arrived or may have.
+    pub fn was_sent(&self) -> bool {
+        !matches!(
+            self,
+            Self::NotRun(
+                NotRunReason::NoConnection(_)
+                    | NotRunReason::ConnectionRejected(_)
+                    | NotRunReason::Unavailable
+            )
+        )
+    }
+}
+
 /// Why a request certainly did not run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum NotRunReason {
--- a/src/gateway/attempt/retries.rs
+++ b/src/gateway/attempt/retries.rs
@@ -90,6 +90,14 @@
         has_budget
     }
 
+    /// Takes back a retry that was spent at a time but never sent.
+    pub fn take_back(&mut self, spent_at: Duration) {
+        let spent = self.retries.iter().rposition(|time| *time == spent_at);
+        if let Some(index) = spent {
+            self.retries.remove(index);
+        }
+    }
+
     /// Returns whether the budget allows a retry now.
     pub fn has_budget(&mut self, reason: RetryReason, now: Now) -> bool {
         let allowed = self.allowed(reason, now);
--- a/src/gateway/attempt/tries.rs
+++ b/src/gateway/attempt/tries.rs
@@ -20,14 +20,7 @@
 impl TryHistory {
     /// Records the outcome of a try.
     pub fn record(&self, outcome: &TryOutcome) {
-        if !matches!(
-            outcome,
-            TryOutcome::NotRun(
-                NotRunReason::NoConnection(_)
-                    | NotRunReason::ConnectionRejected(_)
-                    | NotRunReason::Unavailable
-            )
-        ) {
+        if outcome.was_sent() {
             self.sent_count.set(self.sent_count.get() + 1);
         }
         match outcome {
--- a/tests/gateway/retries.rs
+++ b/tests/gateway/retries.rs
@@ -54,6 +54,20 @@
         expect_that!(spend(&mut window, RetryReason::Failure, 0), le(8));
     }
 
+    // Guards against a box that spends its budget on upstreams which it cannot reach.
+    retries_that_were_not_sent_cost_nothing => {
+        let mut window = window();
+        for millis in 0..1000 {
+            expect_that!(window.try_spend(RetryReason::Failure, at(millis)), eq(true));
+            window.take_back(at(millis).monotonic);
+        }
+        let before = spend(&mut window, RetryReason::Failure, 1000);
+        // What was sent stays spent, whatever else is taken back.
+        window.take_back(at(5000).monotonic);
+        expect_that!(spend(&mut window, RetryReason::Failure, 1000), eq(0));
+        expect_that!(before, ge(1));
+    }
+
     escalations_leave_budget_for_failures => {
         let mut window = window();
         for millis in 0..100 {
