Routers: a crash needs another upstream that accepts connections

What callers would see: a router whose box loses its links to all upstreams takes each refused connection for a crash, and after three of them every router sends the requests that ran there once, as a trial, and refuses others.

Cause: the same confusion as in the boxes of the gateway: what one process sees of its own network was taken for the state of the upstream. Routers cannot ask each other, so the check asks up to four other listed upstreams for a connection; if none accepts one, nobody is blamed.

`unreachable_upstreams::partitioned_router_blames_no_request_for_crashes` failed before (six of six runs "Crashed") and passes; the two tests of requests that do crash their upstreams pass as before.

--- a/src/router/crash_guard.rs
+++ b/src/router/crash_guard.rs
@@ -4,6 +4,7 @@
 //! `docs/design/quarantine.md`.
 
 use super::context::{RouterShared, refuse};
+use crate::box_list::AGENT_SERVICE;
 use crate::clock::Now;
 use crate::crash_ledger::{
     CrashCheckResult, CrashLedger, CrashRecord, CrashRole, IncarnationHash, QuarantineState,
@@ -11,6 +12,8 @@
 use crate::fingerprint::Fingerprint;
 use crate::outcome::{DispatchLog, Reason, Refused};
 use crate::routing::placement::Upstream;
+
+use futures::future::select_ok;
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
@@ -26,6 +29,8 @@
 const CONNECT_CHECK_DELAY: Duration = Duration::from_millis(15);
 /// The longest wait for the connection of that check.
 const CONNECT_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// How many other upstreams are asked for a connection if one refuses it.
+const MAX_COMPARED_UPSTREAMS: usize = 4;
 /// The most records in one report to the agent.
 const MAX_RECORDS_PER_REPORT: usize = 64;
 
@@ -128,7 +133,7 @@
     pub async fn check_for_crash(&self, upstream: &str, address: SocketAddr) {
         let was_on_trial = self.on_trial.take();
         sleep(CONNECT_CHECK_DELAY).await;
-        let result = CrashCheckResult::from_connect_result(&try_connect(address).await);
+        let result = self.check_upstream(address).await;
         let now = Now::read();
         let fingerprint = self.request.to_string();
         let fingerprint = fingerprint.as_str();
@@ -154,6 +159,38 @@
         }
     }
 
+    /// Finds out whether an upstream has crashed.
+    ///
+    /// A refusal may come from a partition of this box, so another upstream has to accept a
+    /// connection, if any is listed.
+    async fn check_upstream(&self, address: SocketAddr) -> CrashCheckResult {
+        match CrashCheckResult::from_connect_result(&try_connect(address).await) {
+            CrashCheckResult::Crashed if !self.reaches_another_upstream(address).await => {
+                CrashCheckResult::Unreachable
+            }
+            result => result,
+        }
+    }
+
+    async fn reaches_another_upstream(&self, address: SocketAddr) -> bool {
+        let snapshot = self.shared.snapshot.load_full();
+        let is_upstream = |service: &&String| *service != AGENT_SERVICE;
+        let services = snapshot.upstreams.iter();
+        let listed = services.filter(|(service, _)| is_upstream(service));
+        let addresses = listed
+            .flat_map(|(_, upstreams)| upstreams)
+            .map(|found| found.address);
+        let mut others: Vec<SocketAddr> = addresses.filter(|other| *other != address).collect();
+        if others.is_empty() {
+            return true;
+        }
+        // Different requests ask different upstreams.
+        others.sort_by_key(|other| incarnation_hash(&self.request.to_string(), *other));
+        others.truncate(MAX_COMPARED_UPSTREAMS);
+        let connecting = others.into_iter().map(|other| Box::pin(try_connect(other)));
+        select_ok(connecting).await.is_ok()
+    }
+
     /// Records that the request was answered completely.
     pub fn record_answered(&self, now: Now) {
         if self.shared.crash_suspects.ledger().is_empty() {
