A refusal is compared with other upstreams before an upstream counts as crashed

What callers would see: where two boxes of a hall were cut off together, requests that had run there were suspected of crashing their upstreams, and were refused or sent only as trials at all boxes for a moment.

Cause: a refusal was held against the upstream once another box of its hall was refused as well, but that box was cut off too and did not know it yet. The class is the same: two boxes that share a fault are no two witnesses.

Change: whoever judges a refusal connects to other upstreams of the same hall at that moment; only if one accepts it, the upstream itself refuses. So do the boxes that are asked. A box whose own comparison succeeds asks nobody.

--- a/src/gateway/attempt/crash_detection.rs
+++ b/src/gateway/attempt/crash_detection.rs
@@ -1,8 +1,8 @@
 //! Detects whether an upstream crashed when runs at it were interrupted.
 //!
 //! A broken connection alone is no proof: connections get reset, and halls get cut off from the
-//! network. If the upstream's address refuses a new connection right afterwards, and another box that
-//! asks as well, its process is gone, and any of the requests that ran there may be the cause.
+//! network. If the upstream's address refuses a new connection right afterwards while others accept
+//! one, its process is gone, and any of the requests that ran there may be the cause.
 
 use super::upstream::Upstream;
 use super::upstream_paths::{ConnectError, ProbeWay};
@@ -11,7 +11,8 @@
 use crate::fingerprint::Fingerprint;
 use crate::gateway::Gateway;
 use crate::gateway::control::store::UpstreamLife;
-use crate::gateway::peers::tunnel_client::{PeerChoice, PeerFailure, TunnelError, TunnelTarget};
+use crate::gateway::peers::tunnel_client::{TunnelError, TunnelTarget};
+use futures::future::select_ok;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -23,6 +24,8 @@
 /// Delay between an interrupted run and the connection check of its upstream: a process that ends
 /// closes its connections and its listening socket one after the other.
 const CHECK_DELAY: Duration = Duration::from_millis(15);
+/// How many other upstreams are asked for a connection if one refuses it.
+const MAX_COMPARED_UPSTREAMS: usize = 3;
 /// How long interrupted runs are kept so that they can be attributed to a crash: the other runs of
 /// the same crash are noticed within the time that a lost TCP reset takes to be sent again.
 const INTERRUPTED_RUN_RETENTION: Duration = Duration::from_secs(2);
@@ -178,11 +181,10 @@
 impl Gateway {
     /// Finds out whether an upstream has crashed.
     ///
-    /// A refusal may come from a fault of this box's own network, so that another box is asked as
-    /// well.
+    /// A refusal may come from a fault of this box's own network, so that another upstream has to
+    /// accept a connection, or another box has to be refused as well.
     async fn check_for_crash(&self, upstream: &Rc<Upstream>, now: Now) -> CrashCheckResult {
-        let (service, hall) =
-            upstream.with_listed(|listed| (listed.service.clone(), listed.hall.clone()));
+        let service = upstream.with_listed(|listed| listed.service.clone());
         if !self.connections.is_lost(&service, now) {
             match self.connections.open_by(upstream, ProbeWay::Direct).await {
                 Ok(connection) => {
@@ -194,6 +196,7 @@
                 {
                     return CrashCheckResult::Unreachable;
                 }
+                Err(_) if self.reaches_beside(upstream).await => return CrashCheckResult::Crashed,
                 Err(_) => {}
             }
         }
@@ -201,32 +204,54 @@
             upstream: upstream.short_hash(),
             service: &service,
         };
-        self.ask_for_crash(target, &hall).await
+        match self.connections.tunnels().open(target, Now::read()).await {
+            Ok(_) => CrashCheckResult::Alive,
+            Err(TunnelError::Refused) => CrashCheckResult::Crashed,
+            // Nobody else can tell, and there is nothing to compare with.
+            Err(TunnelError::NoPeer(None)) if self.upstreams_beside(upstream).is_empty() => {
+                CrashCheckResult::Crashed
+            }
+            Err(_) => CrashCheckResult::Unreachable,
+        }
     }
 
-    /// Asks boxes of the upstream's hall first, since few faults of the network lie between them.
-    async fn ask_for_crash(&self, target: TunnelTarget<'_>, hall: &str) -> CrashCheckResult {
-        let tunnels = self.connections.tunnels();
-        let is_other_hall = self.settings().hall != hall;
-        for choice in [PeerChoice::OfHall(hall), PeerChoice::Any] {
-            match tunnels.open(target, choice, Now::read()).await {
-                Ok(_) => return CrashCheckResult::Alive,
-                Err(TunnelError::Refused) => return CrashCheckResult::Crashed,
-                Err(TunnelError::Unanswered | TunnelError::NotListed) => {
-                    return CrashCheckResult::Unreachable;
-                }
-                // The hall may be cut off.
-                Err(TunnelError::NoPeer(Some(PeerFailure::Unreachable)))
-                    if is_other_hall && choice != PeerChoice::Any =>
-                {
-                    return CrashCheckResult::Unreachable;
-                }
-                Err(TunnelError::NoPeer(_)) => {}
-            }
+    /// Returns whether a refusal that this box got for another one comes from the upstream, as far as
+    /// it can be compared with others.
+    pub async fn confirms_refusal(&self, upstream: &Upstream) -> bool {
+        self.upstreams_beside(upstream).is_empty() || self.reaches_beside(upstream).await
+    }
+
+    /// Returns whether this box can connect to other upstreams of the same hall, so that one that
+    /// refuses a connection does so itself.
+    async fn reaches_beside(&self, upstream: &Upstream) -> bool {
+        let others = self.upstreams_beside(upstream);
+        let connecting = others
+            .iter()
+            .map(|other| Box::pin(self.connections.connect_directly(other)));
+        match others.is_empty() {
+            true => false,
+            false => select_ok(connecting).await.is_ok(),
         }
-        match self.connections.is_lost(target.service, Now::read()) {
-            true => CrashCheckResult::Unreachable,
-            false => CrashCheckResult::Crashed,
+    }
+
+    /// Returns the upstreams to compare one with: of the same hall if there are any, and by preference
+    /// those that have not failed lately.
+    fn upstreams_beside(&self, upstream: &Upstream) -> Vec<Rc<Upstream>> {
+        let hall = upstream.with_listed(|listed| listed.hall.clone());
+        let now = Now::read();
+        let knowledge = self.knowledge.borrow();
+        let is_other = |other: &&Rc<Upstream>| {
+            other.incarnation() != upstream.incarnation()
+                && knowledge.is_serving(other.incarnation())
+        };
+        let mut others: Vec<Rc<Upstream>> =
+            knowledge.upstreams().filter(is_other).cloned().collect();
+        let is_elsewhere = |other: &Upstream| other.with_listed(|listed| listed.hall != hall);
+        if others.iter().any(|other| !is_elsewhere(other)) {
+            others.retain(|other| !is_elsewhere(other));
         }
+        others.sort_by_key(|other| self.connections.has_failed_lately(other, now));
+        others.truncate(MAX_COMPARED_UPSTREAMS);
+        others
     }
 }
--- a/src/gateway/attempt/upstream_paths.rs
+++ b/src/gateway/attempt/upstream_paths.rs
@@ -7,9 +7,7 @@
 use super::upstream::Upstream;
 use super::upstream_stream::{ConnectionPath, UpstreamStream};
 use crate::clock::Now;
-use crate::gateway::peers::tunnel_client::{
-    PeerChoice, PeerFailure, TunnelError, TunnelTarget, Tunnels,
-};
+use crate::gateway::peers::tunnel_client::{PeerFailure, TunnelError, TunnelTarget, Tunnels};
 use crate::gateway::peers::tunnel_stream::TunnelStream;
 use futures::future::{LocalBoxFuture, select_ok};
 use std::fmt;
@@ -121,10 +119,7 @@
             upstream: upstream.short_hash(),
             service: &service,
         };
-        let opened = self
-            .tunnels
-            .open(target, PeerChoice::Any, Now::read())
-            .await;
+        let opened = self.tunnels.open(target, Now::read()).await;
         self.count_tunnel(&opened);
         Ok(UpstreamStream::Tunnel(opened?))
     }
--- a/src/gateway/peers/tunnel_client.rs
+++ b/src/gateway/peers/tunnel_client.rs
@@ -142,24 +142,6 @@
     }
 }
 
-/// Which boxes may be asked for a tunnel.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PeerChoice<'a> {
-    /// Any, by preference those of the own hall.
-    Any,
-    /// Those of a hall.
-    OfHall(&'a str),
-}
-
-impl PeerChoice<'_> {
-    fn includes(self, peer: &TunnelPeer) -> bool {
-        match self {
-            Self::Any => true,
-            Self::OfHall(hall) => peer.hall == hall,
-        }
-    }
-}
-
 /// The upstream to which a tunnel leads.
 #[derive(Debug, Clone, Copy)]
 pub struct TunnelTarget<'a> {
@@ -196,24 +178,23 @@
 
     /// Returns whether some box may be asked for a tunnel to a service now.
     pub fn has_usable_peer(&self, service: &str, now: Now) -> bool {
-        !self.ranked_peers(service, PeerChoice::Any, now).is_empty()
+        !self.ranked_peers(service, now).is_empty()
     }
 
     /// Opens a connection to an upstream through another box.
     pub async fn open(
         &self,
         target: TunnelTarget<'_>,
-        choice: PeerChoice<'_>,
         now: Now,
     ) -> Result<TunnelStream, TunnelError> {
-        let peers = self.ranked_peers(target.service, choice, now);
+        let peers = self.ranked_peers(target.service, now);
         for peer in peers.into_iter().take(MAX_PEERS_ASKED) {
             match self.open_through(peer, target).await {
                 Err(TunnelError::NoPeer(_)) => {}
                 result => return result,
             }
         }
-        let failure = self.last_failure_of(choice, target.service, Now::read());
+        let failure = self.last_failure(target.service, Now::read());
         Err(TunnelError::NoPeer(failure))
     }
 
@@ -252,31 +233,15 @@
 
     /// Returns why the box that was asked last did not help with a service.
     pub fn last_failure(&self, service: &str, now: Now) -> Option<PeerFailure> {
-        self.last_failure_of(PeerChoice::Any, service, now)
-    }
-
-    fn last_failure_of(
-        &self,
-        choice: PeerChoice<'_>,
-        service: &str,
-        now: Now,
-    ) -> Option<PeerFailure> {
-        let peers = self.peers.borrow();
-        let is_chosen = |address: SocketAddr| {
-            let mut peers = peers.iter();
-            peers.any(|peer| peer.address == address && choice.includes(peer))
-        };
         let pauses = self.pauses.borrow();
-        let recent = pauses
-            .iter()
-            .filter(|pause| pause.applies(service, now) && is_chosen(pause.peer));
+        let recent = pauses.iter().filter(|pause| pause.applies(service, now));
         recent
             .max_by_key(|pause| pause.until)
             .map(|pause| pause.failure)
     }
 
     /// Returns the boxes to ask, in this order.
-    fn ranked_peers(&self, service: &str, choice: PeerChoice<'_>, now: Now) -> Vec<SocketAddr> {
+    fn ranked_peers(&self, service: &str, now: Now) -> Vec<SocketAddr> {
         let (peers, sessions) = (self.peers.borrow(), self.sessions.borrow());
         let pauses = self.pauses.borrow();
         let is_paused = |peer: &TunnelPeer| {
@@ -289,10 +254,7 @@
                 .get(&peer.address)
                 .map_or(0, |session| session.open_tunnels.get()),
         };
-        let usable = peers
-            .iter()
-            .filter(|peer| choice.includes(peer) && !is_paused(peer))
-            .map(use_of);
+        let usable = peers.iter().filter(|peer| !is_paused(peer)).map(use_of);
         rank_peers(usable.collect(), &self.own_hall.borrow())
     }
 }
--- a/src/gateway/peers/tunnel_server.rs
+++ b/src/gateway/peers/tunnel_server.rs
@@ -118,12 +118,13 @@
     if gw.connections.is_lost_for_certain(&service, Now::read()) {
         return Err(status::LOST);
     }
-    let opened = gw.connections.connect_directly(&upstream).await;
-    opened.map_err(|err| match err.kind() {
-        io::ErrorKind::ConnectionRefused => status::REFUSED,
-        _ if gw.connections.is_lost_for_certain(&service, Now::read()) => status::LOST,
-        _ => status::UNANSWERED,
-    })
+    match gw.connections.connect_directly(&upstream).await {
+        Ok(stream) => Ok(stream),
+        Err(err) if err.kind() != io::ErrorKind::ConnectionRefused => Err(status::UNANSWERED),
+        Err(_) if gw.confirms_refusal(&upstream).await => Err(status::REFUSED),
+        // The refusal may come from this box's own network.
+        Err(_) => Err(status::LOST),
+    }
 }
 
 fn is_registered(gw: &Gateway, from: IpAddr) -> bool {
