Log all shared parts of a prompt, and whether an answer had begun at a crash

The logs named the last shared part only, so that a part at the beginning of prompts could not be seen, and did not tell runs that had not begun from those that broke off beside them. No decision changes.

--- a/src/gateway/admit/prompt.rs
+++ b/src/gateway/admit/prompt.rs
@@ -5,9 +5,9 @@
 /// What placement needs to know about a prompt.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Prompt {
-    /// The id of the last part that other requests share, which names the shared prefix.
-    pub shared_part_id: Option<String>,
-    /// The number of tokens up to the end of that part.
+    /// The ids of the parts that other requests share, from the beginning of the prompt.
+    pub shared_parts: Vec<String>,
+    /// The number of tokens of these parts.
     pub shared_tokens: u64,
     /// The number of tokens of the whole prompt.
     pub tokens: u64,
@@ -25,13 +25,18 @@
         tokens * (1.0 + tokens / ATTENTION_PARITY_TOKENS)
     }
 
+    /// Returns the id of the last shared part, which names the shared prefix.
+    pub fn last_shared_part(&self) -> Option<&str> {
+        self.shared_parts.last().map(String::as_str)
+    }
+
     /// Parses the header that lists a prompt's parts; the last part belongs to this request alone.
     pub fn parse(parts: Option<&str>) -> Self {
         let parts = parse_prompt_parts(parts.unwrap_or_default());
         let tokens = parts.iter().map(|part| part.tokens).sum();
         let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
         Self {
-            shared_part_id: shared.last().map(|part| part.id.clone()),
+            shared_parts: shared.iter().map(|part| part.id.clone()).collect(),
             shared_tokens: shared.iter().map(|part| part.tokens).sum(),
             tokens,
         }
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -84,6 +84,8 @@
     pub router_chooses_model: bool,
     /// The attempts so far, and what they prove.
     pub tries: TryHistory,
+    /// When the current run's answer began: its first event, or its first bytes if it is no stream.
+    pub answer_began: Cell<Option<Duration>>,
     /// Its trial, if it may have crashed upstreams.
     pub trial: Cell<QuarantineTrial>,
     /// The latency measurement of a buffered response, while one runs.
@@ -226,6 +228,7 @@
             .push_if_long(&gw.incarnation, upstream, limits.prefill);
         let outgoing = self.build_outgoing(gw, &choice, plan, now);
         let timing = gw.start_response_timer(self, &choice, now);
+        self.answer_began.set(None);
         let (tried, connection) =
             try_upstream(&gw.connections, &gw.headers, upstream, outgoing, limits).await;
         if charge == BudgetCharge::Retry && !tried.was_sent() {
@@ -284,6 +287,12 @@
         self.trial.get() == QuarantineTrial::Open
     }
 
+    /// Returns how long ago the current run's answer began, if it has.
+    fn answered_for(&self, now: Now) -> Option<Duration> {
+        let began = self.answer_began.get()?;
+        Some(now.monotonic.saturating_sub(began))
+    }
+
     /// Records that a run of the request broke off, which ends its trial.
     pub fn record_broken_run(&self, gw: &Gateway, upstream: &Rc<Upstream>, now: Now) {
         let role = match self.is_on_trial() {
@@ -291,8 +300,10 @@
             false => CrashRole::Concurrent,
         };
         let run = InterruptedRun {
+            request_id: self.request_id.clone(),
             request: self.fingerprint,
             role,
+            answered_for: self.answered_for(now),
         };
         gw.record_interrupted_run(run, upstream, now);
         self.finish_trial();
@@ -338,7 +349,7 @@
     /// Returns the key of the prompt's shared prefix. It contains the model, since engines cache
     /// what they have read by model.
     fn shared_prefix_key(&self, model: Option<&str>) -> Option<String> {
-        let part = self.prompt.shared_part_id.as_ref()?;
+        let part = self.prompt.last_shared_part()?;
         Some(format!("{part} {}", model.unwrap_or_default()))
     }
 
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -142,6 +142,7 @@
         router_chooses_model,
         route,
         tries: TryHistory::default(),
+        answer_began: Default::default(),
         trial: Default::default(),
         timing: Default::default(),
     })
--- a/src/gateway/answer/piece_relay.rs
+++ b/src/gateway/answer/piece_relay.rs
@@ -58,6 +58,8 @@
         answer: Answer,
         first: Bytes,
     ) -> Self {
+        let began = Now::read().monotonic;
+        request.answer_began.set(Some(began));
         Self {
             gw: gw.clone(),
             request: request.clone(),
--- a/src/gateway/attempt/crash_detection.rs
+++ b/src/gateway/attempt/crash_detection.rs
@@ -47,12 +47,16 @@
 }
 
 /// A run of a request whose connection broke before the answer was complete.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InterruptedRun {
+    /// The id of this send of the request.
+    pub request_id: String,
     /// The request.
     pub request: Fingerprint,
     /// Its role in the crash, if the upstream did crash.
     pub role: CrashRole,
+    /// How long before the interruption the answer had begun, if it had.
+    pub answered_for: Option<Duration>,
 }
 
 /// The work that is due: upstreams to check, and crashes to record.
@@ -144,7 +148,7 @@
             return;
         }
         for run in runs {
-            self.telemetry.record_request_at_crash(upstream, *run);
+            self.telemetry.record_request_at_crash(upstream, run);
             let incarnation = upstream.short_hash();
             self.quarantine
                 .record_crash(incarnation, run.request, run.role, now);
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -224,7 +224,7 @@
             version = listed.version.as_str(),
             model = plan.model.unwrap_or(""),
             session = request.session_id.as_str(),
-            shared = request.prompt.shared_part_id.as_deref().unwrap_or(""),
+            parts = request.prompt.shared_parts.join(" ").as_str(),
             after_event = plan.resume_after.unwrap_or(""),
             attempt = request.tries.sent_count(),
             ahead_ms = millis(choice.queue_wait),
@@ -330,11 +330,13 @@
     }
 
     /// Records a request that was running at an upstream when it crashed.
-    pub fn record_request_at_crash(&self, upstream: &Upstream, run: InterruptedRun) {
+    pub fn record_request_at_crash(&self, upstream: &Upstream, run: &InterruptedRun) {
         let instance = upstream.with_listed(|listed| listed.instance.clone());
         log::warn!(
+            request = run.request_id.as_str(),
             upstream = instance.as_str(),
             fingerprint = run.request.to_string().as_str(),
+            answered_ms = optional_millis(run.answered_for),
             on_trial = run.role == CrashRole::OnTrial;
             "this request was running at an upstream when it crashed"
         );
