Withhold requests with a part of the prompt that crashes engines

A request was tracked by its own fingerprint only, so each began at no crashes. In the recorded logs one part was in 17 of the requests that broke off before their answers began, of ten fingerprints, and none of them was answered.

The ledger now tracks the shared parts of prompts as it does requests, by records from all boxes. A part counts where a run broke off before its answer had gone on for 250 ms, and is cleared by any answer that does. A crash on trial withholds the requests that contain all its likely causes, until a later trial.

--- a/src/gateway/admit/prompt.rs
+++ b/src/gateway/admit/prompt.rs
@@ -1,5 +1,6 @@
 //! The parts of a prompt that guide placement.
 
+use crate::fingerprint::Fingerprint;
 use crate::gateway::attempt::headers::parse_prompt_parts;
 
 /// What placement needs to know about a prompt.
@@ -25,6 +26,12 @@
         tokens * (1.0 + tokens / ATTENTION_PARITY_TOKENS)
     }
 
+    /// Returns the fingerprints of the shared parts, for a service.
+    pub fn part_fingerprints(&self, service: &str) -> Vec<Fingerprint> {
+        let parts = self.shared_parts.iter();
+        parts.map(|id| Fingerprint::of_part(service, id)).collect()
+    }
+
     /// Returns the id of the last shared part, which names the shared prefix.
     pub fn last_shared_part(&self) -> Option<&str> {
         self.shared_parts.last().map(String::as_str)
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -5,7 +5,7 @@
 use super::routes::{Organisation, Route};
 use crate::clock::Now;
 use crate::crash_ledger::{CrashRole, QuarantineState};
-use crate::fingerprint::Fingerprint;
+use crate::fingerprint::{Fingerprint, RequestFingerprints};
 use crate::gateway::Gateway;
 use crate::gateway::answer::held_memory::RequestAccount;
 use crate::gateway::answer::refusal::Execution;
@@ -41,14 +41,19 @@
 /// How much earlier than the router an upstream has to give up, so that its own final response
 /// still gets through.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
+/// How long an answer has to have gone on until no part of the prompt can crash the upstream any
+/// more: it would have done so when the answer began.
+const PART_CLEARED_AFTER: Duration = Duration::from_millis(250);
+/// The longest wait for the check whether an upstream has crashed, before the next is tried.
+const MAX_CRASH_CHECK_WAIT: Duration = Duration::from_millis(100);
 
 /// A request that was admitted, and the state of its attempts.
 #[derive(Debug)]
 pub struct AdmittedRequest {
     /// The id that the caller gave this send of the request.
     pub request_id: String,
-    /// Identifies the request across sends: a repeated send has the same fingerprint.
-    pub fingerprint: Fingerprint,
+    /// Identify the request across sends, and the parts of its prompt that other requests share.
+    pub fingerprints: RequestFingerprints,
     /// The route that it matched.
     pub route: Arc<Route>,
     /// The version of the configuration that the route belongs to.
@@ -86,20 +91,25 @@
     pub tries: TryHistory,
     /// When the current run's answer began: its first event, or its first bytes if it is no stream.
     pub answer_began: Cell<Option<Duration>>,
+    /// Whether the current run has shown that no part of the prompt crashes its upstream.
+    pub parts_cleared: Cell<bool>,
     /// Its trial, if it may have crashed upstreams.
-    pub trial: Cell<QuarantineTrial>,
+    pub trial: RefCell<QuarantineTrial>,
+    /// The upstream at which a run broke off before its answer had begun, until the next attempt.
+    pub interrupted_at: RefCell<Option<UpstreamLife>>,
     /// The latency measurement of a buffered response, while one runs.
     pub timing: RefCell<Option<ResponseTimer>>,
 }
 
-/// The trial of a request that ran at several upstreams when they crashed: it may run once more.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+/// The trial of a request that ran, or a part of which was present, at several upstreams when they
+/// crashed: it may run once more.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub enum QuarantineTrial {
     /// It is not on trial.
     #[default]
     None,
-    /// The trial run is allowed and has not ended.
-    Open,
+    /// The trial run of these is allowed and has not ended.
+    Open(Vec<Fingerprint>),
     /// The trial run ended without a response; whether its upstream crashed is being checked.
     Finished,
 }
@@ -143,6 +153,8 @@
     OutOfTime,
     /// The request crashes the upstreams that run it.
     Quarantined,
+    /// A part of its prompt crashes upstreams, and is tried again after this time at the earliest.
+    PartQuarantined(Duration),
     /// The request may have crashed upstreams, and another send of it is on trial for at most this
     /// long.
     OnTrial(Duration),
@@ -200,13 +212,15 @@
         if left <= DEADLINE_MARGIN {
             return Err(NoAttempt::OutOfTime);
         }
+        self.wait_for_crash_check(gw, left).await;
+        let now = Now::read();
         self.check_quarantine(gw, now)?;
         self.check_reach(gw, now)?;
         let mut candidates = gw.candidates(&self.service, &self.session_id, now);
         gw.connections.set_listed(&self.service, candidates.len());
         let tried = self.tries.tried_upstreams();
         if self.is_on_trial() {
-            let seed = stable_hash(&self.fingerprint.to_string());
+            let seed = stable_hash(&self.fingerprints.own.to_string());
             let chosen = choose_for_trial(&candidates, &tried, seed, now);
             candidates = chosen.into_iter().collect();
         }
@@ -229,6 +243,7 @@
         let outgoing = self.build_outgoing(gw, &choice, plan, now);
         let timing = gw.start_response_timer(self, &choice, now);
         self.answer_began.set(None);
+        self.parts_cleared.set(false);
         let (tried, connection) =
             try_upstream(&gw.connections, &gw.headers, upstream, outgoing, limits).await;
         if charge == BudgetCharge::Retry && !tried.was_sent() {
@@ -261,30 +276,48 @@
         }
     }
 
+    /// Waits until it is known whether the upstream at which the last run broke off has crashed, if
+    /// the prompt has parts that may be the cause: the next upstream would crash as well.
+    async fn wait_for_crash_check(&self, gw: &Gateway, left: Duration) {
+        let interrupted_at = self.interrupted_at.take();
+        if let Some(incarnation) = interrupted_at.filter(|_| !self.fingerprints.parts.is_empty()) {
+            let checked = gw.crashes.wait_until_checked(&incarnation);
+            let limit = MAX_CRASH_CHECK_WAIT.min(left);
+            // Whatever is known then decides.
+            let _ = tokio::time::timeout(limit, checked).await;
+        }
+    }
+
     /// Decides whether a request that may have crashed upstreams may be sent; begins its trial if
     /// it has to prove itself.
     fn check_quarantine(&self, gw: &Gateway, now: Now) -> Result<(), NoAttempt> {
-        match (gw.quarantine.state(self.fingerprint, now), self.trial.get()) {
-            (QuarantineState::Clear, _) => Ok(()),
-            (QuarantineState::Quarantined, _) => Err(NoAttempt::Quarantined),
+        let state = gw.quarantine.state(&self.fingerprints, now);
+        match state {
+            QuarantineState::Clear => return Ok(()),
             // This request holds the trial, and no upstream has run it yet.
-            (QuarantineState::Suspect | QuarantineState::OnTrial(_), QuarantineTrial::Open) => {
-                Ok(())
+            QuarantineState::Suspect | QuarantineState::OnTrial(_) if self.is_on_trial() => {
+                return Ok(());
             }
-            (QuarantineState::Suspect, QuarantineTrial::None | QuarantineTrial::Finished) => {
-                gw.quarantine.begin_trial(self.fingerprint, now);
-                self.trial.set(QuarantineTrial::Open);
-                Ok(())
-            }
-            (QuarantineState::OnTrial(left), QuarantineTrial::None | QuarantineTrial::Finished) => {
-                Err(NoAttempt::OnTrial(left))
+            QuarantineState::Suspect => {
+                let on_trial = gw.quarantine.begin_trial(&self.fingerprints, now);
+                gw.telemetry.record_quarantine(self, state);
+                self.trial.replace(QuarantineTrial::Open(on_trial));
+                return Ok(());
             }
+            QuarantineState::OnTrial(_)
+            | QuarantineState::Quarantined
+            | QuarantineState::PartQuarantined(_) => gw.telemetry.record_quarantine(self, state),
         }
+        Err(match state {
+            QuarantineState::OnTrial(left) => NoAttempt::OnTrial(left),
+            QuarantineState::PartQuarantined(left) => NoAttempt::PartQuarantined(left),
+            _ => NoAttempt::Quarantined,
+        })
     }
 
     /// Returns whether the request is on trial because upstreams crashed while they ran it.
     pub fn is_on_trial(&self) -> bool {
-        self.trial.get() == QuarantineTrial::Open
+        matches!(*self.trial.borrow(), QuarantineTrial::Open(_))
     }
 
     /// Returns how long ago the current run's answer began, if it has.
@@ -293,32 +326,82 @@
         Some(now.monotonic.saturating_sub(began))
     }
 
+    /// Returns whether the current run has been answered for so long that no part of the prompt
+    /// crashes the upstream.
+    fn has_passed_parts(&self, now: Now) -> bool {
+        self.answered_for(now)
+            .is_some_and(|answered| answered >= PART_CLEARED_AFTER)
+    }
+
+    /// Records that an answer has begun, or gone on.
+    pub fn record_answer_progress(&self, gw: &Gateway, now: Now) {
+        if self.answer_began.get().is_none() {
+            self.answer_began.set(Some(now.monotonic));
+        }
+        if self.has_passed_parts(now) && !self.parts_cleared.replace(true) {
+            self.clear_parts(gw, now);
+        }
+    }
+
+    /// Records a whole answer of success, which clears the request and the parts of its prompt.
+    pub fn record_whole_answer(&self, gw: &Gateway, now: Now) {
+        self.record_answered(gw, now);
+        if !self.parts_cleared.replace(true) {
+            self.clear_parts(gw, now);
+        }
+    }
+
+    /// Records a whole answer of any kind, which clears the request.
+    pub fn record_answered(&self, gw: &Gateway, now: Now) {
+        gw.quarantine.record_answer(self.fingerprints.own, now);
+    }
+
+    fn clear_parts(&self, gw: &Gateway, now: Now) {
+        for part in &self.fingerprints.parts {
+            gw.quarantine.record_answer(*part, now);
+        }
+    }
+
     /// Records that a run of the request broke off, which ends its trial.
     pub fn record_broken_run(&self, gw: &Gateway, upstream: &Rc<Upstream>, now: Now) {
-        let role = match self.is_on_trial() {
-            true => CrashRole::OnTrial,
-            false => CrashRole::Concurrent,
-        };
+        let has_passed_parts = self.has_passed_parts(now);
+        let fingerprints = self.fingerprints.iter();
+        let subjects = fingerprints
+            .filter(|found| *found == self.fingerprints.own || !has_passed_parts)
+            .map(|found| (found, self.role_of(found)));
         let run = InterruptedRun {
             request_id: self.request_id.clone(),
-            request: self.fingerprint,
-            role,
+            request: self.fingerprints.own,
+            subjects: subjects.collect(),
             answered_for: self.answered_for(now),
         };
         gw.record_interrupted_run(run, upstream, now);
+        if !has_passed_parts {
+            self.interrupted_at
+                .replace(Some(upstream.incarnation().clone()));
+        }
         self.finish_trial();
     }
 
+    fn role_of(&self, subject: Fingerprint) -> CrashRole {
+        match &*self.trial.borrow() {
+            QuarantineTrial::Open(on_trial) if on_trial.contains(&subject) => CrashRole::OnTrial,
+            _ => CrashRole::Concurrent,
+        }
+    }
+
     /// Gives up a trial that was never run, so that another send of the request can take it.
     pub fn release_trial(&self, gw: &Gateway, now: Now) {
-        if self.is_on_trial() {
-            gw.quarantine.end_trial(self.fingerprint, now);
+        if let QuarantineTrial::Open(on_trial) = &*self.trial.borrow() {
+            for subject in on_trial {
+                gw.quarantine.end_trial(*subject, now);
+            }
         }
     }
 
     fn finish_trial(&self) {
         if self.is_on_trial() {
-            self.trial.set(QuarantineTrial::Finished);
+            self.trial.replace(QuarantineTrial::Finished);
         }
     }
 
--- a/src/gateway/admit/room.rs
+++ b/src/gateway/admit/room.rs
@@ -350,7 +350,7 @@
                 Execution::Possible => CallerHistory::Returned,
                 Execution::Never => self.caller,
             },
-            draw: (stable_hash(&self.fingerprint.to_string()) & 0xff) as u8,
+            draw: (stable_hash(&self.fingerprints.own.to_string()) & 0xff) as u8,
             standing: Standing::default(),
         };
         inputs.standing = self.standing(gw, &inputs, now);
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -6,7 +6,7 @@
 use super::routes::{Caller, Route, RouteTable};
 use super::wait_queue::Urgency;
 use crate::clock::Now;
-use crate::fingerprint::{Fingerprint, RequestIdentity};
+use crate::fingerprint::{Fingerprint, RequestFingerprints, RequestIdentity};
 use crate::gateway::answer::buffered::{self, BufferedResponse, RelayedAnswer};
 use crate::gateway::answer::held_body::HeldBody;
 use crate::gateway::answer::held_bytes::{HeldKind, HolderUrgency, NoRoom};
@@ -115,7 +115,7 @@
         false => CallerHistory::New,
     };
     let target = target_of(req);
-    let fingerprint = Fingerprint::of(RequestIdentity {
+    let own = Fingerprint::of(RequestIdentity {
         caller: organisation.as_ref().map(|found| found.name.as_str()),
         method: req.method().as_str(),
         host: host(req),
@@ -124,7 +124,10 @@
     });
     Ok(AdmittedRequest {
         request_id: request_id.to_owned(),
-        fingerprint,
+        fingerprints: RequestFingerprints {
+            own,
+            parts: prompt.part_fingerprints(&service),
+        },
         config_version: routes.version,
         service,
         organisation,
@@ -143,6 +146,8 @@
         route,
         tries: TryHistory::default(),
         answer_began: Default::default(),
+        parts_cleared: Default::default(),
+        interrupted_at: Default::default(),
         trial: Default::default(),
         timing: Default::default(),
     })
@@ -299,7 +304,7 @@
                 monotonic: request.received,
                 ..Now::read()
             };
-            let fingerprint = Some(request.fingerprint);
+            let fingerprint = Some(request.fingerprints.own);
             refuse(
                 gw,
                 &request.request_id,
--- a/src/gateway/answer/buffered.rs
+++ b/src/gateway/answer/buffered.rs
@@ -302,8 +302,11 @@
     answer: &Answer,
     body: Bytes,
 ) -> BufferedResponse {
-    gw.quarantine
-        .record_answer(request.fingerprint, Now::read());
+    let now = Now::read();
+    match (200..300).contains(&answer.status) {
+        true => request.record_whole_answer(gw, now),
+        false => request.record_answered(gw, now),
+    }
     BufferedResponse {
         status: answer.status,
         headers: answer.headers.clone(),
@@ -341,6 +344,9 @@
     match no_attempt {
         NoAttempt::OutOfTime => RefusalReason::Deadline,
         NoAttempt::Quarantined => RefusalReason::CrashesUpstreams,
+        NoAttempt::PartQuarantined(left) => {
+            RefusalReason::PartCrashesUpstreams(left + retry_jitter(&request.request_id, left))
+        }
         NoAttempt::OnTrial(left) => RefusalReason::OnTrial(left),
         NoAttempt::Paused(BackOff::RetryAfter(left)) => {
             RefusalReason::Resting(left + retry_jitter(&request.request_id, left))
--- a/src/gateway/answer/larger_model.rs
+++ b/src/gateway/answer/larger_model.rs
@@ -162,7 +162,7 @@
 
 /// Returns whether the request is not suspected to crash upstreams, which could stop its next run.
 fn is_not_suspect(gw: &Gateway, request: &AdmittedRequest, now: Now) -> bool {
-    gw.quarantine.state(request.fingerprint, now) == QuarantineState::Clear
+    gw.quarantine.state(&request.fingerprints, now) == QuarantineState::Clear
 }
 
 /// Returns whether an upstream without a rate limit takes requests now. What limited upstreams
--- a/src/gateway/answer/piece_relay.rs
+++ b/src/gateway/answer/piece_relay.rs
@@ -58,8 +58,7 @@
         answer: Answer,
         first: Bytes,
     ) -> Self {
-        let began = Now::read().monotonic;
-        request.answer_began.set(Some(began));
+        request.record_answer_progress(gw, Now::read());
         Self {
             gw: gw.clone(),
             request: request.clone(),
@@ -128,9 +127,7 @@
 
     fn finish(&mut self) {
         let now = Now::read();
-        self.gw
-            .quarantine
-            .record_answer(self.request.fingerprint, now);
+        self.request.record_whole_answer(&self.gw, now);
         let timing = self.request.timing.take();
         // The time that a slow caller takes says nothing about the upstream.
         if let Some(timing) = timing
--- a/src/gateway/answer/refusal.rs
+++ b/src/gateway/answer/refusal.rs
@@ -54,6 +54,8 @@
     OutOfReach(OutOfReach),
     /// The request crashes the upstreams that run it.
     CrashesUpstreams,
+    /// A part of its prompt crashes upstreams, and is tried again after this time at the earliest.
+    PartCrashesUpstreams(Duration),
     /// The request ran at several upstreams when they crashed, and another send of it is on trial
     /// for at most this long.
     OnTrial(Duration),
@@ -83,12 +85,13 @@
             Self::Evacuated => "evacuated",
             Self::OutOfReach(_) => "out-of-reach",
             Self::CrashesUpstreams => "crashes-upstreams",
+            Self::PartCrashesUpstreams(_) => "part-crashes-upstreams",
             Self::OnTrial(_) => "on-trial",
         }
     }
 
     /// All reasons.
-    const ALL: [Self; 21] = [
+    const ALL: [Self; 22] = [
         Self::NoConfiguration,
         Self::Stale,
         Self::NoRoute,
@@ -109,6 +112,7 @@
         Self::Evacuated,
         Self::OutOfReach(OutOfReach::ThisBox),
         Self::CrashesUpstreams,
+        Self::PartCrashesUpstreams(Duration::ZERO),
         Self::OnTrial(Duration::ZERO),
     ];
 
@@ -154,6 +158,9 @@
             Self::CrashesUpstreams => {
                 "upstreams that ran this request crashed, the last one while the request was on trial there"
             }
+            Self::PartCrashesUpstreams(_) => {
+                "upstreams that ran requests with the same part in their prompts crashed, the last one while the part was on trial there"
+            }
             Self::OnTrial(_) => {
                 "upstreams that ran this request crashed, and another send of it was on trial"
             }
@@ -173,7 +180,9 @@
             Self::OutOfReach(OutOfReach::AllBoxes) => Some(ALL_BOXES_RETRY_DELAY),
             // An evacuation lasts for seconds at least.
             Self::Evacuated => Some(Duration::from_secs(1)),
-            Self::OnTrial(left) | Self::Resting(left) => Some(left),
+            Self::OnTrial(left) | Self::PartCrashesUpstreams(left) | Self::Resting(left) => {
+                Some(left)
+            }
             // Another box may be allowed to send sooner.
             Self::WarmingUp(left) => Some(left.min(MAX_WARM_UP_WAIT)),
             Self::RateLimited(left) => Some(left),
--- a/src/gateway/answer/relay.rs
+++ b/src/gateway/answer/relay.rs
@@ -106,7 +106,7 @@
     ) -> Self {
         let now = Now::read();
         answer.finish_prefill();
-        request.answer_began.set(Some(now.monotonic));
+        request.record_answer_progress(gw, now);
         gw.record_first_event(request, &answer, model.as_deref().unwrap_or_default(), now);
         let upstream = answer.upstream();
         let pace_timing = match answer.is_direct() {
@@ -173,7 +173,9 @@
                 Some(BodyChunk::Bytes(bytes)) => match self.splitter.push(&bytes) {
                     Ok(events) => {
                         answer.finish_prefill();
-                        self.record_resumed(events.is_some(), Now::read());
+                        if events.is_some() {
+                            self.request.record_answer_progress(&self.gw, Now::read());
+                        }
                         self.pending = events;
                         continue;
                     }
@@ -208,14 +210,6 @@
         interrupted
     }
 
-    /// Notes when a resumed stream goes on.
-    fn record_resumed(&self, has_events: bool, now: Now) {
-        let began = &self.request.answer_began;
-        if has_events && began.get().is_none() {
-            began.set(Some(now.monotonic));
-        }
-    }
-
     fn record_broken_run(&self, was_read: bool) {
         if let Some(answer) = self.answer.as_ref().filter(|_| was_read) {
             self.request
@@ -282,9 +276,7 @@
     fn finish(&mut self) {
         let now = Now::read();
         self.record_pace(now);
-        self.gw
-            .quarantine
-            .record_answer(self.request.fingerprint, now);
+        self.request.record_whole_answer(&self.gw, now);
         if let Some(answer) = self.answer.take() {
             answer.finish(&self.gw.connections, now);
         }
--- a/src/gateway/attempt/crash_detection.rs
+++ b/src/gateway/attempt/crash_detection.rs
@@ -35,6 +35,8 @@
 pub struct CrashDetector {
     interrupted: RefCell<HashMap<UpstreamLife, InterruptedRuns>>,
     work_added: Notify,
+    /// Notified when a check has ended, and when crashes have been recorded.
+    checked: Notify,
 }
 
 /// The interrupted runs at one upstream.
@@ -51,14 +53,22 @@
 pub struct InterruptedRun {
     /// The id of this send of the request.
     pub request_id: String,
-    /// The request.
+    /// The request's own fingerprint.
     pub request: Fingerprint,
-    /// Its role in the crash, if the upstream did crash.
-    pub role: CrashRole,
+    /// What may have caused a crash, the request or parts of its prompt, and the role of each.
+    pub subjects: Vec<(Fingerprint, CrashRole)>,
     /// How long before the interruption the answer had begun, if it had.
     pub answered_for: Option<Duration>,
 }
 
+impl InterruptedRun {
+    /// Iterates over what was on trial in this run.
+    pub fn trials(&self) -> impl Iterator<Item = &(Fingerprint, CrashRole)> {
+        let subjects = self.subjects.iter();
+        subjects.filter(|(_, role)| *role == CrashRole::OnTrial)
+    }
+}
+
 /// The work that is due: upstreams to check, and crashes to record.
 #[derive(Debug, Default)]
 struct DueWork {
@@ -113,6 +123,23 @@
         due
     }
 
+    /// Waits until the interrupted runs at an upstream have been checked, and recorded if it crashed.
+    pub async fn wait_until_checked(&self, incarnation: &UpstreamLife) {
+        loop {
+            let changed = self.checked.notified();
+            if !self.has_unchecked_runs(incarnation) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn has_unchecked_runs(&self, incarnation: &UpstreamLife) -> bool {
+        let interrupted = self.interrupted.borrow();
+        let known = interrupted.get(incarnation);
+        known.is_some_and(|known| !known.runs.is_empty())
+    }
+
     /// Records the result of a check; returns the runs of the upstream if it has not crashed.
     fn finish_check(
         &self,
@@ -147,11 +174,13 @@
         if !self.knowledge.borrow().is_serving(upstream.incarnation()) {
             return;
         }
+        let incarnation = upstream.short_hash();
         for run in runs {
             self.telemetry.record_request_at_crash(upstream, run);
-            let incarnation = upstream.short_hash();
-            self.quarantine
-                .record_crash(incarnation, run.request, run.role, now);
+            for (subject, role) in &run.subjects {
+                self.quarantine
+                    .record_crash(incarnation, *subject, *role, now);
+            }
         }
     }
 }
@@ -167,6 +196,7 @@
         for (upstream, runs) in due.crashes {
             gw.record_crash(&upstream, &runs, Now::read());
         }
+        gw.crashes.checked.notify_waiters();
     }
 }
 
@@ -176,10 +206,11 @@
     let found = gw.check_for_crash(&upstream, now).await;
     gw.telemetry.record_upstream_check(&upstream, found);
     for run in gw.crashes.finish_check(upstream.incarnation(), found) {
-        if run.role == CrashRole::OnTrial {
-            gw.quarantine.end_trial(run.request, now);
+        for (subject, _) in run.trials() {
+            gw.quarantine.end_trial(*subject, now);
         }
     }
+    gw.crashes.checked.notify_waiters();
 }
 
 impl Gateway {
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -20,7 +20,7 @@
 use super::place::escalation::EscalationDecision;
 use super::place::model_choice::{ChoiceSituation, ModelChoice, ModelOutlook};
 use crate::clock::{Now, millis};
-use crate::crash_ledger::{CrashCheckResult, CrashRole};
+use crate::crash_ledger::{CrashCheckResult, QuarantineState};
 use crate::fingerprint::Fingerprint;
 use crate::metrics::Metrics;
 use opentelemetry::KeyValue;
@@ -217,7 +217,7 @@
         self.record_engine_speed(&listed.instance, choice.speed);
         log::info!(
             request = request.request_id.as_str(),
-            fingerprint = request.fingerprint.to_string().as_str(),
+            fingerprint = request.fingerprints.own.to_string().as_str(),
             route = request.route.name.as_str(),
             config = request.config_version,
             upstream = listed.instance.as_str(),
@@ -329,6 +329,20 @@
         self.tunnel_bytes.add(bytes, &[]);
     }
 
+    /// Records what is done with a request that may crash upstreams, or has parts that may.
+    pub fn record_quarantine(&self, request: &AdmittedRequest, state: QuarantineState) {
+        let fingerprints = &request.fingerprints;
+        let parts: Vec<String> = fingerprints.parts.iter().map(ToString::to_string).collect();
+        let part_fingerprints = parts.join(" ");
+        log::info!(
+            request = request.request_id.as_str(),
+            fingerprint = fingerprints.own.to_string().as_str(),
+            parts = request.prompt.shared_parts.join(" ").as_str(),
+            part_fingerprints = part_fingerprints.as_str();
+            "{}", state.describe()
+        );
+    }
+
     /// Records a request that was running at an upstream when it crashed.
     pub fn record_request_at_crash(&self, upstream: &Upstream, run: &InterruptedRun) {
         let instance = upstream.with_listed(|listed| listed.instance.clone());
@@ -337,7 +351,8 @@
             upstream = instance.as_str(),
             fingerprint = run.request.to_string().as_str(),
             answered_ms = optional_millis(run.answered_for),
-            on_trial = run.role == CrashRole::OnTrial;
+            on_trial = run.trials().count(),
+            subjects = run.subjects.len();
             "this request was running at an upstream when it crashed"
         );
     }
--- a/src/router/crash_guard.rs
+++ b/src/router/crash_guard.rs
@@ -9,7 +9,7 @@
 use crate::crash_ledger::{
     CrashCheckResult, CrashLedger, CrashRecord, CrashRole, IncarnationHash, QuarantineState,
 };
-use crate::fingerprint::Fingerprint;
+use crate::fingerprint::{Fingerprint, RequestFingerprints};
 use crate::outcome::{DispatchLog, Reason, Refused};
 use crate::routing::placement::Upstream;
 
@@ -51,9 +51,10 @@
     pub fn merge(&self, records: &[CrashRecord], now: Now) {
         let mut ledger = self.ledger();
         for record in records {
-            let before = ledger.quarantine_state(record.request, now);
+            let subject = RequestFingerprints::from(record.subject);
+            let before = ledger.quarantine_state(&subject, now);
             ledger.merge_record(record, now);
-            log_state_change(before, record.request, &ledger, now);
+            log_state_change(before, &subject, &ledger, now);
         }
     }
 
@@ -65,19 +66,25 @@
     /// Updates what is known of a request, and triggers a report to the agent.
     fn update(&self, request: Fingerprint, now: Now, update: impl FnOnce(&mut CrashLedger)) {
         let mut ledger = self.ledger();
-        let before = ledger.quarantine_state(request, now);
+        let subject = RequestFingerprints::from(request);
+        let before = ledger.quarantine_state(&subject, now);
         update(&mut ledger);
-        log_state_change(before, request, &ledger, now);
+        log_state_change(before, &subject, &ledger, now);
         drop(ledger);
         self.changed.notify_one();
     }
 }
 
 /// Logs a change of a request's quarantine state.
-fn log_state_change(before: QuarantineState, request: Fingerprint, ledger: &CrashLedger, now: Now) {
-    let after = ledger.quarantine_state(request, now);
+fn log_state_change(
+    before: QuarantineState,
+    subject: &RequestFingerprints,
+    ledger: &CrashLedger,
+    now: Now,
+) {
+    let after = ledger.quarantine_state(subject, now);
     if std::mem::discriminant(&before) != std::mem::discriminant(&after) {
-        let fingerprint = request.to_string();
+        let fingerprint = subject.own.to_string();
         log::warn!(fingerprint = fingerprint.as_str(); "{}", after.describe());
     }
 }
@@ -106,7 +113,7 @@
             .shared
             .crash_suspects
             .ledger()
-            .quarantine_state(self.request, now);
+            .quarantine_state(&self.request.into(), now);
         let refused =
             |reason, message| Err(refuse(dispatch_log.refusal_outcome(), reason, message));
         match state {
@@ -122,7 +129,7 @@
                 Reason::OnTrial,
                 "upstreams crashed while they ran this request, and another send of it is on trial",
             ),
-            QuarantineState::Quarantined => refused(
+            QuarantineState::Quarantined | QuarantineState::PartQuarantined(_) => refused(
                 Reason::CrashesUpstreams,
                 "upstreams crash when they run this request",
             ),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod plain_fleet;
 mod plain_placement;
 mod quarantine;
+mod quarantined_parts;
 mod rate_limits;
 mod reachability;
 mod refusals;
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -3,7 +3,7 @@
 use super::{at, cases};
 use gatepier::clock::Now;
 use gatepier::crash_ledger::{
-    CrashLedger, CrashRecord, CrashRole, MAX_TRACKED_REQUESTS, QuarantineState,
+    CrashLedger, CrashRecord, CrashRole, MAX_TRACKED_SUBJECTS, QuarantineState,
 };
 use gatepier::fingerprint::{Fingerprint, RequestIdentity};
 use googletest::prelude::*;
@@ -22,7 +22,7 @@
 
 fn record(request: Fingerprint, crashes: &[(u32, CrashRole)]) -> CrashRecord {
     CrashRecord {
-        request,
+        subject: request,
         crashes: crashes.to_vec(),
         age_ms: 0,
     }
@@ -41,39 +41,39 @@
 cases! {
     request_at_two_crashes_is_sent_like_any_other => {
         let ledger = ledger_with_crashes(REQUEST, 2, at(0));
-        expect_that!(ledger.quarantine_state(REQUEST, at(0)), eq(QuarantineState::Clear));
+        expect_that!(ledger.quarantine_state(&REQUEST.into(), at(0)), eq(QuarantineState::Clear));
     }
 
     request_at_three_crashes_is_put_on_trial => {
         let mut ledger = ledger_with_crashes(REQUEST, 3, at(0));
-        expect_that!(ledger.quarantine_state(REQUEST, at(0)), eq(QuarantineState::Suspect));
+        expect_that!(ledger.quarantine_state(&REQUEST.into(), at(0)), eq(QuarantineState::Suspect));
         ledger.begin_trial(REQUEST, at(0));
-        let state = ledger.quarantine_state(REQUEST, at(100));
+        let state = ledger.quarantine_state(&REQUEST.into(), at(100));
         expect_that!(state, matches_pattern!(QuarantineState::OnTrial(_)));
         ledger.end_trial(REQUEST);
-        expect_that!(ledger.quarantine_state(REQUEST, at(100)), eq(QuarantineState::Suspect));
+        expect_that!(ledger.quarantine_state(&REQUEST.into(), at(100)), eq(QuarantineState::Suspect));
     }
 
     crash_on_trial_quarantines_a_request => {
         let mut ledger = ledger_with_crashes(REQUEST, 3, at(0));
         ledger.add_crash(4, REQUEST, CrashRole::OnTrial, at(10));
-        expect_that!(ledger.quarantine_state(REQUEST, at(10)), eq(QuarantineState::Quarantined));
+        expect_that!(ledger.quarantine_state(&REQUEST.into(), at(10)), eq(QuarantineState::Quarantined));
     }
 
     // Guards against blaming a request for repeated crashes that other requests cause.
     crashes_outside_of_a_trial_never_quarantine_a_request => {
         let ledger = ledger_with_crashes(REQUEST, 9, at(0));
-        expect_that!(ledger.quarantine_state(REQUEST, at(0)), eq(QuarantineState::Suspect));
+        expect_that!(ledger.quarantine_state(&REQUEST.into(), at(0)), eq(QuarantineState::Suspect));
     }
 
     answer_clears_a_request_of_all_crashes => {
         let mut ledger = ledger_with_crashes(REQUEST, 3, at(0));
         ledger.begin_trial(REQUEST, at(0));
         expect_that!(ledger.add_answer(REQUEST, at(50)), some(anything()));
-        expect_that!(ledger.quarantine_state(REQUEST, at(50)), eq(QuarantineState::Clear));
+        expect_that!(ledger.quarantine_state(&REQUEST.into(), at(50)), eq(QuarantineState::Clear));
         ledger.add_crash(7, REQUEST, CrashRole::Concurrent, at(60));
         ledger.add_crash(8, REQUEST, CrashRole::Concurrent, at(60));
-        expect_that!(ledger.quarantine_state(REQUEST, at(60)), eq(QuarantineState::Clear));
+        expect_that!(ledger.quarantine_state(&REQUEST.into(), at(60)), eq(QuarantineState::Clear));
         expect_that!(ledger.add_answer(OTHER, at(50)), none());
     }
 
@@ -82,7 +82,7 @@
         ledger.add_answer(REQUEST, at(50));
         let late: Vec<(u32, CrashRole)> = (1..=3).map(|incarnation| (incarnation, CrashRole::Concurrent)).collect();
         ledger.merge_record(&record(REQUEST, &late), at(60));
-        expect_that!(ledger.quarantine_state(REQUEST, at(60)), eq(QuarantineState::Clear));
+        expect_that!(ledger.quarantine_state(&REQUEST.into(), at(60)), eq(QuarantineState::Clear));
     }
 
     // Either of two requests on trial at the same upstream may have crashed it.
@@ -91,11 +91,11 @@
         ledger.merge_record(&record(OTHER, &[(1, CrashRole::Concurrent), (2, CrashRole::Concurrent), (3, CrashRole::Concurrent)]), at(0));
         ledger.add_crash(4, REQUEST, CrashRole::OnTrial, at(10));
         ledger.add_crash(4, OTHER, CrashRole::OnTrial, at(10));
-        expect_that!(ledger.quarantine_state(REQUEST, at(10)), eq(QuarantineState::Suspect));
-        expect_that!(ledger.quarantine_state(OTHER, at(10)), eq(QuarantineState::Suspect));
+        expect_that!(ledger.quarantine_state(&REQUEST.into(), at(10)), eq(QuarantineState::Suspect));
+        expect_that!(ledger.quarantine_state(&OTHER.into(), at(10)), eq(QuarantineState::Suspect));
         ledger.add_crash(5, REQUEST, CrashRole::OnTrial, at(20));
-        expect_that!(ledger.quarantine_state(REQUEST, at(20)), eq(QuarantineState::Quarantined));
-        expect_that!(ledger.quarantine_state(OTHER, at(20)), eq(QuarantineState::Suspect));
+        expect_that!(ledger.quarantine_state(&REQUEST.into(), at(20)), eq(QuarantineState::Quarantined));
+        expect_that!(ledger.quarantine_state(&OTHER.into(), at(20)), eq(QuarantineState::Suspect));
     }
 
     boxes_that_receive_the_same_records_in_any_order_agree => {
@@ -110,7 +110,7 @@
                 ledger.merge_record(&records[number], at(0));
                 ledger.merge_record(&records[number], at(1));
             }
-            expect_that!(ledger.quarantine_state(REQUEST, at(2)), eq(QuarantineState::Quarantined));
+            expect_that!(ledger.quarantine_state(&REQUEST.into(), at(2)), eq(QuarantineState::Quarantined));
         }
     }
 
@@ -122,26 +122,26 @@
         for record in sender.records_for_all_boxes(at(1000)) {
             receiver.merge_record(&record, at(1000));
         }
-        expect_that!(receiver.quarantine_state(REQUEST, at(1000)), eq(QuarantineState::Quarantined));
+        expect_that!(receiver.quarantine_state(&REQUEST.into(), at(1000)), eq(QuarantineState::Quarantined));
     }
 
     requests_are_forgotten_ten_minutes_after_their_last_crash => {
         let mut ledger = ledger_with_crashes(REQUEST, 3, at(0));
         ledger.add_crash(4, REQUEST, CrashRole::OnTrial, at(0));
-        expect_that!(ledger.quarantine_state(REQUEST, at(599_000)), eq(QuarantineState::Quarantined));
-        expect_that!(ledger.quarantine_state(REQUEST, at(601_000)), eq(QuarantineState::Clear));
+        expect_that!(ledger.quarantine_state(&REQUEST.into(), at(599_000)), eq(QuarantineState::Quarantined));
+        expect_that!(ledger.quarantine_state(&REQUEST.into(), at(601_000)), eq(QuarantineState::Clear));
         expect_that!(ledger.records_for_all_boxes(at(601_000)), is_empty());
     }
 
     flood_of_requests_does_not_evict_quarantined_ones => {
         let mut ledger = ledger_with_crashes(REQUEST, 3, at(0));
         ledger.add_crash(4, REQUEST, CrashRole::OnTrial, at(0));
-        for number in 0..3 * MAX_TRACKED_REQUESTS {
+        for number in 0..3 * MAX_TRACKED_SUBJECTS {
             let flood = Fingerprint(1_000 + number as u128);
             ledger.add_crash(100 + number as u32, flood, CrashRole::Concurrent, at(1));
         }
-        expect_that!(ledger.len(), le(MAX_TRACKED_REQUESTS));
-        expect_that!(ledger.quarantine_state(REQUEST, at(2)), eq(QuarantineState::Quarantined));
+        expect_that!(ledger.len(), le(MAX_TRACKED_SUBJECTS));
+        expect_that!(ledger.quarantine_state(&REQUEST.into(), at(2)), eq(QuarantineState::Quarantined));
     }
 
     fingerprints_differ_by_caller_target_and_body => {
