Routers: withhold completions with a message that crashes engines

The same fault over the own interface: completions with one message, all different, crash one engine after the other; only whole requests were tracked. The messages but the last are now tracked as parts of prompts are.

--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -164,6 +164,8 @@
     NotReady,
     /// The router is closing the connection and reads no more requests from it.
     ConnectionClosed,
+    /// A message that other requests share crashes the upstreams that run them.
+    PartCrashesUpstreams,
 }
 
 impl Reason {
@@ -188,6 +190,7 @@
             Self::OnTrial => "on-trial",
             Self::NotReady => "not-ready",
             Self::ConnectionClosed => "connection-closed",
+            Self::PartCrashesUpstreams => "part-crashes-upstreams",
         }
     }
 
@@ -208,6 +211,7 @@
             | Self::NoClaim
             | Self::ClaimsLost
             | Self::OnTrial
+            | Self::PartCrashesUpstreams
             | Self::Resting
             | Self::NotReady => 503,
         }
@@ -219,7 +223,7 @@
             Self::NoCredential | Self::BadRequest | Self::TooLarge | Self::NotAllowed => None,
             Self::AlreadyDone | Self::CrashesUpstreams => None,
             Self::ConnectionClosed => Some(0),
-            Self::NoVersion | Self::ClaimsLost => Some(30),
+            Self::NoVersion | Self::ClaimsLost | Self::PartCrashesUpstreams => Some(30),
             Self::NoUpstream | Self::AlreadyRunning | Self::NoClaim | Self::OnTrial => Some(2),
             Self::Resting
             | Self::Overloaded
--- a/src/router/claimed_request.rs
+++ b/src/router/claimed_request.rs
@@ -63,7 +63,7 @@
         });
     let fingerprint = request_fingerprint(caller, req, &body);
     let request = ClaimedRequest {
-        crash_guard: CrashGuard::new(&worker.shared, fingerprint),
+        crash_guard: CrashGuard::new(&worker.shared, fingerprint.into()),
         worker: worker.clone(),
         caller: caller.clone(),
         service: service.to_owned(),
--- a/src/router/completions.rs
+++ b/src/router/completions.rs
@@ -14,7 +14,7 @@
 use super::trace::Trace;
 use crate::bundle::{Bundle, Cascade, QualityGate};
 use crate::clock::Now;
-use crate::fingerprint::{Fingerprint, RequestIdentity};
+use crate::fingerprint::{Fingerprint, RequestFingerprints, RequestIdentity};
 use crate::name::VersionName;
 use crate::outcome::{DispatchLog, Outcome, Reason, Refused};
 use crate::routing::admission::AdmissionPermit;
@@ -29,6 +29,8 @@
 use std::rc::Rc;
 
 const SESSION_COOKIE: &str = "gatepier_session";
+/// How many of a request's first messages are tracked for crashes of upstreams.
+const MAX_SHARED_MESSAGES: usize = 8;
 /// The content type of a stream of server-sent events.
 pub const EVENT_STREAM: &str = "text/event-stream";
 
@@ -41,8 +43,8 @@
     pub stream: bool,
     /// The model, cascade or version that the caller requested.
     pub requested_name: String,
-    /// Identifies further sends of the same request.
-    pub fingerprint: Fingerprint,
+    /// Identify further sends of the same request, and the messages that other requests share.
+    pub fingerprints: RequestFingerprints,
 }
 
 /// The models that may serve a request, in the order in which they are tried.
@@ -111,7 +113,7 @@
         };
         not_run(reason, err.to_string())
     })?;
-    let fingerprint = Fingerprint::of(RequestIdentity {
+    let own = Fingerprint::of(RequestIdentity {
         caller: Some(&caller.organisation),
         method: req.method().as_str(),
         host: "",
@@ -132,14 +134,30 @@
         )
     })?;
     let stream = body.get("stream").and_then(Value::as_bool).unwrap_or(false);
+    let fingerprints = RequestFingerprints {
+        own,
+        parts: shared_messages(&body, &requested_name),
+    };
     Ok(CompletionRequest {
         body,
         stream,
         requested_name,
-        fingerprint,
+        fingerprints,
     })
 }
 
+/// Returns the fingerprints of the messages that other requests for a model may share: all but the
+/// last, such as instructions and the beginning of a conversation.
+fn shared_messages(body: &Map<String, Value>, model: &str) -> Vec<Fingerprint> {
+    let messages = body.get("messages").and_then(Value::as_array);
+    let shared = messages.and_then(|messages| messages.split_last());
+    let shared = shared.map_or(&[][..], |(_, shared)| shared).iter();
+    shared
+        .take(MAX_SHARED_MESSAGES)
+        .map(|message| Fingerprint::of_part(model, &message.to_string()))
+        .collect()
+}
+
 /// Reads the session from its token in the header or in the cookie, or starts a new one.
 fn read_session(worker: &Worker, caller: &Caller, req: &Request) -> Session {
     let header = req
@@ -260,7 +278,7 @@
     let start = plan.cascade.as_ref().map_or(0, |cascade| {
         first_step(&snapshot, &caller.organisation, cascade, &mut rand::rng())
     });
-    let crash_guard = CrashGuard::new(&worker.shared, request.fingerprint);
+    let crash_guard = CrashGuard::new(&worker.shared, request.fingerprints.clone());
     let mut dispatch_log = DispatchLog::default();
     let mut cost = Cost::default();
     let mut last_refusal = None;
--- a/src/router/crash_guard.rs
+++ b/src/router/crash_guard.rs
@@ -14,7 +14,7 @@
 use crate::routing::placement::Upstream;
 
 use futures::future::select_ok;
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -93,17 +93,25 @@
 #[derive(Debug)]
 pub struct CrashGuard {
     shared: Arc<RouterShared>,
-    request: Fingerprint,
-    on_trial: Cell<bool>,
+    request: RequestFingerprints,
+    /// What is on trial: the request, or messages that it shares with others.
+    on_trial: RefCell<Vec<Fingerprint>>,
+}
+
+/// Whether an attempt had been answered in part when it was interrupted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AnswerProgress {
+    NotBegun,
+    Begun,
 }
 
 impl CrashGuard {
     /// Starts to track a request.
-    pub fn new(shared: &Arc<RouterShared>, request: Fingerprint) -> Rc<Self> {
+    pub fn new(shared: &Arc<RouterShared>, request: RequestFingerprints) -> Rc<Self> {
         Rc::new(Self {
             shared: shared.clone(),
             request,
-            on_trial: Cell::new(false),
+            on_trial: RefCell::default(),
         })
     }
 
@@ -113,56 +121,86 @@
             .shared
             .crash_suspects
             .ledger()
-            .quarantine_state(&self.request.into(), now);
-        let refused =
-            |reason, message| Err(refuse(dispatch_log.refusal_outcome(), reason, message));
+            .quarantine_state(&self.request, now);
+        let refused = |reason, message| refuse(dispatch_log.refusal_outcome(), reason, message);
         match state {
             QuarantineState::Clear => Ok(()),
-            QuarantineState::Suspect | QuarantineState::OnTrial(_) if self.on_trial.get() => Ok(()),
+            QuarantineState::Suspect | QuarantineState::OnTrial(_) if self.is_on_trial() => Ok(()),
             QuarantineState::Suspect => {
-                self.on_trial.set(true);
-                let begin = |ledger: &mut CrashLedger| ledger.begin_trial(self.request, now);
-                self.shared.crash_suspects.update(self.request, now, begin);
+                self.begin_trial(now);
                 Ok(())
             }
-            QuarantineState::OnTrial(_) => refused(
+            QuarantineState::OnTrial(_) => Err(refused(
                 Reason::OnTrial,
                 "upstreams crashed while they ran this request, and another send of it is on trial",
-            ),
-            QuarantineState::Quarantined | QuarantineState::PartQuarantined(_) => refused(
+            )),
+            QuarantineState::Quarantined => Err(refused(
                 Reason::CrashesUpstreams,
                 "upstreams crash when they run this request",
-            ),
+            )),
+            QuarantineState::PartQuarantined(left) => Err(Refused {
+                retry_after: Some(left),
+                ..refused(
+                    Reason::PartCrashesUpstreams,
+                    "upstreams crash when they run requests with a message that is in this one",
+                )
+            }),
         }
     }
 
-    /// Checks whether the upstream of an interrupted attempt has crashed, and records the result.
+    fn is_on_trial(&self) -> bool {
+        !self.on_trial.borrow().is_empty()
+    }
+
+    fn begin_trial(&self, now: Now) {
+        let suspects = &self.shared.crash_suspects;
+        let on_trial = suspects.ledger().suspects(&self.request, now);
+        for subject in &on_trial {
+            suspects.update(*subject, now, |ledger| ledger.begin_trial(*subject, now));
+        }
+        self.on_trial.replace(on_trial);
+    }
+
+    /// Checks whether the upstream of an attempt that was interrupted before it was answered has
+    /// crashed, and records the result.
     pub async fn check_for_crash(&self, upstream: &str, address: SocketAddr) {
-        let was_on_trial = self.on_trial.take();
+        self.check(upstream, address, AnswerProgress::NotBegun)
+            .await;
+    }
+
+    async fn check(&self, upstream: &str, address: SocketAddr, progress: AnswerProgress) {
+        let on_trial = self.on_trial.take();
         sleep(CONNECT_CHECK_DELAY).await;
         let result = self.check_upstream(address).await;
         let now = Now::read();
-        let fingerprint = self.request.to_string();
+        let fingerprint = self.request.own.to_string();
         let fingerprint = fingerprint.as_str();
         log::info!(upstream, fingerprint; "an attempt was interrupted: {result:?}");
-        let role = match was_on_trial {
-            true => CrashRole::OnTrial,
-            false => CrashRole::Concurrent,
-        };
-        match result {
-            CrashCheckResult::Crashed => {
-                let incarnation = incarnation_hash(upstream, address);
-                self.shared
-                    .crash_suspects
-                    .update(self.request, now, |ledger| {
-                        ledger.add_crash(incarnation, self.request, role, now);
-                    });
+        let suspects = &self.shared.crash_suspects;
+        if result != CrashCheckResult::Crashed {
+            for subject in on_trial {
+                suspects.update(subject, now, |ledger| ledger.end_trial(subject));
             }
-            CrashCheckResult::Alive | CrashCheckResult::Unreachable if was_on_trial => {
-                let end = |ledger: &mut CrashLedger| ledger.end_trial(self.request);
-                self.shared.crash_suspects.update(self.request, now, end);
-            }
-            CrashCheckResult::Alive | CrashCheckResult::Unreachable => {}
+            return;
+        }
+        let incarnation = incarnation_hash(upstream, address);
+        for subject in self.subjects_at_crash(progress) {
+            let role = match on_trial.contains(&subject) {
+                true => CrashRole::OnTrial,
+                false => CrashRole::Concurrent,
+            };
+            suspects.update(subject, now, |ledger| {
+                ledger.add_crash(incarnation, subject, role, now);
+            });
+        }
+    }
+
+    /// Returns what may have caused a crash. A shared message would have done so when the answer
+    /// began.
+    fn subjects_at_crash(&self, progress: AnswerProgress) -> Vec<Fingerprint> {
+        match progress {
+            AnswerProgress::NotBegun => self.request.iter().collect(),
+            AnswerProgress::Begun => vec![self.request.own],
         }
     }
 
@@ -192,7 +230,7 @@
             return true;
         }
         // Different requests ask different upstreams.
-        others.sort_by_key(|other| incarnation_hash(&self.request.to_string(), *other));
+        others.sort_by_key(|other| incarnation_hash(&self.request.own.to_string(), *other));
         others.truncate(MAX_COMPARED_UPSTREAMS);
         let connecting = others.into_iter().map(|other| Box::pin(try_connect(other)));
         select_ok(connecting).await.is_ok()
@@ -200,22 +238,23 @@
 
     /// Records that the request was answered completely.
     pub fn record_answered(&self, now: Now) {
-        if self.shared.crash_suspects.ledger().is_empty() {
+        let suspects = &self.shared.crash_suspects;
+        if suspects.ledger().is_empty() {
             return;
         }
-        self.shared
-            .crash_suspects
-            .update(self.request, now, |ledger| {
-                ledger.add_answer(self.request, now);
+        for subject in self.request.iter() {
+            suspects.update(subject, now, |ledger| {
+                ledger.add_answer(subject, now);
             });
+        }
     }
 }
 
 /// A trial that ran nowhere, or that was abandoned, proves nothing.
 impl Drop for CrashGuard {
     fn drop(&mut self) {
-        if self.on_trial.get() {
-            self.shared.crash_suspects.ledger().end_trial(self.request);
+        for subject in self.on_trial.take() {
+            self.shared.crash_suspects.ledger().end_trial(subject);
         }
     }
 }
@@ -233,9 +272,14 @@
     xxhash_rust::xxh3::xxh3_64(text.as_bytes()) as u32
 }
 
-/// Runs the check in the background, where the end of a request must not wait for it.
+/// Checks in the background, where the end of a request must not wait for it, whether an upstream has
+/// crashed that had answered in part.
 pub fn check_for_crash_in_background(crash_guard: &Rc<CrashGuard>, upstream: &Upstream) {
     let (crash_guard, name, address) =
         (crash_guard.clone(), upstream.name.clone(), upstream.address);
-    actix_rt::spawn(async move { crash_guard.check_for_crash(&name, address).await });
+    actix_rt::spawn(async move {
+        crash_guard
+            .check(&name, address, AnswerProgress::Begun)
+            .await;
+    });
 }
--- a/src/router/plain_service.rs
+++ b/src/router/plain_service.rs
@@ -213,7 +213,8 @@
         true => caller.request_id.as_bytes(),
         false => &[],
     };
-    let crash_guard = CrashGuard::new(&worker.shared, request_fingerprint(caller, req, body));
+    let fingerprint = request_fingerprint(caller, req, body);
+    let crash_guard = CrashGuard::new(&worker.shared, fingerprint.into());
     let mut last_refusal = None;
     loop {
         crash_guard.admit(&dispatch_log, Now::read())?;
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -5,7 +5,7 @@
 use common::scripted_upstream::{Reaction, ScriptedUpstream, answer};
 use common::{Bench, completion_body, read_answer};
 use googletest::prelude::*;
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 
 /// The content of a request that crashes its upstream in these tests.
@@ -62,6 +62,23 @@
     (answer.status, parsed)
 }
 
+/// Sends a request of its own with two messages that others share.
+async fn complete_with_shared(
+    bench: &Bench,
+    router: &str,
+    shared: [&str; 2],
+    content: &str,
+) -> (u16, String) {
+    let mut body = completion_body("small");
+    body["messages"] = json!([
+        {"role": "system", "content": shared[0]},
+        {"role": "user", "content": shared[1]},
+        {"role": "user", "content": content},
+    ]);
+    let answer = bench.complete(router, "comics", body).await;
+    (answer.status, answer.body)
+}
+
 async fn read_page(bench: &Bench, router: &str, page: &str) -> u16 {
     let path = format!("/reader-api/{page}");
     let request = bench.request(router, "comics", "GET", &path);
@@ -96,6 +113,27 @@
         expect_that!(complete(&bench, "ikeja-1", "hello again").await.0, eq(200));
     };
 
+    /// Guards against a message that crashes one engine after the other, since no two requests with it
+    /// are equal.
+    message_that_crashes_engines_is_withheld_by_all_routers => async {
+        let (bench, upstreams) = start("inkmind", &["small/s1"], 16).await;
+        wait_until_served(&bench, async |router| complete(&bench, router, "hello").await.0).await;
+        let routers: Vec<&String> = bench.boxes.keys().collect();
+        let mut last = (0, String::new());
+        for index in 0..SENDS {
+            let router = routers[index % routers.len()];
+            let content = format!("question {index}");
+            let sound = ["be brief", "sound"];
+            expect_that!(complete_with_shared(&bench, router, sound, &content).await.0, eq(200));
+            let crashing = ["be brief", CRASHING_CONTENT];
+            last = complete_with_shared(&bench, router, crashing, &content).await;
+            tokio::time::sleep(SEND_INTERVAL).await;
+        }
+        expect_that!(count_crashed(&upstreams), le(MAX_CRASHED_UPSTREAMS));
+        expect_that!(last.0, eq(503));
+        expect_that!(last.1, contains_substring("part-crashes-upstreams"));
+    };
+
     /// Guards against repeats of a plain service's request that crashes each upstream that runs it.
     plain_request_that_crashes_upstreams_is_refused_by_all_routers => async {
         let (bench, upstreams) = start("reader-api", &[], 16).await;
