--- a/src/crash_ledger.rs
+++ b/src/crash_ledger.rs
@@ -104,10 +104,14 @@
     /// Returns the log message for a request that has entered this state.
     pub fn describe(self) -> &'static str {
         match self {
-            Self::Clear => "the request is no longer suspected of crashing upstreams",
-            Self::Suspect => "the request ran at three crashes, it will be sent once as a trial",
-            Self::OnTrial(_) => "a trial of a request that ran at three crashes is in progress",
-            Self::Quarantined => "the request crashes its upstreams, it is quarantined",
+            Self::Clear => "the request or part is no longer suspected of crashing upstreams",
+            Self::Suspect => {
+                "the request or part ran at three crashes, it will be sent once as a trial"
+            }
+            Self::OnTrial(_) => {
+                "a trial of a request or part that ran at three crashes is in progress"
+            }
+            Self::Quarantined => "the request or part crashes upstreams, it is quarantined",
             Self::PartQuarantined(_) => "a part of the prompt crashes upstreams, it is quarantined",
         }
     }
