--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -5,15 +5,24 @@
 
 use standins::*;
 use std::io::Read as _;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-const SMALLEST: usize = 48_000;
-const STEP: usize = 3_000;
-const BOXES: usize = 24;
+/// The sizes of the answers, one for each caller.
+const SMALLEST_ANSWER: usize = 40_000;
+const ANSWER_STEP: usize = 2_000;
+const CALLERS: usize = 12;
+/// The receive buffer of a caller, which the kernel doubles.
+const RECEIVE_BUFFER: i32 = 2048;
+/// How long callers read nothing after the head of their answer.
+const READ_PAUSE: Duration = Duration::from_millis(5000);
+/// When the box gets SIGTERM, after the requests were sent.
+const STOP_AFTER: Duration = Duration::from_millis(1000);
+/// A box that stops later than this after SIGTERM, with a `GraceS` of 8, was about to be killed.
+const LONGEST_STOP: Duration = Duration::from_secs(7);
 
 fn main() {
     open_record(Path::new("review/2/record.txt"));
@@ -25,7 +34,7 @@
 fn serve(mut wire: Wire) {
     while let Some(request) = wire.read_request() {
         if request.target() == "/health" {
-            if !wire.send(b"HTTP/1.1 200 OK\r\nGatepier-Instance-Id: i-1\r\nGatepier-Server-Load: 0,0,6\r\nContent-Length: 0\r\n\r\n") {
+            if !wire.send(b"HTTP/1.1 200 OK\r\nGatepier-Instance-Id: i-1\r\nGatepier-Server-Load: 0,0,24\r\nContent-Length: 0\r\n\r\n") {
                 return;
             }
             continue;
@@ -43,7 +52,7 @@
             .unwrap_or(0);
         let body = body_of(&id, size);
         let head = format!(
-            "HTTP/1.1 200 OK\r\nGatepier-Attempt-Id: {id}\r\nGatepier-Server-Seal: seal-{id}\r\nGatepier-Server-Load: 1,0,6\r\nKeep-Alive: timeout=5\r\nContent-Length: {}\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nGatepier-Attempt-Id: {id}\r\nGatepier-Server-Seal: seal-{id}\r\nGatepier-Server-Load: 1,0,24\r\nKeep-Alive: timeout=5\r\nContent-Length: {}\r\n\r\n",
             body.len()
         );
         let sent = wire.send(head.as_bytes()) && wire.send(&body);
@@ -75,72 +84,68 @@
         "Services":[{"Name":"lawha-app","HealthPath":"/health","MaxConns":490}],
         "Limits":{"HeaderBytes":16384,"BodyBytes":65536,"HeaderMs":3000,"IdleMs":15000},
         "Tenants":[{"Name":"quarter","ApiKeys":["key-1"],"Priority":1}]}"#);
-    store.put("servers/i-1", &format!(r#"{{"Service":"lawha-app","Addr":"{server}","Zone":"casa-hay","Version":"v1","Slots":6,"State":"ready","ColdLeftMs":0,"Seq":1,"born":1700000000000}}"#));
-    let address = store.address;
-    fn settings<'a>(name: &'a str, ip: &'a str, store: SocketAddr) -> BoxSettings<'a> {
-        BoxSettings {
+    store.put("servers/i-1", &format!(r#"{{"Service":"lawha-app","Addr":"{server}","Zone":"casa-hay","Version":"v1","Slots":24,"State":"ready","ColdLeftMs":0,"Seq":1,"born":1700000000000}}"#));
+    let start = |name: &str, ip: &str| {
+        BoxProcess::start(&BoxSettings {
             name,
             ip,
             zone: "casa-hay",
-            store,
+            store: store.address,
             top: "Bootstrap = true\nContracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"tenants\",\"pressure\",\"platform\"]",
             tables: "[Limits]\nCpuShare = 0.25\nCores = 1\nMemoryMb = 160\nMaxFds = 4100\nLinkMbps = 100.0\n[Bounds]\nGraceS = 8\nRevokeMs = 5000\nConfigMs = 3000\nLostMs = 200\nBudgetRatio = 0.9\nBudgetWindowS = 10\nRetrySlack = 182\nSessionS = 8.5\nStrictRevoke = true\n",
-        }
-    }
-    let mut boxes: Vec<BoxProcess> = (0..BOXES)
-        .map(|number| {
-            BoxProcess::start(&settings(
-                &format!("front-{number}"),
-                &format!("127.0.0.{}", number + 1),
-                address,
-            ))
         })
-        .collect();
-    for found in &boxes {
-        found.wait_until_ready();
-    }
-    thread::sleep(Duration::from_secs(2));
-    let results: Arc<Mutex<Vec<bool>>> = Arc::default();
-    let callers: Vec<_> = boxes
-        .iter()
-        .enumerate()
-        .map(|(number, found)| {
-            let (caller, results) = (found.caller, results.clone());
+    };
+    let mut stopped = start("front-1", "127.0.0.1");
+    let other = start("front-2", "127.0.0.2");
+    stopped.wait_until_ready();
+    other.wait_until_ready();
+    thread::sleep(Duration::from_secs(4));
+    let is_whole: Arc<Mutex<Vec<bool>>> = Arc::new(Mutex::new(vec![false; CALLERS]));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| {
+            let (caller, is_whole) = (stopped.caller, is_whole.clone());
             thread::spawn(move || {
-                let whole = call(caller, number, SMALLEST + number * STEP);
-                results.lock().unwrap().push(whole);
+                let whole = call(caller, number, SMALLEST_ANSWER + number * ANSWER_STEP);
+                is_whole.lock().unwrap()[number] = whole;
             })
         })
         .collect();
-    thread::sleep(Duration::from_millis(1000));
+    thread::sleep(STOP_AFTER);
+    let stopped_at = Instant::now();
     if has_trouble() {
-        for found in &boxes {
-            found.signal(SIGTERM);
-        }
+        stopped.signal(SIGTERM);
     }
-    let mut ended = vec![false; BOXES];
+    let mut ended_after = None;
     while !callers.iter().all(|caller| caller.is_finished()) {
-        for (found, ended) in boxes.iter_mut().zip(&mut ended) {
-            if !*ended && let Some(how) = found.ended() {
-                record(format!("box {} has ended: {how}", found.name));
-                *ended = true;
-            }
+        if ended_after.is_none()
+            && let Some(how) = stopped.ended()
+        {
+            record(format!("box front-1 has ended: {how}"));
+            ended_after = Some(stopped_at.elapsed());
         }
-        thread::sleep(Duration::from_millis(50));
+        thread::sleep(Duration::from_millis(20));
     }
-    let results = results.lock().unwrap();
-    let cut = results.iter().filter(|whole| !**whole).count();
-    record(format!("{cut} of {} answers were cut", results.len()));
-    match cut {
-        0 => HELD,
-        _ => BROKEN,
+    let end = match ended_after {
+        Some(after) => format!("the box ended {:.1} s after SIGTERM", after.as_secs_f64()),
+        None => "the box did not end".to_owned(),
+    };
+    let cut = is_whole
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|whole| !**whole)
+        .count();
+    record(format!("{cut} of {CALLERS} answers were cut; {end}"));
+    let stopped_early = ended_after.is_some_and(|after| after < LONGEST_STOP);
+    match cut > 0 && stopped_early {
+        true => BROKEN,
+        false => HELD,
     }
 }
 
 fn call(caller: SocketAddr, number: usize, size: usize) -> bool {
     let id = format!("{number:04x}c41d07be2a35");
-    let stream = TcpStream::connect(caller).unwrap();
-    bound_receive_buffer(&stream, 4096);
+    let stream = connect_with_small_window(caller, RECEIVE_BUFFER).unwrap();
     let mut wire = Wire::new(stream);
     record(format!("caller: sends {id}"));
     wire.send(format!("GET /read/{size} HTTP/1.1\r\nHost: board.example\r\nGatepier-Attempt-Id: {id}\r\nGatepier-Deadline-Ms: 15000\r\nX-Api-Key: key-1\r\n\r\n").as_bytes());
@@ -153,7 +158,7 @@
         head.status()
     ));
     // It does not read for a while.
-    thread::sleep(Duration::from_millis(5500));
+    thread::sleep(READ_PAUSE);
     let mut body = std::mem::take(&mut wire.rest);
     let mut chunk = [0; 4096];
     while body.len() < size {
