--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,28 +1,24 @@
-//! A box gets SIGTERM while callers read answers slowly.
+//! A surplus answer arrives late, in the place of the answer to a health check.
 
 #[path = "../common/standins.rs"]
 mod standins;
 
 use standins::*;
-use std::io::Read as _;
-use std::net::{SocketAddr, TcpListener};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// The sizes of the answers, one for each caller.
-const SMALLEST_ANSWER: usize = 40_000;
-const ANSWER_STEP: usize = 2_000;
-const CALLERS: usize = 12;
-/// The receive buffer of a caller, which the kernel doubles.
-const RECEIVE_BUFFER: i32 = 2048;
-/// How long callers read nothing after the head of their answer.
-const READ_PAUSE: Duration = Duration::from_millis(5000);
-/// When the box gets SIGTERM, after the requests were sent.
-const STOP_AFTER: Duration = Duration::from_millis(1000);
-/// A box that stops later than this after SIGTERM, with a `GraceS` of 8, was about to be killed.
-const LONGEST_STOP: Duration = Duration::from_secs(7);
+const ROUNDS: usize = 5;
+/// How long a request runs.
+const RUN: Duration = Duration::from_millis(60);
+/// How long a health check waits for a slot before the server refuses it as full.
+const HEALTH_WAIT: Duration = Duration::from_millis(20);
+/// How long the server that closes idle connections keeps them.
+const IDLE: Duration = Duration::from_millis(500);
 
 fn main() {
     open_record(Path::new("review/2/record.txt"));
@@ -31,148 +27,194 @@
     std::process::exit(code);
 }
 
-fn serve(mut wire: Wire) {
-    while let Some(request) = wire.read_request() {
-        if request.target() == "/health" {
-            if !wire.send(b"HTTP/1.1 200 OK\r\nGatepier-Instance-Id: i-1\r\nGatepier-Server-Load: 0,0,24\r\nContent-Length: 0\r\n\r\n") {
+/// The runs of each request, by its id.
+type Runs = Arc<Mutex<HashMap<String, Vec<&'static str>>>>;
+
+/// What the server does with a connection after it has answered a request over it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Role {
+    /// It closes the connection once it has been idle for a while.
+    ClosesIdle,
+    /// It sends the answer a second time, late.
+    Repeats,
+}
+
+struct Server {
+    name: &'static str,
+    runs: Runs,
+    /// The roles of the next requests.
+    roles: Mutex<Vec<Role>>,
+    /// Whether it is full when it is asked for its health the next time.
+    is_full: AtomicBool,
+}
+
+impl Server {
+    fn start(name: &'static str, runs: &Runs) -> (Arc<Self>, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = Arc::new(Self {
+            name,
+            runs: runs.clone(),
+            roles: Mutex::default(),
+            is_full: AtomicBool::new(false),
+        });
+        let accepting = server.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = accepting.clone();
+                thread::spawn(move || server.serve(Wire::new(stream)));
+            }
+        });
+        (server, address)
+    }
+
+    fn serve(&self, mut wire: Wire) {
+        let mut surplus: Option<Vec<u8>> = None;
+        loop {
+            let Some(request) = wire.read_request() else {
+                return;
+            };
+            if let Some(surplus) = surplus.take() {
+                record(format!(
+                    "{}: a surplus answer goes out, in the place of the next one",
+                    self.name
+                ));
+                wire.send(&surplus);
+            }
+            if request.header("gatepier-expect-instance") != Some(self.name) {
+                wire.send(
+                    b"HTTP/1.1 421 x\r\nGatepier-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                );
+                continue;
+            }
+            let sent = match request.target() == "/health" {
+                true => self.answer_health(&mut wire),
+                false => self.run(&mut wire, &request, &mut surplus),
+            };
+            if !sent {
                 return;
             }
-            continue;
         }
+    }
+
+    fn answer_health(&self, wire: &mut Wire) -> bool {
+        if self.is_full.swap(false, Ordering::SeqCst) {
+            thread::sleep(HEALTH_WAIT);
+            record(format!(
+                "{}: refuses a health check, since it is full",
+                self.name
+            ));
+            return wire.send(b"HTTP/1.1 503 x\r\nGatepier-Not-Executed: 1\r\nGatepier-Server-Load: 6,4,6\r\nContent-Length: 0\r\n\r\n");
+        }
+        record(format!("{}: answers a health check", self.name));
+        let head = format!(
+            "HTTP/1.1 200 x\r\nGatepier-Instance-Id: {}\r\nGatepier-Server-Load: 0,0,6\r\nContent-Length: 0\r\n\r\n",
+            self.name
+        );
+        wire.send(head.as_bytes())
+    }
+
+    fn run(&self, wire: &mut Wire, request: &Message, surplus: &mut Option<Vec<u8>>) -> bool {
         let id = request
             .header("gatepier-attempt-id")
             .unwrap_or_default()
             .to_owned();
-        record(format!("server: runs {id}"));
-        thread::sleep(Duration::from_millis(30));
-        let size = request
-            .target()
-            .trim_start_matches("/read/")
-            .parse()
-            .unwrap_or(0);
-        let body = body_of(&id, size);
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nGatepier-Attempt-Id: {id}\r\nGatepier-Server-Seal: seal-{id}\r\nGatepier-Server-Load: 1,0,24\r\nKeep-Alive: timeout=5\r\nContent-Length: {}\r\n\r\n",
+        record(format!("{}: runs {id}", self.name));
+        self.runs
+            .lock()
+            .unwrap()
+            .entry(id.clone())
+            .or_default()
+            .push(self.name);
+        thread::sleep(RUN);
+        let body = format!("{} by {}\n", id, self.name);
+        let answer = format!(
+            "HTTP/1.1 200 x\r\nGatepier-Attempt-Id: {id}\r\nGatepier-Server-Seal: seal-{id}\r\nGatepier-Server-Load: 1,0,6\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
         );
-        let sent = wire.send(head.as_bytes()) && wire.send(&body);
-        record(format!(
-            "server: the answer to {id} is {}",
-            if sent { "sent" } else { "broken off" }
-        ));
-        if !sent {
-            return;
+        match self.roles.lock().unwrap().pop() {
+            Some(Role::ClosesIdle) => {
+                let _ = wire.stream.set_read_timeout(Some(IDLE));
+            }
+            Some(Role::Repeats) if has_trouble() => *surplus = Some(answer.clone().into_bytes()),
+            Some(Role::Repeats) | None => {}
         }
+        wire.send(answer.as_bytes())
     }
 }
 
-fn body_of(id: &str, size: usize) -> Vec<u8> {
-    id.bytes().cycle().take(size).collect()
-}
-
 fn run() -> i32 {
     let store = Store::start();
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let server = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            thread::spawn(move || serve(Wire::new(stream)));
-        }
-    });
+    let runs = Runs::default();
+    let (first, first_address) = Server::start("i-1", &runs);
+    let (_second, second_address) = Server::start("i-2", &runs);
     store.put("op/config", r#"{"Version":3,"Routes":[
-        {"Name":"board-read","Host":"board.example","PathPrefix":"/read/","Kind":"idempotent","TimeoutMs":20000,"SloMs":300,"Priority":1,"Service":"lawha-app","Attempts":2,"Public":false}],
+        {"Name":"board-post","Host":"board.example","PathPrefix":"/post/","Kind":"non_idempotent","TimeoutMs":3000,"SloMs":300,"Priority":1,"Service":"lawha-app","Attempts":1,"Public":false}],
         "Services":[{"Name":"lawha-app","HealthPath":"/health","MaxConns":490}],
         "Limits":{"HeaderBytes":16384,"BodyBytes":65536,"HeaderMs":3000,"IdleMs":15000},
         "Tenants":[{"Name":"quarter","ApiKeys":["key-1"],"Priority":1}]}"#);
-    store.put("servers/i-1", &format!(r#"{{"Service":"lawha-app","Addr":"{server}","Zone":"casa-hay","Version":"v1","Slots":24,"State":"ready","ColdLeftMs":0,"Seq":1,"born":1700000000000}}"#));
-    let start = |name: &str, ip: &str| {
-        BoxProcess::start(&BoxSettings {
-            name,
-            ip,
-            zone: "casa-hay",
-            store: store.address,
-            top: "Bootstrap = true\nContracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"tenants\",\"pressure\",\"platform\"]",
-            tables: "[Limits]\nCpuShare = 0.25\nCores = 1\nMemoryMb = 160\nMaxFds = 4100\nLinkMbps = 100.0\n[Bounds]\nGraceS = 8\nRevokeMs = 5000\nConfigMs = 3000\nLostMs = 200\nBudgetRatio = 0.9\nBudgetWindowS = 10\nRetrySlack = 182\nSessionS = 8.5\nStrictRevoke = true\n",
-        })
+    let list = |name: &str, address: SocketAddr| {
+        store.put(&format!("servers/{name}"), &format!(r#"{{"Service":"lawha-app","Addr":"{address}","Zone":"casa-hay","Version":"v1","Slots":6,"State":"ready","ColdLeftMs":0,"Seq":1,"born":1700000000000}}"#));
     };
-    let mut stopped = start("front-1", "127.0.0.1");
-    let other = start("front-2", "127.0.0.2");
-    stopped.wait_until_ready();
-    other.wait_until_ready();
-    thread::sleep(Duration::from_secs(4));
-    let is_whole: Arc<Mutex<Vec<bool>>> = Arc::new(Mutex::new(vec![false; CALLERS]));
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|number| {
-            let (caller, is_whole) = (stopped.caller, is_whole.clone());
-            thread::spawn(move || {
-                let whole = call(caller, number, SMALLEST_ANSWER + number * ANSWER_STEP);
-                is_whole.lock().unwrap()[number] = whole;
-            })
-        })
-        .collect();
-    thread::sleep(STOP_AFTER);
-    let stopped_at = Instant::now();
-    if has_trouble() {
-        stopped.signal(SIGTERM);
-    }
-    let mut ended_after = None;
-    while !callers.iter().all(|caller| caller.is_finished()) {
-        if ended_after.is_none()
-            && let Some(how) = stopped.ended()
-        {
-            record(format!("box front-1 has ended: {how}"));
-            ended_after = Some(stopped_at.elapsed());
-        }
-        thread::sleep(Duration::from_millis(20));
-    }
-    let end = match ended_after {
-        Some(after) => format!("the box ended {:.1} s after SIGTERM", after.as_secs_f64()),
-        None => "the box did not end".to_owned(),
+    list("i-1", first_address);
+    let settings = BoxSettings {
+        name: "front-1",
+        ip: "127.0.0.1",
+        zone: "casa-hay",
+        store: store.address,
+        top: "Bootstrap = true\nContracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"health\",\"pool\",\"tenants\",\"pressure\",\"platform\"]",
+        tables: "[Limits]\nCpuShare = 0.25\nCores = 1\nMemoryMb = 160\nMaxFds = 4100\nLinkMbps = 100.0\n[Bounds]\nGraceS = 8\nRevokeMs = 5000\nConfigMs = 3000\nLostMs = 200\nBudgetRatio = 0.9\nBudgetWindowS = 10\nRetrySlack = 182\nSessionS = 8.5\nStrictRevoke = true\n",
     };
-    let cut = is_whole
-        .lock()
-        .unwrap()
-        .iter()
-        .filter(|whole| !**whole)
-        .count();
-    record(format!("{cut} of {CALLERS} answers were cut; {end}"));
-    let stopped_early = ended_after.is_some_and(|after| after < LONGEST_STOP);
-    match cut > 0 && stopped_early {
-        true => BROKEN,
-        false => HELD,
+    let front = BoxProcess::start(&settings);
+    front.wait_until_ready();
+    thread::sleep(Duration::from_millis(500));
+    for round in 0..ROUNDS {
+        record(format!("round {round}"));
+        // Two requests at once leave two connections that rest.
+        *first.roles.lock().unwrap() = vec![Role::Repeats, Role::ClosesIdle];
+        let a = send(front.caller, format!("{round}a1"));
+        let b = send(front.caller, format!("{round}a2"));
+        let _ = (a.join(), b.join());
+        list("i-2", second_address);
+        thread::sleep(Duration::from_millis(800));
+        first.is_full.store(true, Ordering::SeqCst);
+        let _ = send(front.caller, format!("{round}b")).join();
+        thread::sleep(Duration::from_millis(600));
+        store.remove("servers/i-2");
+        thread::sleep(Duration::from_secs(3));
     }
-}
-
-fn call(caller: SocketAddr, number: usize, size: usize) -> bool {
-    let id = format!("{number:04x}c41d07be2a35");
-    let stream = connect_with_small_window(caller, RECEIVE_BUFFER).unwrap();
-    let mut wire = Wire::new(stream);
-    record(format!("caller: sends {id}"));
-    wire.send(format!("GET /read/{size} HTTP/1.1\r\nHost: board.example\r\nGatepier-Attempt-Id: {id}\r\nGatepier-Deadline-Ms: 15000\r\nX-Api-Key: key-1\r\n\r\n").as_bytes());
-    let began = Instant::now();
-    let Ok(Some(mut head)) = wire.read_head() else {
-        return false;
-    };
-    record(format!(
-        "caller: the head of {id} has come, status {}",
-        head.status()
-    ));
-    // It does not read for a while.
-    thread::sleep(READ_PAUSE);
-    let mut body = std::mem::take(&mut wire.rest);
-    let mut chunk = [0; 4096];
-    while body.len() < size {
-        match wire.stream.read(&mut chunk) {
-            Ok(count) if count > 0 => body.extend_from_slice(&chunk[..count]),
-            _ => break,
+    let runs = runs.lock().unwrap();
+    let mut twice = 0;
+    for (id, servers) in runs.iter() {
+        if servers.len() > 1 {
+            record(format!("{id} ran {} times: {servers:?}", servers.len()));
+            twice += 1;
         }
     }
-    head.is_complete = body == body_of(&id, size);
     record(format!(
-        "caller: {} of {size} bytes of {id} have come after {:.3} s, whole: {}",
-        body.len(),
-        began.elapsed().as_secs_f64(),
-        head.is_complete
+        "{twice} of {} requests ran more than once",
+        runs.len()
     ));
-    head.is_complete
+    match twice {
+        0 => HELD,
+        _ => BROKEN,
+    }
+}
+
+fn send(caller: SocketAddr, id: String) -> thread::JoinHandle<u16> {
+    thread::spawn(move || {
+        let Ok(stream) = TcpStream::connect(caller) else {
+            return 0;
+        };
+        let mut wire = Wire::new(stream);
+        record(format!("caller: sends {id}"));
+        wire.send(format!("POST /post/1 HTTP/1.1\r\nHost: board.example\r\nGatepier-Attempt-Id: {id}\r\nGatepier-Deadline-Ms: 3000\r\nX-Api-Key: key-1\r\nConnection: close\r\nContent-Length: 4\r\n\r\npost").as_bytes());
+        let response = wire.read_response().unwrap_or_default();
+        record(format!(
+            "caller: {id} is answered with {} {:?}",
+            response.status(),
+            String::from_utf8_lossy(&response.body)
+        ));
+        response.status()
+    })
 }
--- a/review/common/standins.rs
+++ b/review/common/standins.rs
@@ -11,6 +11,7 @@
 use std::os::unix::process::CommandExt as _;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -449,7 +450,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = accepting.clone();
-                thread::spawn(move || store.serve(Wire::new(stream)));
+                thread::spawn(move || store.serve(Wire::new(stream), &AtomicBool::new(false)));
             }
         });
         let expiring = store.clone();
@@ -472,6 +473,22 @@
         store
     }
 
+    /// Serves the same contents at another address, for one box that can be cut off: while the flag
+    /// is set, nothing is answered there.
+    pub fn open_view(self: &Arc<Self>) -> (SocketAddr, Arc<AtomicBool>) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().unwrap();
+        let (store, is_cut) = (self.clone(), Arc::new(AtomicBool::new(false)));
+        let flag = is_cut.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (store, is_cut) = (store.clone(), flag.clone());
+                thread::spawn(move || store.serve(Wire::new(stream), &is_cut));
+            }
+        });
+        (address, is_cut)
+    }
+
     fn end_lease(&self, state: &mut StoreState, lease: u64) {
         state.leases.remove(&lease);
         let keys: Vec<String> = state
@@ -528,9 +545,18 @@
         count
     }
 
-    fn serve(&self, mut wire: Wire) {
+    fn serve(&self, mut wire: Wire, is_cut: &AtomicBool) {
         while let Some(request) = wire.read_request() {
+            // What is sent during a cut is lost, and so is what would be answered then.
+            if is_cut.load(Ordering::SeqCst) {
+                loop {
+                    thread::sleep(Duration::from_secs(1));
+                }
+            }
             let (status, body) = self.answer(&request);
+            while is_cut.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_secs(1));
+            }
             let head = format!(
                 "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
                 body.len()
@@ -854,11 +880,21 @@
         kilobytes.unwrap_or(0) * 1024
     }
 
-    /// Kills the process and starts it again after a time, with the same settings.
-    pub fn kill_and_restart(&mut self, pause: Duration) {
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        record(format!("box {}: killed", self.name));
         let _ = self.child.kill();
         let _ = self.child.wait();
+    }
+
+    /// Kills the process and starts it again after a time. The settings are the same, but for what
+    /// they say of the first start of the whole system.
+    pub fn kill_and_restart(&mut self, pause: Duration) {
+        self.kill();
         thread::sleep(pause);
+        let text = std::fs::read_to_string(&self.settings).expect("the settings can be read");
+        let text = text.replace("Bootstrap = true", "Bootstrap = false");
+        std::fs::write(&self.settings, text).expect("the settings can be written");
         let log = std::fs::OpenOptions::new()
             .append(true)
             .open(&self.log)
