Log how old the configuration behind a decision was, and what packing costs

The lines of a request named the version that decided and nothing about its freshness, so that a box that served by an outdated configuration could not be told from one that had been confirmed. Lines 'try' and 'refused' have the age of the last confirmation and how long the box had known that it was behind, also where it is not told any more.

A fetch that fails after 0.5 s with no byte received did not show whether the sender was gone or busy. A box logs each packing of a large item with its time.

--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -21,6 +21,7 @@
 use crate::gateway::attempt::tries::TryHistory;
 use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::attempt::upstream_paths::OutOfReach;
+use crate::gateway::control::state::ConfigBasis;
 use crate::gateway::control::store::UpstreamLife;
 use crate::gateway::place::cache_affinity::CacheReplication;
 use crate::gateway::place::candidates::BackOff;
@@ -56,8 +57,8 @@
     pub fingerprints: RequestFingerprints,
     /// The route that it matched.
     pub route: Arc<Route>,
-    /// The version of the configuration that the route belongs to.
-    pub config_version: u64,
+    /// The configuration that the route belongs to, and its freshness at admission.
+    pub config: ConfigBasis,
     /// The service that the route selected.
     pub service: String,
     /// The organisation that sent it, on routes that require a key.
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -128,7 +128,7 @@
             own,
             parts: prompt.part_fingerprints(&service),
         },
-        config_version: routes.version,
+        config: gw.knowledge.borrow().config_basis(now),
         service,
         organisation,
         method: method_of(req),
@@ -327,9 +327,9 @@
 ) -> Response<BoxBody> {
     let now = Now::read();
     let took = now.monotonic.saturating_sub(received.monotonic);
-    let age = gw.knowledge.borrow().age(now);
+    let config = gw.knowledge.borrow().config_basis(now);
     gw.telemetry
-        .record_refusal(request, fingerprint, reason, execution, age, took);
+        .record_refusal(request, fingerprint, reason, execution, config, took);
     refusal::response(reason, execution)
 }
 
--- a/src/gateway/control/lag.rs
+++ b/src/gateway/control/lag.rs
@@ -39,6 +39,13 @@
         self.0 = self.0.filter(|newer| newer.revision > revision);
     }
 
+    /// Returns how long this box has known that it is behind, whether or not it still gets reports;
+    /// `None` if it has reached the reported revision.
+    pub fn known_for(&self, now: Now) -> Option<Duration> {
+        let newer = self.0?;
+        Some(now.monotonic.saturating_sub(newer.first_reported))
+    }
+
     /// Returns how long this box has been behind, as long as it still gets reports of newer
     /// revisions; `None` if it has reached the reported revision.
     pub fn duration(&self, now: Now) -> Option<Duration> {
--- a/src/gateway/control/mirror.rs
+++ b/src/gateway/control/mirror.rs
@@ -32,6 +32,8 @@
     /// Packed values of the current large items, by key and by the revision of the receiver's
     /// state.
     packed: HashMap<(String, Option<u64>), PackedItem>,
+    /// How many large items this mirror has packed.
+    packing_count: u64,
 }
 
 /// Packed items that bring a box from one revision to another.
@@ -158,6 +160,12 @@
         self.revision
     }
 
+    /// Returns how many large items were packed so far. Packing a megabyte takes a narrow box up to
+    /// a third of a second, in which it does nothing else.
+    pub fn packing_count(&self) -> u64 {
+        self.packing_count
+    }
+
     /// Returns the changes that bring a box from revision `after` to this mirror's revision.
     ///
     /// With `full_values`, no deltas are sent; a box asks for this after it failed to apply a
@@ -188,10 +196,14 @@
                 true => None,
                 false => state_at(previous, after),
             };
+            let packing_count = &mut self.packing_count;
             let packed = self
                 .packed
                 .entry((item.key.clone(), base.map(|base| base.revision)))
-                .or_insert_with(|| PackedItem::pack(item, base));
+                .or_insert_with(|| {
+                    *packing_count += 1;
+                    PackedItem::pack(item, base)
+                });
             items.push(packed.clone());
         }
         PackedChanges {
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -58,6 +58,17 @@
 /// listed, since a late entry of the same incarnation may still arrive.
 const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 
+/// The configuration that decided about a request, and what was known of its freshness then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ConfigBasis {
+    /// The version of the configuration.
+    pub version: u64,
+    /// The time since the state was last confirmed to be current; `None` if it never was.
+    pub age: Option<Duration>,
+    /// How long the box had known that it lacks something newer; `None` if it lacked nothing.
+    pub lag: Option<Duration>,
+}
+
 /// How fresh the configuration is, which determines the answers that a box may give.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConfigFreshness {
@@ -363,6 +374,15 @@
         self.lag.duration(now)
     }
 
+    /// Returns what a decision by the configuration rests on now.
+    pub fn config_basis(&self, now: Now) -> ConfigBasis {
+        ConfigBasis {
+            version: self.routes.as_ref().map_or(0, |routes| routes.version),
+            age: self.age(now),
+            lag: self.lag.known_for(now),
+        }
+    }
+
     /// Returns how fresh the configuration is.
     pub fn freshness(&self, bounds: &Bounds, now: Now) -> ConfigFreshness {
         let lag = self.lag(now);
--- a/src/gateway/peers/fetch.rs
+++ b/src/gateway/peers/fetch.rs
@@ -4,6 +4,7 @@
 //! megabyte from ever passing a link of 10 Mbit/s, which takes 0.84 s for it. See
 //! `docs/design/spreading.md`.
 
+use super::hubs::pack_changes;
 use super::packing::{compress_message, decompress_message};
 use crate::clock::{Now, millis};
 use crate::gateway::Gateway;
@@ -245,8 +246,7 @@
 }
 
 fn pack(gw: &Gateway, request: FetchRequest) -> Result<Bytes, WireError> {
-    let mut mirror = gw.mirror.borrow_mut();
-    let changes = mirror.changes_after(request.after, request.full_values);
+    let changes = pack_changes(gw, request.after, request.full_values);
     let packed = compress_message(&wire::encode(&changes)?).map(Bytes::from);
     packed.map_err(|err| WireError::NotSent(err.to_string()))
 }
--- a/src/gateway/peers/hubs.rs
+++ b/src/gateway/peers/hubs.rs
@@ -15,6 +15,7 @@
 use crate::clock::{Now, millis};
 use crate::gateway::Gateway;
 use crate::gateway::control::mirror::PackedChanges;
+use crate::gateway::control::revision::EpochRevision;
 use crate::gateway::control::store::BoxEntry;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -118,7 +119,7 @@
         fetching: FetchStatus,
         now: Now,
     ) -> HubUpdate {
-        let mut changes = gw.mirror.borrow_mut().changes_after(after, false);
+        let mut changes = pack_changes(gw, after, false);
         let bytes = changes.len();
         let dropped = changes.drop_largest_beyond(MAX_DATAGRAM_ITEM_BYTES);
         let remainder = dropped.map(|revision| {
@@ -156,6 +157,28 @@
     }
 }
 
+/// Returns the changes that bring a box from revision `after` to this box's revision; logs how long
+/// it took if large items had to be packed.
+pub fn pack_changes(gw: &Gateway, after: u64, full_values: bool) -> PackedChanges {
+    let mut mirror = gw.mirror.borrow_mut();
+    let (began, known) = (Now::read(), mirror.packing_count());
+    let changes = mirror.changes_after(after, full_values);
+    let items = mirror.packing_count() - known;
+    if items > 0 {
+        let took = Now::read().monotonic.saturating_sub(began.monotonic);
+        let EpochRevision { epoch, revision } = EpochRevision::from_qualified(after);
+        log::info!(
+            items,
+            epoch,
+            after = revision,
+            bytes = changes.len(),
+            took_ms = millis(took);
+            "packed large items for other boxes"
+        );
+    }
+    changes
+}
+
 /// The halls of boxes, from the view of a box that has to fetch.
 struct HallLookup<'a> {
     receiver: Option<&'a str>,
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -14,6 +14,7 @@
 use super::attempt::upstream_connections::ConnectionMetrics;
 use super::control::change::Change;
 use super::control::revision::EpochRevision;
+use super::control::state::ConfigBasis;
 use super::peers::hub_poller::FetchError;
 use super::place::choose::PlacementChoice;
 use super::place::engine_speed::{SpeedBelief, SpeedSource};
@@ -219,7 +220,9 @@
             request = request.request_id.as_str(),
             fingerprint = request.fingerprints.own.to_string().as_str(),
             route = request.route.name.as_str(),
-            config = request.config_version,
+            config = request.config.version,
+            knowledge_age_ms = optional_millis(request.config.age),
+            lag_ms = optional_millis(request.config.lag),
             upstream = listed.instance.as_str(),
             version = listed.version.as_str(),
             model = plan.model.unwrap_or(""),
@@ -524,7 +527,7 @@
         fingerprint: Option<Fingerprint>,
         reason: RefusalReason,
         execution: Execution,
-        age: Option<Duration>,
+        config: ConfigBasis,
         took: Duration,
     ) {
         self.refusals
@@ -535,7 +538,8 @@
             fingerprint = fingerprint.as_deref().unwrap_or(""),
             reason = reason.name(),
             may_have_run = execution == Execution::Possible,
-            knowledge_age_ms = age.map_or(-1, |age| i64::try_from(millis(age)).unwrap_or(-1)),
+            knowledge_age_ms = optional_millis(config.age),
+            lag_ms = optional_millis(config.lag),
             took_ms = millis(took);
             "refused"
         );
