Failing tests: boxes that serve by an outdated configuration, slow senders

A box that knows of a change, and receives it for longer than the operators' bound, is told of it for the last time as the transfer begins, and a second later serves by the version before: for 6.5 s after the confirmation over a link of 250 kB/s, on a deployment that serves known keys without a proof. A box that was paused does the same with what it reads first. The decision fails without a process, too.

A change that passes from box to box is packed by each of them, and a sender that takes over 0.5 s to begin is given up for one that is as slow.

--- a/tests/gateway/freshness.rs
+++ b/tests/gateway/freshness.rs
@@ -109,6 +109,20 @@
         expect_that!(state.freshness(&bounds(), at(5100)), eq(ConfigFreshness::Current));
     }
 
+    connected_box_without_a_recent_confirmation_is_outdated => {
+        // Guards against serving by an outdated configuration as long as nobody says that there is
+        // a newer one: a box whose link was full was not told for over a second, and sent
+        // requests by a configuration that had been replaced 3.5 s before.
+        let mut state = ControlPlaneState::default();
+        expect_that!(state.freshness(&bounds(), at(0)), eq(ConfigFreshness::Outdated));
+        state.confirm(at(0).monotonic);
+        state.record_newer_revision(9, at(300));
+        expect_that!(state.freshness(&bounds(), at(2799)), eq(ConfigFreshness::Current));
+        for millis in [2800, 3500, 60_000] {
+            expect_that!(state.freshness(&bounds(), at(millis)), eq(ConfigFreshness::Outdated));
+        }
+    }
+
     missing_newer_revision_makes_the_state_outdated => {
         let mut state = ControlPlaneState::default();
         for millis in (0..=2000).step_by(400) {
--- a/tests/gateway/packing.rs
+++ b/tests/gateway/packing.rs
@@ -1,6 +1,7 @@
 //! The size of packed items, and the handling of corrupt ones.
 
 use super::cases;
+use gatepier::gateway::control::mirror::Mirror;
 use gatepier::gateway::control::store::Item;
 use gatepier::gateway::peers::packing::{PackedItem, UnpackError};
 use googletest::prelude::*;
@@ -31,6 +32,13 @@
     }
 }
 
+/// Passes what a box has on to another one that has reached revision 7.
+fn pass_on(sender: &mut Mirror, receiver: &mut Mirror) {
+    let packed = sender.changes_after(7, false);
+    let changes = receiver.unpack(packed).unwrap();
+    receiver.apply(changes.items, changes.revision);
+}
+
 cases! {
     item_survives_packing_and_unpacking => {
         let (old, new) = (item(routes(0, 2800), 7), item(routes(0, 4200), 9));
@@ -54,6 +62,25 @@
         expect_that!(unchanged, lt(1000));
     }
 
+    received_change_is_passed_on_without_being_packed_again => {
+        // Guards against each box packing a change for the next one: with an eighth of a core that
+        // took up to 0.6 s, while the receivers gave the sender up after 0.5 s.
+        let (old, new) = (item(routes(0, 2800), 7), item(routes(0, 4200), 9));
+        let [mut hub, mut first, mut second] = [(); 3].map(|()| Mirror::default());
+        for known in [&mut hub, &mut first, &mut second] {
+            known.apply(vec![old.clone()], 7);
+        }
+        hub.apply(vec![new.clone()], 9);
+        pass_on(&mut hub, &mut first);
+        pass_on(&mut first, &mut second);
+        let packed = [&hub, &first, &second].map(Mirror::packing_count);
+        expect_that!(packed, eq([1, 0, 0]));
+        // A box without any state gets the whole item.
+        let starting = Mirror::default();
+        let whole = second.changes_after(0, false);
+        expect_that!(starting.unpack(whole).unwrap().items, elements_are![eq(&new)]);
+    }
+
     delta_to_another_state_is_rejected => {
         let (old, new) = (item(routes(0, 100), 7), item(routes(0, 200), 9));
         let packed = PackedItem::pack(&new, Some(&old));
--- a/tests/spreading.rs
+++ b/tests/spreading.rs
@@ -48,6 +48,9 @@
 const CONFIG_BOUND: Duration = Duration::from_secs(3);
 /// Number of routes of a configuration of about 1 MB.
 const LARGE_CONFIG_ROUTES: usize = 4200;
+/// The time in milliseconds by which a slow box sends later: with a connection and a request, the
+/// first byte of a fetch takes over a second.
+const SLOW_SENDER_DELAY_MS: u64 = 350;
 const CONFIG_KEY: &str = "config";
 
 /// A store that cannot be reached, so that boxes learn of changes only from each other.
@@ -309,6 +312,27 @@
         );
     };
 
+    change_is_fetched_from_a_box_that_is_slow_to_send => async {
+        // Guards against giving a sender up after a fixed time without a byte. A box that is short of
+        // processor time takes longer to pack a change or to come to sending it; its receivers
+        // turned to other boxes, which were as slow, and began anew with each of them.
+        let (hub, hub_address) = start_box("hub");
+        let (follower, _) = start_box("behind");
+        let proxy = Proxy::default();
+        let link = proxy.open("link", hub_address).await.unwrap();
+        proxy.set("link", LinkMode::Delayed(SLOW_SENDER_DELAY_MS));
+        pass_datagrams(link, hub_address).await;
+        register_box(&follower, "hub", link, 1);
+        register_box(&hub, "hub", hub_address, 1);
+        apply_config(&hub, 10, config(1, 40));
+        expect_that!(wait_for_version(&follower, 1, CONFIG_BOUND).await, some(anything()));
+        apply_config(&hub, 11, config(2, LARGE_CONFIG_ROUTES));
+        expect_that!(
+            wait_for_version(&follower, 2, CONFIG_BOUND).await,
+            some(lt(CONFIG_BOUND))
+        );
+    };
+
     lost_hub_is_replaced_by_the_other_hub_at_the_next_query => async {
         // Guards against choosing the hub only by the age of its last response: boxes then queried a
         // lost hub for 1.3 s more, and got each change late.
