Boxes past the bound serve only if they are cut off from the store

Cause: a box took silence for currency. It refused for being behind as long as a hub or the store had told it of something newer within the last second. A box whose transfer fills its link, or that has no processor time, is told less often; it then counted as cut off and served on by what it had, for ever where operators let known keys be served, and up to the bound on keys elsewhere.

Change: the age of the last confirmation decides. It counts from before the call that proved it, so within the operators' bound everything confirmed is in force; past it a box serves only if a call of its own since then failed or stays unanswered, which is what being cut off means. Calls during which the process stood still show nothing.

freshness_is_current_only_while_no_newer_revision_is_known expected a state of any age to be usable without saying why it is old. It now says that the store is lost; without that, the new cases ask for a refusal.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -386,6 +386,7 @@
 
     /// Records that the store answered a call.
     pub fn store_answered(&self, now: Now) {
+        self.knowledge.borrow_mut().record_store_answer(now);
         if let Some(since) = self.store_lost_since.take() {
             let outage = now.monotonic.saturating_sub(since);
             log::info!(lost_ms = outage.as_millis() as u64; "the store is reachable again");
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -12,4 +12,5 @@
 pub mod rollout_leader;
 pub mod state;
 pub mod store;
+pub mod store_reach;
 pub mod store_sync;
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -8,6 +8,7 @@
 use super::restoration::Restoration;
 use super::rollout::Rollout;
 use super::store::{BoxEntry, ListedUpstream, RolloutOrder, RolloutRecord, Update, UpstreamLife};
+use super::store_reach::StoreReach;
 use crate::clock::Now;
 use crate::gateway::admit::routes::RouteTable;
 use crate::gateway::attempt::upstream::Upstream;
@@ -44,6 +45,7 @@
     former_boxes: HashMap<SocketAddr, Duration>,
     confirmed_at: Option<Duration>,
     lag: Lag,
+    store_reach: StoreReach,
     store_recovering_until: Option<Duration>,
     /// Upstream incarnations that have announced in an answer that they leave, and when.
     leaving: HashMap<UpstreamLife, Duration>,
@@ -78,9 +80,9 @@
     /// missing.
     KeysValid,
     /// There is no recent confirmation that the configuration is current, and no evidence that it
-    /// is not.
+    /// is not; the box cannot reach the store.
     Unconfirmed,
-    /// A newer configuration has existed for so long that it must be in force by now.
+    /// A newer configuration may have existed for so long that it must be in force by now.
     Outdated,
 }
 
@@ -383,13 +385,32 @@
         }
     }
 
+    /// Records that a call of this box to the store failed, or has stayed unanswered for too long.
+    pub fn record_store_failure(&mut self, now: Now) {
+        self.store_reach.record_failure(now);
+    }
+
+    /// Records that the store answered a call of this box.
+    pub fn record_store_answer(&mut self, now: Now) {
+        self.store_reach.record_answer(now);
+    }
+
     /// Returns how fresh the configuration is.
+    ///
+    /// A confirmation proves that everything acknowledged before it is in force, so within the
+    /// operators' bound it is no matter whether newer revisions are known. Past the bound, a box
+    /// that reaches the store must not decide by what it has: that it was told of nothing newer
+    /// proves nothing. One that is cut off cannot do better. See `docs/design/spreading.md`.
     pub fn freshness(&self, bounds: &Bounds, now: Now) -> ConfigFreshness {
         let lag = self.lag(now);
         if lag.is_some_and(|lag| lag > bounds.max_config_lag()) {
             return ConfigFreshness::Outdated;
         }
         let is_younger = |than: Duration| self.age(now).is_some_and(|age| age < than);
+        let is_cut_off = || self.store_reach.is_lost(self.confirmed_at, now);
+        if !is_younger(bounds.config_delay) && !is_cut_off() {
+            return ConfigFreshness::Outdated;
+        }
         if lag.is_none() && is_younger(bounds.max_denial_proof_age()) {
             return ConfigFreshness::Current;
         }
--- /dev/null
+++ b/src/gateway/control/store_reach.rs
@@ -0,0 +1,41 @@
+//! Tracks whether this box's own calls reach the store.
+
+use crate::clock::Now;
+use std::time::Duration;
+
+/// How long after the store has answered again a box still counts as cut off: it takes a few calls
+/// to catch up with what it has missed.
+const CATCH_UP_TIME: Duration = Duration::from_millis(500);
+
+/// The latest outcomes of this box's calls to the store.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct StoreReach {
+    failed_at: Option<Duration>,
+    /// The first answer after the latest failure.
+    answered_at: Option<Duration>,
+}
+
+impl StoreReach {
+    /// Records that a call failed or stays unanswered.
+    pub fn record_failure(&mut self, now: Now) {
+        *self = Self {
+            failed_at: Some(now.monotonic),
+            answered_at: None,
+        };
+    }
+
+    /// Records that a call was answered.
+    pub fn record_answer(&mut self, now: Now) {
+        self.answered_at.get_or_insert(now.monotonic);
+    }
+
+    /// Returns whether the box is cut off from the store, given when its state was last confirmed
+    /// to be current. A failure from before that says nothing of the time since.
+    pub fn is_lost(&self, confirmed_at: Option<Duration>, now: Now) -> bool {
+        if self.failed_at.is_none() || self.failed_at < confirmed_at {
+            return false;
+        }
+        self.answered_at
+            .is_none_or(|at| now.monotonic.saturating_sub(at) < CATCH_UP_TIME)
+    }
+}
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -13,9 +13,11 @@
 use super::store::{ControlStore, Item, WatchResult};
 use crate::clock::Now;
 use crate::gateway::Gateway;
+use crate::store::StoreResult;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// How long one watch call waits. The store answers a watch at once when something changes, so this
 /// only bounds how long a dead connection is held.
@@ -50,6 +52,11 @@
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long the watch may take to deliver changes whose existence a revision check has shown.
 const WATCH_GRACE: Duration = Duration::from_millis(150);
+/// How long a call may stay unanswered until the store counts as lost to this box. A slow store
+/// takes 0.24 s.
+const STORE_SILENCE: Duration = Duration::from_millis(250);
+/// How late a timer fires at most while the process runs.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(100);
 
 /// How many page reads may fail during a full read by the staleness check before it gives up until
 /// the next check.
@@ -97,10 +104,7 @@
             sleep(REGISTRATION_POLL_INTERVAL).await;
         }
     };
-    if tokio::time::timeout(REGISTRATION_TIMEOUT, registered)
-        .await
-        .is_err()
-    {
+    if timeout(REGISTRATION_TIMEOUT, registered).await.is_err() {
         log::info!("this box is not registered yet, starting the initial sync anyway");
     }
 }
@@ -242,6 +246,46 @@
     true
 }
 
+/// Makes a call to the store and records what it shows of the connection to the store.
+///
+/// A call that stays unanswered counts as a failure long before it ends, since a box that may be
+/// cut off decides differently from one that is connected ([`ControlPlaneState::freshness`]). A
+/// process that stood still may give up on an answer that has arrived, which shows nothing.
+///
+/// [`ControlPlaneState::freshness`]: super::state::ControlPlaneState::freshness
+async fn call_store<T>(
+    gw: &Gateway,
+    store: &dyn ControlStore,
+    call: impl Future<Output = StoreResult<T>>,
+) -> StoreResult<T> {
+    let mut call = pin!(call);
+    loop {
+        let began = Now::read();
+        let outcome = timeout(STORE_SILENCE, call.as_mut()).await;
+        let now = Now::read();
+        let elapsed = now.monotonic.saturating_sub(began.monotonic);
+        let is_missing = match &outcome {
+            Ok(Ok(_)) => false,
+            Ok(Err(_)) => true,
+            Err(_elapsed) => !store.is_receiving_response(),
+        };
+        if is_missing && elapsed < STORE_SILENCE + MAX_TIMER_DELAY {
+            gw.knowledge.borrow_mut().record_store_failure(now);
+        }
+        match outcome {
+            Ok(Ok(answer)) => {
+                gw.store_answered(now);
+                return Ok(answer);
+            }
+            Ok(Err(err)) => {
+                gw.store_failed(&err, now);
+                return Err(err);
+            }
+            Err(_elapsed) => {}
+        }
+    }
+}
+
 /// A paged read of the complete store contents in progress.
 struct SnapshotRead {
     started_at: Duration,
@@ -267,14 +311,10 @@
     /// Reads the next page; returns false if the store did not answer.
     async fn read_page(&mut self, gw: &Gateway, store: &dyn ControlStore) -> bool {
         gw.telemetry.count_store_call("list");
-        let page = match store.read_page(self.next_page.as_deref()).await {
-            Ok(page) => page,
-            Err(err) => {
-                gw.store_failed(&err, Now::read());
-                return false;
-            }
+        let read = store.read_page(self.next_page.as_deref());
+        let Ok(page) = call_store(gw, store, read).await else {
+            return false;
         };
-        gw.store_answered(Now::read());
         let first = *self.revision.get_or_insert(page.revision);
         if epoch_of(first) != epoch_of(page.revision) {
             log::info!("the store was restored during a full read, starting again");
@@ -369,19 +409,13 @@
 async fn check_revision(gw: &Gateway, store: &dyn ControlStore) -> bool {
     let sent = Now::read();
     gw.telemetry.count_store_call("check");
-    let revision = match store.read_revision().await {
-        Ok(revision) => revision,
-        Err(err) => {
-            gw.store_failed(&err, Now::read());
-            return false;
-        }
+    let Ok(revision) = call_store(gw, store, store.read_revision()).await else {
+        return false;
     };
-    let now = Now::read();
-    gw.store_answered(now);
     if is_behind(gw, revision) {
         gw.knowledge
             .borrow_mut()
-            .record_newer_revision(revision, now);
+            .record_newer_revision(revision, Now::read());
         sleep(WATCH_GRACE).await;
     }
     let newest = EpochRevision::from_qualified(revision);
@@ -417,17 +451,14 @@
     let EpochRevision { epoch, revision } = EpochRevision::from_qualified(after);
     log::info!(epoch, after = revision; "this box is behind, reading the missed changes");
     gw.telemetry.count_store_call("changes");
-    match store.watch(after, CATCH_UP_TIMEOUT).await {
+    match call_store(gw, store, store.watch(after, CATCH_UP_TIMEOUT)).await {
         Ok(WatchResult::Changes(items, revision)) => {
             apply_items(gw, store, items, revision, "changes")
         }
         Ok(WatchResult::HistoryCompacted) => {
             log::warn!(epoch, after = revision; "the store's history is compacted");
         }
-        Err(err) => {
-            gw.store_failed(&err, Now::read());
-            return false;
-        }
+        Err(_logged) => return false,
     }
     true
 }
--- a/tests/gateway/freshness.rs
+++ b/tests/gateway/freshness.rs
@@ -94,11 +94,14 @@
     }
 
     freshness_is_current_only_while_no_newer_revision_is_known => {
+        // The store is lost, or a state past the bound would be outdated.
         let mut state = ControlPlaneState::default();
+        state.record_store_failure(at(0));
         expect_that!(state.freshness(&bounds(), at(0)), eq(ConfigFreshness::Unconfirmed));
         state.confirm(at(0).monotonic);
         expect_that!(state.freshness(&bounds(), at(2700)), eq(ConfigFreshness::Current));
         expect_that!(state.freshness(&bounds(), at(2900)), eq(ConfigFreshness::KeysValid));
+        expect_that!(state.freshness(&bounds(), at(4300)), eq(ConfigFreshness::KeysValid));
         expect_that!(state.freshness(&bounds(), at(4500)), eq(ConfigFreshness::Unconfirmed));
         state.confirm(at(5000).monotonic);
         state.record_newer_revision(9, at(5000));
@@ -123,6 +126,23 @@
         }
     }
 
+    box_counts_as_cut_off_only_by_calls_after_its_last_confirmation => {
+        let mut state = ControlPlaneState::default();
+        state.record_store_failure(at(900));
+        state.confirm(at(1000).monotonic);
+        expect_that!(state.freshness(&bounds(), at(4000)), eq(ConfigFreshness::Outdated));
+        state.record_store_failure(at(4000));
+        expect_that!(state.freshness(&bounds(), at(4100)), eq(ConfigFreshness::KeysValid));
+        expect_that!(state.freshness(&bounds(), at(60_000)), eq(ConfigFreshness::Unconfirmed));
+        // It may take a moment to catch up when the store answers again.
+        state.record_store_answer(at(60_000));
+        state.record_store_answer(at(60_400));
+        expect_that!(state.freshness(&bounds(), at(60_499)), eq(ConfigFreshness::Unconfirmed));
+        expect_that!(state.freshness(&bounds(), at(60_500)), eq(ConfigFreshness::Outdated));
+        state.record_store_failure(at(61_000));
+        expect_that!(state.freshness(&bounds(), at(61_000)), eq(ConfigFreshness::Unconfirmed));
+    }
+
     missing_newer_revision_makes_the_state_outdated => {
         let mut state = ControlPlaneState::default();
         for millis in (0..=2000).step_by(400) {
