Give senders more time after fetches that stalled

What callers saw: at boxes that lacked a change for seconds, refusals (stale), or an outdated configuration.

Cause: a sender that sent nothing for 0.5 s was given up, however slow all senders were.

Change: the time doubles with each fetch that stalls, up to 2 s, and returns to 0.5 s with one that succeeds. The same for a box that starts.

--- a/src/gateway/control/initial_sync.rs
+++ b/src/gateway/control/initial_sync.rs
@@ -12,7 +12,7 @@
 use super::store_sync::{apply_changes, read_snapshot};
 use crate::clock::{Now, millis};
 use crate::gateway::Gateway;
-use crate::gateway::peers::fetch::{FetchProgress, Snapshot, fetch_snapshot};
+use crate::gateway::peers::fetch::{FetchProgress, Snapshot, StallTimeout, fetch_snapshot};
 use futures::future::{Either, select};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -231,13 +231,16 @@
     readers: &[SocketAddr],
     progress: &FetchProgress,
 ) {
+    let mut stall_timeout = StallTimeout::default();
     for reader in readers.iter().cycle() {
         let sent_at = Now::read();
         progress.reset();
         let from = reader.to_string();
-        match fetch_snapshot(*reader, progress).await {
+        let fetched = fetch_snapshot(*reader, stall_timeout, progress).await;
+        let elapsed = Now::read().monotonic.saturating_sub(sent_at.monotonic);
+        stall_timeout = stall_timeout.after(fetched.is_ok(), elapsed);
+        match fetched {
             Ok(snapshot) if apply_snapshot(gw, store, &snapshot, sent_at) => {
-                let elapsed = Now::read().monotonic.saturating_sub(sent_at.monotonic);
                 log::info!(
                     from = from.as_str(),
                     bytes = progress.bytes(),
--- a/src/gateway/peers/fetch.rs
+++ b/src/gateway/peers/fetch.rs
@@ -22,13 +22,15 @@
 /// How long a box may take to accept a connection: a few round trips between halls plus the
 /// scheduling delay of a busy processor. A box that is gone does not answer at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// The longest pause in the middle of a fetch. A sender has the data in memory, so only a congested
-/// link or a lost box pauses; lossy links retransmit within 0.2 s.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest pause in a fetch while fetches do not stall. A sender has the data in memory, and
+/// lossy links retransmit within 0.2 s.
+const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest pause in a fetch if earlier ones have stalled. A box checks nothing else meanwhile.
+const MAX_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// The longest duration of a fetch, in case a sender never ends: the largest message takes 6.7 s at
 /// 10 Mbit/s.
 pub const FETCH_TIMEOUT: Duration = Duration::from_secs(8);
-/// How long a box without state holds a snapshot request. Shorter than the silence timeout, so that
+/// How long a box without state holds a snapshot request. Shorter than any stall timeout, so that
 /// the requesting box learns that this one is alive.
 const FIRST_STATE_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a packed snapshot is reused for other boxes. While hundreds of boxes register, the
@@ -80,6 +82,31 @@
     }
 }
 
+/// The longest pause in a fetch after which the sender counts as lost.
+///
+/// It doubles with each fetch that stalls: senders that are short of processor time take longer
+/// than any fixed time, and turning to others, which are as slow, makes them all slower.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StallTimeout(Duration);
+
+impl Default for StallTimeout {
+    fn default() -> Self {
+        Self(MIN_STALL_TIMEOUT)
+    }
+}
+
+impl StallTimeout {
+    /// Returns the timeout of the fetch after one with this one that failed, or succeeded.
+    pub fn after(self, succeeded: bool, took: Duration) -> Self {
+        match succeeded {
+            true => Self::default(),
+            false if took >= self.0 => Self((self.0 * 2).min(MAX_STALL_TIMEOUT)),
+            // It failed for another reason.
+            false => self,
+        }
+    }
+}
+
 /// The progress of a fetch, also of one that failed.
 #[derive(Debug, Default)]
 pub struct FetchProgress {
@@ -102,10 +129,11 @@
 pub async fn fetch(
     from: SocketAddr,
     request: FetchRequest,
+    stall_timeout: StallTimeout,
     progress: &FetchProgress,
 ) -> Result<PackedChanges, WireError> {
     let target = format!("{ITEMS_PATH}?{}", request.to_query());
-    let fetched = fetch_with_timeout(from, &target, progress).await?;
+    let fetched = fetch_with_timeout(from, &target, stall_timeout, progress).await?;
     unpack(&fetched.body)
 }
 
@@ -134,9 +162,10 @@
 /// Fetches the complete state from a box, which waits for a while if it has none yet.
 pub async fn fetch_snapshot(
     from: SocketAddr,
+    stall_timeout: StallTimeout,
     progress: &FetchProgress,
 ) -> Result<Snapshot, WireError> {
-    let fetched = fetch_with_timeout(from, SNAPSHOT_PATH, progress).await?;
+    let fetched = fetch_with_timeout(from, SNAPSHOT_PATH, stall_timeout, progress).await?;
     Ok(Snapshot {
         changes: unpack(&fetched.body)?,
         age: duration_in(&fetched.headers, AGE_HEADER)?,
@@ -167,15 +196,18 @@
 async fn fetch_with_timeout(
     from: SocketAddr,
     target: &str,
+    stall_timeout: StallTimeout,
     progress: &FetchProgress,
 ) -> Result<FetchResponse, WireError> {
-    let fetching = timeout(FETCH_TIMEOUT, fetch_until_silent(from, target, progress)).await;
+    let fetching = fetch_until_stalled(from, target, stall_timeout, progress);
+    let fetching = timeout(FETCH_TIMEOUT, fetching).await;
     fetching.map_err(|_elapsed| no_answer("the fetch took too long"))?
 }
 
-async fn fetch_until_silent(
+async fn fetch_until_stalled(
     from: SocketAddr,
     target: &str,
+    stall_timeout: StallTimeout,
     progress: &FetchProgress,
 ) -> Result<FetchResponse, WireError> {
     let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(from)).await;
@@ -195,30 +227,34 @@
         .body(())
         .map_err(|err| WireError::NotSent(err.to_string()))?;
     let (response, _) = sender.send_request(req, true).map_err(connection_lost)?;
-    let response = with_silence_timeout(response)
+    let response = with_stall_timeout(stall_timeout, response)
         .await?
         .map_err(connection_lost)?;
     let (head, body) = response.into_parts();
     Ok(FetchResponse {
         headers: head.headers,
-        body: read_until_silent(body, progress).await?,
+        body: read_until_stalled(body, stall_timeout, progress).await?,
     })
 }
 
-async fn read_until_silent(
+async fn read_until_stalled(
     mut body: h2::RecvStream,
+    stall_timeout: StallTimeout,
     progress: &FetchProgress,
 ) -> Result<Bytes, WireError> {
     let mut buf = BytesMut::new();
-    while let Some(chunk) = with_silence_timeout(body.data()).await? {
+    while let Some(chunk) = with_stall_timeout(stall_timeout, body.data()).await? {
         wire::append_chunk(&mut body, &mut buf, chunk)?;
         progress.bytes.set(buf.len());
     }
     Ok(buf.freeze())
 }
 
-async fn with_silence_timeout<T>(operation: impl Future<Output = T>) -> Result<T, WireError> {
-    let result = timeout(SILENCE_TIMEOUT, operation).await;
+async fn with_stall_timeout<T>(
+    stall_timeout: StallTimeout,
+    operation: impl Future<Output = T>,
+) -> Result<T, WireError> {
+    let result = timeout(stall_timeout.0, operation).await;
     result.map_err(|_elapsed| no_answer("the transfer stalled"))
 }
 
--- a/src/gateway/peers/hub_poller.rs
+++ b/src/gateway/peers/hub_poller.rs
@@ -3,7 +3,7 @@
 //! A box polls one hub several times a second ([`super::hubs`]) and runs one fetch at a time. See
 //! `docs/design/spreading.md`.
 
-use super::fetch::{FetchProgress, FetchRequest, fetch};
+use super::fetch::{FetchProgress, FetchRequest, StallTimeout, fetch};
 use super::fetch_planner::FetchSource;
 use super::hubs::{FetchStatus, HubUpdate, PollRequest, choose_hubs};
 use super::packing::UnpackError;
@@ -46,6 +46,7 @@
 pub struct HubPoller {
     polled: RefCell<HashMap<SocketAddr, PollHistory>>,
     fetch_status: Cell<FetchStatus>,
+    stall_timeout: Cell<StallTimeout>,
     /// Whether the next poll is due after the retry interval.
     retry_pending: Cell<bool>,
     /// The number of consecutive updates that could not be unpacked.
@@ -271,13 +272,16 @@
         full_values: gw.hub_queries.wants_full_values(),
     };
     let progress = FetchProgress::default();
-    let fetched = fetch(from, request, &progress).await;
+    let stall_timeout = gw.hub_queries.stall_timeout.get();
+    let fetched = fetch(from, request, stall_timeout, &progress).await;
     gw.telemetry.count_item_bytes("fetch", progress.bytes());
     let outcome = match fetched {
         Ok(packed) => apply_fetched(gw, store, packed),
         Err(err) => Err(FetchError::TransferFailed(err)),
     };
     let elapsed = Now::read().monotonic.saturating_sub(started_at.monotonic);
+    let stall_timeout = stall_timeout.after(outcome.is_ok(), elapsed);
+    gw.hub_queries.stall_timeout.set(stall_timeout);
     gw.telemetry
         .record_fetch(from, &outcome, progress.bytes(), elapsed);
     if let Err(FetchError::UnpackFailed(err)) = &outcome {
--- a/tests/gateway/fetch_planning.rs
+++ b/tests/gateway/fetch_planning.rs
@@ -5,10 +5,12 @@
 //! `gateway::peers::hubs`; time is simulated.
 
 use super::{at, cases};
+use gatepier::gateway::peers::fetch::StallTimeout;
 use gatepier::gateway::peers::fetch_planner::{FetchPlanner, FetchSource, MissingChange};
 use googletest::prelude::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// A link of 10 Mbit/s, in bytes per millisecond.
 const LINK_BYTES_PER_MS: f64 = 1250.0;
@@ -136,6 +138,20 @@
 }
 
 cases! {
+    senders_get_more_time_only_after_fetches_that_stalled => {
+        let half_a_second = Duration::from_millis(500);
+        let first = StallTimeout::default();
+        expect_that!(first.after(false, Duration::from_millis(300)), eq(first));
+        let second = first.after(false, half_a_second);
+        expect_that!(second, not(eq(first)));
+        expect_that!(second.after(false, half_a_second), eq(second));
+        let third = second.after(false, 2 * half_a_second);
+        expect_that!(third, not(eq(second)));
+        // Two seconds are the most.
+        expect_that!(third.after(false, 4 * half_a_second), eq(third));
+        expect_that!(third.after(true, half_a_second), eq(first));
+    }
+
     change_reaches_every_box_in_half_the_operators_bound_at_every_size => {
         for bytes in [DELTA_BYTES, FULL_BYTES] {
             for boxes in [6, 30, 91, 300] {
