A box that was behind does not take its delay for an outage of the store

Silence was taken for evidence: a state that was not confirmed for 2.2 s meant that the store had been down, also where this box alone was late.

Change: a call of the box itself must have failed since the last confirmation. Boxes call the store at an age of 1.85 s at the latest, and a call that stays unanswered counts after 0.25 s, so in an outage each of them has such a call before its state is 2.2 s old.

Evidence: entry_missing_at_a_box_that_was_behind_is_removed_at_once failed before (the upstream stayed available).

--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -422,11 +422,13 @@
 
     /// Records that data from the store is about to be applied.
     ///
-    /// If the state was not confirmed by any path for a while, the store may have been down, and
-    /// entries that are missing now may belong to live upstreams. An outage of the store seen by
-    /// only one box or hub does not count, because the other boxes keep this box's state fresh.
+    /// If the state was not confirmed by any path for a while, and calls of this box to the store
+    /// failed meanwhile, the store may have been down, and entries that are missing now may belong
+    /// to live upstreams. An outage of the store seen by only one box or hub does not count, because
+    /// the other boxes keep this box's state fresh; nor does the delay of a box that was behind.
     pub fn record_store_contact(&mut self, now: Now) {
-        if self.age(now).is_some_and(|age| age > SUSPECTED_OUTAGE_AGE) {
+        let is_old = self.age(now).is_some_and(|age| age > SUSPECTED_OUTAGE_AGE);
+        if is_old && self.store_reach.has_failed_since(self.confirmed_at) {
             let until = now.monotonic + LAPSE_GRACE;
             let known = self.store_recovering_until.unwrap_or_default();
             if known < now.monotonic {
--- a/src/gateway/control/store_reach.rs
+++ b/src/gateway/control/store_reach.rs
@@ -29,13 +29,18 @@
         self.answered_at.get_or_insert(now.monotonic);
     }
 
+    /// Returns whether a call failed since the box's state was last confirmed to be current. A
+    /// failure from before that says nothing of the time since.
+    pub fn has_failed_since(&self, confirmed_at: Option<Duration>) -> bool {
+        self.failed_at.is_some() && self.failed_at >= confirmed_at
+    }
+
     /// Returns whether the box is cut off from the store, given when its state was last confirmed
-    /// to be current. A failure from before that says nothing of the time since.
+    /// to be current.
     pub fn is_lost(&self, confirmed_at: Option<Duration>, now: Now) -> bool {
-        if self.failed_at.is_none() || self.failed_at < confirmed_at {
-            return false;
-        }
-        self.answered_at
-            .is_none_or(|at| now.monotonic.saturating_sub(at) < CATCH_UP_TIME)
+        let answered_long_ago = self
+            .answered_at
+            .is_some_and(|at| now.monotonic.saturating_sub(at) >= CATCH_UP_TIME);
+        self.has_failed_since(confirmed_at) && !answered_long_ago
     }
 }
--- a/tests/gateway/freshness.rs
+++ b/tests/gateway/freshness.rs
@@ -214,6 +214,17 @@
         expect_that!(state.remove_lapsed_upstreams(at(8200)).len(), eq(1));
     }
 
+    entry_missing_at_a_box_that_was_behind_is_removed_at_once => {
+        // Guards against taking a box's own delay for an outage of the store: a box that learned
+        // four seconds late of upstreams that had left went on to use them for two seconds.
+        let mut state = ControlPlaneState::default();
+        state.apply(upstream("i-1"), at(0));
+        state.confirm(at(0).monotonic);
+        state.record_store_contact(at(4000));
+        state.apply(Update::UpstreamGone("i-1".to_owned()), at(4000));
+        expect_that!(available(&state, 4001), eq(0));
+    }
+
     expired_entry_that_returns_stays_in_use => {
         let mut state = lapsed_after_an_outage();
         state.apply(upstream("i-1"), at(6500));
@@ -265,6 +276,7 @@
     let mut state = ControlPlaneState::default();
     state.apply(upstream("i-1"), at(0));
     state.confirm(at(0).monotonic);
+    state.record_store_failure(at(1500));
     state.record_store_contact(at(6000));
     state.apply(Update::UpstreamGone("i-1".to_owned()), at(6000));
     state
