An answer proves freshness only if this process awaits it

Cause: clocks of two processes were compared. A poll of a hub carried the time at which it was sent, by a clock that starts anew with each process, and the answer returned it. A restarted box took the answer to a poll of its previous process for a proof from the future, and its state for current for as long as that process had run.

Change: a poll carries a random id. The process keeps when and to whom it sent it, and an answer proves something only if it answers a pending poll, once, from the box that was polled; PendingPolls alone decides that. Any other answer is logged, its changes are used, its age is not. A proof for a time in the future is an error.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -20,7 +20,7 @@
 pub mod telemetry;
 pub mod versions;
 
-use crate::clock::Now;
+use crate::clock::{Now, millis};
 use crate::error::Result;
 use crate::http_server;
 use crate::metrics::Metrics;
@@ -359,7 +359,14 @@
 
     /// Records that everything that the store acknowledged before a point in time is known. The
     /// first time wakes the requests that wait for it.
-    pub fn confirm_fresh_as_of(&self, as_of: Duration) {
+    ///
+    /// A point in the future would make the state look current for as long, so it proves nothing.
+    pub fn confirm_fresh_as_of(&self, as_of: Duration, now: Now) {
+        if as_of > now.monotonic {
+            let ahead_ms = millis(as_of.saturating_sub(now.monotonic));
+            log::error!(ahead_ms; "invariant: the state was confirmed for a time in the future");
+            return;
+        }
         let was_proved = self.knowledge.borrow().has_confirmed_routes();
         self.knowledge.borrow_mut().confirm(as_of);
         if !was_proved {
--- a/src/gateway/control/initial_sync.rs
+++ b/src/gateway/control/initial_sync.rs
@@ -276,7 +276,7 @@
     };
     apply_changes(gw, store, changes, "first");
     if let Some(as_of) = as_of {
-        gw.confirm_fresh_as_of(as_of);
+        gw.confirm_fresh_as_of(as_of, Now::read());
     }
     gw.knowledge.borrow().routes().is_some()
 }
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -335,7 +335,7 @@
             items: self.items,
         };
         apply_changes(gw, store, changes, "list");
-        gw.confirm_fresh_as_of(self.started_at);
+        gw.confirm_fresh_as_of(self.started_at, Now::read());
     }
 }
 
@@ -430,7 +430,7 @@
         log::info!(epoch = newest.epoch, revision = newest.revision; "this box is still behind after reading the changes, reading a full snapshot");
         return try_read_snapshot(gw, store, MAX_PAGE_FAILURES_PER_CHECK).await;
     }
-    gw.confirm_fresh_as_of(sent.monotonic);
+    gw.confirm_fresh_as_of(sent.monotonic, Now::read());
     true
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -14,6 +14,7 @@
 pub mod outbox;
 pub mod packing;
 pub mod peer_server;
+pub mod pending_polls;
 pub mod rate_limits;
 pub mod rate_samples;
 pub mod suspects;
--- a/src/gateway/peers/hub_poller.rs
+++ b/src/gateway/peers/hub_poller.rs
@@ -7,6 +7,7 @@
 use super::fetch_planner::FetchSource;
 use super::hubs::{FetchStatus, HubUpdate, PollRequest, choose_hubs};
 use super::packing::UnpackError;
+use super::pending_polls::PendingPolls;
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::control::mirror::PackedChanges;
@@ -45,6 +46,7 @@
 #[derive(Debug, Default)]
 pub struct HubPoller {
     polled: RefCell<HashMap<SocketAddr, PollHistory>>,
+    pending: RefCell<PendingPolls>,
     fetch_status: Cell<FetchStatus>,
     stall_timeout: Cell<StallTimeout>,
     /// Whether the next poll is due after the retry interval.
@@ -126,7 +128,7 @@
         };
         let poll = PollRequest {
             after: gw.mirror.borrow().revision(),
-            sent_micros: u64::try_from(now.monotonic.as_micros()).unwrap_or(u64::MAX),
+            id: gw.hub_queries.pending.borrow_mut().begin(hub, now),
             fetching: gw.hub_queries.fetch_status.get(),
         };
         if poll.fetching != FetchStatus::InProgress {
@@ -181,7 +183,15 @@
 ) {
     let now = Now::read();
     let age = Duration::from_millis(update.age_ms);
-    if update.sent_micros.is_some() {
+    let answered = update.answers.and_then(|id| {
+        let answered = gw.hub_queries.pending.borrow_mut().finish(id, hub);
+        if answered.is_none() {
+            let from = hub.to_string();
+            log::info!(from = from.as_str(); "a response answers no pending poll of this process, it proves nothing");
+        }
+        answered
+    });
+    if answered.is_some() {
         gw.hub_queries.record_response(hub, age, now);
     }
     let own = gw.mirror.borrow().revision();
@@ -214,11 +224,11 @@
             }
         }
     }
-    if let Some(sent_micros) = update.sent_micros
+    if let Some(answered) = answered
         && gw.mirror.borrow().revision() >= update.revision
-        && let Some(as_of) = Duration::from_micros(sent_micros).checked_sub(age)
+        && let Some(as_of) = answered.proves_as_of(age)
     {
-        gw.confirm_fresh_as_of(as_of);
+        gw.confirm_fresh_as_of(as_of, Now::read());
     }
 }
 
--- a/src/gateway/peers/hubs.rs
+++ b/src/gateway/peers/hubs.rs
@@ -12,6 +12,7 @@
 
 use super::fetch::SnapshotCache;
 use super::fetch_planner::{FetchPlanner, FetchSource, MissingChange};
+use super::pending_polls::PollId;
 use crate::clock::{Now, millis};
 use crate::gateway::Gateway;
 use crate::gateway::control::mirror::PackedChanges;
@@ -32,8 +33,8 @@
 pub struct PollRequest {
     /// The revision that the polling box has reached.
     pub after: u64,
-    /// The polling box's monotonic clock when it sent the poll, in microseconds.
-    pub sent_micros: u64,
+    /// Identifies the poll.
+    pub id: PollId,
     /// The status of the fetch that the box was directed to make.
     pub fetching: FetchStatus,
 }
@@ -53,8 +54,8 @@
 /// A hub's response to a poll, or an update that it pushes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HubUpdate {
-    /// `sent_micros` of the poll that this answers; `None` for a pushed update.
-    pub sent_micros: Option<u64>,
+    /// The poll that this answers; `None` for a pushed update.
+    pub answers: Option<PollId>,
     /// The age of the hub's state, in milliseconds.
     pub age_ms: u64,
     /// The revision that the hub has reached.
@@ -107,7 +108,7 @@
             }
         }
         let mut update = self.build_update(gw, from, poll.after, poll.fetching, now);
-        update.sent_micros = Some(poll.sent_micros);
+        update.answers = Some(poll.id);
         update
     }
 
@@ -143,7 +144,7 @@
         });
         let age = gw.knowledge.borrow().age(now);
         HubUpdate {
-            sent_micros: None,
+            answers: None,
             age_ms: millis(age.unwrap_or(Duration::MAX)),
             revision: changes.revision,
             changes,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod expected_wait;
 mod fetch_planning;
 mod freshness;
+mod freshness_exploration;
 mod held_bytes;
 mod held_streams;
 mod initial_sync;
