An answer counts only if it names the request that awaits it

Cause: an answer was attributed by its place in the connection. A surplus answer to an earlier request was taken for the answer to a health check; the refusal of that check, which names no request, then came in the place of the answer to the request and was taken for its refusal, so the request was sent to another upstream while the first one ran it. Any answer without an id had the same effect: a check that is refused twice, a refusal that was meant for another caller or that came before the request was written, and the second copy of a refusal when the request is sent again over the same connection.

Change: `answer_ownership` alone decides which request an answer belongs to. An answer has to echo the id of the request over a connection that has not carried this id before; one to a health check has to name the instance, over a connection that has carried no other check. Only such a head makes a `Refusal`, and only a `Refusal` a try that did not run. Everything else closes the connection and leaves a written request unknown.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! A single try of a request at an upstream, and the state kept for each upstream.
 
 pub mod acquire;
+pub mod answer_ownership;
 pub mod connect;
 pub mod connection;
 pub mod connection_age;
--- a/src/gateway/attempt/acquire.rs
+++ b/src/gateway/attempt/acquire.rs
@@ -3,6 +3,7 @@
 //! A request that may not be repeated gets only a connection that is known to be accepted and open,
 //! and a time by which it has to be written. See `docs/design/connections.md`.
 
+use super::answer_ownership::Awaiting;
 use super::connect::ConnectionPool;
 use super::connection::{Connection, ConnectionOrigin, UpstreamKind};
 use super::connection_proof::{HealthCheck, Proof, prove_open};
@@ -74,7 +75,7 @@
 enum Confirmation {
     /// The request may be written until this time on the monotonic clock.
     Usable(Duration),
-    /// An idle one had ended; nothing was lost but a moment.
+    /// An idle one had ended or cannot be proven; nothing was lost but a moment.
     KeptEnded,
     /// The box was too busy to use it in time, or no proof of an idle one came.
     TooLate,
@@ -86,20 +87,19 @@
         &self,
         upstream: &Rc<Upstream>,
         rules: &ConnectionRules,
+        request: Awaiting<'_>,
         names: &HeaderNames,
     ) -> Result<Connection, NoConnection> {
         let known = self.connections_to(upstream);
         known.set_rules(rules);
         let acquired = match (rules.is_controlled, rules.is_repeatable) {
-            (true, true) => self.acquire_repeatable(upstream, &known).await,
+            (true, true) => self.acquire_repeatable(upstream, &known, request).await,
             (true, false) => {
-                self.acquire_single_run(upstream, &known, rules, names)
-                    .await
-            }
-            (false, is_repeatable) => {
-                self.acquire_uncontrolled(upstream, &known, is_repeatable)
+                self.acquire_single_run(upstream, &known, rules, request, names)
                     .await
             }
+            (false, true) => self.acquire_uncontrolled(upstream, &known, request).await,
+            (false, false) => self.open_uncontrolled(upstream).await,
         };
         if acquired.as_ref().is_ok_and(Connection::is_reused) {
             known.count(ConnectionEvent::Reused);
@@ -111,11 +111,15 @@
         &self,
         upstream: &Rc<Upstream>,
         known: &UpstreamConnections,
-        is_repeatable: bool,
+        request: Awaiting<'_>,
     ) -> Result<Connection, NoConnection> {
-        if is_repeatable && let Some(connection) = known.take_newest(Now::read()) {
-            return Ok(connection);
+        match known.take_newest(request, Now::read()) {
+            Some(connection) => Ok(connection),
+            None => self.open_uncontrolled(upstream).await,
         }
+    }
+
+    async fn open_uncontrolled(&self, upstream: &Rc<Upstream>) -> Result<Connection, NoConnection> {
         let opened = self.open_as(upstream, ConnectionOrigin::New, false).await;
         opened.map_err(NoConnection::Unreachable)
     }
@@ -124,9 +128,10 @@
         &self,
         upstream: &Rc<Upstream>,
         known: &UpstreamConnections,
+        request: Awaiting<'_>,
     ) -> Result<Connection, NoConnection> {
         let now = Now::read();
-        while let Some(connection) = known.take_for_repeatable(now) {
+        while let Some(connection) = known.take_for_repeatable(request, now) {
             if connection.is_quiet() {
                 return Ok(connection);
             }
@@ -140,6 +145,7 @@
         upstream: &Rc<Upstream>,
         known: &UpstreamConnections,
         rules: &ConnectionRules,
+        request: Awaiting<'_>,
         names: &HeaderNames,
     ) -> Result<Connection, NoConnection> {
         known.record_single_run(Now::read());
@@ -155,9 +161,10 @@
             // forgotten them all.
             let share = known.share(upstream, self.fleet(), now);
             let may_prove = check.is_some() && confirmations == 0;
-            let taken = match known.take_for_single_run(now) {
+            let taken = match known.take_for_single_run(request, now) {
                 None if may_prove && (!known.has_room(share) || known.is_in_doubt(now)) => {
-                    known.take_rested(now)
+                    let check = Awaiting::HealthCheck(&upstream.incarnation().instance);
+                    known.take_rested(request, check, now)
                 }
                 taken => taken,
             };
@@ -233,6 +240,9 @@
     names: &HeaderNames,
 ) -> Result<Confirmation, NoConnection> {
     let was_kept = connection.has_carried_answer();
+    if !connection.allows(Awaiting::HealthCheck(&upstream.incarnation().instance)) {
+        return Ok(Confirmation::KeptEnded);
+    }
     let rest = connection.rest(Now::read());
     let proof = prove_open(connection, upstream, check, names).await;
     let now = Now::read();
@@ -253,10 +263,10 @@
             known.count(ConnectionEvent::Unproven);
             Err(NoConnection::Unproven)
         }
-        Proof::Late => {
+        Proof::Late | Proof::NotOwn => {
             known.count(ConnectionEvent::Unproven);
             match was_kept {
-                // The upstream may have forgotten it.
+                // The upstream may have forgotten it, and a surplus answer says nothing of others.
                 true => Ok(Confirmation::TooLate),
                 false => Err(NoConnection::Unproven),
             }
--- a/src/gateway/attempt/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -173,7 +173,8 @@
         keep_alive: Option<Duration>,
         now: Now,
     ) {
-        if connection.has_ended() || self.is_needless_tunnel(upstream, &connection, now) {
+        let is_useless = connection.has_ended() || connection.is_used_up();
+        if is_useless || self.is_needless_tunnel(upstream, &connection, now) {
             return;
         }
         let known = self.connections_to(upstream);
--- a/src/gateway/attempt/connection.rs
+++ b/src/gateway/attempt/connection.rs
@@ -1,6 +1,8 @@
 //! One open connection to an upstream.
 
+use super::answer_ownership::{Awaiting, CarriedRequests, NotOwn, OwnHead};
 use super::connection_write::{GatedStream, WriteGate, is_quiet};
+use super::headers::HeaderNames;
 use super::upstream_stream::{ConnectionPath, UpstreamStream};
 use crate::clock::Now;
 use crate::gateway::answer::held_memory::{UPSTREAM_BUFFER_BYTES, UPSTREAM_SOCKET_BYTES};
@@ -85,9 +87,39 @@
     NoAnswer,
 }
 
-/// Why a request got no head of an answer.
+/// An answer whose head has arrived.
 #[derive(Debug)]
-pub struct SendError {
+pub struct ReceivedAnswer {
+    /// The head.
+    pub head: OwnHead,
+    /// The rest.
+    pub body: hyper::body::Incoming,
+}
+
+/// Why a request got no head of an answer. Its connection must not be used again.
+#[derive(Debug)]
+pub enum SendError {
+    /// The connection has ended.
+    Broken(BrokenSend),
+    /// An answer came that does not belong to the request, which may have run.
+    NotOwn(NotOwn),
+}
+
+impl SendError {
+    /// Returns whether no byte of the request was written.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Broken(broken) if broken.is_unsent)
+    }
+
+    /// Returns whether that is because the box was too busy to write it in time.
+    pub fn is_late(&self) -> bool {
+        matches!(self, Self::Broken(broken) if broken.is_late)
+    }
+}
+
+/// A request whose connection has ended.
+#[derive(Debug)]
+pub struct BrokenSend {
     /// The error of the connection.
     pub error: hyper::Error,
     /// Whether no byte of the request was written.
@@ -111,6 +143,7 @@
     path: ConnectionPath,
     is_controlled: bool,
     gate: Rc<WriteGate>,
+    carried: CarriedRequests,
     has_carried_answer: bool,
     is_proven: bool,
     _open: OpenGuard,
@@ -197,6 +230,7 @@
             path,
             is_controlled: opening.is_controlled,
             gate,
+            carried: CarriedRequests::default(),
             has_carried_answer: false,
             is_proven: false,
             _open: open,
@@ -243,6 +277,16 @@
         self.sender.is_ready()
     }
 
+    /// Returns whether the answer to this could be told from all others that may come over it.
+    pub fn allows(&self, awaiting: Awaiting<'_>) -> bool {
+        self.carried.allows(awaiting)
+    }
+
+    /// Returns whether it has carried as many requests as it may.
+    pub fn is_used_up(&self) -> bool {
+        self.carried.is_full()
+    }
+
     /// Returns whether the upstream has ended the connection.
     pub fn has_ended(&self) -> bool {
         self.sender.is_closed()
@@ -321,23 +365,30 @@
         !self.has_ended()
     }
 
-    /// Sends a request and waits for the head of the answer.
+    /// Sends a request and waits for the head of the answer that belongs to it.
     pub async fn send(
         &mut self,
         req: http1_types::Request<Full<Bytes>>,
-    ) -> Result<http1_types::Response<hyper::body::Incoming>, SendError> {
+        awaiting: Awaiting<'_>,
+        names: &HeaderNames,
+    ) -> Result<ReceivedAnswer, SendError> {
+        debug_assert!(self.allows(awaiting), "invariant: sent twice: {awaiting:?}");
+        self.carried.record(awaiting);
         let written = self.gate.written();
         let sent = self.sender.try_send_request(req).await;
-        sent.map_err(|mut err| {
+        let res = sent.map_err(|mut err| {
             // The count is final once the driver cannot write any more.
             self.driver.abort();
-            SendError {
+            SendError::Broken(BrokenSend {
                 // The request comes back only if nothing of it was written.
                 is_unsent: err.take_message().is_some() || self.gate.written() == written,
                 is_late: self.gate.has_refused(),
                 error: err.into_error(),
-            }
-        })
+            })
+        })?;
+        let (parts, body) = res.into_parts();
+        let head = OwnHead::attribute(parts, awaiting, names).map_err(SendError::NotOwn)?;
+        Ok(ReceivedAnswer { head, body })
     }
 }
 
--- a/src/gateway/attempt/connection_proof.rs
+++ b/src/gateway/attempt/connection_proof.rs
@@ -5,7 +5,8 @@
 //! resets it later. An answer is certain. It takes a slot of the upstream for a moment, so that it
 //! is asked for only over connections without a recent answer. See `docs/design/connections.md`.
 
-use super::connection::{Connection, http1_types};
+use super::answer_ownership::Awaiting;
+use super::connection::{Connection, ReceivedAnswer, SendError, http1_types};
 use super::exchange::record_load_report;
 use super::headers::HeaderNames;
 use super::upstream::Upstream;
@@ -40,6 +41,9 @@
     /// The answer closes the connection or is too long, so that it proves nothing about the next
     /// request; the upstream is not to blame.
     Unusable,
+    /// What came does not belong to the health check for certain. The connection must not be used again,
+    /// since its answer may still come, in the place of another one.
+    NotOwn,
     /// No answer came in time.
     Late,
 }
@@ -59,7 +63,8 @@
         }
     };
     let began = Now::read();
-    let exchange = exchange(connection, upstream, req, names);
+    let awaiting = Awaiting::HealthCheck(&upstream.incarnation().instance);
+    let exchange = exchange(connection, upstream, req, awaiting, names);
     let proof = timeout(PROOF_TIMEOUT, exchange).await;
     // A box that stood still finds an old answer.
     let took = Now::read().monotonic.saturating_sub(began.monotonic);
@@ -74,18 +79,24 @@
     connection: &mut Connection,
     upstream: &Upstream,
     req: http1_types::Request<Full<Bytes>>,
+    awaiting: Awaiting<'_>,
     names: &HeaderNames,
 ) -> Proof {
-    let Ok(res) = connection.send(req).await else {
-        return Proof::Ended;
+    let ReceivedAnswer { head, body } = match connection.send(req, awaiting, names).await {
+        Ok(answer) => answer,
+        Err(SendError::Broken(_)) => return Proof::Ended,
+        Err(SendError::NotOwn(err)) => {
+            let instance = upstream.incarnation().instance.as_str();
+            log::info!(upstream = instance; "closed a connection, an answer came that is not that to the health check: {err}");
+            return Proof::NotOwn;
+        }
     };
     let now = Now::read();
     upstream.record_data_received(now);
-    let (parts, body) = res.into_parts();
-    record_load_report(upstream, &parts.headers, names, now);
+    record_load_report(upstream, &head, names, now);
     let body = Limited::new(body, PROOF_BODY_LIMIT).collect().await;
     let is_too_long = |err: &(dyn std::error::Error + 'static)| err.is::<LengthLimitError>();
-    if closes(&parts.headers) || body.as_ref().is_err_and(|err| is_too_long(&**err)) {
+    if closes(head.headers()) || body.as_ref().is_err_and(|err| is_too_long(&**err)) {
         return Proof::Unusable;
     }
     if body.is_err() || !connection.becomes_ready().await {
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -4,8 +4,11 @@
 //! upstream's own statement or the proof that no byte was written. See `docs/design/platform.md`.
 
 use super::acquire::{ConnectionRules, NoConnection};
+use super::answer_ownership::{Awaiting, OwnHead, Refusal};
 use super::connect::ConnectionPool;
-use super::connection::{Connection, ConnectionOrigin, RequestLoss, SendError, http1_types};
+use super::connection::{
+    BrokenSend, Connection, ConnectionOrigin, ReceivedAnswer, RequestLoss, SendError, http1_types,
+};
 use super::headers::{HeaderNames, parse_load};
 use super::response_timeout::{ResponseTimeout, WatchedUpstream, with_response_timeout};
 use super::upstream::{PendingPrefill, Upstream};
@@ -30,7 +33,6 @@
 const REFUSAL_BODY_LIMIT: usize = 4096;
 /// How many further connections a request uses of which nothing was written to the one before.
 const MAX_OTHER_CONNECTIONS: usize = 2;
-const STATUS_MISDIRECTED_REQUEST: u16 = 421;
 
 /// A request as it is sent to one upstream.
 #[derive(Debug)]
@@ -83,7 +85,7 @@
     /// takes no more, or operators evacuated its hall.
     Unavailable,
     /// The upstream stated that it did not run the request.
-    Refused(u16),
+    Refused(Refusal),
     /// Another instance has the address.
     OtherInstance,
 }
@@ -105,7 +107,7 @@
             Self::NoConnection(reason) => write!(f, "no connection: {reason}"),
             Self::ConnectionRejected(reason) => write!(f, "connection rejected: {reason}"),
             Self::Unavailable => f.write_str("the upstream takes no requests now"),
-            Self::Refused(status) => write!(f, "refused with {status}"),
+            Self::Refused(refusal) => write!(f, "refused with {}", refusal.status()),
             Self::OtherInstance => f.write_str("another instance has the address"),
         }
     }
@@ -161,7 +163,8 @@
         began: Now::read(),
     };
     // Other boxes may be asked for a way, one after the other.
-    let acquiring = connections.acquire(upstream, &options.connection, headers);
+    let awaiting = Awaiting::Request(&request.request_id);
+    let acquiring = connections.acquire(upstream, &options.connection, awaiting, headers);
     let acquired = timeout(options.head_timeout.total, acquiring).await;
     match acquired.unwrap_or(Err(NoConnection::TooLate)) {
         Ok(connection) => {
@@ -232,12 +235,13 @@
             Ok(req) => req,
             Err(reason) => return TryOutcome::NotRun(NotRunReason::NoConnection(reason)),
         };
+        let awaiting = Awaiting::Request(&request_id);
         let mut other_connections = 0;
         let (sent_at, rest, answered) = loop {
             let sent_at = Now::read();
             let rest = connection.rest(sent_at);
             let path = connection.path().clone();
-            let sent = connection.send(req.clone());
+            let sent = connection.send(req.clone(), awaiting, headers);
             let watched = WatchedUpstream {
                 connections,
                 upstream,
@@ -253,12 +257,12 @@
             if !options.connection.is_controlled || !allows_another(err, &connection) {
                 break (sent_at, rest, answered);
             }
-            if !err.is_late {
+            if !err.is_late() {
                 let loss = RequestLoss::Unsent;
                 connections.record_lost_request(upstream, &connection, rest, loss, Now::read());
             }
             drop(connection);
-            let next = connections.acquire(upstream, &options.connection, headers);
+            let next = connections.acquire(upstream, &options.connection, awaiting, headers);
             connection = match next.await {
                 Ok(next) => next,
                 Err(no_connection) => return not_connected(upstream, no_connection),
@@ -274,14 +278,17 @@
             headers,
             upstream,
             connection,
-            request_id,
             is_controlled: options.connection.is_controlled,
             sent_at,
             now,
         };
         match answered {
-            Some(Ok(res)) => exchange.read_head(self, res, options.measured_tokens).await,
-            Some(Err(err)) => exchange.fail(&err, rest),
+            Some(Ok(answer)) => {
+                let tokens = options.measured_tokens;
+                exchange.read_head(self, answer, tokens).await
+            }
+            Some(Err(SendError::Broken(broken))) => exchange.fail(&broken, rest),
+            Some(Err(SendError::NotOwn(err))) => exchange.mismatch(err.reason()),
             None => exchange.time_out(rest),
         }
     }
@@ -290,7 +297,7 @@
 /// Returns whether a request that was not written may use another connection at once: the upstream
 /// did not reject this one, but it was idle for too long.
 fn allows_another(err: &SendError, connection: &Connection) -> bool {
-    err.is_unsent && (err.is_late || connection.has_carried_answer())
+    err.is_unsent() && (err.is_late() || connection.has_carried_answer())
 }
 
 /// A request that was given to a connection.
@@ -299,7 +306,6 @@
     headers: &'a HeaderNames,
     upstream: &'a Rc<Upstream>,
     connection: Connection,
-    request_id: String,
     is_controlled: bool,
     sent_at: Now,
     /// When the head arrived, or the wait for it ended.
@@ -308,7 +314,7 @@
 
 impl Exchange<'_> {
     /// Learns from a connection that broke before the head arrived, after it had rested for a time.
-    fn fail(self, err: &SendError, rest: Duration) -> TryOutcome {
+    fn fail(self, err: &BrokenSend, rest: Duration) -> TryOutcome {
         let since = self.now.monotonic.saturating_sub(self.sent_at.monotonic);
         if self.is_controlled {
             let loss = match (err.is_unsent, err.is_late) {
@@ -344,6 +350,13 @@
         TryOutcome::Unknown(UnknownReason::TimedOut)
     }
 
+    /// Learns from an answer that cannot be the one to this request. The connection is closed.
+    fn mismatch(self, reason: &'static str) -> TryOutcome {
+        self.upstream.record_data_received(self.now);
+        self.upstream.record_failure(self.now);
+        TryOutcome::Unknown(UnknownReason::MismatchedAnswer(reason))
+    }
+
     fn record_loss(&self, rest: Duration, loss: RequestLoss) {
         let (connections, upstream) = (self.connections, self.upstream);
         connections.record_lost_request(upstream, &self.connection, rest, loss, self.now);
@@ -353,55 +366,45 @@
     async fn read_head(
         self,
         started: StartedTry,
-        res: http1_types::Response<Incoming>,
+        answer: ReceivedAnswer,
         measured_tokens: Option<f64>,
     ) -> TryOutcome {
         let (upstream, headers, now) = (self.upstream, self.headers, self.now);
+        let ReceivedAnswer { head, body } = answer;
         upstream.record_data_received(now);
-        let (parts, body) = res.into_parts();
-        record_load_report(upstream, &parts.headers, headers, now);
-        let header_text = |name| header_text(&parts.headers, name);
-        let echoed_id = header_text(&headers.request_id);
-        if echoed_id.is_some_and(|echoed_id| echoed_id != self.request_id) {
-            upstream.record_failure(now);
-            return TryOutcome::Unknown(UnknownReason::MismatchedAnswer(
-                "it has the id of another request",
-            ));
-        }
-        let status = parts.status.as_u16();
+        record_load_report(upstream, &head, headers, now);
+        let refusal = head.refusal(headers);
         // The headers of another instance say nothing about this upstream.
-        if status == STATUS_MISDIRECTED_REQUEST {
+        if refusal.is_some_and(Refusal::is_misdirected) {
             return TryOutcome::NotRun(NotRunReason::OtherInstance);
         }
         let signs = SignalHeaders {
-            leaving: header_text(&headers.leaving),
-            retry_after: header_text(&RETRY_AFTER),
-            rate_limit: header_text(&headers.rate_limit),
+            leaving: head.text(&headers.leaving),
+            retry_after: head.text(&RETRY_AFTER),
+            rate_limit: head.text(&headers.rate_limit),
         };
-        let signs = ResponseSignals::read(status, signs, now.wall);
+        let signs = ResponseSignals::read(head.status(), signs, now.wall);
         upstream.update_from_head(signs, now);
-        let is_refused = header_text(&headers.not_executed).is_some();
-        let mismatch = match is_refused {
-            true => None,
-            false => mismatch_reason(&parts.headers, headers, parts.status, echoed_id),
+        let invalid = match refusal {
+            Some(_) => None,
+            None => head.invalid_reason(headers),
         };
         // Only the upstream's own answer shows that a limit is over.
-        if signs.rate_limit.is_some() || mismatch.is_none() {
+        if signs.rate_limit.is_some() || invalid.is_none() {
             upstream
                 .rate_limit()
                 .record_statement(signs.rate_limit, started.began, now);
         }
-        if is_refused {
-            self.keep_after_refusal(&parts.headers, body).await;
-            return TryOutcome::NotRun(NotRunReason::Refused(status));
+        if let Some(refusal) = refusal {
+            self.keep_after_refusal(head.headers(), body).await;
+            return TryOutcome::NotRun(NotRunReason::Refused(refusal));
         }
-        if let Some(reason) = mismatch {
-            upstream.record_failure(now);
-            return TryOutcome::Unknown(UnknownReason::MismatchedAnswer(reason));
+        if let Some(reason) = invalid {
+            return self.mismatch(reason);
         }
         TryOutcome::Answered(Box::new(Answer {
-            status,
-            headers: parts.headers,
+            status: head.status(),
+            headers: head.into_headers(),
             sent_at: started.began.monotonic,
             head_took: now.monotonic.saturating_sub(self.sent_at.monotonic),
             // The way through another box takes time that is not the upstream's.
@@ -430,46 +433,15 @@
     }
 }
 
-fn header_text<'a>(
-    received: &'a http1_types::HeaderMap,
-    name: &http::HeaderName,
-) -> Option<&'a str> {
-    received.get(name.as_str())?.to_str().ok()
-}
-
 /// Records the load that an upstream reports with an answer, if it does.
-pub fn record_load_report(
-    upstream: &Upstream,
-    received: &http1_types::HeaderMap,
-    names: &HeaderNames,
-    now: Now,
-) {
-    match header_text(received, &names.load).map(parse_load) {
+pub fn record_load_report(upstream: &Upstream, head: &OwnHead, names: &HeaderNames, now: Now) {
+    match head.text(&names.load).map(parse_load) {
         Some(Some(load)) => upstream.record_load_report(load, now),
         Some(None) => upstream.record_invalid_report(),
         None => {}
     }
 }
 
-/// Returns why an answer cannot be this upstream's answer to this request, if it cannot.
-fn mismatch_reason(
-    received: &http1_types::HeaderMap,
-    names: &HeaderNames,
-    status: hyper::StatusCode,
-    echoed_id: Option<&str>,
-) -> Option<&'static str> {
-    if received.contains_key(hyper::header::CONTENT_ENCODING) {
-        return Some("its body has a content encoding that was not requested");
-    }
-    let is_signed = received.contains_key(names.signature.as_str());
-    match (status.is_success(), is_signed, echoed_id.is_some()) {
-        (true, false, _) => Some("it has no signature"),
-        (true, true, false) => Some("it has no request id"),
-        (false, false, false) => Some("it has neither a signature nor a request id"),
-        _ => None,
-    }
-}
-
 fn build_request(request: UpstreamRequest) -> Result<http1_types::Request<Full<Bytes>>, String> {
     let mut req = http1_types::Request::builder()
         .method(request.method)
--- a/src/gateway/attempt/headers.rs
+++ b/src/gateway/attempt/headers.rs
@@ -19,6 +19,8 @@
     pub organisation: HeaderName,
     /// The upstream instance that a request is meant for.
     pub expect_instance: HeaderName,
+    /// The upstream instance that answers a health check.
+    pub instance: HeaderName,
     /// The upstream's statement that it did not run the request.
     pub not_executed: HeaderName,
     /// The upstream's signature of an answer.
--- a/src/gateway/attempt/upstream_connections.rs
+++ b/src/gateway/attempt/upstream_connections.rs
@@ -1,6 +1,7 @@
 //! The idle connections to one upstream, and what was learned from those that ended.
 
 use super::acquire::ConnectionRules;
+use super::answer_ownership::Awaiting;
 use super::connection::{Connection, ConnectionOrigin, UpstreamKind};
 use super::connection_age::{ConnectionState, MAX_SETTLE, RestTimes, SettleTime, usable_rest};
 use super::connection_limit::{Demand, Fleet, RequestRate, may_open_for_request, share};
@@ -322,25 +323,26 @@
         true
     }
 
-    /// Takes the connection that was used last, unless it has rested for too long.
-    pub fn take_newest(&self, now: Now) -> Option<Connection> {
+    /// Takes the connection that was used last and may carry the request, unless it has rested for
+    /// too long.
+    pub fn take_newest(&self, request: Awaiting<'_>, now: Now) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(mut connection) = idle.pop() {
-            if !connection.is_expired(now) && connection.is_ready() {
-                connection.set_origin(ConnectionOrigin::Kept);
-                return Some(connection);
-            }
-        }
-        None
+        idle.retain(|connection| !connection.is_expired(now) && connection.is_ready());
+        let newest = idle
+            .iter()
+            .rposition(|connection| connection.allows(request));
+        let mut connection = idle.remove(newest?);
+        connection.set_origin(ConnectionOrigin::Kept);
+        Some(connection)
     }
 
     /// Takes a connection for a request that may be repeated: one that has rested if there is one,
     /// since requests that may not be repeated cannot use it.
-    pub fn take_for_repeatable(&self, now: Now) -> Option<Connection> {
+    pub fn take_for_repeatable(&self, request: Awaiting<'_>, now: Now) -> Option<Connection> {
         self.drop_unusable(now);
-        let states = self.states(now);
-        let rested = |state: &ConnectionState| *state == ConnectionState::Rested;
-        let confirmed = |state: &ConnectionState| *state == ConnectionState::Confirmed;
+        let states = self.states_for(request, now);
+        let rested = |state: &_| *state == Some(ConnectionState::Rested);
+        let confirmed = |state: &_| *state == Some(ConnectionState::Confirmed);
         let newest_rested = states.iter().rposition(rested);
         self.take(newest_rested.or_else(|| states.iter().position(confirmed))?)
     }
@@ -348,21 +350,30 @@
     /// Takes a connection for a request that may not be repeated: a confirmed one, or one that will
     /// be within the settle time. Of the confirmed ones it takes the oldest, so that all of them
     /// stay in use and none has to be replaced for its age.
-    pub fn take_for_single_run(&self, now: Now) -> Option<Connection> {
+    pub fn take_for_single_run(&self, request: Awaiting<'_>, now: Now) -> Option<Connection> {
         self.drop_unusable(now);
-        let states = self.states(now);
-        let confirmed = |state: &ConnectionState| *state == ConnectionState::Confirmed;
-        let settling = |state: &ConnectionState| matches!(state, ConnectionState::Settling(_));
+        let states = self.states_for(request, now);
+        let confirmed = |state: &_| *state == Some(ConnectionState::Confirmed);
+        let settling = |state: &_| matches!(state, Some(ConnectionState::Settling(_)));
         let oldest_confirmed = states.iter().position(confirmed);
         self.take(oldest_confirmed.or_else(|| states.iter().position(settling))?)
     }
 
-    /// Takes the idle connection that was used last and has rested, to be proven for a request that
-    /// may not be repeated.
-    pub fn take_rested(&self, now: Now) -> Option<Connection> {
+    /// Takes the idle connection that was used last and has rested, to be proven by a health check for a
+    /// request that may not be repeated.
+    pub fn take_rested(
+        &self,
+        request: Awaiting<'_>,
+        check: Awaiting<'_>,
+        now: Now,
+    ) -> Option<Connection> {
         self.drop_unusable(now);
-        let newest = self.idle_count().checked_sub(1)?;
-        self.take(newest)
+        let newest = {
+            let idle = self.idle.borrow();
+            idle.iter()
+                .rposition(|connection| connection.allows(request) && connection.allows(check))
+        };
+        self.take(newest?)
     }
 
     fn take(&self, index: usize) -> Option<Connection> {
@@ -384,6 +395,17 @@
         idle.iter().map(state).collect()
     }
 
+    /// Returns the states of the idle connections; `None` for those that may not carry a request.
+    fn states_for(&self, request: Awaiting<'_>, now: Now) -> Vec<Option<ConnectionState>> {
+        let states = self.states(now).into_iter();
+        let idle = self.idle.borrow();
+        let allows = idle.iter().map(|connection| connection.allows(request));
+        let allowed = states.zip(allows);
+        allowed
+            .map(|(state, allows)| allows.then_some(state))
+            .collect()
+    }
+
     /// Returns how many idle connections a request that may not be repeated can use, now or soon.
     pub fn usable_count(&self, now: Now) -> u32 {
         self.drop_unusable(now);
--- a/src/gateway/place/plain_cost.rs
+++ b/src/gateway/place/plain_cost.rs
@@ -199,7 +199,11 @@
             {
                 learn_service_time(&self.service_times, service, choice, answer.head_took, now);
             }
-            TryOutcome::NotRun(NotRunReason::Refused(FULL_STATUS)) => upstream.record_full(now),
+            TryOutcome::NotRun(NotRunReason::Refused(refusal))
+                if refusal.status() == FULL_STATUS =>
+            {
+                upstream.record_full(now);
+            }
             TryOutcome::Answered(_) | TryOutcome::NotRun(_) | TryOutcome::Unknown(_) => {}
         }
         self.share_load_report(upstream, now);
--- a/tests/gateway/boundary.rs
+++ b/tests/gateway/boundary.rs
@@ -6,7 +6,7 @@
 
 /// Some of the platform's names for headers, calls, keys and fields, without those that the
 /// product's own interface uses as well.
-const NAMES: [&str; 24] = [
+const NAMES: [&str; 25] = [
     "Gatepier-Attempt",
     "gatepier-attempt",
     "CreateRevision",
@@ -14,6 +14,7 @@
     "server-seal",
     "gatepier-not-executed",
     "gatepier-expect-instance",
+    "gatepier-instance-id",
     "gatepier-tenant",
     "x-api-key",
     "prompt-prefix",
--- a/tests/spreading.rs
+++ b/tests/spreading.rs
@@ -129,6 +129,7 @@
         key: name("x-key"),
         organisation: name("x-organisation"),
         expect_instance: name("x-expect"),
+        instance: name("x-instance"),
         not_executed: name("x-not-run"),
         signature: name("x-signature"),
         rate_limit: name("x-rate-limit"),
