A status alone does not tell callers that their request did not run

What callers saw: an upstream's own 503, 429 or 408 without the statement that the request did not run was forwarded to them. By these statuses callers send a request again, also one that may not be repeated, though it had run.

Cause: only the statement makes a refusal for the box, but the status was passed on as it was.

Change: such an answer leaves the request unknown: 502, or another upstream where it may be repeated.

Evidence: refusal_without_the_statement_that_the_request_did_not_run_is_not_forwarded failed (503, 429 and 408 for requests that ran) and passes.

--- a/src/gateway/attempt/answer_ownership.rs
+++ b/src/gateway/attempt/answer_ownership.rs
@@ -17,6 +17,8 @@
 /// The status by which an upstream states that a request is meant for another instance, so that it
 /// did not run.
 const STATUS_MISDIRECTED_REQUEST: u16 = 421;
+/// The statuses by which callers are told that their request did not run.
+const NOT_RUN_STATUSES: [u16; 4] = [408, STATUS_MISDIRECTED_REQUEST, 429, 503];
 
 /// What awaits an answer over a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -138,6 +140,9 @@
         if self.0.headers.contains_key(hyper::header::CONTENT_ENCODING) {
             return Some("its body has a content encoding that was not requested");
         }
+        if NOT_RUN_STATUSES.contains(&self.status()) {
+            return Some("its status says that the request did not run, its headers do not");
+        }
         let is_unsigned_success =
             self.0.status.is_success() && self.text(&names.signature).is_none();
         is_unsigned_success.then_some("it has no signature")
