Routers forward no answer that names another request, from plain services either

What callers saw: the answer to another caller's request, where an upstream of a plain service mixes answers up or sends one twice.

Cause: the echoed id was compared for models only.

Change: `dispatch`, through which all requests to upstreams go, compares it before anything is read from the answer.

Evidence: answers::answer_of_a_service_to_another_request_is_not_forwarded failed (200 with the other's body, for GET and POST) and passes.

--- a/src/router/cascade_step.rs
+++ b/src/router/cascade_step.rs
@@ -300,7 +300,7 @@
 enum AnswerStartFailure {
     /// The upstream returned an error status, which may be caused by the version alone.
     Version(String),
-    /// The upstream interrupted the response, or answered another request.
+    /// The upstream interrupted the response.
     Upstream(String),
     /// Neither the version nor the upstream is at fault.
     NoFault(Reason, String),
@@ -337,11 +337,6 @@
             reason => AnswerStartFailure::NoFault(reason, message),
         });
     }
-    if !matches_request(&response, caller) {
-        return Err(AnswerStartFailure::Upstream(
-            "the upstream answered another request".to_owned(),
-        ));
-    }
     if !step.stream {
         return Ok((response, None));
     }
@@ -370,15 +365,6 @@
     }
 }
 
-/// Returns whether a response belongs to the caller's request, if the upstream echoes the request's
-/// id.
-fn matches_request(response: &UpstreamResponse, caller: &Caller) -> bool {
-    match response.headers().get(UPSTREAM_ID_HEADER) {
-        Some(echoed) => echoed.as_bytes() == caller.request_id.as_bytes(),
-        None => true,
-    }
-}
-
 /// Returns the caller's body with the version as its model, and for a stream with a request for its
 /// token usage.
 fn upstream_body(step: CascadeStep<'_>, version: &VersionName) -> String {
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -1,11 +1,11 @@
 //! Sends a request to an upstream and reports what is known if no response starts.
 //!
 //! All code paths that send requests go through here, so that there is a single rule for what
-//! proves that a request was not sent.
+//! proves that a request was not sent, and for which request a response belongs to.
 
 use super::body::UpstreamResponse;
 use super::context::{Caller, refuse};
-use super::headers::{LEAVING_HEADER, RATE_LIMIT_HEADER};
+use super::headers::{LEAVING_HEADER, RATE_LIMIT_HEADER, UPSTREAM_ID_HEADER};
 use crate::clock::{Now, millis};
 use crate::outcome::{ConnectFailed, DispatchLog, Reason, Refused};
 use crate::routing::placement::Upstream;
@@ -34,11 +34,16 @@
     let sent = Now::read();
     let result = timeout(caller.remaining_time(Now::read()), request).await;
     let (reason, message, proof) = match result {
-        Ok(Ok(response)) => {
+        Ok(Ok(response)) if matches_request(&response, caller) => {
             dispatch_log.record_maybe_sent(attempt);
             apply_signals(&response, upstream, sent, Now::read());
             return Ok(response);
         }
+        Ok(Ok(_)) => (
+            Reason::UpstreamFailed,
+            "the upstream answered another request".to_owned(),
+            None,
+        ),
         Ok(Err(err)) => (
             Reason::UpstreamFailed,
             err.to_string(),
@@ -55,6 +60,15 @@
     Err(DispatchFailure { refused, is_unsent })
 }
 
+/// Returns whether a response belongs to the caller's request, if the upstream echoes the request's
+/// id.
+fn matches_request(response: &UpstreamResponse, caller: &Caller) -> bool {
+    match response.headers().get(UPSTREAM_ID_HEADER) {
+        Some(echoed) => echoed.as_bytes() == caller.request_id.as_bytes(),
+        None => true,
+    }
+}
+
 /// Reads from the response to a request that was sent at `sent` whether its upstream is leaving,
 /// requests a back-off or has a rate limit.
 fn apply_signals(response: &UpstreamResponse, upstream: &Upstream, sent: Now, now: Now) {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use common::scripted_upstream::{Reaction, ScriptedUpstream};
 use common::{Bench, BenchPlan, completion_body, read_answer, streaming_completion_body};
 use gatepier::lab::model::{BAD_ANSWER_MARKER, ModelBehaviour};
 use gatepier::lab::proxy::LinkMode;
@@ -32,6 +33,35 @@
         expect_that!(answer.body, not(contains_substring("crossed\"")));
     };
 
+    answer_of_a_service_to_another_request_is_not_forwarded => async {
+        // Guards against a surplus answer of a plain service that reaches another caller.
+        let bench = Bench::start_without_upstreams().await;
+        let upstream = ScriptedUpstream::start(|_| {
+            let body = "of another caller";
+            let length = body.len();
+            Reaction::Answer(format!(
+                "HTTP/1.1 200 x\r\nx-request-id: other\r\ncontent-length: {length}\r\n\r\n{body}"
+            ))
+        })
+        .await;
+        bench.list_scripted("reader-api", &[], &[&upstream]);
+        let get = async || {
+            let request = bench.request("ikeja-1", "comics", "GET", "/reader-api/manifest");
+            read_answer(request.send().await).await
+        };
+        let mut answers = Vec::new();
+        bench.wait_for("the upstream is known", async || {
+            answers.push(get().await);
+            upstream.received() > 0
+        })
+        .await;
+        answers.push(bench.bookmark("ikeja-1", "mark-1").await);
+        for answer in answers {
+            expect_that!(answer.status, ge(500), "{}", answer.body);
+            expect_that!(answer.body, not(contains_substring("of another caller")));
+        }
+    };
+
     request_to_failing_upstream_is_retried_on_another => async {
         let bench = Bench::start(BenchPlan::default()).await;
         let failing = ModelBehaviour { failing: 1.0, ..ModelBehaviour::default() };
