A store that answers late is not taken for lost

What callers saw: a box that reached the store sent requests by a configuration that had been replaced up to 7.5 s before; 2 s are allowed. Upstreams that had left were kept as after an outage.

Cause: a call that stayed unanswered for 0.25 s counted as failed, and its answer did not take that back before it had been received whole, which takes seconds for a large configuration on a narrow link. A box whose calls fail serves past the operators' bound, since it is cut off.

Change: a silent call makes the store count as lost only while it is silent, and how long that may last follows from how long answers have taken lately (0.25 to 1.2 s). Checks of the revision no longer wait for each other, so that the state of a box with a slow store is hardly older than an answer takes and no caller is refused for it.

--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -8,7 +8,7 @@
 use super::restoration::Restoration;
 use super::rollout::Rollout;
 use super::store::{BoxEntry, ListedUpstream, RolloutOrder, RolloutRecord, Update, UpstreamLife};
-use super::store_reach::StoreReach;
+use super::store_reach::{SilentCall, StoreReach};
 use crate::clock::Now;
 use crate::gateway::admit::routes::RouteTable;
 use crate::gateway::attempt::upstream::Upstream;
@@ -385,7 +385,24 @@
         }
     }
 
-    /// Records that a call of this box to the store failed, or has stayed unanswered for too long.
+    /// Returns how long a call of this box to the store may stay unanswered until the store counts as
+    /// lost to it.
+    pub fn store_silence_limit(&self) -> Duration {
+        self.store_reach.silence_limit()
+    }
+
+    /// Records that a call has stayed unanswered for that long; the store counts as lost until the
+    /// result is dropped.
+    pub fn begin_store_silence(&self) -> SilentCall {
+        self.store_reach.begin_silence()
+    }
+
+    /// Records how long the store took to answer a call that asks for little.
+    pub fn record_store_answer_time(&mut self, took: Duration) {
+        self.store_reach.record_answer_time(took);
+    }
+
+    /// Records that a call of this box to the store failed.
     pub fn record_store_failure(&mut self, now: Now) {
         self.store_reach.record_failure(now);
     }
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -14,6 +14,9 @@
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::store::StoreResult;
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,6 +42,8 @@
 /// [`crate::gateway::settings::Bounds::own_check_age`] even if one datagram is lost. At 0.9 s it
 /// did not, and 67 boxes made 240 avoidable store calls in 27 s.
 const HUB_CHECK_AGE: Duration = Duration::from_millis(650);
+/// How many checks of the revision may be under way at the same time.
+const MAX_CHECKS: usize = 3;
 /// How often the age of the state is checked.
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The most changes applied together that are logged one by one. A starting box learns of all
@@ -52,9 +57,6 @@
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long the watch may take to deliver changes whose existence a revision check has shown.
 const WATCH_GRACE: Duration = Duration::from_millis(150);
-/// How long a call may stay unanswered until the store counts as lost to this box. A slow store
-/// takes 0.24 s.
-const STORE_SILENCE: Duration = Duration::from_millis(250);
 /// How late a timer fires at most while the process runs.
 const MAX_TIMER_DELAY: Duration = Duration::from_millis(100);
 
@@ -230,7 +232,7 @@
 /// (platform/tests/initial_sync.rs).
 async fn try_read_snapshot(gw: &Gateway, store: &dyn ControlStore, max_failures: u32) -> bool {
     let mut snapshot = SnapshotRead::start(Now::read());
-    let mut backoff = Backoff::new();
+    let mut backoff = Backoff::default();
     let mut failures = 0;
     while !snapshot.is_complete {
         if snapshot.read_page(gw, store).await {
@@ -248,9 +250,10 @@
 
 /// Makes a call to the store and records what it shows of the connection to the store.
 ///
-/// A call that stays unanswered counts as a failure long before it ends, since a box that may be
-/// cut off decides differently from one that is connected ([`ControlPlaneState::freshness`]). A
-/// process that stood still may give up on an answer that has arrived, which shows nothing.
+/// While a call stays unanswered for longer than usual, the store counts as lost long before the call
+/// ends, since a box that may be cut off decides differently from one that is connected
+/// ([`ControlPlaneState::freshness`]). The answer shows that it was only late. A process that stood
+/// still may give up on an answer that has arrived, which shows nothing.
 ///
 /// [`ControlPlaneState::freshness`]: super::state::ControlPlaneState::freshness
 async fn call_store<T>(
@@ -259,29 +262,31 @@
     call: impl Future<Output = StoreResult<T>>,
 ) -> StoreResult<T> {
     let mut call = pin!(call);
+    let mut silence = None;
     loop {
         let began = Now::read();
-        let outcome = timeout(STORE_SILENCE, call.as_mut()).await;
+        let limit = gw.knowledge.borrow().store_silence_limit();
+        let outcome = timeout(limit, call.as_mut()).await;
         let now = Now::read();
         let elapsed = now.monotonic.saturating_sub(began.monotonic);
-        let is_missing = match &outcome {
-            Ok(Ok(_)) => false,
-            Ok(Err(_)) => true,
-            Err(_elapsed) => !store.is_receiving_response(),
-        };
-        if is_missing && elapsed < STORE_SILENCE + MAX_TIMER_DELAY {
-            gw.knowledge.borrow_mut().record_store_failure(now);
-        }
+        let has_run = elapsed < limit + MAX_TIMER_DELAY;
         match outcome {
             Ok(Ok(answer)) => {
                 gw.store_answered(now);
                 return Ok(answer);
             }
             Ok(Err(err)) => {
+                if has_run {
+                    gw.knowledge.borrow_mut().record_store_failure(now);
+                }
                 gw.store_failed(&err, now);
                 return Err(err);
             }
-            Err(_elapsed) => {}
+            Err(_elapsed) if has_run && !store.is_receiving_response() => {
+                let knowledge = gw.knowledge.borrow();
+                silence.get_or_insert_with(|| knowledge.begin_store_silence());
+            }
+            Err(_elapsed) => silence = None,
         }
     }
 }
@@ -340,22 +345,30 @@
 }
 
 /// The pause after the next failure; doubles with each one.
+#[derive(Debug)]
 struct Backoff(Duration);
 
-impl Backoff {
-    fn new() -> Self {
+impl Default for Backoff {
+    fn default() -> Self {
         Self(INITIAL_BACKOFF)
     }
+}
+
+impl Backoff {
+    fn next(&mut self, max: Duration) -> Duration {
+        let pause = self.0;
+        self.0 = (pause * 2).min(max);
+        pause
+    }
 
     async fn pause(&mut self, max: Duration) {
-        sleep(self.0).await;
-        self.0 = (self.0 * 2).min(max);
+        sleep(self.next(max)).await;
     }
 }
 
 /// Watches the store while this box is a hub.
 async fn watch(gw: &Gateway, store: &dyn ControlStore) {
-    let mut backoff = Backoff::new();
+    let mut backoff = Backoff::default();
     loop {
         sleep(WATCH_GAP).await;
         if !gw.is_hub() {
@@ -366,7 +379,7 @@
         match store.watch(after, WATCH_TIMEOUT).await {
             Ok(WatchResult::Changes(items, revision)) => {
                 gw.store_answered(Now::read());
-                backoff = Backoff::new();
+                backoff = Backoff::default();
                 apply_items(gw, store, items, revision, "watch");
             }
             Ok(WatchResult::HistoryCompacted) => {
@@ -383,41 +396,99 @@
 }
 
 /// Bounds the staleness of the state by checking the store's revision when the state becomes too
-/// old.
+/// old. The next check does not wait for one whose answer is late, so that the state of a box with a slow
+/// store is hardly older than an answer takes.
 async fn check_staleness(gw: &Gateway, store: &dyn ControlStore) {
-    let mut backoff = Backoff::new();
+    let is_catching_up = Cell::new(false);
+    let mut schedule = CheckSchedule::default();
+    let mut checks = FuturesUnordered::new();
     loop {
-        sleep(AGE_CHECK_INTERVAL).await;
-        let age = gw.knowledge.borrow().age(Now::read());
+        tokio::select! {
+            () = sleep(AGE_CHECK_INTERVAL) => {}
+            Some(is_answered) = checks.next() => {
+                schedule.record_end(is_answered, gw.is_hub(), Now::read());
+                continue;
+            }
+        }
+        let now = Now::read();
+        let age = gw.knowledge.borrow().age(now);
         let max_age = match gw.is_hub() {
             true => HUB_CHECK_AGE,
             false => gw.settings().bounds.store_check_age(),
         };
-        if age.is_some_and(|age| age < max_age) || is_transfer_in_progress(gw, store) {
-            continue;
+        let is_old = age.is_none_or(|age| age >= max_age);
+        if is_old && !is_transfer_in_progress(gw, store) && schedule.is_due(checks.len(), now) {
+            schedule.record_start(now);
+            checks.push(check_revision(gw, store, &is_catching_up));
         }
-        match check_revision(gw, store).await {
-            true => backoff = Backoff::new(),
-            false if gw.is_hub() => backoff.pause(MAX_HUB_BACKOFF).await,
-            false => backoff.pause(MAX_BACKOFF).await,
+    }
+}
+
+/// When the next check of the store's revision is due.
+#[derive(Debug, Default)]
+struct CheckSchedule {
+    last_start: Duration,
+    backoff: Backoff,
+    not_before: Duration,
+}
+
+impl CheckSchedule {
+    /// Returns whether a check may begin beside those that are under way.
+    fn is_due(&self, under_way: usize, now: Now) -> bool {
+        let since_start = now.monotonic.saturating_sub(self.last_start);
+        let may_overlap = under_way < MAX_CHECKS && since_start >= HUB_CHECK_AGE;
+        now.monotonic >= self.not_before && (under_way == 0 || may_overlap)
+    }
+
+    fn record_start(&mut self, now: Now) {
+        self.last_start = now.monotonic;
+    }
+
+    fn record_end(&mut self, is_answered: bool, is_hub: bool, now: Now) {
+        let max_backoff = match is_hub {
+            true => MAX_HUB_BACKOFF,
+            false => MAX_BACKOFF,
+        };
+        match is_answered {
+            true => self.backoff = Backoff::default(),
+            false => self.not_before = now.monotonic + self.backoff.next(max_backoff),
         }
     }
 }
 
-/// Compares the store's revision with the local one and catches up if needed; returns false if the
-/// store did not answer.
-async fn check_revision(gw: &Gateway, store: &dyn ControlStore) -> bool {
+/// Compares the store's revision with the local one and catches up if needed, unless another check
+/// does; returns false if the store did not answer.
+async fn check_revision(
+    gw: &Gateway,
+    store: &dyn ControlStore,
+    is_catching_up: &Cell<bool>,
+) -> bool {
     let sent = Now::read();
     gw.telemetry.count_store_call("check");
     let Ok(revision) = call_store(gw, store, store.read_revision()).await else {
         return false;
     };
-    if is_behind(gw, revision) {
-        gw.knowledge
-            .borrow_mut()
-            .record_newer_revision(revision, Now::read());
-        sleep(WATCH_GRACE).await;
+    let took = Now::read().monotonic.saturating_sub(sent.monotonic);
+    gw.knowledge.borrow_mut().record_store_answer_time(took);
+    if !is_behind(gw, revision) {
+        gw.confirm_fresh_as_of(sent.monotonic, Now::read());
+        return true;
     }
+    if is_catching_up.replace(true) {
+        return true;
+    }
+    let is_answered = catch_up_to(gw, store, revision, sent).await;
+    is_catching_up.set(false);
+    is_answered
+}
+
+/// Reaches the revision that the store had when a check was sent; returns false if the store did not
+/// answer.
+async fn catch_up_to(gw: &Gateway, store: &dyn ControlStore, revision: u64, sent: Now) -> bool {
+    gw.knowledge
+        .borrow_mut()
+        .record_newer_revision(revision, Now::read());
+    sleep(WATCH_GRACE).await;
     let newest = EpochRevision::from_qualified(revision);
     if is_behind(gw, revision) && is_transfer_in_progress(gw, store) {
         log::info!(epoch = newest.epoch, revision = newest.revision; "this box is behind, a transfer of the missing data is in progress");
--- a/tests/gateway/freshness.rs
+++ b/tests/gateway/freshness.rs
@@ -126,6 +126,36 @@
         }
     }
 
+    store_that_answers_late_is_lost_only_while_it_is_silent => {
+        // Guards against a late answer that counts as a failure of the call.
+        let mut state = ControlPlaneState::default();
+        state.confirm(at(0).monotonic);
+        let silence = state.begin_store_silence();
+        expect_that!(state.freshness(&bounds(), at(4000)), eq(ConfigFreshness::KeysValid));
+        drop(silence);
+        expect_that!(state.freshness(&bounds(), at(4000)), eq(ConfigFreshness::Outdated));
+    }
+
+    silence_is_judged_by_how_long_the_store_takes => {
+        // Guards against a fixed time after which a store that is slow counts as lost.
+        let millis = Duration::from_millis;
+        let mut state = ControlPlaneState::default();
+        let usual = state.store_silence_limit();
+        expect_that!(usual, eq(millis(250)));
+        for _ in 0..10 {
+            state.record_store_answer_time(millis(4));
+        }
+        expect_that!(state.store_silence_limit(), eq(usual));
+        state.record_store_answer_time(millis(900));
+        expect_that!(state.store_silence_limit(), gt(millis(900)));
+        for _ in 0..20 {
+            state.record_store_answer_time(millis(4));
+        }
+        expect_that!(state.store_silence_limit(), eq(usual));
+        state.record_store_answer_time(millis(60_000));
+        expect_that!(state.store_silence_limit(), le(millis(1200)));
+    }
+
     box_counts_as_cut_off_only_by_calls_after_its_last_confirmation => {
         let mut state = ControlPlaneState::default();
         state.record_store_failure(at(900));
