Name a box's process by a random number, not by the wall clock

Counts of versions are told apart by the process that counted and numbered by it. Two processes of a box whose clock is set back by just the time between their starts would have had the same name, and the counts of the second would have been dropped as old. Found by reading; no run shows it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -145,7 +145,8 @@
     pub held_memory: Rc<HeldMemory>,
     /// Logs and metrics.
     pub telemetry: Rc<Telemetry>,
-    /// The name of this run of the box's process: the box's name and its start time.
+    /// The name of this run of the box's process: the box's name and a random number, since the wall clock
+    /// may be set back between two starts.
     pub incarnation: String,
     /// The lease under which the box is registered.
     pub lease: Cell<Option<u64>>,
@@ -165,7 +166,7 @@
         metrics: &Metrics,
         now: Now,
     ) -> Rc<Self> {
-        let incarnation = format!("{}.{}", settings.name, now.wall.0);
+        let incarnation = format!("{}.{:016x}", settings.name, rand::random::<u64>());
         let telemetry = Rc::new(Telemetry::new(metrics));
         let gw = Rc::new(Self {
             sessions: RefCell::new(SessionVersions::new(settings.bounds.session_idle_limit)),
