Agents count the age of the store's last answer from their own call

What operators saw: a contact with the store that looked younger than it was, by as long as the agent had stood still before it read the answer.

Cause: the age that a peer states, and the agent's own contacts, counted from the arrival.

Change: they count from before the call that was answered; a peer's own call states no age that counts, since nothing shows when it was sent.

--- a/src/agent/follow.rs
+++ b/src/agent/follow.rs
@@ -33,12 +33,10 @@
             sleep(HUB_RECHECK_PERIOD).await;
             continue;
         }
+        let sent = Now::read();
         match catch_up(&agent).await {
             Ok(revision) => {
-                agent
-                    .state
-                    .borrow_mut()
-                    .record_store_contact(Now::read().monotonic);
+                agent.state.borrow_mut().record_store_contact(sent);
                 first = false;
                 if agent.is_hub(Now::read()) {
                     wait_for_head(&agent, revision).await;
--- a/src/agent/gossip.rs
+++ b/src/agent/gossip.rs
@@ -120,17 +120,21 @@
 /// Sends a summary to a peer and merges the newer state that it returns.
 async fn exchange_with(agent: Rc<Agent>, address: SocketAddr) {
     let after = agent.peers.evidence_sent(address);
+    let sent = Now::read();
     let (summary, next) =
         agent
             .state
             .borrow()
-            .summary(&agent.member, agent.stopping.get(), after, Now::read());
+            .summary(&agent.member, agent.stopping.get(), after, sent);
     let client = agent.peers.client(address);
     let answer = client
         .call(&ControlRequest::Compare(summary), GOSSIP_DEADLINE)
         .await;
     if let Ok(ControlResponse::NewerState(newer)) = answer {
         agent.peers.record_evidence_sent(address, next);
+        if let Some(summary) = &newer.summary {
+            record_store_age(&agent, summary, sent);
+        }
         merge_newer(&agent, *newer, address).await;
     }
 }
@@ -164,13 +168,17 @@
     agent
         .peers
         .record_contact(&theirs.member, theirs.stopping, now);
-    let mut state = agent.state.borrow_mut();
+    agent.state.borrow_mut().evidence.merge(&theirs.evidence);
+    merge_crash_records(agent, theirs.crashes.clone());
+}
+
+/// Records the age of the store's last response that a peer states in its answer to a call. A peer's own
+/// call states none that counts, as nothing shows when it was sent.
+fn record_store_age(agent: &Agent, theirs: &StateSummary, sent: Now) {
     if let Some(age) = theirs.store_age_ms {
-        state.record_store_contact(now.monotonic.saturating_sub(Duration::from_millis(age)));
+        let mut state = agent.state.borrow_mut();
+        state.record_peer_store_age(sent, Duration::from_millis(age));
     }
-    state.evidence.merge(&theirs.evidence);
-    drop(state);
-    merge_crash_records(agent, theirs.crashes.clone());
 }
 
 async fn merge_newer(agent: &Rc<Agent>, newer: NewerState, from: SocketAddr) {
--- a/src/agent/gossip_state.rs
+++ b/src/agent/gossip_state.rs
@@ -145,8 +145,24 @@
         applied.map_or_else(BTreeMap::new, |applied| applied.entry.state.lifted.clone())
     }
 
-    /// Records that the store responded at the given monotonic time.
-    pub fn record_store_contact(&mut self, at: Duration) {
+    /// Records that the store responded to a call that was sent at `sent`, which may have been long
+    /// before this process read the response.
+    pub fn record_store_contact(&mut self, sent: Now) {
+        self.record_contact_at(sent.monotonic);
+    }
+
+    /// Records how long before its answer to a call that was sent at `sent` a peer knew of a response of
+    /// the store.
+    ///
+    /// The age counts from the call and not from the arrival of the answer: this process may have
+    /// stood still meanwhile.
+    pub fn record_peer_store_age(&mut self, sent: Now, age: Duration) {
+        if let Some(at) = sent.monotonic.checked_sub(age) {
+            self.record_contact_at(at);
+        }
+    }
+
+    fn record_contact_at(&mut self, at: Duration) {
         self.last_store_contact = self.last_store_contact.max(Some(at));
     }
 
--- a/src/agent/ledger_writer.rs
+++ b/src/agent/ledger_writer.rs
@@ -6,6 +6,7 @@
 use crate::box_list::AGENT_SERVICE;
 use crate::claim::message::{ReplicaMessage, UnrecordedFinish};
 use crate::claim::{Bill, ClaimKey};
+use crate::clock::Now;
 use crate::store::layout::segment_key;
 use crate::store::{StoreResult, WriteOutcome, create_with_read_back};
 use crate::wire::message::ControlRequest;
@@ -96,11 +97,9 @@
             serde_json::to_vec(&pending.segment).expect("a segment has only plain fields"),
         )
     };
+    let sent = Now::read();
     let outcome = create_with_read_back(agent.store.as_ref(), &key, &value).await?;
-    agent
-        .state
-        .borrow_mut()
-        .record_store_contact(crate::clock::Now::read().monotonic);
+    agent.state.borrow_mut().record_store_contact(sent);
     let Some(pending) = agent.pending_segment.borrow_mut().take() else {
         return Ok(());
     };
--- a/src/router/agent_link.rs
+++ b/src/router/agent_link.rs
@@ -175,12 +175,13 @@
         };
         // A lost report loses decision records only; the counts are sent again with the next
         // report.
+        let sent = Now::read();
         if client
             .call(&ControlRequest::Report(report), REPORT_TIMEOUT)
             .await
             .is_ok()
         {
-            last_accepted = Now::read().monotonic;
+            last_accepted = sent.monotonic;
         }
         let age = Now::read().monotonic.saturating_sub(last_accepted);
         shared
