A stop waits until callers have taken their answers

Cause: a stop waited for requests, and a request ended when its answer was handed to its connection, whose buffers a slow caller empties much later.

Change: a stop also waits for connections that hold bytes which the kernel did not take, or of which the kernel holds some that the caller has not acknowledged, up to the grace period (`http_server/delivery.rs`). Routers count connections until they are closed and were right.

--- a/src/eof_error_stream.rs
+++ b/src/eof_error_stream.rs
@@ -8,6 +8,7 @@
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use std::io;
+use std::os::fd::{AsRawFd, RawFd};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -26,6 +27,12 @@
     }
 }
 
+impl AsRawFd for EofErrorStream {
+    fn as_raw_fd(&self) -> RawFd {
+        self.stream.as_raw_fd()
+    }
+}
+
 impl AsyncRead for EofErrorStream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::clock::{Now, millis};
 use crate::error::Result;
 use crate::http_server;
+use crate::http_server::delivery::Deliveries;
 use crate::metrics::Metrics;
 use crate::store::StoreError;
 use admit::listen;
@@ -113,6 +114,8 @@
     pub load_reports: Outbox<SharedLoadReport>,
     /// Connections from callers.
     pub caller_connections: http_server::Connections,
+    /// What callers have still to take of their answers.
+    pub deliveries: Deliveries,
     /// The requests that wait for their turn at upstreams with rate limits.
     turn_queue: TurnQueue,
     /// When callers that were refused because of rate limits should come back.
@@ -186,6 +189,7 @@
             limited_sends: Outbox::default(),
             load_reports: Outbox::default(),
             caller_connections: Default::default(),
+            deliveries: Deliveries::default(),
             turn_queue: TurnQueue::default(),
             return_schedule: RefCell::default(),
             room: RoomState::default(),
--- a/src/gateway/admit/listen.rs
+++ b/src/gateway/admit/listen.rs
@@ -14,6 +14,7 @@
 use crate::gateway::control::store::ControlStore;
 use crate::gateway::settings::GatewaySettings;
 use crate::http_server::accept::{AcceptedConnection, accept};
+use crate::http_server::delivery::DeliveringStream;
 use crate::http_server::{Accepting, HttpServer};
 use crate::metrics::Metrics;
 use actix_http::{HttpService, Request, Response, StatusCode};
@@ -112,6 +113,8 @@
         bound_socket_buffers(&stream);
     }
     let stream = EofErrorStream::new(stream, ErrorKind::ConnectionAborted);
+    let stopping = gw.caller_connections.shutdown_token();
+    let stream = DeliveringStream::new(stream, &gw.deliveries, stopping);
     let cut = Rc::new(ConnectionCut::default());
     let handler_cut = cut.clone();
     let handler = move |req: Request| {
@@ -192,7 +195,9 @@
     }
 }
 
-/// Drains the box: finishes the requests in flight, then returns.
+/// Drains the box: finishes the requests in flight, waits until callers have taken their answers, then
+/// returns. A caller that takes nothing at all is waited for until the kernel gives it up
+/// ([`CALLER_TCP_USER_TIMEOUT`]).
 ///
 /// Readiness checks fail from the start. Requests that arrive meanwhile are served, and their
 /// connections closed after the response. Streams that outlast the grace period are cut at its end;
@@ -209,13 +214,17 @@
         log::warn!("cannot release the registration lease, it will expire: {err}");
     }
     let max_duration = gw.settings().bounds.max_stop_duration();
+    let mut had_ended = false;
     loop {
         let elapsed = Now::read().monotonic.saturating_sub(drain_start.monotonic);
-        let is_idle = gw.in_flight() == 0 && elapsed >= MIN_DRAIN_TIME;
-        if is_idle || elapsed >= max_duration {
+        let is_over = elapsed >= MIN_DRAIN_TIME && gw.in_flight() == 0;
+        let has_ended = is_over && gw.deliveries.unfinished() == 0;
+        // Between the two looks, the last bytes of tunnels leave the buffers of their connections.
+        if elapsed >= max_duration || has_ended && had_ended {
             break;
         }
+        had_ended = has_ended;
         sleep(DRAIN_POLL_INTERVAL).await;
     }
-    log::info!(cut = gw.in_flight(); "stopped");
+    log::info!(cut = gw.in_flight(), undelivered = gw.deliveries.unfinished(); "stopped");
 }
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -6,6 +6,7 @@
 
 pub mod accept;
 pub mod connection_close;
+pub mod delivery;
 pub mod h2;
 pub mod handover;
 pub mod reclaimable_stream;
@@ -78,6 +79,11 @@
         is_stopping
     }
 
+    /// Returns the token that is cancelled when the shutdown is announced.
+    pub fn shutdown_token(&self) -> CancellationToken {
+        self.shutdown_announced.clone()
+    }
+
     /// Waits until the shutdown is announced, from when on responses instruct callers to close
     /// their connections.
     pub async fn shutdown_announced(&self) {
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -2,12 +2,18 @@
 
 mod common;
 
+use common::scripted_upstream::{Reaction, ScriptedUpstream};
 use common::{Answer, Bench, BenchPlan, read_answer, streaming_completion_body};
 use gatepier::lab::model::ModelBehaviour;
 use gatepier::lab::platform::ListChange;
 use googletest::prelude::*;
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpSocket;
 
+/// The size of an answer that the kernel's buffers do not hold, and the receive buffer of its caller.
+const LARGE_ANSWER_BYTES: usize = 7_000_000;
+const SLOW_CALLER_BUFFER: u32 = 2048;
 /// Time after which a leaving upstream must not get new requests.
 const LEAVING_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -90,6 +96,40 @@
         expect_that!(old.exit_success(), some(eq(true)));
     };
 
+    answer_that_a_slow_caller_has_not_taken_is_not_cut_by_a_stop => async {
+        // Guards against a stop that ends while an answer is in the buffers of its connection.
+        let mut bench = Bench::start(BenchPlan {
+            models: 0,
+            services: 0,
+            router_extra: "drain_ms = 20000\n".to_owned(),
+            ..BenchPlan::default()
+        })
+        .await;
+        let body = "x".repeat(LARGE_ANSWER_BYTES);
+        let answer = format!("HTTP/1.1 200 x\r\ncontent-length: {LARGE_ANSWER_BYTES}\r\n\r\n{body}");
+        let upstream = ScriptedUpstream::start(move |_| Reaction::Answer(answer.clone())).await;
+        bench.list_scripted("reader-api", &[], &[&upstream]);
+        bench.wait_for("the upstream is known", async || {
+            let request = bench.request("ikeja-1", "comics", "GET", "/reader-api/manifest");
+            read_answer(request.send().await).await.status == 200
+        })
+        .await;
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(SLOW_CALLER_BUFFER).unwrap();
+        let mut caller = socket.connect(bench.boxes["ikeja-1"].files.router).await.unwrap();
+        let request = b"GET /reader-api/manifest HTTP/1.1\r\nhost: box\r\nconnection: close\r\nauthorization: Bearer comics-key\r\n\r\n";
+        caller.write_all(request).await.unwrap();
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        bench.router("ikeja-1").signal(libc::SIGTERM);
+        actix_rt::time::sleep(Duration::from_secs(5)).await;
+        let mut received = Vec::new();
+        let _ = caller.read_to_end(&mut received).await;
+        let head_end = received.windows(4).position(|window| window == b"\r\n\r\n").unwrap();
+        expect_that!(received.len() - head_end - 4, eq(LARGE_ANSWER_BYTES));
+        let mut router = bench.boxes.get_mut("ikeja-1").unwrap().router.take().unwrap();
+        bench.wait_for("the router has exited", async || router.exit_success().is_some()).await;
+    };
+
     agent_replacement_under_load_cuts_no_stream => async {
         let mut bench = Bench::start(BenchPlan::default()).await;
         set_slow_streams(&bench);
