A box that renews a lease without an entry registers again

What callers saw: nothing. The box was listed no longer, so that it counted for no limit and led no roll-out, and boxes that it could have helped did not ask it, until it was restarted.

Cause: a registration whose answer is lost may be carried out after the next one. Its entry replaces the next one's and expires with its own lease, while the box renews the other lease for good.

Change: a box whose state is recent, and which finds itself unlisted at two renewals in a row, registers again.

--- a/src/gateway/control/membership.rs
+++ b/src/gateway/control/membership.rs
@@ -14,6 +14,9 @@
 const LEASE_TTL: Duration = Duration::from_secs(8);
 /// The time between two lease renewals.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(2600);
+/// How many renewals in a row may find the box unlisted: one may come before the box has learned of
+/// its own entry.
+const MAX_UNLISTED_RENEWALS: u32 = 2;
 
 /// Keeps the box registered until its shutdown is requested.
 ///
@@ -37,7 +40,7 @@
         match store.register(&entry, LEASE_TTL).await {
             Ok(lease) => {
                 log::info!(lease, box_name = entry.name.as_str(); "registered");
-                hold_lease(&gw, &*store, lease).await;
+                hold_lease(&gw, &*store, lease, &entry.name).await;
             }
             Err(err) => {
                 gw.store_failed(&err, Now::read());
@@ -53,17 +56,17 @@
         Ok(true) => {
             let (lease, name) = (previous.lease, previous.entry.name.as_str());
             log::info!(lease, box_name = name; "the former life's registration is taken over");
-            hold_lease(gw, store, lease).await;
+            hold_lease(gw, store, lease, name).await;
         }
         Ok(false) => log::info!(lease = previous.lease; "the previous process's lease has expired"),
         Err(err) => gw.store_failed(&err, Now::read()),
     }
 }
 
-/// Holds a lease and renews it until it is lost or the box stops.
-async fn hold_lease(gw: &Gateway, store: &dyn ControlStore, lease: u64) {
+/// Holds the lease of an entry and renews it until it is lost or the box stops.
+async fn hold_lease(gw: &Gateway, store: &dyn ControlStore, lease: u64, entry: &str) {
     gw.lease.set(Some(lease));
-    renew_until_lost(gw, store, lease).await;
+    renew_until_lost(gw, store, lease, entry).await;
     gw.lease.set(None);
     log::warn!(lease; "lost the lease of this box's registration");
 }
@@ -82,13 +85,26 @@
     }
 }
 
-/// Renews a lease until the store reports that it has expired or the box stops.
-async fn renew_until_lost(gw: &Gateway, store: &dyn ControlStore, lease: u64) {
+/// Renews a lease until the store reports that it has expired, its entry is gone, or the box stops.
+///
+/// A lease can outlast its entry: a registration whose answer was lost may be carried out after the
+/// next one, and its own lease, which nobody renews, then decides when the entry expires.
+async fn renew_until_lost(gw: &Gateway, store: &dyn ControlStore, lease: u64, entry: &str) {
+    let mut unlisted_renewals = 0;
     loop {
         sleep(RENEWAL_INTERVAL).await;
         if gw.is_stopping() {
             return;
         }
+        match is_listed(gw, entry, Now::read()) {
+            Some(false) => unlisted_renewals += 1,
+            Some(true) => unlisted_renewals = 0,
+            None => {}
+        }
+        if unlisted_renewals >= MAX_UNLISTED_RENEWALS {
+            log::warn!(lease, box_name = entry; "this box is not listed although its lease is valid");
+            return;
+        }
         gw.telemetry.count_store_call("renew");
         match store.renew(lease).await {
             Ok(true) => {}
@@ -98,6 +114,14 @@
     }
 }
 
+/// Returns whether the store lists the entry of this box; `None` if the box's state is too old to say.
+fn is_listed(gw: &Gateway, entry: &str, now: Now) -> Option<bool> {
+    let is_recent = gw.has_knowledge_within(RENEWAL_INTERVAL, now);
+    let state = gw.knowledge.borrow();
+    let is_listed = state.boxes().any(|known| known.name == entry);
+    is_recent.then_some(is_listed)
+}
+
 /// Returns whether this box is the leader.
 pub fn is_leader(gw: &Gateway, now: Now) -> bool {
     leadership_rank(gw, now) == Some(0)
