A 421 removes an upstream only if it names another instance

What callers saw: one request that an upstream refuses with 421 for its own sake took that upstream from all callers of the box until its entry changed; a few such requests took all of them.

Cause: every 421 was taken for the word of another instance at the address.

Change: only one that names another instance is. Any other is a refusal of that request.

Evidence: request_that_is_itself_misdirected_removes_no_upstream failed (503 for the next request) and passes.

--- a/src/gateway/attempt/answer_ownership.rs
+++ b/src/gateway/attempt/answer_ownership.rs
@@ -135,6 +135,14 @@
         is_refusal.then_some(Refusal { status })
     }
 
+    /// Returns whether the answer comes from another instance than a request was meant for. One that names
+    /// no instance does not say so: an upstream may also refuse a request with the status of a misdirected
+    /// one for what the caller asked.
+    pub fn is_from_other_instance(&self, expected: &str, names: &HeaderNames) -> bool {
+        let instance = self.text(&names.instance);
+        instance.is_some_and(|instance| instance != expected)
+    }
+
     /// Returns why an answer that is no refusal cannot be forwarded, if it cannot.
     pub fn invalid_reason(&self, names: &HeaderNames) -> Option<&'static str> {
         if self.0.headers.contains_key(hyper::header::CONTENT_ENCODING) {
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -374,8 +374,10 @@
         upstream.record_data_received(now);
         record_load_report(upstream, &head, headers, now);
         let refusal = head.refusal(headers);
+        let expected = &upstream.incarnation().instance;
+        let is_misdirected = refusal.is_some_and(Refusal::is_misdirected);
         // The headers of another instance say nothing about this upstream.
-        if refusal.is_some_and(Refusal::is_misdirected) {
+        if is_misdirected && head.is_from_other_instance(expected, headers) {
             return TryOutcome::NotRun(NotRunReason::OtherInstance);
         }
         let signs = SignalHeaders {
