Bound the memory held for callers on all boxes

What callers saw: on deployments without the contract for contention, uploads within the limits of the configuration, or callers that do not read large answers, took a box over its memory limit, and the platform ends such a process with all that it serves.

Cause: the account of held bytes, and the bounds of buffers, took effect only where contention is expected.

Change: they do on every box, by the stated memory limit or by 512 MB. The other path is gone.

Evidence: memory_stays_under_the_limit_without_contention failed (40 uploads of 4 MB beside 60 callers that do not read 3 MB: 194 MB of 88 MB) and passes (38 MB), the sound requests beside them being served as before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -212,17 +212,10 @@
             served_tunnels: Rc::default(),
             store_lost_since: Cell::new(None),
         });
-        gw.bound_memory();
+        gw.held_memory.apply(&gw.settings());
         gw
     }
 
-    /// Bounds the memory held for requests as the settings say.
-    fn bound_memory(&self) {
-        self.held_memory.apply(&self.settings());
-        self.connections
-            .set_bounds_buffers(self.held_memory.is_bounded());
-    }
-
     /// Returns the settings in force.
     pub fn settings(&self) -> Rc<GatewaySettings> {
         self.settings.borrow().clone()
@@ -231,7 +224,7 @@
     /// Applies changed settings; addresses take effect at the next start.
     pub fn reload(&self, settings: GatewaySettings) {
         *self.settings.borrow_mut() = Rc::new(settings);
-        self.bound_memory();
+        self.held_memory.apply(&self.settings());
     }
 
     /// Returns a route's relative rank in the routing table in force, from 0 (most urgent) to 1.
--- a/src/gateway/admit/listen.rs
+++ b/src/gateway/admit/listen.rs
@@ -108,10 +108,7 @@
         .borrow()
         .routes()
         .map_or_else(CallerLimits::default, |routes| routes.limits);
-    let is_bounded = gw.held_memory.is_bounded();
-    if is_bounded {
-        bound_socket_buffers(&stream);
-    }
+    bound_socket_buffers(&stream);
     let stream = EofErrorStream::new(stream, ErrorKind::ConnectionAborted);
     let stopping = gw.caller_connections.shutdown_token();
     let stream = DeliveringStream::new(stream, &gw.deliveries, stopping);
@@ -122,12 +119,10 @@
         // Boxed, so that an idle connection does not reserve memory for the largest future.
         Box::pin(async move { Ok::<_, Infallible>(serve(gw, &cut, req).await) })
     };
-    let mut builder = HttpService::build()
+    let builder = HttpService::build()
         .keep_alive(limits.idle_timeout)
-        .client_request_timeout(limits.header_timeout);
-    if is_bounded {
-        builder = builder.h1_write_buffer_size(CALLER_BUFFER_BYTES);
-    }
+        .client_request_timeout(limits.header_timeout)
+        .h1_write_buffer_size(CALLER_BUFFER_BYTES);
     match builder.h1(handler).new_service(()).await {
         Ok(service) => tokio::select! {
             result = service.call((stream, Some(peer))) => {
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -234,10 +234,7 @@
         .await
         .map_err(no_memory)?;
     let mut payload = req.take_payload();
-    let mut body = match account.is_bounded() {
-        true => BytesMut::with_capacity(held),
-        false => BytesMut::new(),
-    };
+    let mut body = BytesMut::with_capacity(held);
     let idle_timeout = routes.limits.idle_timeout;
     loop {
         account.wait_for_caller();
@@ -334,10 +331,7 @@
 }
 
 fn buffered_response(buffered: BufferedResponse, request: &AdmittedRequest) -> Response<BoxBody> {
-    let body = match request.account.is_bounded() {
-        true => HeldBody::new(buffered.body, request.account.clone()).boxed(),
-        false => BoxBody::new(buffered.body),
-    };
+    let body = HeldBody::new(buffered.body, request.account.clone()).boxed();
     head(buffered.status, &buffered.headers).set_body(body)
 }
 
--- a/src/gateway/answer/buffered.rs
+++ b/src/gateway/answer/buffered.rs
@@ -1,6 +1,6 @@
 //! Requests whose response is buffered whole before it is sent to the caller.
 //!
-//! Where memory is bounded, only small answers are; larger ones are relayed by
+//! Only small answers are, unless their end could not be shown to the caller; larger ones are relayed by
 //! [`super::piece_relay`].
 
 use super::held_bytes::{HeldKind, MemoryRoom, NoRoom};
@@ -27,7 +27,7 @@
 
 /// The size limit of a buffered response; typical ones take some kilobytes.
 const RESPONSE_BYTES_LIMIT: usize = 8 * 1024 * 1024;
-/// The size limit of a buffered response where memory is bounded.
+/// The size limit of a buffered response that could be relayed instead.
 const SMALL_RESPONSE_BYTES: usize = 64 * 1024;
 /// Status codes from this one on are failures of the upstream.
 const FIRST_SERVER_ERROR_STATUS: u16 = 500;
@@ -208,7 +208,7 @@
 /// upstream's answer could replace, and the caller will see if it breaks off.
 fn may_relay(request: &AdmittedRequest, answer: &Answer) -> bool {
     let shows_its_end = request.accepts_chunks || answer.body_len().is_some();
-    request.account.is_bounded() && answer.status < FIRST_SERVER_ERROR_STATUS && shows_its_end
+    answer.status < FIRST_SERVER_ERROR_STATUS && shows_its_end
 }
 
 /// Reads an answer whole if it is small, and begins to relay it otherwise.
@@ -265,7 +265,7 @@
 ) -> Result<BufferedResponse, NotRead> {
     // Only a failure may be dropped for its size: another upstream's answer can replace it.
     let is_failure = answer.status >= FIRST_SERVER_ERROR_STATUS;
-    let limit = match request.account.is_bounded() && is_failure {
+    let limit = match is_failure {
         true => limit.min(SMALL_RESPONSE_BYTES),
         false => limit,
     };
--- a/src/gateway/answer/held_memory.rs
+++ b/src/gateway/answer/held_memory.rs
@@ -17,6 +17,8 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+/// The memory limit in bytes of a process whose settings state none.
+pub const DEFAULT_MEMORY_LIMIT: u64 = 512 * 1024 * 1024;
 /// The largest piece of an answer that is handed to a caller's connection at once.
 pub const PIECE_BYTES: usize = 4 * 1024;
 /// The most bytes that a caller's connection holds before it asks for no further piece.
@@ -53,7 +55,6 @@
 /// The memory that a box holds for its requests.
 #[derive(Debug, Default)]
 pub struct HeldMemory {
-    is_bounded: Cell<bool>,
     held: RefCell<HeldBytes>,
     cuts: RefCell<HashMap<AccountId, Rc<ConnectionCut>>>,
     freed: Notify,
@@ -91,20 +92,10 @@
 }
 
 impl HeldMemory {
-    /// Applies the settings: memory is bounded where contention is expected and a limit is stated.
+    /// Applies the settings: memory is bounded by the limit that they state, or by a default.
     pub fn apply(&self, settings: &GatewaySettings) {
-        let limit = settings
-            .memory_limit
-            .filter(|_| settings.expects_contention);
-        self.is_bounded.set(limit.is_some());
-        self.held
-            .borrow_mut()
-            .set_budget(limit.map_or(u64::MAX, budget));
-    }
-
-    /// Returns whether memory is bounded.
-    pub fn is_bounded(&self) -> bool {
-        self.is_bounded.get()
+        let limit = settings.memory_limit.unwrap_or(DEFAULT_MEMORY_LIMIT);
+        self.held.borrow_mut().set_budget(budget(limit));
     }
 
     /// Returns the bytes held of a kind.
@@ -119,16 +110,13 @@
         cut: &Rc<ConnectionCut>,
         telemetry: &Rc<Telemetry>,
     ) -> RequestAccount {
-        if !self.is_bounded() {
-            return RequestAccount(None);
-        }
         let id = self.held.borrow_mut().open(request_id);
         self.cuts.borrow_mut().insert(id, cut.clone());
-        RequestAccount(Some(OpenAccount {
+        RequestAccount {
             memory: self.clone(),
             telemetry: telemetry.clone(),
             id,
-        }))
+        }
     }
 
     fn close(&self, id: AccountId) {
@@ -144,36 +132,23 @@
     }
 }
 
-/// The account of one request, closed when it is dropped. Where memory is not bounded, it allows
-/// everything and counts nothing.
+/// The account of one request, closed when it is dropped.
 #[derive(Debug)]
-pub struct RequestAccount(Option<OpenAccount>);
-
-#[derive(Debug)]
-struct OpenAccount {
+pub struct RequestAccount {
     memory: Rc<HeldMemory>,
     telemetry: Rc<Telemetry>,
     id: AccountId,
 }
 
 impl RequestAccount {
-    /// Returns whether memory is bounded.
-    pub fn is_bounded(&self) -> bool {
-        self.0.is_some()
-    }
-
     /// Sets the urgency of the request.
     pub fn set_urgency(&self, urgency: HolderUrgency) {
-        if let Some(open) = &self.0 {
-            open.memory.held.borrow_mut().set_urgency(open.id, urgency);
-        }
+        self.memory.held.borrow_mut().set_urgency(self.id, urgency);
     }
 
     /// Returns how much room is left.
     pub fn room(&self) -> MemoryRoom {
-        self.0
-            .as_ref()
-            .map_or(MemoryRoom::Free, |open| open.memory.held.borrow().room())
+        self.memory.held.borrow().room()
     }
 
     /// Holds the buffers of the connections that serve the request.
@@ -185,55 +160,41 @@
     /// Sets how many bytes of a kind are held; others that are stalled yield if that takes more
     /// room than there is.
     pub async fn hold(&self, kind: HeldKind, bytes: u64) -> Result<(), NoRoom> {
-        let Some(open) = &self.0 else {
-            return Ok(());
-        };
-        if open.resize(kind, bytes).is_ok() {
+        if self.resize(kind, bytes).is_ok() {
             return Ok(());
         }
-        let held = open.wait_for_room(kind, bytes, WaitFor::YieldingRequests);
+        let held = self.wait_for_room(kind, bytes, WaitFor::YieldingRequests);
         timeout(MAX_YIELD_WAIT, held).await.unwrap_or(Err(NoRoom))
     }
 
     /// Sets how many bytes of a kind are held, if there is room now.
     pub fn try_hold(&self, kind: HeldKind, bytes: u64) -> Result<(), NoRoom> {
-        self.0
-            .as_ref()
-            .map_or(Ok(()), |open| open.resize(kind, bytes))
+        self.resize(kind, bytes)
     }
 
     /// Waits until there is room for the next piece of a relayed answer, beside `begun` bytes that
     /// cannot be handed to the caller yet. Until then, nothing is read from the upstream.
     pub async fn hold_piece(&self, begun: usize) -> Result<(), NoRoom> {
-        let Some(open) = &self.0 else {
-            return Ok(());
-        };
         let bytes = RELAYED_PIECE + begun as u64;
-        if open.resize(HeldKind::RelayedPiece, bytes).is_ok() {
+        if self.resize(HeldKind::RelayedPiece, bytes).is_ok() {
             return Ok(());
         }
-        let held = open.wait_for_room(HeldKind::RelayedPiece, bytes, WaitFor::AnyRoom);
+        let held = self.wait_for_room(HeldKind::RelayedPiece, bytes, WaitFor::AnyRoom);
         timeout(MAX_PAUSE, held).await.unwrap_or(Err(NoRoom))
     }
 
     /// Records that the request waits for its caller from now on.
     pub fn wait_for_caller(&self) {
-        if let Some(open) = &self.0 {
-            let now = Now::read();
-            open.memory.held.borrow_mut().wait_for_caller(open.id, now);
-        }
+        let now = Now::read();
+        self.memory.held.borrow_mut().wait_for_caller(self.id, now);
     }
 
     /// Records that the caller made progress; returns how long the request had waited for it.
     pub fn record_progress(&self) -> Duration {
-        self.0.as_ref().map_or(Duration::ZERO, |open| {
-            let now = Now::read();
-            open.memory.held.borrow_mut().record_progress(open.id, now)
-        })
+        let now = Now::read();
+        self.memory.held.borrow_mut().record_progress(self.id, now)
     }
-}
 
-impl OpenAccount {
     fn resize(&self, kind: HeldKind, bytes: u64) -> Result<(), NoRoom> {
         self.memory.held.borrow_mut().resize(self.id, kind, bytes)
     }
@@ -280,7 +241,7 @@
     }
 }
 
-impl Drop for OpenAccount {
+impl Drop for RequestAccount {
     fn drop(&mut self) {
         self.memory.close(self.id);
     }
--- a/src/gateway/attempt/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -45,8 +45,6 @@
     pub(super) tunnels: Tunnels,
     metrics: ConnectionMetrics,
     pub(super) telemetry: Rc<Telemetry>,
-    /// Whether the buffers of new connections are bounded.
-    bounds_buffers: Cell<bool>,
 }
 
 impl ConnectionPool {
@@ -60,15 +58,9 @@
             tunnels: Tunnels::default(),
             metrics: telemetry.connection_metrics(),
             telemetry,
-            bounds_buffers: Cell::default(),
         }
     }
 
-    /// Sets whether the buffers of new connections are bounded.
-    pub fn set_bounds_buffers(&self, bounds_buffers: bool) {
-        self.bounds_buffers.set(bounds_buffers);
-    }
-
     /// Sets what is known of the other boxes, with which limits are shared.
     pub fn set_fleet(&self, fleet: Fleet) {
         self.fleet.set(fleet);
@@ -148,7 +140,6 @@
             origin,
             is_controlled,
             asks_kernel: known.is_controlled(),
-            bounds_buffers: self.bounds_buffers.get(),
         };
         let began = Now::read();
         let stream = stream.await?;
--- a/src/gateway/attempt/connection.rs
+++ b/src/gateway/attempt/connection.rs
@@ -176,8 +176,6 @@
     pub is_controlled: bool,
     /// Whether the kernel is asked about ends of the connection.
     pub asks_kernel: bool,
-    /// Whether its buffers are bounded.
-    pub bounds_buffers: bool,
 }
 
 /// Opens a socket to an upstream.
@@ -198,12 +196,10 @@
         now: Now,
     ) -> io::Result<Self> {
         let mut builder = http1::Builder::new();
-        if opening.bounds_buffers {
-            if let Some(socket) = stream.socket() {
-                set_receive_buffer(socket);
-            }
-            builder.max_buf_size(UPSTREAM_BUFFER_BYTES);
+        if let Some(socket) = stream.socket() {
+            set_receive_buffer(socket);
         }
+        builder.max_buf_size(UPSTREAM_BUFFER_BYTES);
         let asked = stream.socket().filter(|_| opening.asks_kernel);
         let socket = asked
             .map(|socket| socket2::SockRef::from(socket).try_clone())
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -131,9 +131,7 @@
             .record_faulty_upstreams(state.faulty_upstream_count());
         let routes = state.routes().cloned();
         drop(state);
-        if gw.held_memory.is_bounded() {
-            gw.telemetry.record_held_bytes(&gw.held_memory);
-        }
+        gw.telemetry.record_held_bytes(&gw.held_memory);
         if let Some(routes) = routes {
             let is_configured = |service: &str| routes.services.contains_key(service);
             gw.service_times.retain(is_configured);
