--- a/src/agent/gossip.rs
+++ b/src/agent/gossip.rs
@@ -172,8 +172,8 @@
     merge_crash_records(agent, theirs.crashes.clone());
 }
 
-/// Records the age of the store's last response that a peer states in its answer to a call. A peer's own
-/// call states none that counts, as nothing shows when it was sent.
+/// Records the age of the store's last response that a peer states in its answer to a call. A
+/// peer's own call states none that counts, as nothing shows when it was sent.
 fn record_store_age(agent: &Agent, theirs: &StateSummary, sent: Now) {
     if let Some(age) = theirs.store_age_ms {
         let mut state = agent.state.borrow_mut();
--- a/src/agent/gossip_state.rs
+++ b/src/agent/gossip_state.rs
@@ -151,8 +151,8 @@
         self.record_contact_at(sent.monotonic);
     }
 
-    /// Records how long before its answer to a call that was sent at `sent` a peer knew of a response of
-    /// the store.
+    /// Records how long before its answer to a call that was sent at `sent` a peer knew of a
+    /// response of the store.
     ///
     /// The age counts from the call and not from the arrival of the answer: this process may have
     /// stood still meanwhile.
@@ -231,7 +231,8 @@
         }
     }
 
-    /// Returns whether a peer's summary differs from this state in anything that may be newer there.
+    /// Returns whether a peer's summary differs from this state in anything that may be newer
+    /// there.
     pub fn is_behind(&self, theirs: &StateSummary) -> bool {
         theirs.generation > self.generation()
             || theirs.list_revision > self.list.as_ref().map_or(0, |list| list.revision)
--- a/src/agent/ledger_writer.rs
+++ b/src/agent/ledger_writer.rs
@@ -129,7 +129,8 @@
             continue;
         };
         let request = ControlRequest::Replicate(Box::new(message), None);
-        // A witness that misses this message may write the bills again; the ledger counts them once.
+        // A witness that misses this message may write the bills again; the ledger counts them
+        // once.
         let _ = agent
             .peers
             .client(address)
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -148,8 +148,8 @@
     pub held_memory: Rc<HeldMemory>,
     /// Logs and metrics.
     pub telemetry: Rc<Telemetry>,
-    /// The name of this run of the box's process: the box's name and a random number, since the wall clock
-    /// may be set back between two starts.
+    /// The name of this run of the box's process: the box's name and a random number, since the
+    /// wall clock may be set back between two starts.
     pub incarnation: String,
     /// The lease under which the box is registered.
     pub lease: Cell<Option<u64>>,
--- a/src/gateway/admit/listen.rs
+++ b/src/gateway/admit/listen.rs
@@ -190,8 +190,8 @@
     }
 }
 
-/// Drains the box: finishes the requests in flight, waits until callers have taken their answers, then
-/// returns. A caller that takes nothing at all is waited for until the kernel gives it up
+/// Drains the box: finishes the requests in flight, waits until callers have taken their answers,
+/// then returns. A caller that takes nothing at all is waited for until the kernel gives it up
 /// ([`CALLER_TCP_USER_TIMEOUT`]).
 ///
 /// Readiness checks fail from the start. Requests that arrive meanwhile are served, and their
@@ -209,16 +209,16 @@
         log::warn!("cannot release the registration lease, it will expire: {err}");
     }
     let max_duration = gw.settings().bounds.max_stop_duration();
-    let mut had_ended = false;
+    let mut was_done = false;
     loop {
         let elapsed = Now::read().monotonic.saturating_sub(drain_start.monotonic);
-        let is_over = elapsed >= MIN_DRAIN_TIME && gw.in_flight() == 0;
-        let has_ended = is_over && gw.deliveries.unfinished() == 0;
-        // Between the two looks, the last bytes of tunnels leave the buffers of their connections.
-        if elapsed >= max_duration || has_ended && had_ended {
+        let have_requests_ended = elapsed >= MIN_DRAIN_TIME && gw.in_flight() == 0;
+        let is_done = have_requests_ended && gw.deliveries.unfinished() == 0;
+        // In between, the last bytes of tunnels leave the buffers of their connections.
+        if elapsed >= max_duration || is_done && was_done {
             break;
         }
-        had_ended = has_ended;
+        was_done = is_done;
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     log::info!(cut = gw.in_flight(), undelivered = gw.deliveries.unfinished(); "stopped");
--- a/src/gateway/attempt/acquire.rs
+++ b/src/gateway/attempt/acquire.rs
@@ -152,8 +152,8 @@
         let mut confirmations = 0;
         while confirmations < MAX_CONFIRMATIONS {
             let now = Now::read();
-            // A health check waits for a slot like a request, and would come too late. This request is
-            // among those that are counted.
+            // A health check waits for a slot like a request, and would come too late. This request
+            // is among those that are counted.
             let has_free_slot = upstream.slot_utilization(now) <= 1.0;
             let check = rules.health_check.as_ref().filter(|_| has_free_slot);
             // At its limit, the upstream may still count a connection that was closed for another,
--- a/src/gateway/attempt/answer_ownership.rs
+++ b/src/gateway/attempt/answer_ownership.rs
@@ -1,10 +1,10 @@
 //! Decides which request an answer belongs to.
 //!
-//! An upstream may send more than it was asked for: an answer twice or late, bytes before anything was
-//! asked, or an answer that was meant for another caller. Its place in the connection therefore proves
-//! nothing. Only an [`OwnHead`] belongs to what awaits it, and only this module makes one. Where that is
-//! in doubt, the connection has to be closed, and a request that was written may have run. See
-//! `docs/design/connections.md`.
+//! An upstream may send more than it was asked for: an answer twice or late, bytes before anything
+//! was asked, or an answer that was meant for another caller. Its place in the connection therefore
+//! proves nothing. Only an [`OwnHead`] belongs to what awaits it, and only this module makes one.
+//! Where that is in doubt, the connection has to be closed, and a request that was written may have
+//! run. See `docs/design/connections.md`.
 
 use super::connection::http1_types::HeaderMap;
 use super::headers::HeaderNames;
@@ -135,9 +135,9 @@
         is_refusal.then_some(Refusal { status })
     }
 
-    /// Returns whether the answer comes from another instance than a request was meant for. One that names
-    /// no instance does not say so: an upstream may also refuse a request with the status of a misdirected
-    /// one for what the caller asked.
+    /// Returns whether the answer comes from another instance than a request was meant for. One
+    /// that names no instance does not say so: an upstream may also refuse a request with the
+    /// status of a misdirected one for what the caller asked.
     pub fn is_from_other_instance(&self, expected: &str, names: &HeaderNames) -> bool {
         let instance = self.text(&names.instance);
         instance.is_some_and(|instance| instance != expected)
@@ -159,8 +159,8 @@
 
 /// What a connection has carried.
 ///
-/// It carries each request id once, and one health check: a second answer to the earlier of two could not
-/// be told from the answer to the later one.
+/// It carries each request id once, and one health check: a second answer to the earlier of two
+/// could not be told from the answer to the later one.
 #[derive(Debug, Default)]
 pub struct CarriedRequests {
     /// The hashes of the ids.
--- a/src/gateway/attempt/connection.rs
+++ b/src/gateway/attempt/connection.rs
@@ -80,8 +80,8 @@
     Late,
     /// The connection broke this long after it was written.
     Broken(Duration),
-    /// The connection broke though an answer had come over it just before, so that neither its rest nor
-    /// a want of room explains it.
+    /// The connection broke though an answer had come over it just before, so that neither its rest
+    /// nor a want of room explains it.
     BrokenAfterProof,
     /// Nothing came back.
     NoAnswer,
--- a/src/gateway/attempt/connection_proof.rs
+++ b/src/gateway/attempt/connection_proof.rs
@@ -41,8 +41,8 @@
     /// The answer closes the connection or is too long, so that it proves nothing about the next
     /// request; the upstream is not to blame.
     Unusable,
-    /// What came does not belong to the health check for certain. The connection must not be used again,
-    /// since its answer may still come, in the place of another one.
+    /// What came does not belong to the health check for certain. The connection must not be used
+    /// again, since its answer may still come, in the place of another one.
     NotOwn,
     /// No answer came in time.
     Late,
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -147,8 +147,8 @@
     pub through: Option<SocketAddr>,
 }
 
-/// Sends a request to one upstream and waits for the head of the answer; also returns the connection
-/// that it used, if there was one.
+/// Sends a request to one upstream and waits for the head of the answer; also returns the
+/// connection that it used, if there was one.
 pub async fn try_upstream(
     connections: &ConnectionPool,
     headers: &HeaderNames,
--- a/src/gateway/attempt/upstream_connections.rs
+++ b/src/gateway/attempt/upstream_connections.rs
@@ -240,8 +240,8 @@
         if !connection.has_carried_answer() {
             return ConnectionState::after_rest(rest, self.settle_time(now), safe_rest);
         }
-        // It holds its place among those that the upstream accepts, but the upstream may close it at
-        // any time after the safe rest, however long it takes to settle.
+        // It holds its place among those that the upstream accepts, but the upstream may close it
+        // at any time after the safe rest, however long it takes to settle.
         let settle = self.settle.get().get();
         match rest > safe_rest || settle > safe_rest {
             true => ConnectionState::Rested,
@@ -249,8 +249,8 @@
         }
     }
 
-    /// Returns until when a request may be written to a confirmed connection, on the monotonic clock:
-    /// some time after it is no longer chosen, as the box may wait for a processor.
+    /// Returns until when a request may be written to a confirmed connection, on the monotonic
+    /// clock: some time after it is no longer chosen, as the box may wait for a processor.
     pub fn usable_until(&self, connection: &Connection, now: Now) -> Duration {
         let settle = match connection.has_carried_answer() {
             true => Duration::ZERO,
@@ -359,8 +359,8 @@
         self.take(oldest_confirmed.or_else(|| states.iter().position(settling))?)
     }
 
-    /// Takes the idle connection that was used last and has rested, to be proven by a health check for a
-    /// request that may not be repeated.
+    /// Takes the idle connection that was used last and has rested, to be proven by a health check
+    /// for a request that may not be repeated.
     pub fn take_rested(
         &self,
         request: Awaiting<'_>,
@@ -499,8 +499,8 @@
         self.last_early_close.set(Some(now.monotonic));
     }
 
-    /// Learns from a request that was lost with a proven connection: the upstream ends connections for
-    /// another reason than their rest, so that it gets no further ones for a moment.
+    /// Learns from a request that was lost with a proven connection: the upstream ends connections
+    /// for another reason than their rest, so that it gets no further ones for a moment.
     pub fn record_loss_after_proof(&self, now: Now) {
         self.last_reset.set(Some(now.monotonic));
     }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -10,6 +10,7 @@
 pub mod revision;
 pub mod rollout;
 pub mod rollout_leader;
+pub mod staleness_check;
 pub mod state;
 pub mod store;
 pub mod store_reach;
--- a/src/gateway/control/membership.rs
+++ b/src/gateway/control/membership.rs
@@ -114,7 +114,8 @@
     }
 }
 
-/// Returns whether the store lists the entry of this box; `None` if the box's state is too old to say.
+/// Returns whether the store lists the entry of this box; `None` if the box's state is too old to
+/// say.
 fn is_listed(gw: &Gateway, entry: &str, now: Now) -> Option<bool> {
     let is_recent = gw.has_knowledge_within(RENEWAL_INTERVAL, now);
     let state = gw.knowledge.borrow();
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -24,7 +24,8 @@
 /// the users, entries of live upstreams are back within about two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2100);
 
-/// How long a box that is no longer registered may still run: longer than most outages of the store.
+/// How long a box that is no longer registered may still run: longer than most outages of the
+/// store.
 const FORMER_BOX_RETENTION: Duration = Duration::from_secs(30);
 
 /// The age of the state from which the store may have been down. Hubs and staleness checks keep the
@@ -385,8 +386,8 @@
         }
     }
 
-    /// Returns how long a call of this box to the store may stay unanswered until the store counts as
-    /// lost to it.
+    /// Returns how long a call of this box to the store may stay unanswered until the store counts
+    /// as lost to it.
     pub fn store_silence_limit(&self) -> Duration {
         self.store_reach.silence_limit()
     }
@@ -441,8 +442,9 @@
     ///
     /// If the state was not confirmed by any path for a while, and calls of this box to the store
     /// failed meanwhile, the store may have been down, and entries that are missing now may belong
-    /// to live upstreams. An outage of the store seen by only one box or hub does not count, because
-    /// the other boxes keep this box's state fresh; nor does the delay of a box that was behind.
+    /// to live upstreams. An outage of the store seen by only one box or hub does not count,
+    /// because the other boxes keep this box's state fresh; nor does the delay of a box that was
+    /// behind.
     pub fn record_store_contact(&mut self, now: Now) {
         let is_old = self.age(now).is_some_and(|age| age > SUSPECTED_OUTAGE_AGE);
         if is_old && self.store_reach.has_failed_since(self.confirmed_at) {
--- a/src/gateway/control/store_reach.rs
+++ b/src/gateway/control/store_reach.rs
@@ -1,8 +1,8 @@
 //! Tracks whether this box's own calls reach the store.
 //!
-//! A box that is cut off serves on past the operators' bound, where a connected one must not. A store that
-//! answers late is not lost: how long a call may stay unanswered depends on how long answers have taken
-//! lately. See `docs/design/spreading.md`.
+//! A box that is cut off serves on past the operators' bound, where a connected one must not. A
+//! store that answers late is not lost: how long a call may stay unanswered depends on how long
+//! answers have taken lately. See `docs/design/spreading.md`.
 
 use crate::clock::Now;
 use std::cell::Cell;
@@ -16,9 +16,9 @@
 const MIN_SILENCE: Duration = Duration::from_millis(250);
 /// How long it may stay unanswered at most: calls end with an error after about this time.
 const MAX_SILENCE: Duration = Duration::from_millis(1200);
-/// The weights of a new answer in the mean of the answer times and in their deviation, as divisors, and
-/// how many deviations above the mean an answer may take. They are those of TCP's retransmission
-/// timeout (RFC 6298).
+/// The weights of a new answer in the mean of the answer times and in their deviation, as divisors,
+/// and how many deviations above the mean an answer may take. They are those of TCP's
+/// retransmission timeout (RFC 6298).
 const MEAN_DIVISOR: u32 = 8;
 const DEVIATION_DIVISOR: u32 = 4;
 const DEVIATIONS: u32 = 4;
--- a/src/gateway/place/plain_cost.rs
+++ b/src/gateway/place/plain_cost.rs
@@ -237,8 +237,8 @@
 }
 
 /// Returns how many requests the fleet has sent since the reports were made: by Little's law, from
-/// the number of requests at the upstreams and the time that they stay there. Those that came before
-/// have left again.
+/// the number of requests at the upstreams and the time that they stay there. Those that came
+/// before have left again.
 fn requests_in_lag(rooms: &[Room], usual_total: f64) -> f64 {
     let count = rooms.len().max(1) as f64;
     let unknown_age = |room: &Room| room.wait.total() + REPORT_TRANSIT;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -22,13 +22,13 @@
     pub metrics_addr: SocketAddr,
     /// The bandwidth of the box's network link in Mbit/s; 0 if the platform does not provide it.
     pub link_mbps: u32,
-    /// The memory limit of the box's process in bytes; `None` if the platform states none, so that a default
-    /// holds.
+    /// The memory limit of the box's process in bytes; `None` if the platform states none, so that
+    /// a default holds.
     pub memory_limit: Option<u64>,
     /// Whether the whole system starts for the first time, so that no box is registered yet.
     pub is_first_start: bool,
-    /// Whether connections are expected to run short, so that boxes control their connections to all
-    /// services.
+    /// Whether connections are expected to run short, so that boxes control their connections to
+    /// all services.
     pub expects_contention: bool,
     /// The bounds that operators set.
     pub bounds: Bounds,
--- a/src/http_server/delivery.rs
+++ b/src/http_server/delivery.rs
@@ -1,8 +1,8 @@
 //! Tracks which callers have still to take a part of their answer.
 //!
-//! An answer is delivered when the caller's side of the connection has taken its last byte, not when
-//! it was handed on: a slow caller leaves most of it in the write buffer of its connection, and then in
-//! the kernel. A server that stops waits for that. See `docs/design/stopping.md`.
+//! An answer is delivered when the caller's side of the connection has taken its last byte, not
+//! when it was handed on: a slow caller leaves most of it in the write buffer of its connection,
+//! and then in the kernel. A server that stops waits for that. See `docs/design/stopping.md`.
 
 use crate::eof_error_stream::EofErrorStream;
 use actix_rt::net::{ActixStream, Ready};
--- a/tests/agent_state.rs
+++ b/tests/agent_state.rs
@@ -24,8 +24,8 @@
 
 cases! {
     age_that_a_peer_states_counts_from_the_call => {
-        // Guards against an age that counts from the arrival of the answer: an agent that stood still
-        // for eight seconds then showed a contact with the store that was as much younger.
+        // Guards against an age that counts from the arrival of the answer: an agent that stood
+        // still for eight seconds then showed a contact with the store that was as much younger.
         let mut state = GossipState::default();
         state.record_peer_store_age(at(10_000), Duration::from_millis(200));
         expect_that!(state.store_age(at(18_000)), some(eq(Duration::from_millis(8200))));
--- a/tests/spreading.rs
+++ b/tests/spreading.rs
@@ -1,11 +1,12 @@
 //! Distribution of a large configuration change between boxes with narrow links.
 //!
-//! Guards against fetches that never complete on a narrow link. A configuration of 4,200 routes
-//! (1 MB) takes 0.84 s on a link of 10 Mbit/s. A box used to discard a fetch from a hub that was not
-//! complete after 0.8 s, whatever its size, and each response of a hub and a read of the whole store
-//! started another fetch in parallel. Boxes with narrow links then received 1.0 to 1.2 MB/s for nine
-//! seconds without ever applying the change, and still used the previous version more than three
-//! seconds after the confirmation, where boxes with wide links had the change after one second.
+//! Guards against fetches that never complete on a narrow link. A configuration of 4,200 routes (1
+//! MB) takes 0.84 s on a link of 10 Mbit/s. A box used to discard a fetch from a hub that was not
+//! complete after 0.8 s, whatever its size, and each response of a hub and a read of the whole
+//! store started another fetch in parallel. Boxes with narrow links then received 1.0 to 1.2 MB/s
+//! for nine seconds without ever applying the change, and still used the previous version more than
+//! three seconds after the confirmation, where boxes with wide links had the change after one
+//! second.
 //!
 //! Two boxes and a proxy that passes 1.25 MB/s reproduce it.
 
@@ -314,8 +315,8 @@
     };
 
     change_is_fetched_from_a_box_that_is_slow_to_send => async {
-        // Guards against giving a sender up after a fixed time without a byte. A box that is short of
-        // processor time takes longer to pack a change or to come to sending it; its receivers
+        // Guards against giving a sender up after a fixed time without a byte. A box that is short
+        // of processor time takes longer to pack a change or to come to sending it; its receivers
         // turned to other boxes, which were as slow, and began anew with each of them.
         let (hub, hub_address) = start_box("hub");
         let (follower, _) = start_box("behind");
@@ -335,8 +336,8 @@
     };
 
     lost_hub_is_replaced_by_the_other_hub_at_the_next_query => async {
-        // Guards against choosing the hub only by the age of its last response: boxes then queried a
-        // lost hub for 1.3 s more, and got each change late.
+        // Guards against choosing the hub only by the age of its last response: boxes then queried
+        // a lost hub for 1.3 s more, and got each change late.
         let hubs = [start_stoppable_box("first"), start_stoppable_box("second")];
         let (follower, _) = start_box("behind");
         for (at, (hub, address, _)) in hubs.iter().enumerate() {
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -11,7 +11,8 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpSocket;
 
-/// The size of an answer that the kernel's buffers do not hold, and the receive buffer of its caller.
+/// The size of an answer that the kernel's buffers do not hold, and the receive buffer of its
+/// caller.
 const LARGE_ANSWER_BYTES: usize = 7_000_000;
 const SLOW_CALLER_BUFFER: u32 = 2048;
 /// Time after which a leaving upstream must not get new requests.
