Let checks of the store overlap only where it answers slowly

A store that is silent would have got up to two more calls from each box at the beginning of an outage. Where answers are quick nothing changes from before the checks overlapped; the cases of late answers pass as before.

--- a/src/gateway/control/staleness_check.rs
+++ b/src/gateway/control/staleness_check.rs
@@ -40,8 +40,8 @@
 const MAX_PAGE_FAILURES_PER_CHECK: u32 = 3;
 
 /// Bounds the staleness of the state by checking the store's revision when the state becomes too
-/// old. The next check does not wait for one whose answer is late, so that the state of a box with
-/// a slow store is hardly older than an answer takes.
+/// old. Where the store answers slowly, the next check does not wait for the one before, so that the
+/// state is hardly older than an answer takes.
 pub(super) async fn check_staleness(gw: &Gateway, store: &dyn ControlStore) {
     let is_catching_up = Cell::new(false);
     let mut schedule = CheckSchedule::default();
@@ -61,7 +61,9 @@
             false => gw.settings().bounds.store_check_age(),
         };
         let is_old = age.is_none_or(|age| age >= max_age);
-        if is_old && !is_transfer_in_progress(gw, store) && schedule.is_due(checks.len(), now) {
+        let may_overlap = gw.knowledge.borrow().is_store_slow();
+        let is_due = schedule.is_due(checks.len(), may_overlap, now);
+        if is_old && is_due && !is_transfer_in_progress(gw, store) {
             schedule.record_start(now);
             checks.push(check_revision(gw, store, &is_catching_up));
         }
@@ -78,10 +80,10 @@
 
 impl CheckSchedule {
     /// Returns whether a check may begin beside those that are under way.
-    fn is_due(&self, under_way: usize, now: Now) -> bool {
+    fn is_due(&self, under_way: usize, may_overlap: bool, now: Now) -> bool {
         let since_start = now.monotonic.saturating_sub(self.last_start);
-        let may_overlap = under_way < MAX_CHECKS && since_start >= HUB_CHECK_AGE;
-        now.monotonic >= self.not_before && (under_way == 0 || may_overlap)
+        let overlaps = may_overlap && under_way < MAX_CHECKS && since_start >= HUB_CHECK_AGE;
+        now.monotonic >= self.not_before && (under_way == 0 || overlaps)
     }
 
     fn record_start(&mut self, now: Now) {
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -392,6 +392,11 @@
         self.store_reach.silence_limit()
     }
 
+    /// Returns whether the store answers slowly.
+    pub fn is_store_slow(&self) -> bool {
+        self.store_reach.is_slow()
+    }
+
     /// Records that a call has stayed unanswered for that long; the store counts as lost until the
     /// result is dropped.
     pub fn begin_store_silence(&self) -> SilentCall {
--- a/src/gateway/control/store_reach.rs
+++ b/src/gateway/control/store_reach.rs
@@ -68,6 +68,11 @@
             .clamp(MIN_SILENCE, MAX_SILENCE)
     }
 
+    /// Returns whether answers take so long that a call may stay unanswered for longer than usual.
+    pub fn is_slow(&self) -> bool {
+        self.answer_times.usual_maximum() > MIN_SILENCE
+    }
+
     /// Records that a call has stayed unanswered for that long.
     pub fn begin_silence(&self) -> SilentCall {
         self.silent_calls.set(self.silent_calls.get() + 1);
