--- a/src/gateway/attempt/answer_ownership.rs
+++ b/src/gateway/attempt/answer_ownership.rs
@@ -17,7 +17,7 @@
 /// The status by which an upstream states that a request is meant for another instance, so that it
 /// did not run.
 const STATUS_MISDIRECTED_REQUEST: u16 = 421;
-/// The statuses by which callers are told that their request did not run.
+/// The statuses that state to callers that their request did not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, STATUS_MISDIRECTED_REQUEST, 429, 503];
 
 /// What awaits an answer over a connection.
@@ -29,7 +29,7 @@
     HealthCheck(&'a str),
 }
 
-/// Why an answer does not belong to what awaits one, as far as can be told.
+/// Why an answer does not belong to what awaits one, or may not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NotOwn {
     /// It names another request.
@@ -160,7 +160,7 @@
 /// What a connection has carried.
 ///
 /// It carries each request id once, and one health check: a second answer to the earlier of two
-/// could not be told from the answer to the later one.
+/// could not be distinguished from the answer to the later one.
 #[derive(Debug, Default)]
 pub struct CarriedRequests {
     /// The hashes of the ids.
@@ -177,7 +177,7 @@
         }
     }
 
-    /// Returns whether the answer to this could be told from all others that may still come.
+    /// Returns whether the answer to this can be distinguished from all others that may follow.
     pub fn allows(&self, awaiting: Awaiting<'_>) -> bool {
         match awaiting {
             Awaiting::Request(id) => !self.is_full() && !self.ids.contains(&stable_hash(id)),
--- a/src/gateway/attempt/connection.rs
+++ b/src/gateway/attempt/connection.rs
@@ -273,7 +273,7 @@
         self.sender.is_ready()
     }
 
-    /// Returns whether the answer to this could be told from all others that may come over it.
+    /// Returns whether the answer to this can be distinguished from all others that may follow.
     pub fn allows(&self, awaiting: Awaiting<'_>) -> bool {
         self.carried.allows(awaiting)
     }
--- a/src/gateway/control/membership.rs
+++ b/src/gateway/control/membership.rs
@@ -88,7 +88,7 @@
 /// Renews a lease until the store reports that it has expired, its entry is gone, or the box stops.
 ///
 /// A lease can outlast its entry: a registration whose answer was lost may be carried out after the
-/// next one, and its own lease, which nobody renews, then decides when the entry expires.
+/// next one, and its own lease, which is not renewed, then decides when the entry expires.
 async fn renew_until_lost(gw: &Gateway, store: &dyn ControlStore, lease: u64, entry: &str) {
     let mut unlisted_renewals = 0;
     loop {
--- a/src/gateway/control/staleness_check.rs
+++ b/src/gateway/control/staleness_check.rs
@@ -1,7 +1,7 @@
 //! Bounds how old a box's state is, by checks of the store's revision.
 //!
-//! A watch may stay silent although changes are made, and hubs may be lost. A box whose state becomes
-//! too old therefore asks the store for its revision, and reads what it lacks. See
+//! A watch may stay silent although changes are made, and hubs may be lost. A box whose state
+//! becomes too old therefore asks the store for its revision, and reads what it lacks. See
 //! `docs/design/spreading.md`.
 
 use super::revision::EpochRevision;
@@ -15,8 +15,8 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// The longest pause between failed calls of a box that is no hub. Such a box polls the hubs and some
-/// other boxes several times a second and learns from them when the store is back; during an
+/// The longest pause between failed calls of a box that is no hub. Such a box polls the hubs and
+/// some other boxes several times a second and learns from them when the store is back; during an
 /// outage, the retries of 83 such boxes were most of the cost of store calls
 /// (docs/design/platform.md).
 const MAX_BACKOFF: Duration = Duration::from_millis(3000);
@@ -40,8 +40,8 @@
 const MAX_PAGE_FAILURES_PER_CHECK: u32 = 3;
 
 /// Bounds the staleness of the state by checking the store's revision when the state becomes too
-/// old. Where the store answers slowly, the next check does not wait for the one before, so that the
-/// state is hardly older than an answer takes.
+/// old. Where the store answers slowly, the next check does not wait for the one before, so that
+/// the state is hardly older than an answer takes.
 pub(super) async fn check_staleness(gw: &Gateway, store: &dyn ControlStore) {
     let is_catching_up = Cell::new(false);
     let mut schedule = CheckSchedule::default();
