--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -49,7 +49,10 @@
 use peers::messages;
 use peers::outbox::Outbox;
 use peers::rate_limits::RateLimitReport;
+use peers::rejection_limits::RejectionLimits;
+use peers::slot_loans::LoanBook;
 use place::event_pace::EventPaces;
+use place::fleet_view::FleetView;
 use place::model_trials::ModelTrials;
 use place::peer_loads::{LongPrefillOutbox, PeerLoads};
 use place::prefill_rate::{self, PrefillModel, PrefillRates};
@@ -110,6 +113,10 @@
     pub rate_limits: Outbox<RateLimitReport>,
     /// Hashes of upstreams with rate limits to which requests are sent, to be announced.
     pub limited_sends: Outbox<u32>,
+    /// The rejection limits of upstreams.
+    pub rejection_limits: RejectionLimits,
+    /// The slots that are borrowed from other boxes.
+    pub loans: Rc<LoanBook>,
     /// Load reports of plain upstreams, to be sent to other boxes.
     pub load_reports: Outbox<SharedLoadReport>,
     /// Connections from callers.
@@ -187,6 +194,8 @@
             leaving_upstreams: Outbox::default(),
             rate_limits: Outbox::default(),
             limited_sends: Outbox::default(),
+            rejection_limits: RejectionLimits::default(),
+            loans: Rc::default(),
             load_reports: Outbox::default(),
             caller_connections: Default::default(),
             deliveries: Deliveries::default(),
@@ -428,6 +437,23 @@
         addresses.filter(|address| *address != own).collect()
     }
 
+    /// Returns the addresses of the other boxes that are registered, or were until recently.
+    pub fn other_recent_boxes(&self) -> Vec<SocketAddr> {
+        let own = self.settings().peer_addr;
+        let mut others = self.box_addresses();
+        others.retain(|address| *address != own);
+        others
+    }
+
+    /// Returns what this box knows of the fleet.
+    pub fn fleet_view<'a>(&self, box_addresses: &'a [SocketAddr], now: Now) -> FleetView<'a> {
+        FleetView {
+            own_address: self.settings().peer_addr,
+            box_addresses,
+            uptime: self.uptime(now),
+        }
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub fn track_request(&self) -> InFlightGuard {
         InFlightGuard::new(&self.in_flight)
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -23,6 +23,7 @@
 use crate::gateway::attempt::upstream_paths::OutOfReach;
 use crate::gateway::control::state::ConfigBasis;
 use crate::gateway::control::store::UpstreamLife;
+use crate::gateway::peers::slot_loans::Loan;
 use crate::gateway::place::cache_affinity::CacheReplication;
 use crate::gateway::place::candidates::BackOff;
 use crate::gateway::place::choose::{
@@ -32,6 +33,7 @@
 use crate::gateway::place::engine_cost::{PrefixSource, SharedPrompt};
 use crate::gateway::place::escalation::ExpectedFirstEvent;
 use crate::gateway::place::prefill_rate;
+use crate::gateway::place::slots::HeldSlot;
 use crate::gateway::versions::local_statistics::ResponseTimer;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
@@ -217,16 +219,12 @@
         let now = Now::read();
         self.check_quarantine(gw, now)?;
         self.check_reach(gw, now)?;
-        let mut candidates = gw.candidates(&self.service, &self.session_id, now);
-        gw.connections.set_listed(&self.service, candidates.len());
-        let tried = self.tries.tried_upstreams();
-        if self.is_on_trial() {
-            let seed = stable_hash(&self.fingerprints.own.to_string());
-            let chosen = choose_for_trial(&candidates, &tried, seed, now);
-            candidates = chosen.into_iter().collect();
+        let (choice, slot) = self.choose_with_slot(gw, plan.model, now).await?;
+        let now = Now::read();
+        let left = self.time_left(now);
+        if left <= DEADLINE_MARGIN {
+            return Err(NoAttempt::OutOfTime);
         }
-        let choice = self.choose_upstream(gw, &candidates, &tried, plan.model, now);
-        let choice = choice.ok_or_else(|| self.no_upstream_reason(gw, now))?;
         let upstream = &choice.upstream;
         let charge = self.charge_retry_budget(gw, plan.retry_kind, now);
         let charge = charge.ok_or(NoAttempt::OutOfBudget)?;
@@ -245,8 +243,15 @@
         let timing = gw.start_response_timer(self, &choice, now);
         self.answer_began.set(None);
         self.parts_cleared.set(false);
-        let (tried, connection) =
-            try_upstream(&gw.connections, &gw.headers, upstream, outgoing, limits).await;
+        let (tried, connection) = try_upstream(
+            &gw.connections,
+            &gw.headers,
+            upstream,
+            outgoing,
+            slot,
+            limits,
+        )
+        .await;
         if charge == BudgetCharge::Retry && !tried.was_sent() {
             gw.with_retry_window(&self.service, |window| window.take_back(now.monotonic));
         }
@@ -258,6 +263,57 @@
         Ok(tried)
     }
 
+    /// Chooses an upstream. Where upstreams bear few rejections, also takes a slot there: one of this
+    /// box, or else one of another box.
+    async fn choose_with_slot(
+        &self,
+        gw: &Gateway,
+        model: Option<&str>,
+        now: Now,
+    ) -> Result<(PlacementChoice, Option<HeldSlot>), NoAttempt> {
+        let mut candidates = gw.candidates(&self.service, &self.session_id, now);
+        let limits_rejections = gw.limits_rejections(&self.service, now);
+        // Upstreams without a free slot are no less within reach.
+        let listed = match limits_rejections {
+            true => gw.available_upstream_count(&self.service, now),
+            false => candidates.len(),
+        };
+        gw.connections.set_listed(&self.service, listed);
+        let tried = self.tries.tried_upstreams();
+        if self.is_on_trial() {
+            let seed = stable_hash(&self.fingerprints.own.to_string());
+            let chosen = choose_for_trial(&candidates, &tried, seed, now);
+            candidates = chosen.into_iter().collect();
+        }
+        let choice = self.choose_upstream(gw, &candidates, &tried, model, now);
+        if !limits_rejections {
+            let choice = choice.ok_or_else(|| self.no_upstream_reason(gw, now))?;
+            return Ok((choice, None));
+        }
+        let (choice, loan) = match choice {
+            Some(choice) => (choice, None),
+            None => {
+                let borrowed = self.choose_with_loan(gw, &tried, model).await;
+                borrowed.ok_or_else(|| self.no_upstream_reason(gw, Now::read()))?
+            }
+        };
+        let slots = gw.rejection_limits.slots_of(&self.service);
+        let slot = HeldSlot::take(&choice.upstream, slots, loan, Now::read());
+        Ok((choice, Some(slot)))
+    }
+
+    async fn choose_with_loan(
+        &self,
+        gw: &Gateway,
+        tried: &[UpstreamLife],
+        model: Option<&str>,
+    ) -> Option<(PlacementChoice, Option<Loan>)> {
+        let borrowing = gw.borrow_slot(&self.service, &self.session_id, tried);
+        let (upstream, loan) = borrowing.await?;
+        let choice = self.choose_upstream(gw, &[upstream], tried, model, Now::read())?;
+        Some((choice, Some(loan)))
+    }
+
     /// Returns why no upstream can be tried.
     fn no_upstream_reason(&self, gw: &Gateway, now: Now) -> NoAttempt {
         if gw.is_evacuated(&self.service) {
@@ -563,6 +619,7 @@
         if choice.upstream.rate_limit().take_new_limit() {
             gw.note_rate_limit(&choice.upstream, Now::read());
         }
+        self.record_room(gw, &choice.upstream, tried, Now::read());
         if matches!(tried, TryOutcome::NotRun(NotRunReason::OtherInstance)) {
             gw.knowledge
                 .borrow_mut()
@@ -580,6 +637,17 @@
             .record_attempt(self, choice, tried, connection, plan);
     }
 
+    /// Takes note of what an attempt has shown about the rejection limit and the room of an upstream.
+    fn record_room(&self, gw: &Gateway, upstream: &Upstream, tried: &TryOutcome, now: Now) {
+        gw.note_rejection_limit(upstream, now);
+        if let TryOutcome::NotRun(NotRunReason::Refused(refusal)) = tried
+            && !refusal.is_misdirected()
+            && gw.limits_rejections(&self.service, now)
+        {
+            gw.note_rejection(upstream, now);
+        }
+    }
+
     fn build_outgoing(
         &self,
         gw: &Gateway,
--- a/src/gateway/admit/room.rs
+++ b/src/gateway/admit/room.rs
@@ -148,7 +148,7 @@
     /// Waits until the request may be sent to an upstream; returns the reason if it is refused
     /// instead. Services whose load is not controlled have room.
     pub async fn wait_for_room(&self, gw: &Gateway) -> Result<(), RefusalReason> {
-        if !gw.controls_load(&self.service) {
+        if !self.needs_room(gw) {
             return Ok(());
         }
         loop {
@@ -182,7 +182,13 @@
     /// Returns whether the request waits for room after upstreams rejected it, rather than being
     /// retried at intervals.
     pub fn waits_for_room(&self, gw: &Gateway) -> bool {
-        self.tries.was_refused() && gw.controls_load(&self.service)
+        self.tries.was_refused() && self.needs_room(gw)
+    }
+
+    /// Returns whether room is divided by the expected wait. Where upstreams bear few rejections, a
+    /// request needs a free slot instead.
+    fn needs_room(&self, gw: &Gateway) -> bool {
+        gw.controls_load(&self.service) && !gw.limits_rejections(&self.service, Now::read())
     }
 
     /// Returns the name of the organisation; empty without one.
--- a/src/gateway/admit/waiting.rs
+++ b/src/gateway/admit/waiting.rs
@@ -39,12 +39,22 @@
         if !self.can_wait(pause.remaining(), now) {
             return false;
         }
+        let longest = self.longest_wait(now);
         let _turn = match pause {
-            BackOff::RateLimited(_) => {
-                match gw.enter_turn_queue(&self.service, self.longest_wait(now), now) {
-                    Some(turn) => Some(turn),
-                    None => return false,
-                }
+            BackOff::RateLimited(_) => match gw.enter_turn_queue(&self.service, longest, now) {
+                Some(turn) => Some(turn),
+                None => return false,
+            },
+            BackOff::NoFreeSlot(left) => {
+                let Some(turn) = gw.enter_slot_queue(&self.service, longest, now) else {
+                    return false;
+                };
+                let slots = gw.rejection_limits.slots_of(&self.service);
+                // Whether a slot was freed or the time passed, the request looks for one again.
+                let _ = tokio::time::timeout(left, slots.freed.notified()).await;
+                self.tries.allow_all_upstreams();
+                drop(turn);
+                return true;
             }
             BackOff::RetryAfter(_) | BackOff::WarmingUp(_) => None,
         };
--- a/src/gateway/answer/buffered.rs
+++ b/src/gateway/answer/buffered.rs
@@ -357,6 +357,9 @@
         NoAttempt::Paused(BackOff::RateLimited(left)) => {
             RefusalReason::RateLimited(gw.return_delay(&request.service, left, Now::read()))
         }
+        NoAttempt::Paused(BackOff::NoFreeSlot(left)) => {
+            RefusalReason::NoFreeSlot(gw.return_delay_for_slot(&request.service, left, Now::read()))
+        }
         NoAttempt::Evacuated if request.tries.ran() == Execution::Never => RefusalReason::Evacuated,
         NoAttempt::OutOfReach(reason) if request.tries.ran() == Execution::Never => {
             RefusalReason::OutOfReach(reason)
--- a/src/gateway/answer/refusal.rs
+++ b/src/gateway/answer/refusal.rs
@@ -45,6 +45,9 @@
     WarmingUp(Duration),
     /// All upstreams state rate limits; this box may send to the first one after this long.
     RateLimited(Duration),
+    /// The upstreams bear few rejections and this box found no free slot; one is expected after this
+    /// long.
+    NoFreeSlot(Duration),
     /// The service has no room for the request within its objective; room is expected after this
     /// long, unless coming back would be in vain.
     Overloaded(Option<Duration>),
@@ -81,6 +84,7 @@
             Self::Resting(_) => "resting",
             Self::WarmingUp(_) => "warming-up",
             Self::RateLimited(_) => "rate-limited",
+            Self::NoFreeSlot(_) => "no-free-slot",
             Self::Overloaded(_) => "overloaded",
             Self::Evacuated => "evacuated",
             Self::OutOfReach(_) => "out-of-reach",
@@ -91,7 +95,7 @@
     }
 
     /// All reasons.
-    const ALL: [Self; 22] = [
+    const ALL: [Self; 23] = [
         Self::NoConfiguration,
         Self::Stale,
         Self::NoRoute,
@@ -108,6 +112,7 @@
         Self::Resting(Duration::ZERO),
         Self::WarmingUp(Duration::ZERO),
         Self::RateLimited(Duration::ZERO),
+        Self::NoFreeSlot(Duration::ZERO),
         Self::Overloaded(None),
         Self::Evacuated,
         Self::OutOfReach(OutOfReach::ThisBox),
@@ -148,6 +153,9 @@
             Self::RateLimited(_) => {
                 "every upstream of the service stated a rate limit, and its share of this moment was used"
             }
+            Self::NoFreeSlot(_) => {
+                "upstreams of the service crash if they reject too many requests, and neither the box nor the boxes that it asked had a free slot there"
+            }
             Self::Overloaded(_) => {
                 "the expected wait at the upstreams of the service did not fit its objective or its deadline, or the room went to requests that go first"
             }
@@ -185,7 +193,7 @@
             }
             // Another box may be allowed to send sooner.
             Self::WarmingUp(left) => Some(left.min(MAX_WARM_UP_WAIT)),
-            Self::RateLimited(left) => Some(left),
+            Self::RateLimited(left) | Self::NoFreeSlot(left) => Some(left),
             Self::Overloaded(come_back) => come_back,
             _ => None,
         }
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -14,6 +14,7 @@
 use super::upstream::{PendingPrefill, Upstream};
 use super::upstream_answer::{Answer, closes, keep_alive};
 use crate::clock::Now;
+use crate::gateway::place::slots::HeldSlot;
 use crate::routing::placement::LoadGuard;
 use crate::routing::signals::{ResponseSignals, SignalHeaders};
 use bytes::Bytes;
@@ -154,9 +155,11 @@
     headers: &HeaderNames,
     upstream: &Rc<Upstream>,
     request: UpstreamRequest,
+    slot: Option<HeldSlot>,
     options: TryOptions,
 ) -> (TryOutcome, Option<UsedConnection>) {
     let started = StartedTry {
+        slot,
         was_limited: upstream.rate_limit().limit().is_some(),
         load: upstream.begin_request(),
         pending_prefill: upstream.begin_prefill(options.prefill),
@@ -199,6 +202,8 @@
 
 /// A try for which a connection is still missing.
 struct StartedTry {
+    /// The slot that the request holds, where upstreams bear few rejections.
+    slot: Option<HeldSlot>,
     was_limited: bool,
     load: LoadGuard,
     pending_prefill: PendingPrefill,
@@ -241,6 +246,9 @@
             let sent_at = Now::read();
             let rest = connection.rest(sent_at);
             let path = connection.path().clone();
+            if let Some(slot) = &self.slot {
+                slot.record_sent();
+            }
             let sent = connection.send(req.clone(), awaiting, headers);
             let watched = WatchedUpstream {
                 connections,
@@ -257,6 +265,9 @@
             if !options.connection.is_controlled || !allows_another(err, &connection) {
                 break (sent_at, rest, answered);
             }
+            if let Some(slot) = &self.slot {
+                slot.record_not_running();
+            }
             if !err.is_late() {
                 let loss = RequestLoss::Unsent;
                 connections.record_lost_request(upstream, &connection, rest, loss, Now::read());
@@ -287,7 +298,12 @@
                 let tokens = options.measured_tokens;
                 exchange.read_head(self, answer, tokens).await
             }
-            Some(Err(SendError::Broken(broken))) => exchange.fail(&broken, rest),
+            Some(Err(SendError::Broken(broken))) => {
+                if let Some(slot) = self.slot.as_ref().filter(|_| broken.is_unsent) {
+                    slot.record_not_running();
+                }
+                exchange.fail(&broken, rest)
+            }
             Some(Err(SendError::NotOwn(err))) => exchange.mismatch(err.reason()),
             None => exchange.time_out(rest),
         }
@@ -384,6 +400,7 @@
             leaving: head.text(&headers.leaving),
             retry_after: head.text(&RETRY_AFTER),
             rate_limit: head.text(&headers.rate_limit),
+            rejection_limit: head.text(&headers.rejection_limit),
         };
         let signs = ResponseSignals::read(head.status(), signs, now.wall);
         upstream.update_from_head(signs, now);
@@ -397,7 +414,15 @@
                 .rate_limit()
                 .record_statement(signs.rate_limit, started.began, now);
         }
+        if signs.rejection_limit.is_some() || invalid.is_none() {
+            upstream
+                .slots()
+                .record_statement(signs.rejection_limit, started.began, now);
+        }
         if let Some(refusal) = refusal {
+            if let Some(slot) = &started.slot {
+                slot.record_not_running();
+            }
             self.keep_after_refusal(head.headers(), body).await;
             return TryOutcome::NotRun(NotRunReason::Refused(refusal));
         }
@@ -416,6 +441,7 @@
             connection: Some(self.connection),
             upstream: upstream.clone(),
             pending_prefill: Some(started.pending_prefill),
+            slot: started.slot,
             _load: started.load,
         }))
     }
--- a/src/gateway/attempt/headers.rs
+++ b/src/gateway/attempt/headers.rs
@@ -29,6 +29,8 @@
     pub leaving: HeaderName,
     /// The requests per second that the upstream accepts from all boxes together.
     pub rate_limit: HeaderName,
+    /// The rejections for lack of room per second that the upstream bears.
+    pub rejection_limit: HeaderName,
     /// The number of running and waiting requests and of slots of the upstream, and how long work
     /// takes there at the moment.
     pub load: HeaderName,
--- a/src/gateway/attempt/spare_connections.rs
+++ b/src/gateway/attempt/spare_connections.rs
@@ -61,6 +61,11 @@
         let Some(upstream) = upstream.filter(|upstream| takes_requests(upstream)) else {
             continue;
         };
+        // A new connection may take a slot for a moment.
+        let service = upstream.with_listed(|listed| listed.service.clone());
+        if gw.limits_rejections(&service, now) {
+            continue;
+        }
         let usable = known.usable_count(now);
         let target = spare_target(
             known.single_runs_per_second(now),
--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -10,6 +10,7 @@
 use crate::gateway::place::fleet_view::FleetView;
 use crate::gateway::place::rate_limits::UpstreamRateLimit;
 use crate::gateway::place::service_time::UpstreamFactor;
+use crate::gateway::place::slots::UpstreamSlots;
 use crate::gateway::place::warm_up::{WarmUp, WarmUpState};
 use crate::routing::backoff::RequestedBackoff;
 use crate::routing::placement::{LoadGuard, UpstreamLoad};
@@ -71,6 +72,7 @@
     is_leaving: Cell<bool>,
     retry_after: Cell<RequestedBackoff>,
     rate_limit: UpstreamRateLimit,
+    slots: UpstreamSlots,
     warm_up: Cell<WarmUpState>,
     is_evacuated: Cell<bool>,
 }
@@ -170,6 +172,7 @@
             is_leaving: Cell::default(),
             retry_after: Cell::default(),
             rate_limit: UpstreamRateLimit::new(short_hash),
+            slots: UpstreamSlots::new(short_hash),
             warm_up: Cell::default(),
             is_evacuated: Cell::default(),
         })
@@ -499,6 +502,11 @@
         &self.rate_limit
     }
 
+    /// Returns the upstream's rejection limit, and this box's share of its slots.
+    pub fn slots(&self) -> &UpstreamSlots {
+        &self.slots
+    }
+
     /// Returns whether the upstream announced in an answer that it is leaving.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.get()
--- a/src/gateway/attempt/upstream_answer.rs
+++ b/src/gateway/attempt/upstream_answer.rs
@@ -7,6 +7,7 @@
 use super::upstream::{PendingPrefill, Upstream};
 use super::upstream_stream::ConnectionPath;
 use crate::clock::Now;
+use crate::gateway::place::slots::HeldSlot;
 use crate::routing::placement::LoadGuard;
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -35,6 +36,7 @@
     pub(super) path: ConnectionPath,
     pub(super) upstream: Rc<Upstream>,
     pub(super) pending_prefill: Option<PendingPrefill>,
+    pub(super) slot: Option<HeldSlot>,
     pub(super) _load: LoadGuard,
 }
 
@@ -85,7 +87,12 @@
                     Err(_trailers) => {}
                 },
                 Some(Err(err)) => return BodyChunk::Broken(err.to_string()),
-                None => return BodyChunk::End,
+                None => {
+                    if let Some(slot) = &self.slot {
+                        slot.record_answered(Now::read());
+                    }
+                    return BodyChunk::End;
+                }
             }
         }
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -17,6 +17,8 @@
 pub mod pending_polls;
 pub mod rate_limits;
 pub mod rate_samples;
+pub mod rejection_limits;
+pub mod slot_loans;
 pub mod suspects;
 pub mod tunnel_client;
 pub mod tunnel_server;
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -9,6 +9,8 @@
 //! - Upstreams that have announced in an answer that they leave, sent to all.
 //! - Rate limits that upstreams state, sent to all, and requests to those upstreams, sent to the
 //!   other boxes that may send to them.
+//! - Rejection limits that upstreams state, and rejections, sent to all; requests for slots of those
+//!   upstreams, answers to them and slots given back, sent to one box.
 //! - Load reports of plain upstreams, sent to all.
 //! - Prefill rates that boxes measured, sent to a few boxes in turn.
 //! - Speeds of engines as each box measured them, sent to one box in turn.
@@ -29,6 +31,8 @@
 use super::peer_server;
 use super::rate_limits::{self, RateLimitReport};
 use super::rate_samples;
+use super::rejection_limits::{self, RejectionLimitReport};
+use super::slot_loans::{self, SlotMessage};
 use super::suspects;
 use crate::clock::{Now, millis};
 use crate::error::{Error, Result};
@@ -94,6 +98,14 @@
     LoadReports(Vec<SharedLoadReport>),
     /// Speeds of engines that the sender measured.
     EngineSpeeds(Vec<SpeedReport>),
+    /// Rejection limits that upstreams stated.
+    RejectionLimits(Vec<RejectionLimitReport>),
+    /// Upstreams that rejected requests of the sender for lack of room, by their hashes.
+    Rejections(Vec<u32>),
+    /// Asks for, lends or gives back slots.
+    Slots(Vec<SlotMessage>),
+    /// Asks for all limits that the receiver knows.
+    LimitsWanted,
 }
 
 /// Exchanges messages with other boxes for as long as the process runs.
@@ -129,6 +141,18 @@
     let send_speeds = async |to: &[SocketAddr], reports| {
         send(&gw, &socket, &PeerMessage::EngineSpeeds(reports), to).await;
     };
+    let send_rejection_limits = async |to: &[SocketAddr], reports| {
+        send(&gw, &socket, &PeerMessage::RejectionLimits(reports), to).await;
+    };
+    let send_rejections = async |to: &[SocketAddr], hashes| {
+        send(&gw, &socket, &PeerMessage::Rejections(hashes), to).await;
+    };
+    let send_slots = async |to: &[SocketAddr], messages| {
+        send(&gw, &socket, &PeerMessage::Slots(messages), to).await;
+    };
+    let request_limits = async |to: &[SocketAddr]| {
+        send(&gw, &socket, &PeerMessage::LimitsWanted, to).await;
+    };
     tokio::join!(
         receive(&gw, &store, &socket),
         report_versions(&gw, &socket),
@@ -140,6 +164,10 @@
         leaving_upstreams::broadcast_leaving(&gw, send_leaving),
         rate_limits::share_rate_limits(&gw, send_limits),
         rate_limits::announce_limited_sends(&gw, send_limited_sends),
+        rejection_limits::share_rejection_limits(&gw, send_rejection_limits),
+        rejection_limits::broadcast_rejections(&gw, send_rejections),
+        rejection_limits::request_limits_at_start(&gw, request_limits),
+        slot_loans::exchange_slots(&gw, send_slots),
         rate_samples::share_rate_samples(&gw, send_prefill_rates),
         load_reports::broadcast_load_reports(&gw, send_load_reports),
         engine_speeds::share_engine_speeds(&gw, send_speeds),
@@ -199,6 +227,15 @@
         PeerMessage::Leaving(hashes) => gw.apply_leaving_report(&hashes, now),
         PeerMessage::RateLimits(reports) => gw.apply_rate_limit_reports(&reports, now),
         PeerMessage::LimitedSends(hashes) => gw.count_peer_sends(&hashes, now),
+        PeerMessage::RejectionLimits(reports) => gw.apply_rejection_limit_reports(&reports, now),
+        PeerMessage::Rejections(hashes) => gw.apply_rejections(&hashes, now),
+        PeerMessage::Slots(messages) => gw.handle_slot_messages(&messages, from, now),
+        PeerMessage::LimitsWanted => {
+            let rates = PeerMessage::RateLimits(gw.rate_limit_reports(now));
+            let rejections = PeerMessage::RejectionLimits(gw.rejection_limit_reports(now));
+            send(gw, socket, &rates, &[from]).await;
+            send(gw, socket, &rejections, &[from]).await;
+        }
         PeerMessage::PrefillRates(report) => gw.rate_samples.apply_report(report, now),
         PeerMessage::LoadReports(reports) => gw.apply_shared_load_reports(&reports, now),
         PeerMessage::EngineSpeeds(reports) => gw.apply_speed_reports(&reports, now),
@@ -230,6 +267,10 @@
             Self::Leaving(_) => "leaving",
             Self::RateLimits(_) => "rate-limits",
             Self::LimitedSends(_) => "limited-sends",
+            Self::RejectionLimits(_) => "rejection-limits",
+            Self::Rejections(_) => "rejections",
+            Self::Slots(_) => "slots",
+            Self::LimitsWanted => "limits-wanted",
             Self::PrefillRates(_) => "prefill-rates",
             Self::LoadReports(_) => "load-reports",
             Self::EngineSpeeds(_) => "engine-speeds",
--- a/src/gateway/peers/rate_limits.rs
+++ b/src/gateway/peers/rate_limits.rs
@@ -8,7 +8,6 @@
 use crate::clock::{Now, millis};
 use crate::gateway::Gateway;
 use crate::gateway::attempt::upstream::Upstream;
-use crate::gateway::place::fleet_view::FleetView;
 use crate::routing::rate_limit::LimitStatement;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -94,14 +93,19 @@
         }
     }
 
+    /// Returns reports of all rate limits that this box knows.
+    pub fn rate_limit_reports(&self, now: Now) -> Vec<RateLimitReport> {
+        let knowledge = self.knowledge.borrow();
+        let upstreams = knowledge.upstreams();
+        upstreams
+            .filter_map(|upstream| RateLimitReport::of(upstream, now))
+            .collect()
+    }
+
     /// Returns the other boxes that may send to a limited upstream.
     fn other_senders(&self, hash: u32, now: Now) -> Vec<SocketAddr> {
         let boxes = self.box_addresses();
-        let fleet = FleetView {
-            own_address: self.settings().peer_addr,
-            box_addresses: &boxes,
-            uptime: self.uptime(now),
-        };
+        let fleet = self.fleet_view(&boxes, now);
         let state = self.knowledge.borrow();
         let named = state
             .upstreams()
@@ -123,10 +127,7 @@
 async fn broadcast_changes(gw: &Gateway, send: &impl AsyncFn(&[SocketAddr], Vec<RateLimitReport>)) {
     loop {
         let reports = gw.rate_limits.next().await;
-        let own = gw.settings().peer_addr;
-        let mut others = gw.box_addresses();
-        others.retain(|address| *address != own);
-        send(&others, reports).await;
+        send(&gw.other_recent_boxes(), reports).await;
     }
 }
 
@@ -135,13 +136,7 @@
     loop {
         sleep(GOSSIP_INTERVAL).await;
         let receivers = targets.next_round(gw);
-        let now = Now::read();
-        let reports: Vec<RateLimitReport> = gw
-            .knowledge
-            .borrow()
-            .upstreams()
-            .filter_map(|upstream| RateLimitReport::of(upstream, now))
-            .collect();
+        let reports = gw.rate_limit_reports(Now::read());
         for part in reports.chunks(MAX_REPORTS_PER_DATAGRAM) {
             send(&receivers, part.to_vec()).await;
         }
--- /dev/null
+++ b/src/gateway/peers/rejection_limits.rs
@@ -0,0 +1,277 @@
+//! Tells the other boxes of rejection limits that upstreams state, and of rejections.
+//!
+//! Changes and rejections are broadcast at once. In addition, each box sends all limits that it
+//! knows to one other box in turn, so that boxes that restarted, joined or were cut off learn of
+//! them, and of their end. See `docs/design/rejection-limits.md`.
+
+use super::gossip_targets::{GOSSIP_INTERVAL, GossipTargets};
+use super::outbox::Outbox;
+use crate::clock::{Now, millis};
+use crate::gateway::Gateway;
+use crate::gateway::attempt::upstream::Upstream;
+use crate::gateway::place::fleet_view::FleetView;
+use crate::gateway::place::slots::{SLOT_RECHECK, ServiceSlots};
+use crate::gateway::place::turn_queue::{TurnQueue, WaitingTurn};
+use crate::routing::rate_limit::LimitStatement;
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How long a limit holds for a service after the last statement, if none of its present upstreams
+/// has stated anything: all may have been replaced by others.
+const STATEMENT_MEMORY: Duration = Duration::from_secs(10);
+/// How long the end of a limit is sent to other boxes: several rounds of gossip.
+const ENDED_LIMIT_RETENTION: Duration = Duration::from_secs(30);
+/// The most reports in one datagram.
+const MAX_REPORTS_PER_DATAGRAM: usize = 200;
+/// How many other boxes a box that has just started asks for the limits.
+const ASKED_AT_START: usize = 3;
+/// How soon a box that has just started looks for other boxes again.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// How long it does so: it may be the only one.
+const MAX_START_POLL: Duration = Duration::from_secs(5);
+
+/// What an upstream stated about its rejection limit, as one box tells others.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct RejectionLimitReport {
+    /// [`Upstream::short_hash`].
+    upstream: u32,
+    /// Rejections per second; none if the limit is over.
+    limit: Option<f64>,
+    /// The age of the statement in milliseconds.
+    age_ms: u64,
+}
+
+impl RejectionLimitReport {
+    /// Returns what this box knows of an upstream; none if there is nothing to tell.
+    fn of(upstream: &Upstream, now: Now) -> Option<Self> {
+        let statement = upstream.slots().statement()?;
+        let age = now.monotonic.saturating_sub(statement.as_of);
+        let is_relevant = statement.limit.is_some() || age < ENDED_LIMIT_RETENTION;
+        is_relevant.then(|| Self {
+            upstream: upstream.short_hash(),
+            limit: statement.limit,
+            age_ms: millis(age),
+        })
+    }
+
+    fn statement(&self, now: Now) -> LimitStatement {
+        LimitStatement {
+            limit: self.limit,
+            as_of: now
+                .monotonic
+                .saturating_sub(Duration::from_millis(self.age_ms)),
+        }
+    }
+}
+
+/// What this box knows of services whose upstreams state rejection limits.
+#[derive(Debug, Default)]
+pub struct RejectionLimits {
+    /// The newest statement of any upstream, by service.
+    newest: RefCell<HashMap<String, LimitStatement>>,
+    services: RefCell<HashMap<String, Rc<ServiceSlots>>>,
+    /// The requests that wait for a slot.
+    pub queue: TurnQueue,
+    changed: Outbox<RejectionLimitReport>,
+    /// Hashes of upstreams that have rejected requests of this box.
+    rejecting: Outbox<u32>,
+}
+
+impl RejectionLimits {
+    /// Returns the slots of a service.
+    pub fn slots_of(&self, service: &str) -> Rc<ServiceSlots> {
+        let mut services = self.services.borrow_mut();
+        if let Some(known) = services.get(service) {
+            return known.clone();
+        }
+        services.entry(service.to_owned()).or_default().clone()
+    }
+
+    fn record_statement(&self, upstream: &Upstream) {
+        let Some(statement) = upstream.slots().statement() else {
+            return;
+        };
+        let service = upstream.with_listed(|listed| listed.service.clone());
+        let mut newest = self.newest.borrow_mut();
+        if statement.supersedes(newest.get(&service).copied()) {
+            newest.insert(service, statement);
+        }
+    }
+
+    fn is_remembered(&self, service: &str, now: Now) -> bool {
+        let newest = self.newest.borrow();
+        newest.get(service).is_some_and(|statement| {
+            let age = now.monotonic.saturating_sub(statement.as_of);
+            statement.limit.is_some() && age < STATEMENT_MEMORY
+        })
+    }
+}
+
+impl Gateway {
+    /// Returns whether the upstreams of a service bear few rejections, so that boxes send requests
+    /// only where they have a slot.
+    pub fn limits_rejections(&self, service: &str, now: Now) -> bool {
+        let knowledge = self.knowledge.borrow();
+        let mut stating = knowledge
+            .upstreams()
+            .filter(|upstream| upstream.slots().limit().is_some());
+        stating.any(|upstream| upstream.with_listed(|listed| listed.service == service))
+            || self.rejection_limits.is_remembered(service, now)
+    }
+
+    /// Returns how long this box has no slot of an upstream; none if it has one now.
+    pub fn slot_delay(
+        &self,
+        upstream: &Upstream,
+        fleet: FleetView<'_>,
+        now: Now,
+    ) -> Option<Duration> {
+        let slots = upstream.slots();
+        if let Some(pause) = slots.pause_left(now) {
+            return Some(pause);
+        }
+        let total = upstream.with_listed(|listed| listed.slots.max(1));
+        let in_use = slots.in_use(upstream.outstanding(), now);
+        (in_use >= slots.share(total, fleet, now)).then_some(SLOT_RECHECK)
+    }
+
+    /// Lets a request wait for a slot for at most `longest`; `None` if it would probably wait in
+    /// vain.
+    pub fn enter_slot_queue(
+        &self,
+        service: &str,
+        longest: Duration,
+        now: Now,
+    ) -> Option<WaitingTurn> {
+        let turns = self.slot_rate(service, now) * longest.as_secs_f64();
+        self.rejection_limits.queue.enter(service, turns)
+    }
+
+    /// Returns after how long a caller that found no free slot should come back.
+    pub fn return_delay_for_slot(&self, service: &str, left: Duration, now: Now) -> Duration {
+        let rate = self.slot_rate(service, now);
+        self.return_at_rate(service, rate, left, now)
+    }
+
+    /// Returns how many requests per second this box's equal share of the slots of a service
+    /// serves.
+    fn slot_rate(&self, service: &str, now: Now) -> f64 {
+        let knowledge = self.knowledge.borrow();
+        let upstreams = knowledge.available_upstreams(service, now);
+        let slots = upstreams
+            .iter()
+            .map(|upstream| upstream.with_listed(|listed| f64::from(listed.slots.max(1))));
+        let slots: f64 = slots.sum();
+        let run = self.rejection_limits.slots_of(service).mean_run();
+        slots / knowledge.box_count().max(1) as f64 / run.as_secs_f64().max(f64::MIN_POSITIVE)
+    }
+
+    /// Takes note of what an upstream has stated in an answer about its rejection limit.
+    pub fn note_rejection_limit(&self, upstream: &Upstream, now: Now) {
+        self.rejection_limits.record_statement(upstream);
+        if upstream.slots().take_new_limit() {
+            self.telemetry.record_rejection_limit(upstream, "answer");
+            if let Some(report) = RejectionLimitReport::of(upstream, now) {
+                self.rejection_limits.changed.push(report);
+            }
+        }
+    }
+
+    /// Records that an upstream has rejected a request of this box for lack of room.
+    pub fn note_rejection(&self, upstream: &Upstream, now: Now) {
+        let boxes = self.box_addresses();
+        let fleet = self.fleet_view(&boxes, now);
+        self.telemetry.record_rejection(upstream, fleet, now);
+        upstream.slots().record_rejection(now);
+        self.rejection_limits.rejecting.push(upstream.short_hash());
+    }
+
+    /// Applies another box's reports of rejection limits.
+    pub fn apply_rejection_limit_reports(&self, reports: &[RejectionLimitReport], now: Now) {
+        let state = self.knowledge.borrow();
+        for upstream in state.upstreams() {
+            let hash = upstream.short_hash();
+            for report in reports.iter().filter(|report| report.upstream == hash) {
+                if upstream.slots().apply(report.statement(now)) {
+                    self.telemetry.record_rejection_limit(upstream, "box");
+                }
+                self.rejection_limits.record_statement(upstream);
+            }
+        }
+    }
+
+    /// Records that upstreams, given by their hashes, have rejected requests of another box.
+    pub fn apply_rejections(&self, hashes: &[u32], now: Now) {
+        let state = self.knowledge.borrow();
+        let rejecting = state
+            .upstreams()
+            .filter(|upstream| hashes.contains(&upstream.short_hash()));
+        rejecting.for_each(|upstream| upstream.slots().record_rejection(now));
+    }
+
+    /// Returns reports of all rejection limits that this box knows.
+    pub fn rejection_limit_reports(&self, now: Now) -> Vec<RejectionLimitReport> {
+        let knowledge = self.knowledge.borrow();
+        let upstreams = knowledge.upstreams();
+        upstreams
+            .filter_map(|upstream| RejectionLimitReport::of(upstream, now))
+            .collect()
+    }
+}
+
+/// Sends changed and known limits to other boxes, for as long as the process runs.
+pub async fn share_rejection_limits(
+    gw: &Gateway,
+    send: impl AsyncFn(&[SocketAddr], Vec<RejectionLimitReport>),
+) {
+    let broadcast_changes = async {
+        loop {
+            let reports = gw.rejection_limits.changed.next().await;
+            send(&gw.other_recent_boxes(), reports).await;
+        }
+    };
+    tokio::join!(broadcast_changes, gossip_all_limits(gw, &send));
+}
+
+async fn gossip_all_limits(
+    gw: &Gateway,
+    send: &impl AsyncFn(&[SocketAddr], Vec<RejectionLimitReport>),
+) {
+    let mut targets = GossipTargets::new(gw);
+    loop {
+        sleep(GOSSIP_INTERVAL).await;
+        let receivers = targets.next_round(gw);
+        for part in gw
+            .rejection_limit_reports(Now::read())
+            .chunks(MAX_REPORTS_PER_DATAGRAM)
+        {
+            send(&receivers, part.to_vec()).await;
+        }
+    }
+}
+
+/// Notifies the other boxes of upstreams that reject requests, for as long as the process runs.
+pub async fn broadcast_rejections(gw: &Gateway, send: impl AsyncFn(&[SocketAddr], Vec<u32>)) {
+    loop {
+        let hashes = gw.rejection_limits.rejecting.next().await;
+        send(&gw.other_recent_boxes(), hashes).await;
+    }
+}
+
+/// Asks other boxes for the limits that they know, once this box knows of any other.
+pub async fn request_limits_at_start(gw: &Gateway, send: impl AsyncFn(&[SocketAddr])) {
+    while gw.uptime(Now::read()) < MAX_START_POLL {
+        let mut others = gw.other_boxes();
+        if !others.is_empty() {
+            others.truncate(ASKED_AT_START);
+            send(&others).await;
+            return;
+        }
+        sleep(START_POLL_INTERVAL).await;
+    }
+}
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -20,6 +20,7 @@
 pub mod rate_limits;
 pub mod rate_samples;
 pub mod service_time;
+pub mod slots;
 pub mod stated_speed;
 pub mod turn_queue;
 pub mod warm_up;
--- a/src/gateway/place/candidates.rs
+++ b/src/gateway/place/candidates.rs
@@ -1,6 +1,5 @@
 //! Which upstreams of a service can be sent a request now.
 
-use super::fleet_view::FleetView;
 use super::turn_queue::WaitingTurn;
 use crate::clock::Now;
 use crate::gateway::Gateway;
@@ -23,13 +22,18 @@
     WarmingUp(Duration),
     /// The upstream states a rate limit, and this box may not send to it yet.
     RateLimited(Duration),
+    /// The upstream bears few rejections, and this box has no free slot there.
+    NoFreeSlot(Duration),
 }
 
 impl BackOff {
     /// Returns how long the back-off still lasts.
     pub fn remaining(self) -> Duration {
         match self {
-            Self::RetryAfter(left) | Self::WarmingUp(left) | Self::RateLimited(left) => left,
+            Self::RetryAfter(left)
+            | Self::WarmingUp(left)
+            | Self::RateLimited(left)
+            | Self::NoFreeSlot(left) => left,
         }
     }
 }
@@ -51,6 +55,34 @@
             .collect()
     }
 
+    /// Returns the upstreams that a request of a session could be sent to if this box had a slot
+    /// there.
+    pub fn upstreams_without_own_slot(
+        &self,
+        service: &str,
+        session: &str,
+        now: Now,
+    ) -> Vec<Rc<Upstream>> {
+        let allowed = self.allowed_upstreams(service, session, now);
+        let back_offs = self.back_offs(service, &allowed, now);
+        let lacks_slot = |(upstream, back_off): (Rc<Upstream>, Option<BackOff>)| {
+            let is_paused = upstream.slots().pause_left(now).is_some();
+            let is_lacking = matches!(back_off, Some(BackOff::NoFreeSlot(_))) && !is_paused;
+            is_lacking.then_some(upstream)
+        };
+        allowed
+            .into_iter()
+            .zip(back_offs)
+            .filter_map(lacks_slot)
+            .collect()
+    }
+
+    /// Returns the number of upstreams of a service that have not left.
+    pub fn available_upstream_count(&self, service: &str, now: Now) -> usize {
+        let knowledge = self.knowledge.borrow();
+        knowledge.available_upstreams(service, now).len()
+    }
+
     /// Returns the shortest back-off among the upstreams that may serve a request of a session;
     /// `None` if there is no such upstream, or if one accepts requests now.
     pub fn shortest_back_off(&self, service: &str, session: &str, now: Now) -> Option<BackOff> {
@@ -65,8 +97,14 @@
     /// Returns after how long a caller that was refused because of rate limits should come back to
     /// some box.
     pub fn return_delay(&self, service: &str, left: Duration, now: Now) -> Duration {
-        let own_share = self.limited_share(service, now);
-        let interval = Duration::try_from_secs_f64(1.0 / own_share).unwrap_or(MAX_OTHER_BOX_DELAY);
+        let rate = self.limited_share(service, now);
+        self.return_at_rate(service, rate, left, now)
+    }
+
+    /// Returns after how long the next refused caller of a service should come back, where this box
+    /// serves them at a rate, in requests per second.
+    pub fn return_at_rate(&self, service: &str, rate: f64, left: Duration, now: Now) -> Duration {
+        let interval = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(MAX_OTHER_BOX_DELAY);
         let earliest = left.min(MAX_OTHER_BOX_DELAY);
         let mut schedule = self.return_schedule.borrow_mut();
         schedule.assign(service, earliest, interval, now)
@@ -112,19 +150,16 @@
         now: Now,
     ) -> Vec<Option<BackOff>> {
         let warm_up = self.knowledge.borrow().warm_up(service);
+        let limits_rejections = self.limits_rejections(service, now);
         let needs_fleet = |upstream: &Rc<Upstream>| {
             let is_warming_up = warm_up.is_some() && upstream.is_warming_up(now);
-            is_warming_up || upstream.rate_limit().limit().is_some()
+            is_warming_up || limits_rejections || upstream.rate_limit().limit().is_some()
         };
         let boxes = match upstreams.iter().any(needs_fleet) {
             true => self.box_addresses(),
             false => Vec::new(),
         };
-        let fleet = FleetView {
-            own_address: self.settings().peer_addr,
-            box_addresses: &boxes,
-            uptime: self.uptime(now),
-        };
+        let fleet = self.fleet_view(&boxes, now);
         let back_off = |upstream: &Rc<Upstream>| {
             let retry_after = upstream.retry_after_left(now).map(BackOff::RetryAfter);
             let warming_up = || {
@@ -135,7 +170,14 @@
                 let delay = upstream.rate_limit().send_delay(fleet, now);
                 delay.map(BackOff::RateLimited)
             };
-            retry_after.or_else(warming_up).or_else(limited)
+            let without_slot = || {
+                let delay = self.slot_delay(upstream, fleet, now);
+                delay.filter(|_| limits_rejections).map(BackOff::NoFreeSlot)
+            };
+            retry_after
+                .or_else(warming_up)
+                .or_else(limited)
+                .or_else(without_slot)
         };
         upstreams.iter().map(back_off).collect()
     }
--- a/src/gateway/place/fleet_view.rs
+++ b/src/gateway/place/fleet_view.rs
@@ -3,11 +3,46 @@
 //! Every box ranks all boxes by the same hash, so they agree on the few without exchanging
 //! messages.
 
+use crate::clock::Now;
+use std::cell::Cell;
 use std::cmp::Reverse;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+/// How long a box uses its computed position before it computes it again.
+const POSITION_LIFETIME: Duration = Duration::from_millis(500);
+
+/// A box's position in the fleet with regard to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FleetPosition {
+    /// How many boxes rank above it.
+    pub rank: usize,
+    /// The number of boxes.
+    pub boxes: usize,
+    computed_at: Duration,
+}
+
+/// Remembers a box's position for a while.
+#[derive(Debug, Default)]
+pub struct PositionCache(Cell<Option<FleetPosition>>);
+
+impl PositionCache {
+    /// Returns the box's position with regard to an upstream.
+    pub fn position(&self, upstream: u32, fleet: FleetView<'_>, now: Now) -> FleetPosition {
+        let is_recent =
+            |known: &FleetPosition| now.monotonic - known.computed_at < POSITION_LIFETIME;
+        let known = self.0.get().filter(is_recent);
+        let position = known.unwrap_or_else(|| FleetPosition {
+            rank: fleet.own_rank(upstream),
+            boxes: fleet.box_count(),
+            computed_at: now.monotonic,
+        });
+        self.0.set(Some(position));
+        position
+    }
+}
+
 /// What a box knows of the fleet.
 #[derive(Debug, Clone, Copy)]
 pub struct FleetView<'a> {
--- a/src/gateway/place/rate_limits.rs
+++ b/src/gateway/place/rate_limits.rs
@@ -5,7 +5,7 @@
 //! The fewer boxes, the fewer requests can be sent at the same moment, before one is announced. See
 //! `docs/design/rate-limits.md`.
 
-use super::fleet_view::FleetView;
+use super::fleet_view::{FleetView, PositionCache};
 use crate::clock::Now;
 use crate::gateway::peers::gossip_targets::GOSSIP_INTERVAL;
 use crate::routing::rate_limit::{LimitStatement, RateLimiter, send_interval};
@@ -31,8 +31,6 @@
 const SPREAD_ROUNDS_PER_DOUBLING: f64 = 2.0;
 /// The time after which the number of boxes that may send doubles again.
 const DOUBLING_TIME: Duration = Duration::from_secs(1);
-/// How long a box uses its computed position before it computes it again.
-const POSITION_LIFETIME: Duration = Duration::from_millis(500);
 
 /// The rate limit of an upstream, as one box sees it.
 #[derive(Debug)]
@@ -40,26 +38,18 @@
     /// [`crate::gateway::attempt::upstream::Upstream::short_hash`], by which boxes are ranked.
     upstream: u32,
     limiter: Cell<RateLimiter>,
-    position: Cell<Option<FleetPosition>>,
+    position: PositionCache,
     /// Whether an answer has changed the limit and the other boxes are not notified yet.
     has_new_limit: Cell<bool>,
 }
 
-/// This box's position in the fleet with regard to an upstream.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct FleetPosition {
-    rank: usize,
-    boxes: usize,
-    computed_at: Duration,
-}
-
 impl UpstreamRateLimit {
     /// Creates the state of an upstream that has stated no limit.
     pub fn new(upstream: u32) -> Self {
         Self {
             upstream,
             limiter: Cell::default(),
-            position: Cell::default(),
+            position: PositionCache::default(),
             has_new_limit: Cell::default(),
         }
     }
@@ -97,7 +87,7 @@
     /// Returns how long the box has to wait before it may send a request; none if it may send now.
     pub fn send_delay(&self, fleet: FleetView<'_>, now: Now) -> Option<Duration> {
         let limit = self.limit()?;
-        let position = self.position(fleet, now);
+        let position = self.position.position(self.upstream, fleet, now);
         let senders = self.max_senders(position.boxes, now)?;
         if position.rank >= senders {
             return Some(STALE_STATEMENT_AGE);
@@ -139,17 +129,4 @@
         let doublings = (stale_seconds / DOUBLING_TIME.as_secs_f64()).min(MAX_DOUBLINGS);
         Some((senders * doublings.floor().exp2()) as usize)
     }
-
-    fn position(&self, fleet: FleetView<'_>, now: Now) -> FleetPosition {
-        let is_recent =
-            |known: &FleetPosition| now.monotonic - known.computed_at < POSITION_LIFETIME;
-        let known = self.position.get().filter(is_recent);
-        let position = known.unwrap_or_else(|| FleetPosition {
-            rank: fleet.own_rank(self.upstream),
-            boxes: fleet.box_count(),
-            computed_at: now.monotonic,
-        });
-        self.position.set(Some(position));
-        position
-    }
 }
--- a/src/gateway/place/turn_queue.rs
+++ b/src/gateway/place/turn_queue.rs
@@ -1,4 +1,4 @@
-//! Bounds how many requests wait for their turn at upstreams with rate limits.
+//! Bounds how many requests wait for their turn at upstreams with limits.
 //!
 //! More requests than there will be turns would wait in vain; they are refused at once instead.
 
@@ -26,6 +26,12 @@
             WaitingTurn(count.clone())
         })
     }
+
+    /// Returns whether a request of a service waits.
+    pub fn has_waiting(&self, service: &str) -> bool {
+        let waiting = self.0.borrow();
+        waiting.get(service).is_some_and(|count| count.get() > 0)
+    }
 }
 
 impl Drop for WaitingTurn {
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -19,6 +19,7 @@
 use super::place::choose::PlacementChoice;
 use super::place::engine_speed::{SpeedBelief, SpeedSource};
 use super::place::escalation::EscalationDecision;
+use super::place::fleet_view::FleetView;
 use super::place::model_choice::{ChoiceSituation, ModelChoice, ModelOutlook};
 use crate::clock::{Now, millis};
 use crate::crash_ledger::{CrashCheckResult, QuarantineState};
@@ -381,6 +382,38 @@
         }
     }
 
+    /// Records that an upstream states a rejection limit, or none any more.
+    pub fn record_rejection_limit(&self, upstream: &Upstream, source: &str) {
+        let instance = upstream.with_listed(|listed| listed.instance.clone());
+        let instance = instance.as_str();
+        match upstream.slots().limit() {
+            Some(limit) => {
+                log::info!(upstream = instance, source, limit; "the upstream states a rejection limit")
+            }
+            None => {
+                log::info!(upstream = instance, source; "the upstream's rejection limit is over")
+            }
+        }
+    }
+
+    /// Records that an upstream rejected a request of this box for lack of room, and by what the box
+    /// expected it to have some.
+    pub fn record_rejection(&self, upstream: &Upstream, fleet: FleetView<'_>, now: Now) {
+        let (instance, slots) =
+            upstream.with_listed(|listed| (listed.instance.clone(), listed.slots.max(1)));
+        log::info!(
+            upstream = instance.as_str(),
+            slots,
+            limit = upstream.slots().limit().unwrap_or(-1.0),
+            share = upstream.slots().share(slots, fleet, now),
+            in_use = upstream.slots().in_use(upstream.outstanding(), now),
+            outstanding = upstream.outstanding(),
+            others = upstream.peer_load().outstanding,
+            boxes = fleet.box_count();
+            "the upstream rejected a request for lack of room"
+        );
+    }
+
     /// Counts load reports that cannot be read, and logs them if a line is due.
     pub fn record_invalid_load_reports(&self, upstream: &Upstream, count: u32, is_logged: bool) {
         self.invalid_load_reports.add(count.into(), &[]);
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -5,7 +5,9 @@
 
 use super::body::UpstreamResponse;
 use super::context::{Caller, refuse};
-use super::headers::{LEAVING_HEADER, RATE_LIMIT_HEADER, UPSTREAM_ID_HEADER};
+use super::headers::{
+    LEAVING_HEADER, RATE_LIMIT_HEADER, REJECTION_LIMIT_HEADER, UPSTREAM_ID_HEADER,
+};
 use crate::clock::{Now, millis};
 use crate::outcome::{ConnectFailed, DispatchLog, Reason, Refused};
 use crate::routing::placement::Upstream;
@@ -80,6 +82,7 @@
         leaving: text(LEAVING_HEADER),
         retry_after: text(RETRY_AFTER.as_str()),
         rate_limit: text(RATE_LIMIT_HEADER),
+        rejection_limit: text(REJECTION_LIMIT_HEADER),
     };
     let signs = ResponseSignals::read(response.status().as_u16(), headers, now.wall);
     let name = upstream.name.as_str();
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -8,6 +8,7 @@
 pub mod cascade;
 pub mod placement;
 pub mod rate_limit;
+pub mod rejection_limit;
 pub mod signals;
 pub mod snapshot;
 pub mod versions;
--- a/src/routing/rate_limit.rs
+++ b/src/routing/rate_limit.rs
@@ -23,6 +23,15 @@
 }
 
 impl LimitStatement {
+    /// Returns whether it replaces the newest statement known. The lack of a limit is worth knowing
+    /// only after a limit.
+    pub fn supersedes(&self, known: Option<Self>) -> bool {
+        match known {
+            Some(known) => self.as_of > known.as_of,
+            None => self.limit.is_some(),
+        }
+    }
+
     /// Returns what an answer states, of a request that was sent at `sent`.
     pub fn of_answer(limit: Option<f64>, sent: Now, now: Now) -> Self {
         Self {
@@ -51,11 +60,7 @@
     /// The first request is due after `first_delay` of the interval between two requests, from 0 to
     /// 1, so that boxes which learn of a limit together do not send together.
     pub fn apply(&mut self, statement: LimitStatement, first_delay: f64, now: Now) -> bool {
-        let known = self.statement;
-        if known.is_none() && statement.limit.is_none() {
-            return false;
-        }
-        if known.is_some_and(|known| statement.as_of <= known.as_of) {
+        if !statement.supersedes(self.statement) {
             return false;
         }
         let old = self.limit();
--- a/src/routing/signals.rs
+++ b/src/routing/signals.rs
@@ -21,6 +21,9 @@
     /// The requests per second that the upstream accepts from all boxes together, if it states a
     /// limit.
     pub rate_limit: Option<f64>,
+    /// The rejections for lack of room per second that the upstream bears, if it states so; beyond
+    /// that it crashes.
+    pub rejection_limit: Option<u32>,
 }
 
 /// Response headers that contain signals.
@@ -32,6 +35,8 @@
     pub retry_after: Option<&'a str>,
     /// Value of the header in which an upstream states its rate limit.
     pub rate_limit: Option<&'a str>,
+    /// Value of the header in which an upstream states its rejection limit.
+    pub rejection_limit: Option<&'a str>,
 }
 
 impl ResponseSignals {
@@ -51,6 +56,7 @@
             is_refusal,
             requested_backoff,
             rate_limit: headers.rate_limit.and_then(parse_rate_limit),
+            rejection_limit: headers.rejection_limit.map(parse_rejection_limit),
         }
     }
 }
@@ -64,3 +70,12 @@
     }
     valid
 }
+
+/// Parses a rejection limit. The upstream has one although its number is invalid, so that the
+/// strictest is assumed.
+fn parse_rejection_limit(text: &str) -> u32 {
+    text.trim().parse().unwrap_or_else(|_| {
+        log::debug!("the rejection limit `{text}` of an upstream is invalid, assuming 0");
+        0
+    })
+}
--- a/tests/spreading.rs
+++ b/tests/spreading.rs
@@ -134,6 +134,7 @@
         not_executed: name("x-not-run"),
         signature: name("x-signature"),
         rate_limit: name("x-rate-limit"),
+        rejection_limit: name("x-rejection-limit"),
         leaving: name("x-leaving"),
         load: name("x-load"),
         model: name("x-model"),
