--- a/src/gateway/place/fleet_view.rs
+++ b/src/gateway/place/fleet_view.rs
@@ -20,6 +20,8 @@
     pub rank: usize,
     /// The number of boxes.
     pub boxes: usize,
+    /// How many boxes were known.
+    known: usize,
     computed_at: Duration,
 }
 
@@ -30,12 +32,15 @@
 impl PositionCache {
     /// Returns the box's position with regard to an upstream.
     pub fn position(&self, upstream: u32, fleet: FleetView<'_>, now: Now) -> FleetPosition {
-        let is_recent =
-            |known: &FleetPosition| now.monotonic - known.computed_at < POSITION_LIFETIME;
-        let known = self.0.get().filter(is_recent);
+        let is_valid = |known: &FleetPosition| {
+            let age = now.monotonic.saturating_sub(known.computed_at);
+            age < POSITION_LIFETIME && known.known == fleet.box_addresses.len()
+        };
+        let known = self.0.get().filter(is_valid);
         let position = known.unwrap_or_else(|| FleetPosition {
             rank: fleet.own_rank(upstream),
             boxes: fleet.box_count(),
+            known: fleet.box_addresses.len(),
             computed_at: now.monotonic,
         });
         self.0.set(Some(position));
--- a/src/gateway/place/slots.rs
+++ b/src/gateway/place/slots.rs
@@ -21,6 +21,8 @@
 pub const LOAN_TIMEOUT: Duration = Duration::from_millis(1500);
 /// How soon a request that found no free slot looks for one again, if none is freed before.
 pub const SLOT_RECHECK: Duration = Duration::from_millis(20);
+/// How long after its start a box uses no slots of its own: runs of its former process may go on.
+const STARTUP_HOLD: Duration = Duration::from_millis(500);
 /// The time of a run that is assumed before one has been measured.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(200);
 /// The newest run contributes one part in this many to the mean.
@@ -118,6 +120,9 @@
 
     /// Returns how many of the upstream's slots are this box's.
     pub fn share(&self, slots: u32, fleet: FleetView<'_>, now: Now) -> u32 {
+        if fleet.uptime < STARTUP_HOLD {
+            return 0;
+        }
         let position = self.position.position(self.upstream, fleet, now);
         let usable = self.rejections.get().usable_slots(slots, now);
         slot_share(usable, position.rank, position.boxes)
