Routers keep to their share of the slots of upstreams that bear few rejections

An upstream states its rejection limit and its slots (gatepier-rejection-limit, gatepier-slots); each router uses an equal share, since routers exchange nothing among themselves. A request is counted as outstanding when its upstream is chosen, so that threads do not share a slot.

--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -401,6 +401,8 @@
             retry_after: head.text(&RETRY_AFTER),
             rate_limit: head.text(&headers.rate_limit),
             rejection_limit: head.text(&headers.rejection_limit),
+            // The registry states them.
+            slots: None,
         };
         let signs = ResponseSignals::read(head.status(), signs, now.wall);
         upstream.update_from_head(signs, now);
--- a/src/router/cascade_step.rs
+++ b/src/router/cascade_step.rs
@@ -8,13 +8,15 @@
 use super::dispatch::dispatch;
 use super::headers::{ORGANISATION_HEADER, UPSTREAM_ID_HEADER};
 use super::trace::Trace;
+use crate::box_list::AGENT_SERVICE;
 use crate::clock::Now;
 use crate::decision_record::TryRecord;
 use crate::evidence::EvidenceSubject;
 use crate::name::VersionName;
 use crate::outcome::{DispatchLog, Outcome, Reason, Refused};
 use crate::routing::placement::{
-    LoadGuard, PlacementQuery, Upstream, choose_upstream, shortest_remaining_backoff,
+    LoadGuard, Placed, PlacementQuery, RouterFleet, Upstream, choose_upstream,
+    shortest_remaining_backoff,
 };
 use crate::routing::versions::{VersionChoice, choose_version, exclusion_reason};
 use crate::session::Session;
@@ -118,12 +120,13 @@
         step.crash_guard.admit(dispatch_log, Now::read())?;
         // Chosen again for each attempt: a version that was withdrawn meanwhile must not run.
         let version = choose_step_version(worker, caller, step, dispatch_log, trace)?;
-        let upstream = match choose_step_upstream(worker, step, &version, &tried, dispatch_log) {
-            Ok(upstream) => upstream,
+        let placed = match choose_step_upstream(worker, step, &version, &tried, dispatch_log) {
+            Ok(placed) => placed,
             Err(refused) => return Err(last_refusal.unwrap_or(refused)),
         };
+        let upstream = placed.upstream.clone();
         tried.push(upstream.name.clone());
-        match run_attempt(worker, caller, step, &version, &upstream, dispatch_log).await {
+        match run_attempt(worker, caller, step, &version, placed, dispatch_log).await {
             Ok(answer) => {
                 record_attempt(trace, &version, &upstream, "answered");
                 return Ok(answer);
@@ -199,8 +202,13 @@
     version: &VersionName,
     tried: &[String],
     dispatch_log: &DispatchLog,
-) -> Result<Upstream, Refused> {
+) -> Result<Placed, Refused> {
     let snapshot = worker.snapshot();
+    let agents = snapshot.upstreams_of(AGENT_SERVICE);
+    let fleet = RouterFleet {
+        own_box: &worker.shared.settings.identity.name,
+        agents: &agents,
+    };
     let candidates = snapshot.upstreams_with(version);
     let settings = &worker.shared.settings;
     let query = PlacementQuery {
@@ -209,11 +217,11 @@
         max_outstanding: u32::try_from(settings.upstream_limit).unwrap_or(u32::MAX),
         version: Some(version),
         tried,
-        boxes: snapshot.box_count(),
+        fleet,
     };
     let chosen = choose_upstream(&candidates, query, Now::read(), &mut rand::rng());
-    chosen.cloned().ok_or_else(|| {
-        if let Some(backoff) = shortest_remaining_backoff(&candidates, Now::read()) {
+    chosen.ok_or_else(|| {
+        if let Some(backoff) = shortest_remaining_backoff(&candidates, fleet, Now::read()) {
             return refuse_for_backoff(dispatch_log.refusal_outcome(), backoff);
         }
         let is_full = candidates
@@ -234,14 +242,18 @@
     caller: &Caller,
     step: CascadeStep<'_>,
     version: &VersionName,
-    upstream: &Upstream,
+    placed: Placed,
     dispatch_log: &mut DispatchLog,
 ) -> Result<StepAnswer, Refused> {
+    let Placed {
+        upstream,
+        load_guard,
+    } = placed;
+    let upstream = &upstream;
     let started = Now::read().monotonic;
     let subject = worker
         .shared
         .evidence_subject(version, &caller.organisation);
-    let load_guard = upstream.load.track_request();
     let request = upstream_request(worker, caller, step, version, upstream);
     let response = match dispatch(request, caller, upstream, dispatch_log).await {
         Ok(response) => response,
--- a/src/router/claimed_request.rs
+++ b/src/router/claimed_request.rs
@@ -15,7 +15,7 @@
 use crate::clock::Now;
 use crate::decision_record::TryRecord;
 use crate::outcome::{DispatchLog, Outcome, Reason, Refused};
-use crate::routing::placement::{LoadGuard, Upstream};
+use crate::routing::placement::{LoadGuard, Placed, Upstream};
 use actix_http::body::BoxBody;
 use actix_http::header::CONTENT_TYPE;
 use actix_http::{Request, Response, StatusCode};
@@ -131,12 +131,15 @@
         let mut last_refusal = None;
         loop {
             self.crash_guard.admit(&dispatch_log, Now::read())?;
-            let upstream =
-                match choose_service_upstream(&self.worker, &self.service, &tried, &dispatch_log) {
-                    Ok(upstream) => upstream,
-                    Err(refused) => return Err(last_refusal.unwrap_or(refused)),
-                };
-            let load_guard = upstream.load.track_request();
+            let placed =
+                choose_service_upstream(&self.worker, &self.service, &tried, &dispatch_log);
+            let Placed {
+                upstream,
+                load_guard,
+            } = match placed {
+                Ok(placed) => placed,
+                Err(refused) => return Err(last_refusal.unwrap_or(refused)),
+            };
             let started = Now::read().monotonic;
             let request_builder =
                 self.head
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -6,7 +6,7 @@
 use super::body::UpstreamResponse;
 use super::context::{Caller, refuse};
 use super::headers::{
-    LEAVING_HEADER, RATE_LIMIT_HEADER, REJECTION_LIMIT_HEADER, UPSTREAM_ID_HEADER,
+    LEAVING_HEADER, RATE_LIMIT_HEADER, REJECTION_LIMIT_HEADER, SLOTS_HEADER, UPSTREAM_ID_HEADER,
 };
 use crate::clock::{Now, millis};
 use crate::outcome::{ConnectFailed, DispatchLog, Reason, Refused};
@@ -83,6 +83,7 @@
         retry_after: text(RETRY_AFTER.as_str()),
         rate_limit: text(RATE_LIMIT_HEADER),
         rejection_limit: text(REJECTION_LIMIT_HEADER),
+        slots: text(SLOTS_HEADER),
     };
     let signs = ResponseSignals::read(response.status().as_u16(), headers, now.wall);
     let name = upstream.name.as_str();
@@ -99,5 +100,16 @@
             None => log::info!(upstream = name; "the upstream's rate limit is over"),
         }
     }
+    if load.apply_rejection_limit(signs, sent, now) {
+        match signs.rejection_limit {
+            Some(limit) => {
+                log::info!(upstream = name, limit, slots = signs.slots.unwrap_or(0); "the upstream states a rejection limit");
+            }
+            None => log::info!(upstream = name; "the upstream's rejection limit is over"),
+        }
+    }
+    if signs.is_refusal && signs.rejection_limit.is_some() {
+        log::info!(upstream = name, outstanding = load.outstanding(); "the upstream rejected a request for lack of room");
+    }
     load.apply_signals(signs, now);
 }
--- a/src/router/headers.rs
+++ b/src/router/headers.rs
@@ -12,6 +12,8 @@
 pub const LEAVING_HEADER: &str = "gatepier-leaving";
 /// Sent by an upstream that accepts only this many requests per second from all boxes together.
 pub const RATE_LIMIT_HEADER: &str = "gatepier-rate-limit";
+/// States how many requests the upstream runs at the same time, beside a rejection limit.
+pub const SLOTS_HEADER: &str = "gatepier-slots";
 /// Sent by an upstream that crashes if it rejects more requests per second for lack of room.
 pub const REJECTION_LIMIT_HEADER: &str = "gatepier-rejection-limit";
 
@@ -31,6 +33,7 @@
             || name.as_str() == LEAVING_HEADER
             || name.as_str() == RATE_LIMIT_HEADER
             || name.as_str() == REJECTION_LIMIT_HEADER
+            || name.as_str() == SLOTS_HEADER
     };
     headers
         .iter()
--- a/src/router/plain_service.rs
+++ b/src/router/plain_service.rs
@@ -8,13 +8,15 @@
 use super::headers::{ORGANISATION_HEADER, UPSTREAM_ID_HEADER, end_to_end_headers};
 use super::responses::{OUTCOME_HEADER, REQUEST_ID_HEADER, refusal_response_to};
 use super::trace::Trace;
+use crate::box_list::AGENT_SERVICE;
 use crate::bundle::Service;
 use crate::clock::Now;
 use crate::decision_record::TryRecord;
 use crate::fingerprint::{Fingerprint, RequestIdentity};
 use crate::outcome::{DispatchLog, Outcome, Reason, Refused};
 use crate::routing::placement::{
-    LoadGuard, PlacementQuery, Upstream, choose_upstream, shortest_remaining_backoff,
+    LoadGuard, Placed, PlacementQuery, RouterFleet, Upstream, choose_upstream,
+    shortest_remaining_backoff,
 };
 use actix_http::body::{BodyStream, BoxBody, MessageBody as _, SizedStream};
 use actix_http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -104,8 +106,13 @@
     service: &str,
     tried: &[String],
     dispatch_log: &DispatchLog,
-) -> Result<Upstream, Refused> {
+) -> Result<Placed, Refused> {
     let snapshot = worker.snapshot();
+    let agents = snapshot.upstreams_of(AGENT_SERVICE);
+    let fleet = RouterFleet {
+        own_box: &worker.shared.settings.identity.name,
+        agents: &agents,
+    };
     let candidates = snapshot.upstreams_of(service);
     let query = PlacementQuery {
         hall: &worker.shared.settings.identity.hall,
@@ -113,11 +120,11 @@
         max_outstanding: MAX_OUTSTANDING_PER_UPSTREAM,
         version: None,
         tried,
-        boxes: snapshot.box_count(),
+        fleet,
     };
     let chosen = choose_upstream(&candidates, query, Now::read(), &mut rand::rng());
-    chosen.cloned().ok_or_else(|| {
-        if let Some(backoff) = shortest_remaining_backoff(&candidates, Now::read()) {
+    chosen.ok_or_else(|| {
+        if let Some(backoff) = shortest_remaining_backoff(&candidates, fleet, Now::read()) {
             return refuse_for_backoff(dispatch_log.refusal_outcome(), backoff);
         }
         let message = format!("no upstream of `{service}` accepts requests now");
@@ -218,11 +225,14 @@
     let mut last_refusal = None;
     loop {
         crash_guard.admit(&dispatch_log, Now::read())?;
-        let upstream = match choose_service_upstream(worker, service, &tried, &dispatch_log) {
-            Ok(upstream) => upstream,
+        let placed = choose_service_upstream(worker, service, &tried, &dispatch_log);
+        let Placed {
+            upstream,
+            load_guard,
+        } = match placed {
+            Ok(placed) => placed,
             Err(refused) => return Err(last_refusal.unwrap_or(refused)),
         };
-        let load_guard = upstream.load.track_request();
         let started = Now::read().monotonic;
         let payload = req.take_payload();
         let failure =
--- a/src/routing/placement.rs
+++ b/src/routing/placement.rs
@@ -6,6 +6,7 @@
 
 use super::backoff::{FailureStreak, RequestedBackoff};
 use super::rate_limit::{LimitStatement, RateLimiter};
+use super::rejection_limit::{RejectionHistory, RejectionLimit, slot_share};
 use super::signals::ResponseSignals;
 use crate::clock::Now;
 use crate::name::VersionName;
@@ -22,6 +23,11 @@
 /// The session's preferred upstream is used if its expected latency is at most this many times that
 /// of the best alternative.
 const MAX_AFFINITY_COST_RATIO: f64 = 1.5;
+/// How soon a request that found no free slot may find one.
+const SLOT_RECHECK: Duration = Duration::from_millis(200);
+/// The age of a statement from which each router uses one slot at least: those without a share
+/// learn of the end of a limit by their own requests only.
+const STALE_STATEMENT_AGE: Duration = Duration::from_secs(10);
 /// Mean latency that is assumed for an upstream before its first success.
 const UNMEASURED_LATENCY_MICROS: u64 = 1_000;
 
@@ -40,6 +46,14 @@
     pub load: Arc<UpstreamLoad>,
 }
 
+impl Upstream {
+    /// Returns whether the upstream has no rejection limit, or the router a free slot there.
+    fn has_free_slot(&self, fleet: RouterFleet<'_>, now: Now) -> bool {
+        let share = self.load.slot_share(&self.name, fleet, now);
+        share.is_none_or(|share| self.load.outstanding() < share)
+    }
+}
+
 /// Load and failures of an upstream as observed by a router, shared by its threads.
 #[derive(Debug, Default)]
 pub struct UpstreamLoad {
@@ -48,11 +62,20 @@
     failures: Mutex<FailureStreak>,
     requested_backoff: Mutex<RequestedBackoff>,
     rate_limiter: Mutex<RateLimiter>,
+    stated_slots: Mutex<StatedSlots>,
     is_leaving: AtomicBool,
     /// Failures by version: a failing version must not eject the upstream for the other versions.
     versions: Mutex<HashMap<VersionName, FailureStreak>>,
 }
 
+/// What an upstream states about its room, and what rejections show of it.
+#[derive(Debug, Default)]
+struct StatedSlots {
+    limit: RejectionLimit,
+    slots: u32,
+    rejections: RejectionHistory,
+}
+
 impl UpstreamLoad {
     /// Applies the signals in the head of a response. Once an upstream is leaving it stays so.
     pub fn apply_signals(&self, signals: ResponseSignals, now: Now) {
@@ -85,6 +108,46 @@
         lock(&self.rate_limiter).apply(statement, first_delay, now)
     }
 
+    /// Applies what the response to a request that was sent at `sent` states about the rejection
+    /// limit and the slots, and counts a rejection; returns whether the limit changed.
+    pub fn apply_rejection_limit(&self, signals: ResponseSignals, sent: Now, now: Now) -> bool {
+        let limit = signals.rejection_limit.map(f64::from);
+        let mut stated = lock(&self.stated_slots);
+        let is_changed = stated
+            .limit
+            .apply(LimitStatement::of_answer(limit, sent, now));
+        if let Some(slots) = signals.slots {
+            stated.slots = slots;
+        }
+        if signals.is_refusal && stated.limit.limit().is_some() {
+            stated.rejections.record(now);
+        }
+        is_changed
+    }
+
+    /// Returns how many requests this router may have in flight at an upstream with a rejection
+    /// limit; none if it has no limit.
+    fn slot_share(&self, upstream: &str, fleet: RouterFleet<'_>, now: Now) -> Option<u32> {
+        let stated = lock(&self.stated_slots);
+        let statement = stated.limit.statement()?;
+        statement.limit?;
+        if stated.rejections.pause_left(now).is_some() {
+            return Some(0);
+        }
+        let usable = stated.rejections.usable_slots(stated.slots, now);
+        let share = slot_share(usable, fleet.own_rank(upstream), fleet.count());
+        let is_stale = now.monotonic.saturating_sub(statement.as_of) >= STALE_STATEMENT_AGE;
+        Some(share.max(u32::from(is_stale)))
+    }
+
+    /// Counts a request as outstanding until the guard is dropped, unless as many are as may be.
+    fn try_track_request(self: &Arc<Self>, most: u32) -> Option<LoadGuard> {
+        let add_one = |outstanding: u32| (outstanding < most).then_some(outstanding + 1);
+        let order = Ordering::Relaxed;
+        let counted = self.outstanding.fetch_update(order, order, add_one);
+        counted.ok().map(|_| LoadGuard { load: self.clone() })
+    }
+
     /// Counts a request against the rate limit, of which each box uses an equal share; returns
     /// false if the request may not be sent now.
     fn try_count_send(&self, boxes: u32, now: Now) -> bool {
@@ -200,34 +263,88 @@
     pub version: Option<&'a VersionName>,
     /// Names of upstreams at which the request already failed.
     pub tried: &'a [String],
-    /// The number of boxes, which share the rate limits of upstreams.
-    pub boxes: u32,
+    /// The boxes, which share the limits of upstreams.
+    pub fleet: RouterFleet<'a>,
 }
 
-/// Returns the shortest remaining backoff that candidates requested; none if a candidate accepts
-/// requests now, or if all are leaving.
-pub fn shortest_remaining_backoff(candidates: &[&Upstream], now: Now) -> Option<Duration> {
+/// The boxes whose routers send to the same upstreams.
+#[derive(Debug, Clone, Copy)]
+pub struct RouterFleet<'a> {
+    /// Name of the router's own box.
+    pub own_box: &'a str,
+    /// The agents of all boxes.
+    pub agents: &'a [&'a Upstream],
+}
+
+impl RouterFleet<'_> {
+    /// Returns the number of boxes, at least one.
+    fn count(self) -> usize {
+        self.agents.len().max(1)
+    }
+
+    /// Returns how many boxes rank above the own one for an upstream, by rendezvous hashing.
+    fn own_rank(self, upstream: &str) -> usize {
+        let weight = |name: &str| {
+            let seed = xxhash_rust::xxh3::xxh3_64(upstream.as_bytes());
+            xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), seed)
+        };
+        let own = weight(self.own_box);
+        let others = self
+            .agents
+            .iter()
+            .filter(|agent| agent.name != self.own_box);
+        others.filter(|agent| weight(&agent.name) > own).count()
+    }
+}
+
+/// An upstream that was chosen for a request, which counts as outstanding there.
+#[derive(Debug)]
+pub struct Placed {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Counts the request until dropped.
+    pub load_guard: LoadGuard,
+}
+
+/// Returns the shortest remaining backoff that candidates requested, or the time until a slot may be
+/// free; none if a candidate accepts requests now, or if all are leaving.
+pub fn shortest_remaining_backoff(
+    candidates: &[&Upstream],
+    fleet: RouterFleet<'_>,
+    now: Now,
+) -> Option<Duration> {
     let not_leaving = candidates
         .iter()
         .filter(|upstream| !upstream.load.is_leaving.load(Ordering::Relaxed));
     // `None`, for an upstream without a backoff, is less than any duration.
-    let backoffs = not_leaving.map(|upstream| upstream.load.backoff_remaining(now));
+    let backoffs = not_leaving.map(|upstream| {
+        let slot_wait = (!upstream.has_free_slot(fleet, now)).then_some(SLOT_RECHECK);
+        upstream.load.backoff_remaining(now).max(slot_wait)
+    });
     backoffs.min().flatten()
 }
 
 /// Chooses one of the candidates for a request that is sent at once, and counts it against the
-/// upstream's rate limit.
-pub fn choose_upstream<'a>(
-    candidates: &[&'a Upstream],
+/// upstream's limits.
+pub fn choose_upstream(
+    candidates: &[&Upstream],
     query: PlacementQuery<'_>,
     now: Now,
     rng: &mut impl Rng,
-) -> Option<&'a Upstream> {
+) -> Option<Placed> {
+    let boxes = u32::try_from(query.fleet.count()).unwrap_or(u32::MAX);
     loop {
         let chosen = choose_usable_upstream(candidates, query, now, rng)?;
+        let share = chosen.load.slot_share(&chosen.name, query.fleet, now);
+        let most = share.unwrap_or(u32::MAX);
         // Another thread may have sent to it in the meantime.
-        if chosen.load.try_count_send(query.boxes, now) {
-            return Some(chosen);
+        if let Some(load_guard) = chosen.load.try_track_request(most)
+            && chosen.load.try_count_send(boxes, now)
+        {
+            return Some(Placed {
+                upstream: chosen.clone(),
+                load_guard,
+            });
         }
     }
 }
@@ -243,6 +360,7 @@
             && !upstream.load.is_ejected(now)
             && !upstream.load.is_leaving.load(Ordering::Relaxed)
             && upstream.load.backoff_remaining(now).is_none()
+            && upstream.has_free_slot(query.fleet, now)
             && !query
                 .version
                 .is_some_and(|version| upstream.load.is_version_ejected(version, now))
--- a/src/routing/signals.rs
+++ b/src/routing/signals.rs
@@ -24,6 +24,8 @@
     /// The rejections for lack of room per second that the upstream bears, if it states so; beyond
     /// that it crashes.
     pub rejection_limit: Option<u32>,
+    /// How many requests the upstream runs at the same time, if it states so.
+    pub slots: Option<u32>,
 }
 
 /// Response headers that contain signals.
@@ -37,6 +39,8 @@
     pub rate_limit: Option<&'a str>,
     /// Value of the header in which an upstream states its rejection limit.
     pub rejection_limit: Option<&'a str>,
+    /// Value of the header in which an upstream states its slots.
+    pub slots: Option<&'a str>,
 }
 
 impl ResponseSignals {
@@ -57,6 +61,7 @@
             requested_backoff,
             rate_limit: headers.rate_limit.and_then(parse_rate_limit),
             rejection_limit: headers.rejection_limit.map(parse_rejection_limit),
+            slots: headers.slots.and_then(|text| text.trim().parse().ok()),
         }
     }
 }
--- a/src/routing/snapshot.rs
+++ b/src/routing/snapshot.rs
@@ -81,12 +81,6 @@
         agents
     }
 
-    /// Returns the number of boxes, at least one.
-    pub fn box_count(&self) -> u32 {
-        let agents = self.upstreams_of(AGENT_SERVICE).len();
-        u32::try_from(agents).unwrap_or(u32::MAX).max(1)
-    }
-
     /// Returns whether an agent of the fleet listens at an address.
     pub fn has_agent_at(&self, address: SocketAddr) -> bool {
         self.upstreams_of(AGENT_SERVICE)
--- a/tests/common/scripted_upstream.rs
+++ b/tests/common/scripted_upstream.rs
@@ -18,6 +18,8 @@
 pub enum Reaction {
     /// Writes a response.
     Answer(String),
+    /// Writes a response after a time.
+    AnswerAfter(Duration, String),
     /// Crashes the upstream: all connections are reset and no new ones are accepted.
     Crash,
 }
@@ -97,8 +99,12 @@
         }
         buf.clear();
         received.set(received.get() + 1);
-        match react(&text) {
-            Reaction::Answer(answer) => {
+        let reaction = react(&text);
+        if let Reaction::AnswerAfter(delay, _) = &reaction {
+            tokio::time::sleep(*delay).await;
+        }
+        match reaction {
+            Reaction::Answer(answer) | Reaction::AnswerAfter(_, answer) => {
                 if stream.write_all(answer.as_bytes()).await.is_err() {
                     return;
                 }
