Comments and empty lines of a stream are no events

A stream whose upstream sends only comments or empty lines was taken for begun: its request was not sent on, and it was relayed for 20 s at a deadline of 2.5 s with all of the processor. They are kept for the caller, up to 64 KiB before the first event.

--- a/src/gateway/answer/stream.rs
+++ b/src/gateway/answer/stream.rs
@@ -4,7 +4,7 @@
 //! upstream or a larger model tried. From then on, [`super::relay`] relays the stream.
 
 use super::buffered::{BufferedResponse, RelayedAnswer, read_response, refusal_reason};
-use super::events::EventSplitter;
+use super::events::{EventSplitter, Events};
 use super::larger_model::{AskedModel, larger_model};
 use super::refusal::RefusalReason;
 use super::relay::Relay;
@@ -18,11 +18,14 @@
 };
 use crate::gateway::attempt::retries::RetryReason;
 use crate::gateway::attempt::upstream_answer::{Answer, BodyChunk};
+use bytes::BytesMut;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// The size limit of a buffered error response.
 const FAILURE_BYTES_LIMIT: usize = 1024 * 1024;
+/// The most bytes before the first event that belong to none.
+const PADDING_BYTES_LIMIT: usize = 64 * 1024;
 /// How long an upstream may be silent to all requests before a connection probes whether it is
 /// alive, in percent of the latency objective.
 const SILENT_TIMEOUT_PERCENT: u32 = 20;
@@ -164,6 +167,8 @@
     model: Option<String>,
 ) -> FirstEvent {
     let mut splitter = EventSplitter::default();
+    // Empty lines and comments, which are no event.
+    let mut padding = BytesMut::new();
     let now = Now::read();
     let wait = match request.can_retry(gw, now) {
         true => first_event_wait(gw, request, model.as_deref(), now),
@@ -175,14 +180,30 @@
         loop {
             match answer.next_chunk().await {
                 BodyChunk::Bytes(bytes) => match splitter.push(&bytes) {
-                    Ok(Some(events)) => return Ok(Some(events)),
+                    Ok(Some(mut events)) if events.count > 0 => {
+                        events.prepend(&padding);
+                        return Ok(Some(events));
+                    }
+                    Ok(Some(events))
+                        if padding.len() + events.bytes.len() > PADDING_BYTES_LIMIT =>
+                    {
+                        return Err("it sends no events".to_owned());
+                    }
+                    Ok(Some(events)) => padding.extend_from_slice(&events.bytes),
                     Ok(None) => {}
                     Err(_too_large) => return Err("an event exceeds the size limit".to_owned()),
                 },
                 BodyChunk::End if splitter.is_inside_event() => {
                     return Err("the stream ended inside an event".to_owned());
                 }
-                BodyChunk::End => return Ok(None),
+                BodyChunk::End if padding.is_empty() => return Ok(None),
+                BodyChunk::End => {
+                    return Ok(Some(Events {
+                        bytes: std::mem::take(&mut padding).freeze(),
+                        count: 0,
+                        last_id: None,
+                    }));
+                }
                 BodyChunk::Broken(reason) => return Err(reason),
             }
         }
