A small body that does not end does not hold a request that another upstream can take

A failure whose body drips, or chunks without data, held a repeatable request until its deadline, and it was refused although another upstream was free.

Test: plain_request_is_sent_on_where_a_refusal_or_a_failure_has_no_end, and that of streams (2 of 4 requests failed before).

--- a/src/gateway/answer/buffered.rs
+++ b/src/gateway/answer/buffered.rs
@@ -227,8 +227,9 @@
         return begin_relay(gw, request, answer, Bytes::new());
     }
     let upstream = answer.upstream().clone();
+    let longest = longest_body_wait(gw, request, Now::read());
     let read = answer.read_up_to(limit);
-    match read_in_time(gw, request, &upstream, read).await {
+    match read_in_time(gw, request, &upstream, longest, read).await {
         Some(ReadBody::Longer(first)) => begin_relay(gw, request, answer, first),
         Some(ReadBody::Whole(body)) => {
             // No more than was held before.
@@ -273,8 +274,12 @@
     let expected = stated.unwrap_or(SMALL_RESPONSE_BYTES);
     hold_answer(gw, request, answer, expected.min(limit)).await?;
     let upstream = answer.upstream().clone();
+    let longest = match is_failure && request.can_retry(gw, Now::read()) {
+        true => request.route.latency_objective,
+        false => Duration::MAX,
+    };
     let read = answer.read_whole(limit);
-    let body = read_in_time(gw, request, &upstream, read).await;
+    let body = read_in_time(gw, request, &upstream, longest, read).await;
     let body = body.ok_or(NotRead::Broken)?;
     // One without a length may have turned out to be larger or smaller.
     hold_answer(gw, request, answer, body.len()).await?;
@@ -314,21 +319,33 @@
     }
 }
 
-/// Reads from an upstream before the request's deadline; a failure is logged.
+/// Returns how long the body of a small answer may take: another upstream may answer in time.
+fn longest_body_wait(gw: &Gateway, request: &AdmittedRequest, now: Now) -> Duration {
+    match request.route.kind {
+        RouteKind::Idempotent if request.runs_left() > 0 && request.can_retry(gw, now) => {
+            request.route.latency_objective * ALIVE_TIMEOUT_OBJECTIVES
+        }
+        _ => Duration::MAX,
+    }
+}
+
+/// Reads from an upstream for at most `longest`, and before the request's deadline; a failure is
+/// logged.
 async fn read_in_time<T>(
     gw: &Gateway,
     request: &AdmittedRequest,
     upstream: &Rc<Upstream>,
+    longest: Duration,
     read: impl Future<Output = Result<T, String>>,
 ) -> Option<T> {
-    let left = request.time_left(Now::read());
+    let left = request.time_left(Now::read()).min(longest);
     let reason = match tokio::time::timeout(left, read).await {
         Ok(Ok(body)) => return Some(body),
         Ok(Err(reason)) => {
             request.record_broken_run(gw, upstream, Now::read());
             reason
         }
-        Err(_elapsed) => "the deadline passed".to_owned(),
+        Err(_elapsed) => "its body did not end in time".to_owned(),
     };
     gw.telemetry
         .record_broken_answer(request, upstream, &reason);
