Routers end answers without an end at the deadline, and do not take a body without a length for an empty one

Behind the router's own interface the body of a plain answer had no deadline. Its HTTP client takes a body with neither a length nor chunks for an empty one, so that callers got a success without a body that looked complete; such an answer counts as a failure now.

--- a/src/router/body.rs
+++ b/src/router/body.rs
@@ -1,5 +1,7 @@
 //! Reads bodies with limits, and creates bodies that another task fills.
 
+use crate::clock::Now;
+use crate::late_reading::LateReading;
 use actix_http::body::{BodyStream, BoxBody, MessageBody as _};
 use actix_http::error::PayloadError;
 use awc::ClientResponse;
@@ -64,6 +66,37 @@
         .unwrap_or(Err(BodyError::TimedOut))
 }
 
+/// Relays a body until its end, or until its sender still sends after the deadline. `time_left`
+/// returns the time until the deadline, and `stated_bytes` is the length that the sender stated.
+pub fn relay_until_deadline<S>(
+    body: S,
+    stated_bytes: Option<u64>,
+    time_left: impl Fn(Now) -> Duration,
+) -> impl Stream<Item = Result<Bytes, BodyError>>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    let start = Some((body, LateReading::new(stated_bytes), time_left));
+    stream::unfold(start, |state| async move {
+        let (mut body, mut late, time_left) = state?;
+        let began = Now::read();
+        let left = time_left(began);
+        let Some(longest) = late.longest_wait(left) else {
+            return Some((Err(BodyError::TimedOut), None));
+        };
+        match timeout(longest, body.next()).await {
+            Ok(Some(Ok(chunk))) => {
+                let waited = Now::read().monotonic.saturating_sub(began.monotonic);
+                late.record(chunk.len(), waited, left);
+                Some((Ok(chunk), Some((body, late, time_left))))
+            }
+            Ok(Some(Err(_))) => Some((Err(BodyError::Interrupted), None)),
+            Ok(None) => None,
+            Err(_elapsed) => Some((Err(BodyError::TimedOut), None)),
+        }
+    })
+}
+
 /// The sending side of a body that a task fills. Sending waits until the caller has read the
 /// previous chunk, so a slow caller slows the upstream down.
 pub type BodySender = mpsc::Sender<Result<Bytes, BodyError>>;
--- a/src/router/cascade_step.rs
+++ b/src/router/cascade_step.rs
@@ -20,8 +20,8 @@
 };
 use crate::routing::versions::{VersionChoice, choose_version, exclusion_reason};
 use crate::session::Session;
-use actix_http::StatusCode;
 use actix_http::header::CONTENT_TYPE;
+use actix_http::{Method, StatusCode};
 use awc::SendClientRequest;
 use bytes::Bytes;
 use futures::StreamExt as _;
@@ -255,7 +255,7 @@
         .shared
         .evidence_subject(version, &caller.organisation);
     let request = upstream_request(worker, caller, step, version, upstream);
-    let response = match dispatch(request, caller, upstream, dispatch_log).await {
+    let response = match dispatch(&Method::POST, request, caller, upstream, dispatch_log).await {
         Ok(response) => response,
         Err(failure) => {
             if failure.refused.reason == Reason::UpstreamFailed {
--- a/src/router/claimed_request.rs
+++ b/src/router/claimed_request.rs
@@ -145,7 +145,14 @@
                 self.head
                     .build_request(&self.worker.unpooled_client, &self.caller, &upstream);
             let request = request_builder.send_body(self.body.clone());
-            let refused = match dispatch(request, &self.caller, &upstream, &mut dispatch_log).await
+            let refused = match dispatch(
+                self.head.method(),
+                request,
+                &self.caller,
+                &upstream,
+                &mut dispatch_log,
+            )
+            .await
             {
                 Ok(response) => {
                     attempts.push(attempt_record(&self.service, &upstream, "answered"));
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -12,7 +12,8 @@
 use crate::outcome::{ConnectFailed, DispatchLog, Reason, Refused};
 use crate::routing::placement::Upstream;
 use crate::routing::signals::{ResponseSignals, SignalHeaders};
-use actix_http::header::RETRY_AFTER;
+use actix_http::header::{CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
+use actix_http::{Method, StatusCode};
 use awc::SendClientRequest;
 use tokio::time::timeout;
 
@@ -25,8 +26,9 @@
     pub is_unsent: bool,
 }
 
-/// Sends a request and waits for the head of the response until the caller's deadline.
+/// Sends a request with a method and waits for the head of the response until the caller's deadline.
 pub async fn dispatch(
+    method: &Method,
     request: SendClientRequest,
     caller: &Caller,
     upstream: &Upstream,
@@ -36,6 +38,11 @@
     let sent = Now::read();
     let result = timeout(caller.remaining_time(Now::read()), request).await;
     let (reason, message, proof) = match result {
+        Ok(Ok(response)) if !has_known_end(method, &response) => (
+            Reason::UpstreamFailed,
+            "the answer has neither a length nor chunks".to_owned(),
+            None,
+        ),
         Ok(Ok(response)) if matches_request(&response, caller) => {
             dispatch_log.record_maybe_sent(attempt);
             apply_signals(&response, upstream, sent, Now::read());
@@ -62,6 +69,17 @@
     Err(DispatchFailure { refused, is_unsent })
 }
 
+/// Returns whether the client reads the body of a response to its end: it takes a body that ends with
+/// its connection for an empty one, which would look complete.
+fn has_known_end(method: &Method, response: &UpstreamResponse) -> bool {
+    let has_framing = [CONTENT_LENGTH, TRANSFER_ENCODING]
+        .iter()
+        .any(|name| response.headers().contains_key(name));
+    let has_no_body = method == Method::HEAD
+        || [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&response.status());
+    has_framing || has_no_body
+}
+
 /// Returns whether a response belongs to the caller's request, if the upstream echoes the request's
 /// id.
 fn matches_request(response: &UpstreamResponse, caller: &Caller) -> bool {
--- a/src/router/plain_service.rs
+++ b/src/router/plain_service.rs
@@ -1,6 +1,6 @@
 //! Plain services: requests that may be repeated are proxied without being buffered.
 
-use super::body::{BodyError, UpstreamResponse};
+use super::body::{BodyError, UpstreamResponse, relay_until_deadline};
 use super::claimed_request::serve_claimed;
 use super::context::{Caller, Worker, refuse, refuse_for_backoff};
 use super::crash_guard::{CrashGuard, check_for_crash_in_background};
@@ -154,6 +154,11 @@
         }
     }
 
+    /// Returns the method.
+    pub fn method(&self) -> &Method {
+        &self.method
+    }
+
     /// Builds the request to an upstream.
     pub fn build_request(
         &self,
@@ -298,7 +303,7 @@
     } else {
         request_builder.send()
     };
-    dispatch(sending, caller, upstream, dispatch_log).await
+    dispatch(req.method(), sending, caller, upstream, dispatch_log).await
 }
 
 /// Forwards a body in chunks as they are received, and fails once it exceeds the limit.
@@ -335,7 +340,9 @@
     let mut res = response_head(caller, &response);
     res.insert_header((OUTCOME_HEADER, Outcome::Done.to_string()));
     let mut is_complete = true;
-    let chunks = response.map(Some).chain(stream::once(ready(None)));
+    let caller = caller.clone();
+    let chunks = relay_until_deadline(response, length, move |now| caller.remaining_time(now));
+    let chunks = chunks.map(Some).chain(stream::once(ready(None)));
     let body = chunks.filter_map(move |chunk| {
         match &chunk {
             Some(Ok(_)) => {}
--- a/tests/common/scripted_upstream.rs
+++ b/tests/common/scripted_upstream.rs
@@ -20,6 +20,13 @@
     Answer(String),
     /// Writes a response after a time.
     AnswerAfter(Duration, String),
+    /// Writes a beginning, and then the same again and again with a pause between, until the peer
+    /// closes the connection.
+    Repeat {
+        beginning: String,
+        repeated: String,
+        pause: Duration,
+    },
     /// Crashes the upstream: all connections are reset and no new ones are accepted.
     Crash,
 }
@@ -109,6 +116,18 @@
                     return;
                 }
             }
+            Reaction::Repeat {
+                beginning,
+                repeated,
+                pause,
+            } => {
+                let mut written = stream.write_all(beginning.as_bytes()).await;
+                while written.is_ok() {
+                    tokio::time::sleep(pause).await;
+                    written = stream.write_all(repeated.as_bytes()).await;
+                }
+                return;
+            }
             Reaction::Crash => {
                 crashed.send_replace(true);
                 break;
