Slots of a rejection limit: as many as the upstream reports, and no longer than it is stated

A registry entry may list more slots than an upstream reports to run; the fewer count. A limit that no answer has stated for 30 s is no longer in force, and a lender that does not answer is not asked for slots of other upstreams either.

--- a/src/gateway/attempt/upstream.rs
+++ b/src/gateway/attempt/upstream.rs
@@ -339,6 +339,16 @@
             .estimate(known, slots, service_time, now)
     }
 
+    /// Returns how many requests the upstream runs at the same time: by its registry entry, or fewer
+    /// by its newest report.
+    pub fn known_slots(&self) -> u32 {
+        let listed = self.listed.borrow().slots.max(1);
+        let reported = self.newest_report().map(|(load, _)| load.slots);
+        reported
+            .filter(|slots| *slots > 0)
+            .map_or(listed, |slots| slots.min(listed))
+    }
+
     /// Returns how long work takes here by the newest report, as a multiple of the usual time.
     pub fn stated_work_time(&self) -> f64 {
         self.load_history.get().stated_work_time()
--- a/src/gateway/peers/rejection_limits.rs
+++ b/src/gateway/peers/rejection_limits.rs
@@ -119,7 +119,7 @@
         let knowledge = self.knowledge.borrow();
         let mut stating = knowledge
             .upstreams()
-            .filter(|upstream| upstream.slots().limit().is_some());
+            .filter(|upstream| upstream.slots().is_limited(now));
         stating.any(|upstream| upstream.with_listed(|listed| listed.service == service))
             || self.rejection_limits.is_remembered(service, now)
     }
@@ -135,9 +135,9 @@
         if let Some(pause) = slots.pause_left(now) {
             return Some(pause);
         }
-        let total = upstream.with_listed(|listed| listed.slots.max(1));
         let in_use = slots.in_use(upstream.outstanding(), now);
-        (in_use >= slots.share(total, fleet, now)).then_some(SLOT_RECHECK)
+        let share = slots.share(upstream.known_slots(), fleet, now);
+        (in_use >= share).then_some(SLOT_RECHECK)
     }
 
     /// Lets a request wait for a slot for at most `longest`; `None` if it would probably wait in
@@ -165,7 +165,7 @@
         let upstreams = knowledge.available_upstreams(service, now);
         let slots = upstreams
             .iter()
-            .map(|upstream| upstream.with_listed(|listed| f64::from(listed.slots.max(1))));
+            .map(|upstream| f64::from(upstream.known_slots()));
         let slots: f64 = slots.sum();
         let run = self.rejection_limits.slots_of(service).mean_run();
         slots / knowledge.box_count().max(1) as f64 / run.as_secs_f64().max(f64::MIN_POSITIVE)
--- a/src/gateway/peers/slot_loans.rs
+++ b/src/gateway/peers/slot_loans.rs
@@ -63,8 +63,8 @@
     next_number: Cell<u64>,
     pending: RefCell<HashMap<LoanKey, oneshot::Sender<bool>>>,
     held: RefCell<HashMap<LoanKey, SocketAddr>>,
-    /// Until when lenders are not asked for a slot of an upstream.
-    denied_until: RefCell<HashMap<(SocketAddr, u32), Duration>>,
+    /// Until when lenders are not asked for a slot of an upstream, or of any.
+    denied_until: RefCell<HashMap<(SocketAddr, Option<u32>), Duration>>,
     outbox: Outbox<(SocketAddr, SlotMessage)>,
 }
 
@@ -88,7 +88,13 @@
         LoanKey { upstream, number }
     }
 
-    fn remember_denial(&self, lender: SocketAddr, upstream: u32, until: Duration, now: Now) {
+    fn remember_denial(
+        &self,
+        lender: SocketAddr,
+        upstream: Option<u32>,
+        until: Duration,
+        now: Now,
+    ) {
         let mut denied = self.denied_until.borrow_mut();
         if denied.len() >= MAX_DENIALS {
             denied.retain(|_, until| *until > now.monotonic);
@@ -98,8 +104,10 @@
 
     fn may_ask(&self, lender: SocketAddr, upstream: u32, now: Now) -> bool {
         let denied = self.denied_until.borrow();
-        let until = denied.get(&(lender, upstream));
-        until.is_none_or(|until| *until <= now.monotonic)
+        [Some(upstream), None].into_iter().all(|denied_for| {
+            let until = denied.get(&(lender, denied_for));
+            until.is_none_or(|until| *until <= now.monotonic)
+        })
     }
 }
 
@@ -168,8 +176,7 @@
         let boxes = self.box_addresses();
         let fleet = self.fleet_view(&boxes, now);
         upstreams.into_iter().find_map(|upstream| {
-            let slots = upstream.with_listed(|listed| listed.slots.max(1));
-            let mut lenders = upstream.slots().lenders(slots, fleet, now);
+            let mut lenders = upstream.slots().lenders(upstream.known_slots(), fleet, now);
             lenders.retain(|lender| self.loans.may_ask(*lender, upstream.short_hash(), now));
             let lender = lenders.choose(&mut rand::rng()).copied()?;
             Some((upstream, lender))
@@ -198,11 +205,11 @@
             Ok(Ok(false)) => {
                 let boxes = u32::try_from(self.box_addresses().len()).unwrap_or(u32::MAX);
                 let until = now.monotonic + DENIAL_MEMORY_PER_BOX * boxes;
-                book.remember_denial(lender, key.upstream, until, now);
+                book.remember_denial(lender, Some(key.upstream), until, now);
             }
             Ok(Err(_)) | Err(_) => {
                 let until = now.monotonic + SILENCE_MEMORY;
-                book.remember_denial(lender, key.upstream, until, now);
+                book.remember_denial(lender, None, until, now);
                 // It may have lent a slot although its answer did not arrive.
                 book.outbox.push((lender, SlotMessage::Return(key)));
             }
--- a/src/gateway/place/slots.rs
+++ b/src/gateway/place/slots.rs
@@ -19,6 +19,9 @@
 /// How long a lent slot counts as used after the last message of its borrower, which sends some in
 /// this time.
 pub const LOAN_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long a limit is in force after it was stated last. All answers state it, so that an upstream
+/// of which this box has heard nothing for so long has no requests to reject.
+const STATEMENT_LIFETIME: Duration = Duration::from_secs(30);
 /// How soon a request that found no free slot looks for one again, if none is freed before.
 pub const SLOT_RECHECK: Duration = Duration::from_millis(20);
 /// How long after its start a box uses no slots of its own: runs of its former process may go on.
@@ -85,6 +88,14 @@
         self.limit.get().statement()
     }
 
+    /// Returns whether the limit is in force: the upstream has stated it lately.
+    pub fn is_limited(&self, now: Now) -> bool {
+        self.statement().is_some_and(|statement| {
+            let age = now.monotonic.saturating_sub(statement.as_of);
+            statement.limit.is_some() && age < STATEMENT_LIFETIME
+        })
+    }
+
     /// Records what an answer states, of a request that was sent at `sent`.
     pub fn record_statement(&self, limit: Option<u32>, sent: Now, now: Now) {
         let limit = limit.map(f64::from);
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -399,8 +399,8 @@
     /// Records that an upstream rejected a request of this box for lack of room, and by what the box
     /// expected it to have some.
     pub fn record_rejection(&self, upstream: &Upstream, fleet: FleetView<'_>, now: Now) {
-        let (instance, slots) =
-            upstream.with_listed(|listed| (listed.instance.clone(), listed.slots.max(1)));
+        let instance = upstream.with_listed(|listed| listed.instance.clone());
+        let slots = upstream.known_slots();
         log::info!(
             upstream = instance.as_str(),
             slots,
