--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -30,6 +30,7 @@
 mod rate_limits;
 mod reachability;
 mod refusals;
+mod rejection_limits;
 mod restoration;
 mod retries;
 mod retry_after;
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -3,6 +3,7 @@
 use super::cases;
 use gatepier::gateway::answer::events::EventSplitter;
 use googletest::prelude::*;
+use std::time::Duration;
 
 cases! {
     incomplete_event_is_held_back => {
@@ -43,4 +44,28 @@
         let line = vec![b'x'; 2 * 1024 * 1024];
         expect_that!(splitter.push(&line).is_err(), eq(true));
     }
+
+    // Guards against an upstream that only sends comments and counts as answering.
+    comments_and_empty_lines_are_no_events => {
+        let mut splitter = EventSplitter::default();
+        for text in [": alive\n\n", "\n", "\r\n\r\n"] {
+            let events = splitter.push(text.as_bytes()).unwrap().unwrap();
+            expect_that!(events.count, eq(0), "{text:?}");
+            expect_that!(events.bytes.as_ref(), eq(text.as_bytes()));
+        }
+        let events = splitter.push(b": with an event\ndata: 1\n\n").unwrap().unwrap();
+        expect_that!(events.count, eq(1));
+    }
+
+    // Guards against a search that begins anew with each piece of a long event.
+    long_event_in_small_pieces_is_searched_once => {
+        const PIECES: usize = 60_000;
+        let began = std::time::Instant::now();
+        let mut splitter = EventSplitter::default();
+        for _ in 0..PIECES {
+            expect_that!(splitter.push(b"data: 1234567\n"), ok(none()));
+        }
+        expect_that!(splitter.push(b"\n").unwrap().unwrap().count, eq(1));
+        expect_that!(began.elapsed(), le(Duration::from_secs(5)));
+    }
 }
