--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -44,11 +44,11 @@
 use control::{rollout_leader, store_sync};
 use peers::hub_poller::HubPoller;
 use peers::hubs::{HubState, choose_hubs};
+use peers::limit_reports::LimitReport;
 use peers::liveness::PeerLiveness;
 use peers::load_reports::SharedLoadReport;
 use peers::messages;
 use peers::outbox::Outbox;
-use peers::rate_limits::RateLimitReport;
 use peers::rejection_limits::RejectionLimits;
 use peers::slot_loans::LoanBook;
 use place::event_pace::EventPaces;
@@ -110,7 +110,7 @@
     /// Hashes of upstreams that have announced that they leave, to be sent to other boxes.
     pub leaving_upstreams: Outbox<u32>,
     /// Rate limits of upstreams that have changed, to be sent to other boxes.
-    pub rate_limits: Outbox<RateLimitReport>,
+    pub rate_limits: Outbox<LimitReport>,
     /// Hashes of upstreams with rate limits to which requests are sent, to be announced.
     pub limited_sends: Outbox<u32>,
     /// The rejection limits of upstreams.
--- a/src/gateway/admit/waiting.rs
+++ b/src/gateway/admit/waiting.rs
@@ -46,15 +46,7 @@
                 None => return false,
             },
             BackOff::NoFreeSlot(left) => {
-                let Some(turn) = gw.enter_slot_queue(&self.service, longest, now) else {
-                    return false;
-                };
-                let slots = gw.rejection_limits.slots_of(&self.service);
-                // Whether a slot was freed or the time passed, the request looks for one again.
-                let _ = tokio::time::timeout(left, slots.freed.notified()).await;
-                self.tries.allow_all_upstreams();
-                drop(turn);
-                return true;
+                return self.wait_for_slot(gw, left, longest, now).await;
             }
             BackOff::RetryAfter(_) | BackOff::WarmingUp(_) => None,
         };
@@ -62,4 +54,23 @@
         self.tries.allow_all_upstreams();
         true
     }
+
+    /// Waits until a slot is freed, or for a pause; returns false at once if more requests wait than
+    /// will get one within `longest`.
+    async fn wait_for_slot(
+        &self,
+        gw: &Gateway,
+        pause: Duration,
+        longest: Duration,
+        now: Now,
+    ) -> bool {
+        let Some(_turn) = gw.enter_slot_queue(&self.service, longest, now) else {
+            return false;
+        };
+        let slots = gw.rejection_limits.slots_of(&self.service);
+        // Whether a slot was freed or the time passed, the request looks for one again.
+        let _ = tokio::time::timeout(pause, slots.freed.notified()).await;
+        self.tries.allow_all_upstreams();
+        true
+    }
 }
--- a/src/gateway/answer/relay.rs
+++ b/src/gateway/answer/relay.rs
@@ -343,6 +343,7 @@
             }
         }
         self.splitter = EventSplitter::default();
+        self.waited_for_event = Duration::ZERO;
         loop {
             if !self.request.may_run_again() {
                 return Err(StreamInterrupted(reason));
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -8,6 +8,7 @@
 pub mod hub_poller;
 pub mod hubs;
 pub mod leaving_upstreams;
+pub mod limit_reports;
 pub mod liveness;
 pub mod load_reports;
 pub mod messages;
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -27,11 +27,12 @@
 use super::hub_poller;
 use super::hubs::{self, HubUpdate, PollRequest};
 use super::leaving_upstreams;
+use super::limit_reports::LimitReport;
 use super::load_reports::{self, SharedLoadReport};
 use super::peer_server;
-use super::rate_limits::{self, RateLimitReport};
+use super::rate_limits;
 use super::rate_samples;
-use super::rejection_limits::{self, RejectionLimitReport};
+use super::rejection_limits;
 use super::slot_loans::{self, SlotMessage};
 use super::suspects;
 use crate::clock::{Now, millis};
@@ -89,7 +90,7 @@
     /// Upstreams that have announced that they leave, by their hashes.
     Leaving(Vec<u32>),
     /// Rate limits that upstreams stated.
-    RateLimits(Vec<RateLimitReport>),
+    RateLimits(Vec<LimitReport>),
     /// Upstreams with rate limits to which the sender sends a request each, by their hashes.
     LimitedSends(Vec<u32>),
     /// The prefill rates that the sender measured.
@@ -99,7 +100,7 @@
     /// Speeds of engines that the sender measured.
     EngineSpeeds(Vec<SpeedReport>),
     /// Rejection limits that upstreams stated.
-    RejectionLimits(Vec<RejectionLimitReport>),
+    RejectionLimits(Vec<LimitReport>),
     /// Upstreams that rejected requests of the sender for lack of room, by their hashes.
     Rejections(Vec<u32>),
     /// Asks for, lends or gives back slots.
--- a/src/gateway/peers/rate_limits.rs
+++ b/src/gateway/peers/rate_limits.rs
@@ -1,57 +1,12 @@
 //! Tells the other boxes of rate limits that upstreams state, and of requests to those upstreams.
 //!
-//! Changes are broadcast at once. In addition, each box sends all limits that it knows to one other
-//! box in turn, so that boxes that restarted, joined or were cut off learn of them, and of their
-//! end, although they may send nothing to the upstream themselves.
+//! See [`super::limit_reports`] and `docs/design/rate-limits.md`.
 
-use super::gossip_targets::{GOSSIP_INTERVAL, GossipTargets};
-use crate::clock::{Now, millis};
+use super::limit_reports::{LimitReport, share_limits};
+use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::attempt::upstream::Upstream;
-use crate::routing::rate_limit::LimitStatement;
-use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use std::time::Duration;
-use tokio::time::sleep;
-
-/// How long the end of a limit is sent to other boxes: several rounds of gossip.
-const ENDED_LIMIT_RETENTION: Duration = Duration::from_secs(30);
-/// The most reports in one datagram.
-const MAX_REPORTS_PER_DATAGRAM: usize = 200;
-
-/// What an upstream stated about its rate limit, as one box tells others.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct RateLimitReport {
-    /// [`Upstream::short_hash`].
-    upstream: u32,
-    /// Requests per second from all boxes together; none if the limit is over.
-    limit: Option<f64>,
-    /// The age of the statement in milliseconds.
-    age_ms: u64,
-}
-
-impl RateLimitReport {
-    /// Returns what this box knows of an upstream; none if there is nothing to tell.
-    fn of(upstream: &Upstream, now: Now) -> Option<Self> {
-        let statement = upstream.rate_limit().statement()?;
-        let age = now.monotonic.saturating_sub(statement.as_of);
-        let is_relevant = statement.limit.is_some() || age < ENDED_LIMIT_RETENTION;
-        is_relevant.then(|| Self {
-            upstream: upstream.short_hash(),
-            limit: statement.limit,
-            age_ms: millis(age),
-        })
-    }
-
-    fn statement(&self, now: Now) -> LimitStatement {
-        LimitStatement {
-            limit: self.limit,
-            as_of: now
-                .monotonic
-                .saturating_sub(Duration::from_millis(self.age_ms)),
-        }
-    }
-}
 
 impl Gateway {
     /// Counts a request that is about to be sent to an upstream with a rate limit, and queues its
@@ -66,17 +21,16 @@
     /// Queues a limit that has changed for the other boxes.
     pub fn note_rate_limit(&self, upstream: &Upstream, now: Now) {
         self.telemetry.record_rate_limit(upstream, "answer");
-        if let Some(report) = RateLimitReport::of(upstream, now) {
+        if let Some(report) = LimitReport::of(upstream, upstream.rate_limit().statement(), now) {
             self.rate_limits.push(report);
         }
     }
 
     /// Applies another box's reports of rate limits.
-    pub fn apply_rate_limit_reports(&self, reports: &[RateLimitReport], now: Now) {
+    pub fn apply_rate_limit_reports(&self, reports: &[LimitReport], now: Now) {
         let state = self.knowledge.borrow();
         for upstream in state.upstreams() {
-            let hash = upstream.short_hash();
-            for report in reports.iter().filter(|report| report.upstream == hash) {
+            for report in reports.iter().filter(|report| report.is_about(upstream)) {
                 if upstream.rate_limit().apply(report.statement(now), now) {
                     self.telemetry.record_rate_limit(upstream, "box");
                 }
@@ -94,11 +48,13 @@
     }
 
     /// Returns reports of all rate limits that this box knows.
-    pub fn rate_limit_reports(&self, now: Now) -> Vec<RateLimitReport> {
+    pub fn rate_limit_reports(&self, now: Now) -> Vec<LimitReport> {
         let knowledge = self.knowledge.borrow();
         let upstreams = knowledge.upstreams();
         upstreams
-            .filter_map(|upstream| RateLimitReport::of(upstream, now))
+            .filter_map(|upstream| {
+                LimitReport::of(upstream, upstream.rate_limit().statement(), now)
+            })
             .collect()
     }
 
@@ -117,30 +73,9 @@
 }
 
 /// Sends changed and known limits to other boxes, for as long as the process runs.
-pub async fn share_rate_limits(
-    gw: &Gateway,
-    send: impl AsyncFn(&[SocketAddr], Vec<RateLimitReport>),
-) {
-    tokio::join!(broadcast_changes(gw, &send), gossip_all_limits(gw, &send));
-}
-
-async fn broadcast_changes(gw: &Gateway, send: &impl AsyncFn(&[SocketAddr], Vec<RateLimitReport>)) {
-    loop {
-        let reports = gw.rate_limits.next().await;
-        send(&gw.other_recent_boxes(), reports).await;
-    }
-}
-
-async fn gossip_all_limits(gw: &Gateway, send: &impl AsyncFn(&[SocketAddr], Vec<RateLimitReport>)) {
-    let mut targets = GossipTargets::new(gw);
-    loop {
-        sleep(GOSSIP_INTERVAL).await;
-        let receivers = targets.next_round(gw);
-        let reports = gw.rate_limit_reports(Now::read());
-        for part in reports.chunks(MAX_REPORTS_PER_DATAGRAM) {
-            send(&receivers, part.to_vec()).await;
-        }
-    }
+pub async fn share_rate_limits(gw: &Gateway, send: impl AsyncFn(&[SocketAddr], Vec<LimitReport>)) {
+    let all = |now| gw.rate_limit_reports(now);
+    share_limits(gw, &gw.rate_limits, all, send).await;
 }
 
 /// Announces requests to limited upstreams, for as long as the process runs.
--- a/src/gateway/peers/rejection_limits.rs
+++ b/src/gateway/peers/rejection_limits.rs
@@ -1,19 +1,17 @@
 //! Tells the other boxes of rejection limits that upstreams state, and of rejections.
 //!
-//! Changes and rejections are broadcast at once. In addition, each box sends all limits that it
-//! knows to one other box in turn, so that boxes that restarted, joined or were cut off learn of
-//! them, and of their end. See `docs/design/rejection-limits.md`.
+//! Rejections are broadcast at once; for limits see [`super::limit_reports`] and
+//! `docs/design/rejection-limits.md`.
 
-use super::gossip_targets::{GOSSIP_INTERVAL, GossipTargets};
+use super::limit_reports::{LimitReport, share_limits};
 use super::outbox::Outbox;
-use crate::clock::{Now, millis};
+use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::place::fleet_view::FleetView;
 use crate::gateway::place::slots::{SLOT_RECHECK, ServiceSlots};
 use crate::gateway::place::turn_queue::{TurnQueue, WaitingTurn};
 use crate::routing::rate_limit::LimitStatement;
-use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -24,10 +22,6 @@
 /// How long a limit holds for a service after the last statement, if none of its present upstreams
 /// has stated anything: all may have been replaced by others.
 const STATEMENT_MEMORY: Duration = Duration::from_secs(10);
-/// How long the end of a limit is sent to other boxes: several rounds of gossip.
-const ENDED_LIMIT_RETENTION: Duration = Duration::from_secs(30);
-/// The most reports in one datagram.
-const MAX_REPORTS_PER_DATAGRAM: usize = 200;
 /// How many other boxes a box that has just started asks for the limits.
 const ASKED_AT_START: usize = 3;
 /// How soon a box that has just started looks for other boxes again.
@@ -35,40 +29,6 @@
 /// How long it does so: it may be the only one.
 const MAX_START_POLL: Duration = Duration::from_secs(5);
 
-/// What an upstream stated about its rejection limit, as one box tells others.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct RejectionLimitReport {
-    /// [`Upstream::short_hash`].
-    upstream: u32,
-    /// Rejections per second; none if the limit is over.
-    limit: Option<f64>,
-    /// The age of the statement in milliseconds.
-    age_ms: u64,
-}
-
-impl RejectionLimitReport {
-    /// Returns what this box knows of an upstream; none if there is nothing to tell.
-    fn of(upstream: &Upstream, now: Now) -> Option<Self> {
-        let statement = upstream.slots().statement()?;
-        let age = now.monotonic.saturating_sub(statement.as_of);
-        let is_relevant = statement.limit.is_some() || age < ENDED_LIMIT_RETENTION;
-        is_relevant.then(|| Self {
-            upstream: upstream.short_hash(),
-            limit: statement.limit,
-            age_ms: millis(age),
-        })
-    }
-
-    fn statement(&self, now: Now) -> LimitStatement {
-        LimitStatement {
-            limit: self.limit,
-            as_of: now
-                .monotonic
-                .saturating_sub(Duration::from_millis(self.age_ms)),
-        }
-    }
-}
-
 /// What this box knows of services whose upstreams state rejection limits.
 #[derive(Debug, Default)]
 pub struct RejectionLimits {
@@ -77,7 +37,7 @@
     services: RefCell<HashMap<String, Rc<ServiceSlots>>>,
     /// The requests that wait for a slot.
     pub queue: TurnQueue,
-    changed: Outbox<RejectionLimitReport>,
+    changed: Outbox<LimitReport>,
     /// Hashes of upstreams that have rejected requests of this box.
     rejecting: Outbox<u32>,
 }
@@ -176,7 +136,7 @@
         self.rejection_limits.record_statement(upstream);
         if upstream.slots().take_new_limit() {
             self.telemetry.record_rejection_limit(upstream, "answer");
-            if let Some(report) = RejectionLimitReport::of(upstream, now) {
+            if let Some(report) = LimitReport::of(upstream, upstream.slots().statement(), now) {
                 self.rejection_limits.changed.push(report);
             }
         }
@@ -192,11 +152,10 @@
     }
 
     /// Applies another box's reports of rejection limits.
-    pub fn apply_rejection_limit_reports(&self, reports: &[RejectionLimitReport], now: Now) {
+    pub fn apply_rejection_limit_reports(&self, reports: &[LimitReport], now: Now) {
         let state = self.knowledge.borrow();
         for upstream in state.upstreams() {
-            let hash = upstream.short_hash();
-            for report in reports.iter().filter(|report| report.upstream == hash) {
+            for report in reports.iter().filter(|report| report.is_about(upstream)) {
                 if upstream.slots().apply(report.statement(now)) {
                     self.telemetry.record_rejection_limit(upstream, "box");
                 }
@@ -215,11 +174,11 @@
     }
 
     /// Returns reports of all rejection limits that this box knows.
-    pub fn rejection_limit_reports(&self, now: Now) -> Vec<RejectionLimitReport> {
+    pub fn rejection_limit_reports(&self, now: Now) -> Vec<LimitReport> {
         let knowledge = self.knowledge.borrow();
         let upstreams = knowledge.upstreams();
         upstreams
-            .filter_map(|upstream| RejectionLimitReport::of(upstream, now))
+            .filter_map(|upstream| LimitReport::of(upstream, upstream.slots().statement(), now))
             .collect()
     }
 }
@@ -227,32 +186,10 @@
 /// Sends changed and known limits to other boxes, for as long as the process runs.
 pub async fn share_rejection_limits(
     gw: &Gateway,
-    send: impl AsyncFn(&[SocketAddr], Vec<RejectionLimitReport>),
+    send: impl AsyncFn(&[SocketAddr], Vec<LimitReport>),
 ) {
-    let broadcast_changes = async {
-        loop {
-            let reports = gw.rejection_limits.changed.next().await;
-            send(&gw.other_recent_boxes(), reports).await;
-        }
-    };
-    tokio::join!(broadcast_changes, gossip_all_limits(gw, &send));
-}
-
-async fn gossip_all_limits(
-    gw: &Gateway,
-    send: &impl AsyncFn(&[SocketAddr], Vec<RejectionLimitReport>),
-) {
-    let mut targets = GossipTargets::new(gw);
-    loop {
-        sleep(GOSSIP_INTERVAL).await;
-        let receivers = targets.next_round(gw);
-        for part in gw
-            .rejection_limit_reports(Now::read())
-            .chunks(MAX_REPORTS_PER_DATAGRAM)
-        {
-            send(&receivers, part.to_vec()).await;
-        }
-    }
+    let all = |now| gw.rejection_limit_reports(now);
+    share_limits(gw, &gw.rejection_limits.changed, all, send).await;
 }
 
 /// Notifies the other boxes of upstreams that reject requests, for as long as the process runs.
