--- a/src/gateway/peers/rejection_limits.rs
+++ b/src/gateway/peers/rejection_limits.rs
@@ -1,4 +1,4 @@
-//! Tells the other boxes of rejection limits that upstreams state, and of rejections.
+//! Shares rejection limits that upstreams state, and rejections, with the other boxes.
 //!
 //! Rejections are broadcast at once; for limits see [`super::limit_reports`] and
 //! `docs/design/rejection-limits.md`.
