Work out slot delays only where a service states a rejection limit

Each request worked out the share of slots, with its rank and count of boxes, at every upstream and dropped it where no limit was stated, which is nearly always. What is decided is the same.

--- a/src/gateway/place/candidates.rs
+++ b/src/gateway/place/candidates.rs
@@ -171,8 +171,8 @@
                 delay.map(BackOff::RateLimited)
             };
             let without_slot = || {
-                let delay = self.slot_delay(upstream, fleet, now);
-                delay.filter(|_| limits_rejections).map(BackOff::NoFreeSlot)
+                let delay = limits_rejections.then(|| self.slot_delay(upstream, fleet, now));
+                delay.flatten().map(BackOff::NoFreeSlot)
             };
             retry_after
                 .or_else(warming_up)
--- a/src/late_reading.rs
+++ b/src/late_reading.rs
@@ -1,7 +1,8 @@
 //! Bounds what is read of an answer after its request's deadline.
 //!
-//! Both data paths use it. An upstream stops at the deadline. What arrives later was sent before and has waited in buffers
-//! for a caller that reads slowly, so it is delivered; an upstream that still sends is cut off.
+//! Both data paths use it. An upstream stops at the deadline. What arrives later was sent before and
+//! has waited in buffers for a caller that reads slowly, so it is delivered; an upstream that still
+//! sends is cut off.
 
 use std::time::Duration;
 
