Log how late a box is by itself: in getting to its work, and on its link

A full box's log told of time-outs and lost services, and no line told how late the box itself was, so its own delay could not be told from that of others. Timers show how late its thread gets to its work; the shortest of its connect times, against the usual one to the same hall, shows how late its link is.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -25,8 +25,10 @@
 use crate::http_server;
 use crate::http_server::delivery::Deliveries;
 use crate::metrics::Metrics;
+use crate::saturation::Saturation;
 use crate::store::StoreError;
 use admit::listen;
+use admit::own_limit::{self, OwnLimitMetrics};
 use admit::room::RoomState;
 use admit::routes::{NEUTRAL_RELATIVE_RANK, Route, RouteKind};
 use answer::held_memory::HeldMemory;
@@ -153,6 +155,9 @@
     pub long_prefills: LongPrefillOutbox,
     /// The memory held for requests.
     pub held_memory: Rc<HeldMemory>,
+    /// The delay that this box causes by itself.
+    pub saturation: Rc<Saturation>,
+    own_limit_metrics: OwnLimitMetrics,
     /// Logs and metrics.
     pub telemetry: Rc<Telemetry>,
     /// The name of this run of the box's process: the box's name and a random number, since the
@@ -178,6 +183,7 @@
     ) -> Rc<Self> {
         let incarnation = format!("{}.{:016x}", settings.name, rand::random::<u64>());
         let telemetry = Rc::new(Telemetry::new(metrics));
+        let saturation = Rc::<Saturation>::default();
         let gw = Rc::new(Self {
             sessions: RefCell::new(SessionVersions::new(settings.bounds.session_idle_limit)),
             versions: RefCell::new(VersionMonitor::new(&incarnation)),
@@ -188,7 +194,7 @@
             hubs: HubState::default(),
             hub_queries: HubPoller::default(),
             items_changed: Notify::new(),
-            connections: ConnectionPool::new(telemetry.clone()),
+            connections: ConnectionPool::new(telemetry.clone(), saturation.clone()),
             crashes: CrashDetector::default(),
             quarantine: Quarantine::default(),
             leaving_upstreams: Outbox::default(),
@@ -212,6 +218,8 @@
             service_times: ServiceTimes::default(),
             event_paces: EventPaces::default(),
             held_memory: Rc::default(),
+            saturation,
+            own_limit_metrics: OwnLimitMetrics::new(metrics),
             telemetry,
             incarnation,
             lease: Cell::new(None),
@@ -576,6 +584,7 @@
     actix_rt::spawn(crash_detection::check_interrupted_upstreams(gw.clone()));
     actix_rt::spawn(rollout_leader::lead_rollouts(gw.clone(), store.clone()));
     actix_rt::spawn(store_sync::expire_old_state(gw.clone()));
+    actix_rt::spawn(own_limit::watch_own_limit(gw.clone()));
     let exchange = messages::exchange(gw.clone(), store.clone());
     actix_rt::spawn(async move {
         if let Err(err) = exchange.await {
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -3,6 +3,7 @@
 
 pub mod listen;
 pub mod load_decision;
+pub mod own_limit;
 pub mod prompt;
 pub mod request;
 pub mod room;
--- a/src/gateway/answer/held_memory.rs
+++ b/src/gateway/answer/held_memory.rs
@@ -103,6 +103,16 @@
         self.held.borrow().held(kind)
     }
 
+    /// Returns the bytes held in all.
+    pub fn total(&self) -> u64 {
+        self.held.borrow().total()
+    }
+
+    /// Returns the bytes that may be held in all.
+    pub fn budget(&self) -> u64 {
+        self.held.borrow().budget()
+    }
+
     /// Opens the account of a request; `cut` ends its caller's connection.
     pub fn open(
         self: &Rc<Self>,
--- a/src/gateway/attempt/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -20,6 +20,7 @@
 use crate::gateway::control::store::UpstreamLife;
 use crate::gateway::peers::tunnel_client::Tunnels;
 use crate::gateway::telemetry::Telemetry;
+use crate::saturation::Saturation;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -45,11 +46,13 @@
     pub(super) tunnels: Tunnels,
     metrics: ConnectionMetrics,
     pub(super) telemetry: Rc<Telemetry>,
+    /// This box's own delay, which its connections suffer and show.
+    pub(super) saturation: Rc<Saturation>,
 }
 
 impl ConnectionPool {
     /// Creates an empty pool.
-    pub fn new(telemetry: Rc<Telemetry>) -> Self {
+    pub fn new(telemetry: Rc<Telemetry>, saturation: Rc<Saturation>) -> Self {
         Self {
             upstreams: RefCell::default(),
             rest_times: RestTimesByService::default(),
@@ -58,6 +61,7 @@
             tunnels: Tunnels::default(),
             metrics: telemetry.connection_metrics(),
             telemetry,
+            saturation,
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod retry_after;
 pub mod router;
 pub mod routing;
+pub mod saturation;
 pub mod session;
 pub mod settings;
 pub mod store;
--- /dev/null
+++ b/src/saturation.rs
@@ -0,0 +1,82 @@
+//! How far this process is past its own limits: how late it gets to its work, and how late its
+//! network link carries what it sends and receives.
+//!
+//! A process that does not measure its own delay takes it for that of others. See
+//! `docs/design/saturation.md`.
+
+pub mod connect_times;
+pub mod delay_window;
+pub mod sampler;
+
+use crate::clock::Now;
+use connect_times::ConnectTimes;
+use delay_window::DelayWindow;
+use std::cell::RefCell;
+use std::time::Duration;
+
+/// How long samples count. A thread that is late samples its delay less often, the later it is, while
+/// connections that were opened long ago say nothing of the link.
+const SCHEDULING_SAMPLE_LIFETIME: Duration = Duration::from_secs(5);
+const NETWORK_SAMPLE_LIFETIME: Duration = Duration::from_secs(1);
+
+/// The delays that a thread, or a process with one thread for requests, causes by itself.
+#[derive(Debug)]
+pub struct Saturation {
+    scheduling: RefCell<DelayWindow>,
+    network: RefCell<DelayWindow>,
+    connect_times: RefCell<ConnectTimes>,
+}
+
+impl Default for Saturation {
+    fn default() -> Self {
+        Self {
+            scheduling: RefCell::new(DelayWindow::new(SCHEDULING_SAMPLE_LIFETIME)),
+            network: RefCell::new(DelayWindow::new(NETWORK_SAMPLE_LIFETIME)),
+            connect_times: RefCell::default(),
+        }
+    }
+}
+
+/// The delays that everything has suffered lately, by where they arise.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct OwnDelay {
+    /// From when a task could go on until it did.
+    pub scheduling: Duration,
+    /// On the link of this box, in both directions.
+    pub network: Duration,
+}
+
+impl OwnDelay {
+    /// Returns the longer one. They are not added, since a late process also sees its network late.
+    pub fn longest(self) -> Duration {
+        self.scheduling.max(self.network)
+    }
+}
+
+impl Saturation {
+    /// Records how late a task went on.
+    pub fn record_scheduling(&self, delay: Duration, now: Now) {
+        self.scheduling.borrow_mut().record(delay, now);
+    }
+
+    /// Records how long it took to open a connection to an upstream of a hall.
+    pub fn record_connect(&self, hall: &str, took: Duration, now: Now) {
+        let excess = self.connect_times.borrow_mut().excess(hall, took, now);
+        self.network.borrow_mut().record(excess, now);
+    }
+
+    /// Returns the delays at present.
+    pub fn current(&self, now: Now) -> OwnDelay {
+        OwnDelay {
+            scheduling: self.scheduling.borrow().standing(now),
+            network: self.network.borrow().standing(now),
+        }
+    }
+
+    /// Returns the longest delay since a time on the monotonic clock.
+    pub fn longest_since(&self, since: Duration, now: Now) -> Duration {
+        let scheduling = self.scheduling.borrow().longest_since(since, now);
+        let network = self.network.borrow().longest_since(since, now);
+        scheduling.max(network)
+    }
+}
