--- a/src/saturation/delay_window.rs
+++ b/src/saturation/delay_window.rs
@@ -55,7 +55,10 @@
             Some(period) if at.saturating_sub(period.at) < HISTORY_PERIOD => {
                 period.delay = period.delay.max(standing);
             }
-            _ => self.begin_period(Sample { at, delay: standing }),
+            _ => self.begin_period(Sample {
+                at,
+                delay: standing,
+            }),
         }
     }
 
