A full box sends new callers elsewhere, and takes on no more than it can serve

Callers of a box that got sixty times its traffic were answered late or not at all while the other boxes were idle: nothing bounded what the box took on, so all its requests were late together.

The box now measures how late it is by itself, in getting to its work and on its link. Beyond what callers bear it says that it is not ready, as long as most other boxes have room, and asks callers on open connections to leave; where requests miss their objectives, or memory for them is short, it closes new connections unread, so that what is in progress stays at what it can serve. It goes on admitting one each quarter of a second.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::error::Result;
 use crate::http_server;
 use crate::http_server::delivery::Deliveries;
+use crate::http_server::load_shedding::LoadShedder;
 use crate::metrics::Metrics;
 use crate::saturation::Saturation;
 use crate::store::StoreError;
@@ -44,6 +45,7 @@
 use control::state::{ConfigFreshness, ControlPlaneState};
 use control::store::ControlStore;
 use control::{rollout_leader, store_sync};
+use peers::full_boxes::FullBoxes;
 use peers::hub_poller::HubPoller;
 use peers::hubs::{HubState, choose_hubs};
 use peers::limit_reports::LimitReport;
@@ -157,6 +159,10 @@
     pub held_memory: Rc<HeldMemory>,
     /// The delay that this box causes by itself.
     pub saturation: Rc<Saturation>,
+    /// The other boxes that have more to do than they can.
+    pub full_boxes: FullBoxes,
+    /// Decides which new connections of callers are served.
+    pub shedder: LoadShedder,
     own_limit_metrics: OwnLimitMetrics,
     /// Logs and metrics.
     pub telemetry: Rc<Telemetry>,
@@ -219,6 +225,8 @@
             event_paces: EventPaces::default(),
             held_memory: Rc::default(),
             saturation,
+            full_boxes: FullBoxes::default(),
+            shedder: LoadShedder::default(),
             own_limit_metrics: OwnLimitMetrics::new(metrics),
             telemetry,
             incarnation,
@@ -402,8 +410,9 @@
     /// together, and a load balancer that finds none of them ready sends their callers across the
     /// partition, where they time out. An immediate refusal with a retry delay serves callers
     /// better.
-    pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.knowledge.borrow().routes().is_some()
+    pub fn is_ready(&self, now: Now) -> bool {
+        let has_routes = self.knowledge.borrow().routes().is_some();
+        has_routes && !self.is_stopping() && !self.is_withdrawn(now)
     }
 
     /// Records that the store answered a call.
--- a/src/gateway/admit/listen.rs
+++ b/src/gateway/admit/listen.rs
@@ -15,10 +15,12 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::http_server::accept::{AcceptedConnection, accept};
 use crate::http_server::delivery::DeliveringStream;
+use crate::http_server::load_shedding::UnreadConnection;
 use crate::http_server::{Accepting, HttpServer};
 use crate::metrics::Metrics;
 use actix_http::{HttpService, Request, Response, StatusCode};
 use actix_service::{Service as _, ServiceFactory as _};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -96,11 +98,14 @@
     let connections = gw.caller_connections.clone();
     let gw = gw.clone();
     HttpServer::start(listener, connections, move |accepted| {
-        actix_rt::spawn(serve_connection(gw.clone(), accepted));
+        // A connection that is not admitted is closed.
+        if let Some(unread) = gw.admit_connection(Now::read()) {
+            actix_rt::spawn(serve_connection(gw.clone(), accepted, unread));
+        }
     })
 }
 
-async fn serve_connection(gw: Rc<Gateway>, accepted: AcceptedConnection) {
+async fn serve_connection(gw: Rc<Gateway>, accepted: AcceptedConnection, unread: UnreadConnection) {
     let AcceptedConnection { stream, peer, open } = accepted;
     set_socket_options(&stream);
     let limits = gw
@@ -114,8 +119,10 @@
     let stream = DeliveringStream::new(stream, &gw.deliveries, stopping);
     let cut = Rc::new(ConnectionCut::default());
     let handler_cut = cut.clone();
+    let unread = Rc::new(Cell::new(Some(unread)));
     let handler = move |req: Request| {
         let (gw, cut) = (gw.clone(), handler_cut.clone());
+        drop(unread.take());
         // Boxed, so that an idle connection does not reserve memory for the largest future.
         Box::pin(async move { Ok::<_, Infallible>(serve(gw, &cut, req).await) })
     };
@@ -176,7 +183,7 @@
 
 async fn answer_readiness_checks(gw: Rc<Gateway>, stream: TcpStream, peer: SocketAddr) {
     let handler = move |_req: Request| {
-        let status = match gw.is_ready() {
+        let status = match gw.is_ready(Now::read()) {
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
         };
--- a/src/gateway/admit/own_limit.rs
+++ b/src/gateway/admit/own_limit.rs
@@ -1,51 +1,99 @@
-//! Watches how far this box is past its own limits. See `docs/design/saturation.md`.
+//! Keeps this box from taking on more than it can serve in time: it measures how late it is by
+//! itself, and sends new callers elsewhere while it is. See `docs/design/saturation.md`.
 
-use crate::clock::millis;
+use crate::clock::{Now, millis};
 use crate::gateway::Gateway;
+use crate::http_server::load_shedding::{Lateness, UnreadConnection};
 use crate::metrics::Metrics;
 use crate::saturation::OwnDelay;
 use crate::saturation::sampler::sample_scheduling;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::{Counter, Gauge};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The standing delay from which the box is logged as late.
-const LOGGED_DELAY: Duration = Duration::from_millis(10);
-/// The time between two such log lines.
+/// The tolerated delay is the shortest latency objective divided by this: a request meets the delay
+/// several times on its way.
+const TOLERATED_DIVISOR: u32 = 8;
+/// The bounds of the tolerated delay. Each event of a stream meets it too, whatever the objective.
+const MIN_TOLERATED_DELAY: Duration = Duration::from_millis(5);
+const MAX_TOLERATED_DELAY: Duration = Duration::from_millis(25);
+/// The delay with which requests miss their objectives, as a multiple of the tolerated one.
+const CRITICAL_FACTOR: u32 = 4;
+/// The time between two log lines about a box that is late.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Watches the box's own delay, for as long as the process runs.
+impl Gateway {
+    /// Admits a new connection of a caller, or returns `None` if it has to be closed unread.
+    pub fn admit_connection(&self, now: Now) -> Option<UnreadConnection> {
+        let has_memory = |requests| self.held_memory.has_room_for(requests, now);
+        self.shedder.admit(self.in_flight(), has_memory, now)
+    }
+
+    fn lateness(&self, delay: OwnDelay) -> Lateness {
+        let tolerated = self.tolerated_delay();
+        match delay.longest() {
+            delay if delay > tolerated * CRITICAL_FACTOR => Lateness::Critical,
+            delay if delay > tolerated => Lateness::Noticeable,
+            _ => Lateness::Tolerated,
+        }
+    }
+
+    /// Returns the delay of this box that its callers bear.
+    fn tolerated_delay(&self) -> Duration {
+        let knowledge = self.knowledge.borrow();
+        let routes = knowledge.routes();
+        let shortest = routes.and_then(|routes| routes.shortest_objective());
+        let tolerated = shortest.map(|shortest| shortest / TOLERATED_DIVISOR);
+        tolerated
+            .unwrap_or(MAX_TOLERATED_DELAY)
+            .clamp(MIN_TOLERATED_DELAY, MAX_TOLERATED_DELAY)
+    }
+
+    fn log_own_delay(&self, delay: OwnDelay, shed: u64, now: Now) {
+        log::warn!(
+            scheduling_ms = millis(delay.scheduling),
+            network_ms = millis(delay.network),
+            in_flight = self.in_flight(),
+            limit = self.shedder.limit().map_or(-1, i64::from),
+            closed_unread = shed,
+            connections = self.caller_connections.count(),
+            held_bytes = self.held_memory.total(),
+            budget_bytes = self.held_memory.budget(),
+            full_boxes = self.full_boxes.count(now),
+            is_ready = self.is_ready(now);
+            "this box is at its own limit"
+        );
+    }
+}
+
+/// Watches how late the box is by itself, and adjusts what it takes on, for as long as the process
+/// runs.
 pub async fn watch_own_limit(gw: Rc<Gateway>) {
     let next_line = Cell::new(Duration::ZERO);
+    let shed_before = Cell::new(0);
     sample_scheduling(&gw.saturation, |now| {
         let delay = gw.saturation.current(now);
-        gw.own_limit_metrics.record(delay);
-        if delay.longest() >= LOGGED_DELAY && now.monotonic >= next_line.get() {
-            log_own_delay(&gw, delay);
+        let lateness = gw.lateness(delay);
+        gw.shedder.adjust(gw.in_flight(), lateness, now);
+        let shed = gw.shedder.shed_count();
+        let is_at_limit = lateness != Lateness::Tolerated || shed > shed_before.get();
+        if is_at_limit && now.monotonic >= next_line.get() {
+            let shed_since = shed - shed_before.replace(shed);
+            gw.log_own_delay(delay, shed_since, now);
+            gw.own_limit_metrics.record(delay, shed_since);
             next_line.set(now.monotonic + LOG_INTERVAL);
         }
     })
     .await;
 }
 
-fn log_own_delay(gw: &Gateway, delay: OwnDelay) {
-    log::warn!(
-        scheduling_ms = millis(delay.scheduling),
-        network_ms = millis(delay.network),
-        in_flight = gw.in_flight(),
-        connections = gw.caller_connections.count(),
-        held_bytes = gw.held_memory.total(),
-        budget_bytes = gw.held_memory.budget();
-        "this box is late by itself"
-    );
-}
-
-/// The instruments of the box's own delay.
+/// The instruments of the box's own limit.
 #[derive(Debug)]
 pub struct OwnLimitMetrics {
     delay: Gauge<u64>,
+    shed: Counter<u64>,
 }
 
 impl OwnLimitMetrics {
@@ -55,12 +103,17 @@
         Self {
             delay: meter
                 .u64_gauge("gatepier_own_delay_ms")
-                .with_description("Delay that this box causes by itself, by where it arises.")
+                .with_description("Latest delay that this box caused by itself, by where it arose.")
+                .build(),
+            shed: meter
+                .u64_counter("gatepier_connections_closed_unread")
+                .with_description("Connections of callers closed unread at the box's own limit.")
                 .build(),
         }
     }
 
-    fn record(&self, delay: OwnDelay) {
+    fn record(&self, delay: OwnDelay, shed: u64) {
+        self.shed.add(shed, &[]);
         for (source, delay) in [("scheduling", delay.scheduling), ("network", delay.network)] {
             self.delay
                 .record(millis(delay), &[KeyValue::new("source", source)]);
--- a/src/gateway/admit/routes.rs
+++ b/src/gateway/admit/routes.rs
@@ -27,6 +27,7 @@
     /// The most and the least urgent priority of the routes on which the router chooses the model;
     /// `None` without such routes.
     rank_range: Option<(u8, u8)>,
+    shortest_objective: Option<Duration>,
 }
 
 /// The relative rank of every route where all routes have the same priority.
@@ -200,6 +201,7 @@
         let model_routes = routes.iter().filter(|route| !route.models.is_empty());
         let priorities: Vec<u8> = model_routes.map(|route| route.priority).collect();
         let most_urgent = priorities.iter().min().copied();
+        let shortest_objective = routes.iter().map(|route| route.latency_objective).min();
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             let routes = by_host.entry(route.host.clone()).or_default();
@@ -223,9 +225,15 @@
             organisations_by_key,
             requires_keys,
             rank_range: most_urgent.zip(priorities.into_iter().max()),
+            shortest_objective,
         }
     }
 
+    /// Returns the shortest latency objective of all routes; none without routes.
+    pub fn shortest_objective(&self) -> Option<Duration> {
+        self.shortest_objective
+    }
+
     /// Returns where a priority lies among those of the routes on which the router chooses the
     /// model, from 0 (most urgent) to 1 (least urgent).
     pub fn relative_rank(&self, priority: u8) -> f64 {
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -21,6 +21,7 @@
 use crate::gateway::settings::UnverifiedKeyPolicy;
 use crate::gateway::{Gateway, StartupWait};
 use crate::hop_by_hop::HopByHopHeaders;
+use crate::http_server::connection_close::add_close_header;
 use actix_http::body::{BodyStream, BoxBody, MessageBody as _, SizedStream};
 use actix_http::{HttpMessage as _, Request, Response, StatusCode, Version};
 use bytes::{Bytes, BytesMut};
@@ -53,6 +54,9 @@
     };
     gw.caller_connections
         .add_close_header_if_stopping(&mut response);
+    if gw.shedder.is_full(Now::read()) {
+        add_close_header(&mut response);
+    }
     response
 }
 
--- a/src/gateway/answer/held_memory.rs
+++ b/src/gateway/answer/held_memory.rs
@@ -103,6 +103,13 @@
         self.held.borrow().held(kind)
     }
 
+    /// Returns whether there is memory to serve this many more requests, once those that are stalled
+    /// have yielded.
+    pub fn has_room_for(&self, requests: u32, now: Now) -> bool {
+        let needed = u64::from(requests) * (CONNECTION_BUFFERS + RELAYED_PIECE);
+        self.held.borrow().could_fit(needed, now)
+    }
+
     /// Returns the bytes held in all.
     pub fn total(&self) -> u64 {
         self.held.borrow().total()
--- a/src/gateway/attempt/connection.rs
+++ b/src/gateway/attempt/connection.rs
@@ -6,6 +6,7 @@
 use super::upstream_stream::{ConnectionPath, UpstreamStream};
 use crate::clock::Now;
 use crate::gateway::answer::held_memory::{UPSTREAM_BUFFER_BYTES, UPSTREAM_SOCKET_BYTES};
+use crate::saturation::Saturation;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -13,6 +14,7 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -23,6 +25,9 @@
 /// Maximum time to open a connection. A round trip takes a few milliseconds; a lost SYN packet is
 /// sent again only after a second, by when another upstream has long answered.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// How much longer a connection is waited for only to learn how slow the network is. After that it
+/// may have been opened by a packet that was sent again.
+const LATE_CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long written data may stay unacknowledged before the connection counts as dead.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long an idle connection may be reused. Upstreams sometimes close idle connections early; one
@@ -178,15 +183,47 @@
     pub asks_kernel: bool,
 }
 
-/// Opens a socket to an upstream.
-pub async fn dial(address: SocketAddr) -> io::Result<TcpStream> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-        .await
-        .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+/// Opens a socket to an upstream of a hall.
+pub async fn dial(
+    address: SocketAddr,
+    hall: &str,
+    saturation: &Rc<Saturation>,
+) -> io::Result<TcpStream> {
+    let began = Now::read();
+    let mut connecting: PendingConnect = Box::pin(TcpStream::connect(address));
+    let connected = saturation.timeout(CONNECT_TIMEOUT, &mut connecting).await;
+    let Some(connected) = connected else {
+        if let Some(counted) = saturation.count_late_connect() {
+            let (saturation, hall) = (saturation.clone(), hall.to_owned());
+            actix_rt::spawn(async move {
+                measure_late_connect(connecting, &hall, &saturation, began).await;
+                drop(counted);
+            });
+        }
+        return Err(io::ErrorKind::TimedOut.into());
+    };
+    let stream = connected?;
+    saturation.record_connect(hall, began, Now::read());
     set_socket_options(&stream, address);
     Ok(stream)
 }
 
+type PendingConnect = Pin<Box<dyn Future<Output = io::Result<TcpStream>>>>;
+
+/// Waits longer for a connection that nobody waits for any more: if it is opened after all, the
+/// network is slow and not cut.
+async fn measure_late_connect(
+    connecting: PendingConnect,
+    hall: &str,
+    saturation: &Saturation,
+    began: Now,
+) {
+    let connected = timeout(LATE_CONNECT_TIMEOUT, connecting).await;
+    if matches!(connected, Ok(Ok(_))) {
+        saturation.record_connect(hall, began, Now::read());
+    }
+}
+
 impl Connection {
     /// Begins to speak HTTP over a stream.
     pub async fn establish(
--- a/src/gateway/attempt/upstream_paths.rs
+++ b/src/gateway/attempt/upstream_paths.rs
@@ -127,14 +127,8 @@
     /// Connects to an upstream directly, which shows whether this box reaches the service.
     pub async fn connect_directly(&self, upstream: &Rc<Upstream>) -> io::Result<TcpStream> {
         let (address, hall) = upstream.with_listed(|listed| (listed.address, listed.hall.clone()));
-        let began = Now::read().monotonic;
-        let dialed = dial(address).await;
-        let now = Now::read();
-        if dialed.is_ok() {
-            let took = now.monotonic.saturating_sub(began);
-            self.saturation.record_connect(&hall, took, now);
-        }
-        self.record_reach(upstream, dialed.as_ref().err(), now);
+        let dialed = dial(address, &hall, &self.saturation).await;
+        self.record_reach(upstream, dialed.as_ref().err(), Now::read());
         dialed
     }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -4,6 +4,7 @@
 pub mod engine_speeds;
 pub mod fetch;
 pub mod fetch_planner;
+pub mod full_boxes;
 pub mod gossip_targets;
 pub mod hub_poller;
 pub mod hubs;
--- a/src/gateway/peers/messages.rs
+++ b/src/gateway/peers/messages.rs
@@ -12,6 +12,7 @@
 //! - Rejection limits that upstreams state, and rejections, sent to all; requests for slots of those
 //!   upstreams, answers to them and slots given back, sent to one box.
 //! - Load reports of plain upstreams, sent to all.
+//! - That the sender is full, sent to all.
 //! - Prefill rates that boxes measured, sent to a few boxes in turn.
 //! - Speeds of engines as each box measured them, sent to one box in turn.
 //! - Requests that were running at upstreams when those crashed, sent to all.
@@ -24,6 +25,7 @@
 
 use super::datagram;
 use super::engine_speeds::{self, SpeedReport};
+use super::full_boxes;
 use super::hub_poller;
 use super::hubs::{self, HubUpdate, PollRequest};
 use super::leaving_upstreams;
@@ -107,6 +109,8 @@
     Slots(Vec<SlotMessage>),
     /// Asks for all limits that the receiver knows.
     LimitsWanted,
+    /// The sender has more to do than it can.
+    Full,
 }
 
 /// Exchanges messages with other boxes for as long as the process runs.
@@ -154,6 +158,9 @@
     let request_limits = async |to: &[SocketAddr]| {
         send(&gw, &socket, &PeerMessage::LimitsWanted, to).await;
     };
+    let send_full = async |to: &[SocketAddr]| {
+        send(&gw, &socket, &PeerMessage::Full, to).await;
+    };
     tokio::join!(
         receive(&gw, &store, &socket),
         report_versions(&gw, &socket),
@@ -169,6 +176,7 @@
         rejection_limits::broadcast_rejections(&gw, send_rejections),
         rejection_limits::request_limits_at_start(&gw, request_limits),
         slot_loans::exchange_slots(&gw, send_slots),
+        full_boxes::report_full(&gw, send_full),
         rate_samples::share_rate_samples(&gw, send_prefill_rates),
         load_reports::broadcast_load_reports(&gw, send_load_reports),
         engine_speeds::share_engine_speeds(&gw, send_speeds),
@@ -237,6 +245,7 @@
             send(gw, socket, &rates, &[from]).await;
             send(gw, socket, &rejections, &[from]).await;
         }
+        PeerMessage::Full => gw.full_boxes.record(from, now),
         PeerMessage::PrefillRates(report) => gw.rate_samples.apply_report(report, now),
         PeerMessage::LoadReports(reports) => gw.apply_shared_load_reports(&reports, now),
         PeerMessage::EngineSpeeds(reports) => gw.apply_speed_reports(&reports, now),
@@ -272,6 +281,7 @@
             Self::Rejections(_) => "rejections",
             Self::Slots(_) => "slots",
             Self::LimitsWanted => "limits-wanted",
+            Self::Full => "full",
             Self::PrefillRates(_) => "prefill-rates",
             Self::LoadReports(_) => "load-reports",
             Self::EngineSpeeds(_) => "engine-speeds",
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -9,11 +9,13 @@
 pub mod delivery;
 pub mod h2;
 pub mod handover;
+pub mod load_shedding;
 pub mod reclaimable_stream;
 
 use crate::error::{Error, Result};
 use accept::{AcceptedConnection, ListenerRelease, accept_until_stopped};
-use actix_http::{ConnectionType, Response};
+use actix_http::Response;
+use connection_close::add_close_header;
 use std::net::TcpListener;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -73,8 +75,7 @@
     pub fn add_close_header_if_stopping<B>(&self, response: &mut Response<B>) -> bool {
         let is_stopping = self.shutdown_announced.is_cancelled();
         if is_stopping {
-            let head = response.head_mut();
-            head.set_connection_type(ConnectionType::Close);
+            add_close_header(response);
         }
         is_stopping
     }
--- a/src/http_server/connection_close.rs
+++ b/src/http_server/connection_close.rs
@@ -1,7 +1,7 @@
 //! Closes connections so that callers can determine whether their requests ran.
 
 use super::Connections;
-use actix_http::Response;
+use actix_http::{ConnectionType, Response};
 use std::cell::Cell;
 use std::io;
 use std::time::Duration;
@@ -33,6 +33,12 @@
     }
 }
 
+/// Instructs the caller to close the connection.
+pub fn add_close_header<B>(response: &mut Response<B>) {
+    let head = response.head_mut();
+    head.set_connection_type(ConnectionType::Close);
+}
+
 /// Closes an idle connection.
 ///
 /// A caller that was not instructed to close the connection may have sent a request that will not
--- /dev/null
+++ b/src/http_server/load_shedding.rs
@@ -0,0 +1,117 @@
+//! Closes new connections unread while the process has more to do than it can.
+//!
+//! The caller of a connection that was closed before anything of its request was read may send it
+//! again, and reaches another box. Requests on open connections are served, and their answers ask
+//! callers to leave. See `docs/design/saturation.md`.
+
+use crate::clock::Now;
+use crate::saturation::concurrency_limit::{ConcurrencyLimit, MIN_LIMIT};
+use crate::saturation::withdrawal::Withdrawal;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest time without an admitted connection while callers connect: a server that accepts
+/// none would look dead, and would not find out that it has room again.
+const MAX_ADMISSION_INTERVAL: Duration = Duration::from_millis(250);
+/// How long callers on open connections are asked to leave after the process was full.
+const FULL_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Decides which new connections are served.
+#[derive(Debug, Default)]
+pub struct LoadShedder {
+    limit: RefCell<ConcurrencyLimit>,
+    withdrawal: RefCell<Withdrawal>,
+    unread: Rc<Cell<u32>>,
+    admitted_at: Cell<Duration>,
+    full_at: Cell<Option<Duration>>,
+    shed: Cell<u64>,
+}
+
+/// How late a process is by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lateness {
+    /// So little that its callers bear it.
+    Tolerated,
+    /// So much that new callers fare better elsewhere.
+    Noticeable,
+    /// So much that requests miss their objectives.
+    Critical,
+}
+
+/// An admitted connection of which no request has been read, until this is dropped.
+#[derive(Debug)]
+pub struct UnreadConnection(Rc<Cell<u32>>);
+
+impl Drop for UnreadConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+impl LoadShedder {
+    /// Adjusts what is admitted to how late the process is by itself; `in_flight` is the number of
+    /// requests that were read and not answered yet.
+    pub fn adjust(&self, in_flight: u32, lateness: Lateness, now: Now) {
+        let in_progress = self.in_progress(in_flight);
+        let is_critical = lateness == Lateness::Critical;
+        let mut limit = self.limit.borrow_mut();
+        limit.adjust(in_progress, is_critical, now);
+        if lateness != Lateness::Tolerated && in_progress > MIN_LIMIT {
+            self.record_full(now);
+        }
+    }
+
+    /// Admits a new connection, or returns `None` if it has to be closed unread.
+    ///
+    /// `has_memory` tells whether there is memory for a number of requests.
+    pub fn admit(
+        &self,
+        in_flight: u32,
+        has_memory: impl FnOnce(u32) -> bool,
+        now: Now,
+    ) -> Option<UnreadConnection> {
+        let is_due = now.monotonic.saturating_sub(self.admitted_at.get()) >= MAX_ADMISSION_INTERVAL;
+        let has_room = || self.limit.borrow().has_room(self.in_progress(in_flight));
+        if !is_due && !(has_room() && has_memory(self.unread.get() + 1)) {
+            self.shed.set(self.shed.get() + 1);
+            self.record_full(now);
+            return None;
+        }
+        self.admitted_at.set(now.monotonic);
+        self.unread.set(self.unread.get() + 1);
+        Some(UnreadConnection(self.unread.clone()))
+    }
+
+    /// Returns whether the process had more to do than it can within the last second.
+    pub fn is_full(&self, now: Now) -> bool {
+        let full_at = self.full_at.get();
+        full_at.is_some_and(|at| now.monotonic.saturating_sub(at) < FULL_LIFETIME)
+    }
+
+    /// Returns whether new callers should be sent elsewhere.
+    pub fn is_withdrawn(&self, now: Now) -> bool {
+        self.withdrawal.borrow().is_withdrawn(now)
+    }
+
+    /// Returns how many connections were closed unread.
+    pub fn shed_count(&self) -> u64 {
+        self.shed.get()
+    }
+
+    /// Returns how many requests may be in progress, if that is limited.
+    pub fn limit(&self) -> Option<u32> {
+        self.limit.borrow().get()
+    }
+
+    fn in_progress(&self, in_flight: u32) -> u32 {
+        in_flight.saturating_add(self.unread.get())
+    }
+
+    fn record_full(&self, now: Now) {
+        self.full_at.set(Some(now.monotonic));
+        if self.withdrawal.borrow_mut().record_full(now) {
+            log::warn!("full for a while: not ready, so that new callers are sent elsewhere");
+        }
+    }
+}
--- a/src/saturation.rs
+++ b/src/saturation.rs
@@ -4,14 +4,17 @@
 //! A process that does not measure its own delay takes it for that of others. See
 //! `docs/design/saturation.md`.
 
+pub mod concurrency_limit;
 pub mod connect_times;
 pub mod delay_window;
 pub mod sampler;
+pub mod withdrawal;
 
 use crate::clock::Now;
 use connect_times::ConnectTimes;
 use delay_window::DelayWindow;
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// How long samples count. A thread that is late samples its delay less often, the later it is, while
@@ -19,12 +22,17 @@
 const SCHEDULING_SAMPLE_LIFETIME: Duration = Duration::from_secs(5);
 const NETWORK_SAMPLE_LIFETIME: Duration = Duration::from_secs(1);
 
+/// How many connections are waited for at once only to measure the network.
+const MAX_LATE_CONNECTS: usize = 16;
+
 /// The delays that a thread, or a process with one thread for requests, causes by itself.
 #[derive(Debug)]
 pub struct Saturation {
     scheduling: RefCell<DelayWindow>,
     network: RefCell<DelayWindow>,
     connect_times: RefCell<ConnectTimes>,
+    /// Held once by each connection that is only waited for to measure the network.
+    late_connects: Rc<()>,
 }
 
 impl Default for Saturation {
@@ -33,6 +41,7 @@
             scheduling: RefCell::new(DelayWindow::new(SCHEDULING_SAMPLE_LIFETIME)),
             network: RefCell::new(DelayWindow::new(NETWORK_SAMPLE_LIFETIME)),
             connect_times: RefCell::default(),
+            late_connects: Rc::default(),
         }
     }
 }
@@ -59,12 +68,20 @@
         self.scheduling.borrow_mut().record(delay, now);
     }
 
-    /// Records how long it took to open a connection to an upstream of a hall.
-    pub fn record_connect(&self, hall: &str, took: Duration, now: Now) {
+    /// Records that a connection to an upstream of a hall was opened, which began at `began`.
+    pub fn record_connect(&self, hall: &str, began: Now, now: Now) {
+        let took = now.monotonic.saturating_sub(began.monotonic);
         let excess = self.connect_times.borrow_mut().excess(hall, took, now);
         self.network.borrow_mut().record(excess, now);
     }
 
+    /// Counts a connection that is only waited for to measure the network, until the count is
+    /// dropped; `None` if enough of them are.
+    pub fn count_late_connect(&self) -> Option<Rc<()>> {
+        let has_room = Rc::strong_count(&self.late_connects) <= MAX_LATE_CONNECTS;
+        has_room.then(|| self.late_connects.clone())
+    }
+
     /// Returns the delays at present.
     pub fn current(&self, now: Now) -> OwnDelay {
         OwnDelay {
@@ -79,4 +96,24 @@
         let network = self.network.borrow().longest_since(since, now);
         scheduling.max(network)
     }
+
+    /// Waits for something that others have to do within `limit`; `None` if they did not.
+    ///
+    /// What the process causes by itself is added to the limit, since nobody else can help it.
+    pub async fn timeout<T>(&self, limit: Duration, future: impl Future<Output = T>) -> Option<T> {
+        let began = Now::read().monotonic;
+        let mut future = std::pin::pin!(future);
+        let mut wait = limit;
+        loop {
+            if let Ok(output) = tokio::time::timeout(wait, future.as_mut()).await {
+                return Some(output);
+            }
+            let now = Now::read();
+            let due = began + limit + self.longest_since(began, now);
+            wait = due.saturating_sub(now.monotonic);
+            if wait.is_zero() {
+                return None;
+            }
+        }
+    }
 }
