--- a/src/http_server/load_shedding.rs
+++ b/src/http_server/load_shedding.rs
@@ -73,7 +73,8 @@
     ) -> Option<UnreadConnection> {
         let is_due = now.monotonic.saturating_sub(self.admitted_at.get()) >= MAX_ADMISSION_INTERVAL;
         let has_room = || self.limit.borrow().has_room(self.in_progress(in_flight));
-        if !is_due && !(has_room() && has_memory(self.unread.get() + 1)) {
+        let is_admitted = is_due || has_room() && has_memory(self.unread.get() + 1);
+        if !is_admitted {
             self.shed.set(self.shed.get() + 1);
             self.record_full(now);
             return None;
