What a box sees while it is late by itself proves nothing about others

A box whose link was full took its own delay for that of others: connections that timed out after 200 ms made it believe that no upstream of a service accepts connections, tunnels were opened through boxes that it did not reach in time either, and requests that it had read waited for seconds (a request read at 12.4 s was refused at 17.4 s after five tries through tunnels); silent upstreams were probed and their sound runs cut, callers were let go as stalled, times of versions and speeds of engines included the box's own delay, the store counted as lost.

Time-outs for upstreams, other boxes and loans are now longer by the box's own delay, and what took long while the box was late is held against nobody: connections, answers, versions, speeds, callers, the store. The log says that the box itself was late.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -85,6 +85,8 @@
 /// if each of many boxes has to read the store itself. A refusal would cost the caller its only
 /// retry, and the boxes that it would retry at have no configuration either.
 const MAX_STARTUP_WAIT: Duration = Duration::from_millis(1500);
+/// The longest time that a call to the store takes until it fails.
+const MAX_STORE_CALL: Duration = Duration::from_millis(1200);
 /// A request waits for the first configuration for the caller's timeout divided by this: the rest
 /// is for serving it, and for a retry after a refusal.
 const STARTUP_WAIT_DIVISOR: u32 = 3;
@@ -192,7 +194,7 @@
         let saturation = Rc::<Saturation>::default();
         let gw = Rc::new(Self {
             sessions: RefCell::new(SessionVersions::new(settings.bounds.session_idle_limit)),
-            versions: RefCell::new(VersionMonitor::new(&incarnation)),
+            versions: RefCell::new(VersionMonitor::new(&incarnation, saturation.clone())),
             settings: RefCell::new(Rc::new(settings)),
             headers,
             knowledge: RefCell::default(),
@@ -223,7 +225,7 @@
             model_trials: ModelTrials::default(),
             service_times: ServiceTimes::default(),
             event_paces: EventPaces::default(),
-            held_memory: Rc::default(),
+            held_memory: Rc::new(HeldMemory::new(saturation.clone())),
             saturation,
             full_boxes: FullBoxes::default(),
             shedder: LoadShedder::default(),
@@ -424,8 +426,13 @@
         }
     }
 
-    /// Records that a call to the store failed.
+    /// Records that a call to the store failed, which shows nothing if this box was late by itself.
     pub fn store_failed(&self, err: &StoreError, now: Now) {
+        let since = now.monotonic.saturating_sub(MAX_STORE_CALL);
+        if self.saturation.was_late_since(since, now) {
+            log::warn!("a call to the store failed while this box was late by itself: {err}");
+            return;
+        }
         let is_first_failure = self.store_lost_since.get().is_none();
         if is_first_failure {
             self.store_lost_since.set(Some(now.monotonic));
--- a/src/gateway/admit/own_limit.rs
+++ b/src/gateway/admit/own_limit.rs
@@ -27,7 +27,7 @@
 impl Gateway {
     /// Admits a new connection of a caller, or returns `None` if it has to be closed unread.
     pub fn admit_connection(&self, now: Now) -> Option<UnreadConnection> {
-        let has_memory = |requests| self.held_memory.has_room_for(requests, now);
+        let has_memory = || self.held_memory.has_room_for_request(now);
         self.shedder.admit(self.in_flight(), has_memory, now)
     }
 
--- a/src/gateway/answer/buffered.rs
+++ b/src/gateway/answer/buffered.rs
@@ -186,7 +186,8 @@
     let now = Now::read();
     match response.as_ref().map(|response| response.status) {
         Some(status) if status < FIRST_SERVER_ERROR_STATUS => {
-            let timing = request.timing.take().filter(|_| answer.is_direct());
+            let timing = request.timing.take();
+            let timing = timing.filter(|_| answer.has_upstream_times(now));
             if let Some(timing) = timing {
                 timing.record_completion(now);
             }
@@ -199,7 +200,7 @@
             }
             answer.record_failure(now);
         }
-        None => answer.record_failure(now),
+        None => answer.record_lost(now),
     }
     response.map_or(Received::Nothing, Received::Whole)
 }
--- a/src/gateway/answer/held_bytes.rs
+++ b/src/gateway/answer/held_bytes.rs
@@ -144,6 +144,7 @@
     next_id: u64,
     accounts: HashMap<AccountId, Account>,
     held: [u64; HeldKind::ALL.len()],
+    own_delay: Duration,
 }
 
 /// Returns the budget of a box with a memory limit. A box with little memory can serve with little.
@@ -167,9 +168,15 @@
             next_id: 0,
             accounts: HashMap::new(),
             held: Default::default(),
+            own_delay: Duration::ZERO,
         }
     }
 
+    /// Sets how late the box is by itself: for so long, callers make no progress because of it.
+    pub fn set_own_delay(&mut self, delay: Duration) {
+        self.own_delay = delay;
+    }
+
     /// Returns the budget.
     pub fn budget(&self) -> u64 {
         self.budget
@@ -343,8 +350,8 @@
                 held: account.total(),
                 without_progress,
             };
-            let may_yield =
-                !account.is_yielding && request.held > 0 && without_progress >= MIN_STALL;
+            let is_stalled = without_progress >= MIN_STALL + self.own_delay;
+            let may_yield = !account.is_yielding && request.held > 0 && is_stalled;
             may_yield.then_some((account.urgency, request))
         });
         stalled.collect()
--- a/src/gateway/answer/held_memory.rs
+++ b/src/gateway/answer/held_memory.rs
@@ -4,12 +4,13 @@
 //! [`super::held_bytes`] decides. See `docs/design/slow-readers.md`.
 
 use super::held_bytes::{
-    AccountId, BudgetShare, HeldBytes, HeldKind, HolderUrgency, MemoryRoom, NoRoom,
+    AccountId, BudgetShare, HeldBytes, HeldKind, HolderUrgency, MIN_STALL, MemoryRoom, NoRoom,
     YieldingRequest, budget,
 };
 use crate::clock::Now;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::telemetry::Telemetry;
+use crate::saturation::Saturation;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -53,13 +54,14 @@
 }
 
 /// The memory that a box holds for its requests.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct HeldMemory {
     held: RefCell<HeldBytes>,
     cuts: RefCell<HashMap<AccountId, Rc<ConnectionCut>>>,
     freed: Notify,
     /// The bytes that requests wait for.
     waiting: Cell<u64>,
+    saturation: Rc<Saturation>,
 }
 
 /// What a request waits for that needs room.
@@ -92,6 +94,17 @@
 }
 
 impl HeldMemory {
+    /// Creates the accounts of a box without requests.
+    pub fn new(saturation: Rc<Saturation>) -> Self {
+        Self {
+            held: RefCell::default(),
+            cuts: RefCell::default(),
+            freed: Notify::default(),
+            waiting: Cell::default(),
+            saturation,
+        }
+    }
+
     /// Applies the settings: memory is bounded by the limit that they state, or by a default.
     pub fn apply(&self, settings: &GatewaySettings) {
         let limit = settings.memory_limit.unwrap_or(DEFAULT_MEMORY_LIMIT);
@@ -103,11 +116,18 @@
         self.held.borrow().held(kind)
     }
 
-    /// Returns whether there is memory to serve this many more requests, once those that are stalled
-    /// have yielded.
-    pub fn has_room_for(&self, requests: u32, now: Now) -> bool {
-        let needed = u64::from(requests) * (CONNECTION_BUFFERS + RELAYED_PIECE);
-        self.held.borrow().could_fit(needed, now)
+    /// Returns whether there is memory to serve another request, once those that are stalled have
+    /// yielded.
+    pub fn has_room_for_request(&self, now: Now) -> bool {
+        let mut held = self.held.borrow_mut();
+        held.set_own_delay(self.own_delay(now));
+        held.could_fit(CONNECTION_BUFFERS + RELAYED_PIECE, now)
+    }
+
+    /// Returns how late the box was by itself while callers may have stalled.
+    fn own_delay(&self, now: Now) -> Duration {
+        let since = now.monotonic.saturating_sub(MIN_STALL);
+        self.saturation.longest_since(since, now)
     }
 
     /// Returns the bytes held in all.
@@ -249,8 +269,10 @@
     /// wait for; returns whether they will.
     fn make_room(&self, more: u64, share: BudgetShare) -> bool {
         let needed = more.saturating_add(self.memory.waiting.get());
+        let now = Now::read();
         let mut held = self.memory.held.borrow_mut();
-        for request in held.make_room(needed, share, Now::read()) {
+        held.set_own_delay(self.memory.own_delay(now));
+        for request in held.make_room(needed, share, now) {
             self.telemetry.record_let_go(&request, held.budget());
             self.memory.let_go(&request);
         }
--- a/src/gateway/answer/relay.rs
+++ b/src/gateway/answer/relay.rs
@@ -113,11 +113,11 @@
         request.record_answer_progress(gw, now);
         gw.record_first_event(request, &answer, model.as_deref().unwrap_or_default(), now);
         let upstream = answer.upstream();
-        let pace_timing = match answer.is_direct() {
+        let is_measured = answer.has_upstream_times(now);
+        let pace_timing = match is_measured {
             true => gw.start_event_timer(request, upstream, PACE_EVENTS - 1, now),
             false => None,
         };
-        let is_measured = answer.is_direct();
         let initial_utilization = is_measured.then(|| upstream.slot_utilization(now));
         let resume_after = request.headers.get(gw.headers.last_event_id.as_str());
         let last_id = resume_after
@@ -283,7 +283,8 @@
     fn record_pace(&mut self, now: Now) {
         let pace_timing = self.pace_timing.take();
         let utilization = self.initial_utilization.take();
-        if self.event_count < MIN_PACE_EVENTS {
+        let was_late = self.gw.saturation.was_late_since(self.started_at, now);
+        if self.event_count < MIN_PACE_EVENTS || was_late {
             return;
         }
         let took = now.monotonic.saturating_sub(self.started_at);
@@ -339,7 +340,7 @@
                 .telemetry
                 .record_broken_answer(&self.request, answer.upstream(), &reason);
             if was_read {
-                answer.record_failure(Now::read());
+                answer.record_lost(Now::read());
             }
         }
         self.splitter = EventSplitter::default();
--- a/src/gateway/attempt/connect.rs
+++ b/src/gateway/attempt/connect.rs
@@ -58,7 +58,7 @@
             rest_times: RestTimesByService::default(),
             fleet: Cell::default(),
             reach: RefCell::default(),
-            tunnels: Tunnels::default(),
+            tunnels: Tunnels::new(saturation.clone()),
             metrics: telemetry.connection_metrics(),
             telemetry,
             saturation,
--- a/src/gateway/attempt/crash_detection.rs
+++ b/src/gateway/attempt/crash_detection.rs
@@ -231,6 +231,7 @@
                 {
                     return CrashCheckResult::Unreachable;
                 }
+                Err(ConnectError::BoxLate) => return CrashCheckResult::Unreachable,
                 Err(_) if self.reaches_beside(upstream).await => return CrashCheckResult::Crashed,
                 Err(_) => {}
             }
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -442,6 +442,7 @@
             path: self.connection.path().clone(),
             connection: Some(self.connection),
             upstream: upstream.clone(),
+            saturation: self.connections.saturation.clone(),
             pending_prefill: Some(started.pending_prefill),
             slot: started.slot,
             _load: started.load,
--- a/src/gateway/attempt/response_timeout.rs
+++ b/src/gateway/attempt/response_timeout.rs
@@ -86,14 +86,16 @@
                 let now = Now::read();
                 let waited = now.monotonic.saturating_sub(began);
                 let silence = upstream.time_without_data(began, now);
+                // What this box delays by itself is not the upstream's.
+                let own_delay = watched.connections.saturation.longest_since(began, now);
                 if waited >= timeout.total {
                     return None;
                 }
-                if waited >= timeout.request_stalled {
+                if waited >= timeout.request_stalled.saturating_add(own_delay) {
                     upstream.record_timeout(now);
                     return None;
                 }
-                if silence >= silence_limit {
+                if silence >= silence_limit.saturating_add(own_delay) {
                     let probed = probe_alongside(watched, future.as_mut()).await;
                     match probed {
                         ProbeResult::Completed(outcome) => return Some(outcome),
--- a/src/gateway/attempt/upstream_answer.rs
+++ b/src/gateway/attempt/upstream_answer.rs
@@ -9,6 +9,7 @@
 use crate::clock::Now;
 use crate::gateway::place::slots::HeldSlot;
 use crate::routing::placement::LoadGuard;
+use crate::saturation::Saturation;
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
@@ -35,6 +36,7 @@
     pub(super) connection: Option<Connection>,
     pub(super) path: ConnectionPath,
     pub(super) upstream: Rc<Upstream>,
+    pub(super) saturation: Rc<Saturation>,
     pub(super) pending_prefill: Option<PendingPrefill>,
     pub(super) slot: Option<HeldSlot>,
     pub(super) _load: LoadGuard,
@@ -137,9 +139,18 @@
         &self.path
     }
 
-    /// Returns whether its times are the upstream's alone, and not those of another box as well.
-    pub fn is_direct(&self) -> bool {
-        self.path.peer().is_none()
+    /// Returns whether its times are the upstream's alone, and not those of another box or of this
+    /// box as well.
+    pub fn has_upstream_times(&self, now: Now) -> bool {
+        self.path.peer().is_none() && !self.saturation.was_late_since(self.sent_at, now)
+    }
+
+    /// Records that the upstream did not answer in time or broke off, unless the way to it was lost
+    /// or this box was late by itself.
+    pub fn record_lost(&self, now: Now) {
+        if !self.saturation.was_late_since(self.sent_at, now) {
+            self.record_failure(now);
+        }
     }
 
     /// Records that the upstream failed to answer, unless the way to it was lost.
--- a/src/gateway/attempt/upstream_paths.rs
+++ b/src/gateway/attempt/upstream_paths.rs
@@ -29,6 +29,8 @@
     NoPath(String),
     /// The box that would have to help takes no further connections for others.
     PeerBusy,
+    /// It took long while this box was late by itself, which shows nothing of the upstream.
+    BoxLate,
 }
 
 impl fmt::Display for ConnectError {
@@ -37,6 +39,7 @@
             Self::Upstream(err) => err.fmt(f),
             Self::NoPath(reason) => f.write_str(reason),
             Self::PeerBusy => f.write_str("no other box has room for a tunnel"),
+            Self::BoxLate => f.write_str("not opened in time by this box, which is late itself"),
         }
     }
 }
@@ -46,7 +49,25 @@
     pub fn record(&self, upstream: &Upstream, now: Now) {
         match self {
             Self::Upstream(_) => upstream.record_connect_failure(now),
-            Self::NoPath(_) | Self::PeerBusy => {}
+            Self::NoPath(_) | Self::PeerBusy | Self::BoxLate => {}
+        }
+    }
+}
+
+/// Why this box itself did not open a connection to an upstream.
+#[derive(Debug)]
+pub enum DialError {
+    /// The upstream did not accept it.
+    Upstream(io::Error),
+    /// It took long while this box was late by itself, which shows nothing of the upstream.
+    BoxLate,
+}
+
+impl From<DialError> for ConnectError {
+    fn from(err: DialError) -> Self {
+        match err {
+            DialError::Upstream(err) => Self::Upstream(err),
+            DialError::BoxLate => Self::BoxLate,
         }
     }
 }
@@ -105,10 +126,11 @@
         if !self.uses_tunnels(&service, Now::read()) {
             match self.connect_directly(upstream).await {
                 Ok(stream) => return Ok(UpstreamStream::Direct(stream)),
-                Err(err) if !self.is_lost(&service, Now::read()) => {
+                Err(DialError::BoxLate) => return Err(ConnectError::BoxLate),
+                Err(DialError::Upstream(err)) if !self.is_lost(&service, Now::read()) => {
                     return Err(ConnectError::Upstream(err));
                 }
-                Err(err) if !self.uses_tunnels(&service, Now::read()) => {
+                Err(DialError::Upstream(err)) if !self.uses_tunnels(&service, Now::read()) => {
                     return Err(ConnectError::NoPath(err.to_string()));
                 }
                 // This failure showed that the others are this box's own fault as well.
@@ -125,11 +147,19 @@
     }
 
     /// Connects to an upstream directly, which shows whether this box reaches the service.
-    pub async fn connect_directly(&self, upstream: &Rc<Upstream>) -> io::Result<TcpStream> {
+    pub async fn connect_directly(&self, upstream: &Rc<Upstream>) -> Result<TcpStream, DialError> {
         let (address, hall) = upstream.with_listed(|listed| (listed.address, listed.hall.clone()));
+        let began = Now::read().monotonic;
         let dialed = dial(address, &hall, &self.saturation).await;
-        self.record_reach(upstream, dialed.as_ref().err(), Now::read());
-        dialed
+        let now = Now::read();
+        if let Err(err) = &dialed
+            && err.kind() == io::ErrorKind::TimedOut
+            && self.saturation.was_late_since(began, now)
+        {
+            return Err(DialError::BoxLate);
+        }
+        self.record_reach(upstream, dialed.as_ref().err(), now);
+        dialed.map_err(DialError::Upstream)
     }
 
     /// Connects to an upstream through one box.
@@ -237,6 +267,8 @@
             }
             // The box answers, so that the way is not lost; nothing is known of the upstream.
             Err(ConnectError::PeerBusy) => matches!(way, ProbeWay::Through(_)),
+            // Nothing speaks against the upstream.
+            Err(ConnectError::BoxLate) => true,
             Err(err) => {
                 log::debug!("probe could not connect to the upstream: {err}");
                 err.record(upstream, Now::read());
@@ -258,10 +290,10 @@
                 ProbeWay::Through(peer) => self.connect_through(peer, upstream).await,
                 ProbeWay::Direct => match self.connect_directly(upstream).await {
                     Ok(stream) => Ok(UpstreamStream::Direct(stream)),
-                    Err(err) if self.is_lost(&service(), Now::read()) => {
+                    Err(DialError::Upstream(err)) if self.is_lost(&service(), Now::read()) => {
                         Err(ConnectError::NoPath(err.to_string()))
                     }
-                    Err(err) => Err(ConnectError::Upstream(err)),
+                    Err(err) => Err(err.into()),
                 },
             }
         };
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -246,7 +246,9 @@
         let outcome = timeout(limit, call.as_mut()).await;
         let now = Now::read();
         let elapsed = now.monotonic.saturating_sub(began.monotonic);
-        let has_run = elapsed < limit + MAX_TIMER_DELAY;
+        // A late box may not have read an answer that has arrived, or its call is still on its link.
+        let was_late = gw.saturation.was_late_since(began.monotonic, now);
+        let has_run = elapsed < limit + MAX_TIMER_DELAY && !was_late;
         match outcome {
             Ok(Ok(answer)) => {
                 gw.store_answered(now);
--- a/src/gateway/peers/slot_loans.rs
+++ b/src/gateway/peers/slot_loans.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// How long to wait for the answer of a lender: several round trips between halls.
 const ASK_TIMEOUT: Duration = Duration::from_millis(40);
@@ -189,11 +189,11 @@
         let (tx, rx) = oneshot::channel();
         book.pending.borrow_mut().insert(key, tx);
         book.outbox.push((lender, SlotMessage::Request(key)));
-        let answer = timeout(ASK_TIMEOUT, rx).await;
+        let answer = self.saturation.timeout(ASK_TIMEOUT, rx).await;
         book.pending.borrow_mut().remove(&key);
         let now = Now::read();
         match answer {
-            Ok(Ok(true)) => {
+            Some(Ok(true)) => {
                 book.held.borrow_mut().insert(key, lender);
                 return Some(Loan {
                     key,
@@ -202,12 +202,12 @@
                     book: book.clone(),
                 });
             }
-            Ok(Ok(false)) => {
+            Some(Ok(false)) => {
                 let boxes = u32::try_from(self.box_addresses().len()).unwrap_or(u32::MAX);
                 let until = now.monotonic + DENIAL_MEMORY_PER_BOX * boxes;
                 book.remember_denial(lender, Some(key.upstream), until, now);
             }
-            Ok(Err(_)) | Err(_) => {
+            Some(Err(_)) | None => {
                 let until = now.monotonic + SILENCE_MEMORY;
                 book.remember_denial(lender, None, until, now);
                 // It may have lent a slot although its answer did not arrive.
--- a/src/gateway/peers/tunnel_client.rs
+++ b/src/gateway/peers/tunnel_client.rs
@@ -7,6 +7,7 @@
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::place::choose::stable_hash;
+use crate::saturation::Saturation;
 use bytes::Bytes;
 use h2::client::{Connection, SendRequest};
 use h2::{Ping, PingPong};
@@ -18,7 +19,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
 
 /// How long another box may take to accept a connection, as for fetches.
@@ -117,8 +118,9 @@
 }
 
 /// The tunnels of this box.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Tunnels {
+    saturation: Rc<Saturation>,
     own_hall: RefCell<String>,
     peers: RefCell<Vec<TunnelPeer>>,
     sessions: RefCell<HashMap<SocketAddr, Rc<Session>>>,
@@ -166,6 +168,17 @@
 }
 
 impl Tunnels {
+    /// Creates the tunnels of a box that knows no other one.
+    pub fn new(saturation: Rc<Saturation>) -> Self {
+        Self {
+            saturation,
+            own_hall: RefCell::default(),
+            peers: RefCell::default(),
+            sessions: RefCell::default(),
+            pauses: RefCell::default(),
+        }
+    }
+
     /// Sets which other boxes there are.
     pub fn set_peers(&self, own_hall: &str, peers: Vec<TunnelPeer>) {
         own_hall.clone_into(&mut self.own_hall.borrow_mut());
@@ -205,10 +218,9 @@
         target: TunnelTarget<'_>,
     ) -> Result<TunnelStream, TunnelError> {
         let session = self.session(peer);
-        let opening = timeout(OPEN_TIMEOUT, session.open(peer, target.upstream));
-        let opened = opening
-            .await
-            .unwrap_or(Err(TunnelError::NoPeer(Some(PeerFailure::Unreachable))));
+        let opening = session.open(peer, target.upstream, &self.saturation);
+        let opened = self.saturation.timeout(OPEN_TIMEOUT, opening).await;
+        let opened = opened.unwrap_or(Err(TunnelError::NoPeer(Some(PeerFailure::Unreachable))));
         if let Err(TunnelError::NoPeer(Some(failure))) = opened {
             self.pause(peer, target.service, failure, Now::read());
         }
@@ -313,12 +325,17 @@
 
 impl Session {
     /// Opens a tunnel, and the connection to the box if there is none.
-    async fn open(&self, peer: SocketAddr, upstream: u32) -> Result<TunnelStream, TunnelError> {
+    async fn open(
+        &self,
+        peer: SocketAddr,
+        upstream: u32,
+        saturation: &Rc<Saturation>,
+    ) -> Result<TunnelStream, TunnelError> {
         let unreachable = |err: String| {
             log::debug!("no tunnel through {peer}: {err}");
             TunnelError::NoPeer(Some(PeerFailure::Unreachable))
         };
-        let sender = self.sender(peer).await.map_err(unreachable)?;
+        let sender = self.sender(peer, saturation).await.map_err(unreachable)?;
         let mut sender = sender
             .ready()
             .await
@@ -336,7 +353,11 @@
     }
 
     /// Returns the connection's sender; opens the connection if it is not open.
-    async fn sender(&self, peer: SocketAddr) -> Result<SendRequest<Bytes>, String> {
+    async fn sender(
+        &self,
+        peer: SocketAddr,
+        saturation: &Rc<Saturation>,
+    ) -> Result<SendRequest<Bytes>, String> {
         let mut connection = self.connection.lock().await;
         if let Some(open) = connection
             .as_ref()
@@ -344,7 +365,7 @@
         {
             return Ok(open.sender.clone());
         }
-        let opened = SessionConnection::open(peer, self.open_tunnels.clone()).await?;
+        let opened = SessionConnection::open(peer, self.open_tunnels.clone(), saturation).await?;
         let sender = opened.sender.clone();
         *connection = Some(opened);
         Ok(sender)
@@ -352,10 +373,15 @@
 }
 
 impl SessionConnection {
-    async fn open(peer: SocketAddr, open_tunnels: Rc<Cell<usize>>) -> Result<Self, String> {
-        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
-        let stream = connecting
-            .map_err(|_elapsed| "the connection timed out".to_owned())?
+    async fn open(
+        peer: SocketAddr,
+        open_tunnels: Rc<Cell<usize>>,
+        saturation: &Rc<Saturation>,
+    ) -> Result<Self, String> {
+        let connecting = TcpStream::connect(peer);
+        let connected = saturation.timeout(CONNECT_TIMEOUT, connecting).await;
+        let stream = connected
+            .ok_or_else(|| "the connection timed out".to_owned())?
             .map_err(|err| err.to_string())?;
         set_socket_options(&stream, peer);
         let mut builder = h2::client::Builder::new();
@@ -367,7 +393,7 @@
             .handshake::<_, Bytes>(stream)
             .await
             .map_err(|err| err.to_string())?;
-        let driver = actix_rt::spawn(drive(connection, open_tunnels));
+        let driver = actix_rt::spawn(drive(connection, open_tunnels, saturation.clone()));
         Ok(Self {
             sender,
             driver: AbortOnDropHandle::new(driver),
@@ -376,7 +402,11 @@
 }
 
 /// Drives a connection until it ends, is not used any more, or the other box does not answer.
-async fn drive(mut connection: Connection<TcpStream, Bytes>, open_tunnels: Rc<Cell<usize>>) {
+async fn drive(
+    mut connection: Connection<TcpStream, Bytes>,
+    open_tunnels: Rc<Cell<usize>>,
+    saturation: Rc<Saturation>,
+) {
     let ping = connection.ping_pong();
     tokio::select! {
         ended = connection => {
@@ -384,12 +414,16 @@
                 log::debug!("the connection for tunnels ended: {err}");
             }
         }
-        () = check_liveness(ping, &open_tunnels) => {}
+        () = check_liveness(ping, &open_tunnels, &saturation) => {}
     }
 }
 
 /// Returns once the connection should be closed.
-async fn check_liveness(ping: Option<PingPong>, open_tunnels: &Cell<usize>) {
+async fn check_liveness(
+    ping: Option<PingPong>,
+    open_tunnels: &Cell<usize>,
+    saturation: &Saturation,
+) {
     let Some(mut ping) = ping else {
         return;
     };
@@ -401,8 +435,9 @@
             continue;
         }
         idle_intervals = 0;
-        let answered = timeout(PING_TIMEOUT, ping.ping(Ping::opaque())).await;
-        if !matches!(answered, Ok(Ok(_))) {
+        let pinged = ping.ping(Ping::opaque());
+        let answered = saturation.timeout(PING_TIMEOUT, pinged).await;
+        if !matches!(answered, Some(Ok(_))) {
             log::info!("the box through which tunnels lead does not answer, closing them");
             return;
         }
--- a/src/gateway/peers/tunnel_server.rs
+++ b/src/gateway/peers/tunnel_server.rs
@@ -7,6 +7,7 @@
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::attempt::upstream::Upstream;
+use crate::gateway::attempt::upstream_paths::DialError;
 use bytes::Bytes;
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream, SendStream};
@@ -120,7 +121,10 @@
     }
     match gw.connections.connect_directly(&upstream).await {
         Ok(stream) => Ok(stream),
-        Err(err) if err.kind() != io::ErrorKind::ConnectionRefused => Err(status::UNANSWERED),
+        Err(DialError::BoxLate) => Err(status::BUSY),
+        Err(DialError::Upstream(err)) if err.kind() != io::ErrorKind::ConnectionRefused => {
+            Err(status::UNANSWERED)
+        }
         Err(_) if gw.confirms_refusal(&upstream).await => Err(status::REFUSED),
         // The refusal may come from this box's own network.
         Err(_) => Err(status::LOST),
--- a/src/gateway/place/plain_cost.rs
+++ b/src/gateway/place/plain_cost.rs
@@ -195,7 +195,7 @@
         }
         match tried {
             TryOutcome::Answered(answer)
-                if answer.status < FIRST_ERROR_STATUS && answer.is_direct() =>
+                if answer.status < FIRST_ERROR_STATUS && answer.has_upstream_times(now) =>
             {
                 learn_service_time(&self.service_times, service, choice, answer.head_took, now);
             }
--- a/src/gateway/versions/local_statistics.rs
+++ b/src/gateway/versions/local_statistics.rs
@@ -9,6 +9,7 @@
 };
 use crate::clock::Now;
 use crate::gateway::control::rollout::Rollout;
+use crate::saturation::Saturation;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -38,13 +39,15 @@
 }
 
 impl OrderStatistics {
-    /// Returns the statistics, with the times that the responses in flight have taken so far.
-    fn at(&self, now: Now) -> RolloutStatistics {
+    /// Returns the statistics, with the times that the responses in flight have taken so far, without
+    /// what this box delays by itself.
+    fn at(&self, saturation: &Saturation, now: Now) -> RolloutStatistics {
         let mut statistics = self.statistics.clone();
         for in_flight in self.in_flight.values() {
+            let own_delay = saturation.longest_since(in_flight.started, now);
             let so_far = now
                 .monotonic
-                .saturating_sub(in_flight.started)
+                .saturating_sub(in_flight.started + own_delay)
                 .as_secs_f64();
             let pair = statistics
                 .groups
@@ -59,8 +62,11 @@
 }
 
 /// The box's own statistics, shared with the timers of the responses in flight.
-#[derive(Debug, Clone, Default)]
-pub struct LocalStatistics(Rc<RefCell<StatisticsByOrder>>);
+#[derive(Debug, Clone)]
+pub struct LocalStatistics {
+    orders: Rc<RefCell<StatisticsByOrder>>,
+    saturation: Rc<Saturation>,
+}
 
 #[derive(Debug, Default)]
 struct StatisticsByOrder {
@@ -69,9 +75,17 @@
 }
 
 impl LocalStatistics {
+    /// Creates the statistics of a box that has not sent anything.
+    pub fn new(saturation: Rc<Saturation>) -> Self {
+        Self {
+            orders: Rc::default(),
+            saturation,
+        }
+    }
+
     /// Counts a request that is being sent.
     pub fn record_request(&self, request: SampledRequest) {
-        let mut orders = self.0.borrow_mut();
+        let mut orders = self.orders.borrow_mut();
         let order_statistics = orders.by_order.entry(request.order).or_default();
         order_statistics.statistics.requests.record(request);
     }
@@ -94,7 +108,7 @@
             started: now.monotonic,
             unit_seconds,
         };
-        let mut orders = self.0.borrow_mut();
+        let mut orders = self.orders.borrow_mut();
         orders.next_id += 1;
         let id = orders.next_id;
         let order_statistics = orders.by_order.entry(request.order).or_default();
@@ -108,7 +122,7 @@
 
     /// Drops the statistics of inactive orders.
     pub fn retain_orders(&self, is_active: impl Fn(u64) -> bool) {
-        let mut orders = self.0.borrow_mut();
+        let mut orders = self.orders.borrow_mut();
         orders.by_order.retain(|order, _| is_active(*order));
         for order_statistics in orders.by_order.values_mut() {
             order_statistics.statistics.drop_old_windows();
@@ -117,18 +131,18 @@
 
     /// Returns the statistics of an order.
     pub fn statistics(&self, order: u64, now: Now) -> RolloutStatistics {
-        let orders = self.0.borrow();
+        let orders = self.orders.borrow();
         let order_statistics = orders.by_order.get(&order);
         order_statistics.map_or_else(RolloutStatistics::default, |order_statistics| {
-            order_statistics.at(now)
+            order_statistics.at(&self.saturation, now)
         })
     }
 
     /// Returns the reports to send to other boxes.
     pub fn reports(&self, reporter: &str, sequence: u64, now: Now) -> Vec<StatisticsReport> {
-        let orders = self.0.borrow();
+        let orders = self.orders.borrow();
         let report = |(order, order_statistics): (&u64, &OrderStatistics)| {
-            let statistics = order_statistics.at(now);
+            let statistics = order_statistics.at(&self.saturation, now);
             StatisticsReport {
                 reporter: reporter.to_owned(),
                 sequence,
@@ -178,7 +192,7 @@
     /// Removes the response from those in flight and records its result, if its order is still
     /// active.
     fn end(&self, count: impl FnOnce(&mut ResponseStatistics, &InFlightResponse)) {
-        let mut orders = self.local.0.borrow_mut();
+        let mut orders = self.local.orders.borrow_mut();
         let Some(order_statistics) = orders.by_order.get_mut(&self.order) else {
             return;
         };
--- a/src/gateway/versions/monitor.rs
+++ b/src/gateway/versions/monitor.rs
@@ -12,9 +12,11 @@
 use crate::clock::Now;
 use crate::evidence::AnswerCounts;
 use crate::name::VersionName;
+use crate::saturation::Saturation;
 use crate::version_guard::{GuardPolicy, VersionGuard};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Stands for all routes together where routes are tested one by one.
@@ -147,11 +149,11 @@
 
 impl VersionMonitor {
     /// Creates a monitor. The reporter's name is different after each start of the box.
-    pub fn new(reporter: &str) -> Self {
+    pub fn new(reporter: &str, saturation: Rc<Saturation>) -> Self {
         Self {
             reporter: reporter.to_owned(),
             report_count: 0,
-            local: LocalStatistics::default(),
+            local: LocalStatistics::new(saturation),
             peers: HashMap::new(),
             failure_guard: VersionGuard::default(),
             unproven_since: HashMap::new(),
--- a/src/gateway/versions/recording.rs
+++ b/src/gateway/versions/recording.rs
@@ -65,7 +65,7 @@
             timer.record_failure();
             return;
         }
-        if answer.is_direct() {
+        if answer.has_upstream_times(now) {
             timer.record_completion(now);
         }
     }
@@ -114,7 +114,10 @@
         let took = now.monotonic.saturating_sub(answer.sent_at);
         self.telemetry
             .record_first_event(job, model, took, upstream.pending_prefill(now));
-        if let Some(tokens) = answer.measured_tokens {
+        let measured = answer
+            .measured_tokens
+            .filter(|_| answer.has_upstream_times(now));
+        if let Some(tokens) = measured {
             if self.controls_load(&job.service) {
                 self.record_engine_prefill(job, upstream, model, tokens, took, now);
             }
--- a/src/http_server/load_shedding.rs
+++ b/src/http_server/load_shedding.rs
@@ -64,16 +64,16 @@
 
     /// Admits a new connection, or returns `None` if it has to be closed unread.
     ///
-    /// `has_memory` tells whether there is memory for a number of requests.
+    /// `has_memory` tells whether there is memory for its request.
     pub fn admit(
         &self,
         in_flight: u32,
-        has_memory: impl FnOnce(u32) -> bool,
+        has_memory: impl FnOnce() -> bool,
         now: Now,
     ) -> Option<UnreadConnection> {
         let is_due = now.monotonic.saturating_sub(self.admitted_at.get()) >= MAX_ADMISSION_INTERVAL;
         let has_room = || self.limit.borrow().has_room(self.in_progress(in_flight));
-        let is_admitted = is_due || has_room() && has_memory(self.unread.get() + 1);
+        let is_admitted = is_due || has_room() && has_memory();
         if !is_admitted {
             self.shed.set(self.shed.get() + 1);
             self.record_full(now);
--- a/src/saturation.rs
+++ b/src/saturation.rs
@@ -17,16 +17,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long samples count. A thread that is late samples its delay less often, the later it is, while
-/// connections that were opened long ago say nothing of the link.
-const SCHEDULING_SAMPLE_LIFETIME: Duration = Duration::from_secs(5);
-const NETWORK_SAMPLE_LIFETIME: Duration = Duration::from_secs(1);
-
+/// The delay from which measured times and time-outs say nothing of others: several round trips.
+const DISTORTING_DELAY: Duration = Duration::from_millis(20);
 /// How many connections are waited for at once only to measure the network.
 const MAX_LATE_CONNECTS: usize = 16;
 
 /// The delays that a thread, or a process with one thread for requests, causes by itself.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Saturation {
     scheduling: RefCell<DelayWindow>,
     network: RefCell<DelayWindow>,
@@ -35,17 +32,6 @@
     late_connects: Rc<()>,
 }
 
-impl Default for Saturation {
-    fn default() -> Self {
-        Self {
-            scheduling: RefCell::new(DelayWindow::new(SCHEDULING_SAMPLE_LIFETIME)),
-            network: RefCell::new(DelayWindow::new(NETWORK_SAMPLE_LIFETIME)),
-            connect_times: RefCell::default(),
-            late_connects: Rc::default(),
-        }
-    }
-}
-
 /// The delays that everything has suffered lately, by where they arise.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct OwnDelay {
@@ -97,6 +83,12 @@
         scheduling.max(network)
     }
 
+    /// Returns whether the process was late since a time on the monotonic clock, so that what took
+    /// long since then may have done so because of it.
+    pub fn was_late_since(&self, since: Duration, now: Now) -> bool {
+        self.longest_since(since, now) >= DISTORTING_DELAY
+    }
+
     /// Waits for something that others have to do within `limit`; `None` if they did not.
     ///
     /// What the process causes by itself is added to the limit, since nobody else can help it.
--- a/src/saturation/delay_window.rs
+++ b/src/saturation/delay_window.rs
@@ -9,6 +9,9 @@
 const STANDING_PERIOD: Duration = Duration::from_millis(100);
 /// The fewest samples that show a standing delay.
 const MIN_SAMPLES: usize = 5;
+/// How long samples say something of the present, if no newer one contradicts. The longer the delay,
+/// the rarer they are.
+const SAMPLE_LIFETIME: Duration = Duration::from_secs(5);
 /// The period for which one standing delay is remembered, and the number of these periods. What
 /// boxes wait for ends within them.
 const HISTORY_PERIOD: Duration = Duration::from_millis(250);
@@ -18,9 +21,8 @@
 ///
 /// A standing delay is one that no sample was free of: a queue that does not empty. Single late
 /// samples are bursts.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct DelayWindow {
-    sample_lifetime: Duration,
     samples: VecDeque<Sample>,
     history: VecDeque<Sample>,
 }
@@ -32,15 +34,6 @@
 }
 
 impl DelayWindow {
-    /// Creates a window whose samples say something of the present for a time.
-    pub fn new(sample_lifetime: Duration) -> Self {
-        Self {
-            sample_lifetime,
-            samples: VecDeque::new(),
-            history: VecDeque::new(),
-        }
-    }
-
     /// Records a sample.
     pub fn record(&mut self, delay: Duration, now: Now) {
         let at = now.monotonic;
@@ -72,7 +65,7 @@
     /// Returns the delay that all samples of the last moments had at least; zero without samples.
     pub fn standing(&self, now: Now) -> Duration {
         let is_recent =
-            |sample: &&Sample| now.monotonic.saturating_sub(sample.at) < self.sample_lifetime;
+            |sample: &&Sample| now.monotonic.saturating_sub(sample.at) < SAMPLE_LIFETIME;
         let recent = self.samples.iter().filter(is_recent);
         let (count, oldest, least) = recent.fold(
             (0, Duration::MAX, Duration::MAX),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod load_patterns;
 mod load_reports;
 mod model_choice;
+mod own_delay;
 mod packing;
 mod peer_updates;
 mod placement;
