Keep borrowed slots for the next request, so that loans cost calls by slots

Callers of one of 48 boxes were refused with no-free-slot while most slots were free: 188 of 900 requests served at 0.6 of the capacity.

Cause: a slot was borrowed for each request, from boxes chosen at random, of which most had none. So the calls grew with requests and boxes, and a slot was idle for two round trips between two runs.

Change: a borrowed slot is kept for the next request for the time of a run; its lender can recall it. Only boxes with a share are asked, for no more than their share, and less often after each denial. A request waits at the pace of the slots that its box uses.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -51,10 +51,11 @@
 use peers::limit_reports::LimitReport;
 use peers::liveness::PeerLiveness;
 use peers::load_reports::SharedLoadReport;
+use peers::loan_book::LoanBook;
 use peers::messages;
 use peers::outbox::Outbox;
 use peers::rejection_limits::RejectionLimits;
-use peers::slot_loans::LoanBook;
+use peers::slot_loans::PendingRequests;
 use place::event_pace::EventPaces;
 use place::fleet_view::FleetView;
 use place::model_trials::ModelTrials;
@@ -123,6 +124,8 @@
     pub rejection_limits: RejectionLimits,
     /// The slots that are borrowed from other boxes.
     pub loans: Rc<LoanBook>,
+    /// The requests for slots that other boxes have not answered yet.
+    pub loan_requests: PendingRequests,
     /// Load reports of plain upstreams, to be sent to other boxes.
     pub load_reports: Outbox<SharedLoadReport>,
     /// Connections from callers.
@@ -210,6 +213,7 @@
             limited_sends: Outbox::default(),
             rejection_limits: RejectionLimits::default(),
             loans: Rc::default(),
+            loan_requests: PendingRequests::default(),
             load_reports: Outbox::default(),
             caller_connections: Default::default(),
             deliveries: Deliveries::default(),
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -23,7 +23,7 @@
 use crate::gateway::attempt::upstream_paths::OutOfReach;
 use crate::gateway::control::state::ConfigBasis;
 use crate::gateway::control::store::UpstreamLife;
-use crate::gateway::peers::slot_loans::Loan;
+use crate::gateway::peers::loan_book::Loan;
 use crate::gateway::place::cache_affinity::CacheReplication;
 use crate::gateway::place::candidates::BackOff;
 use crate::gateway::place::choose::{
@@ -308,6 +308,14 @@
         tried: &[UpstreamLife],
         model: Option<&str>,
     ) -> Option<(PlacementChoice, Option<Loan>)> {
+        let now = Now::read();
+        let kept = gw.upstreams_with_kept_slots(&self.service, &self.session_id, now);
+        if let Some(choice) = self.choose_upstream(gw, &kept, tried, model, now)
+            && let Some(loan) = gw.loans.take_idle(choice.upstream.short_hash())
+        {
+            return Some((choice, Some(loan)));
+        }
+        gw.recall_slot_of(&self.service, &self.session_id, now);
         let borrowing = gw.borrow_slot(&self.service, &self.session_id, tried);
         let (upstream, loan) = borrowing.await?;
         let choice = self.choose_upstream(gw, &[upstream], tried, model, Now::read())?;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,6 +12,7 @@
 pub mod limit_reports;
 pub mod liveness;
 pub mod load_reports;
+pub mod loan_book;
 pub mod messages;
 pub mod outbox;
 pub mod packing;
--- /dev/null
+++ b/src/gateway/peers/loan_book.rs
@@ -0,0 +1,267 @@
+//! The slots that this box has borrowed from others, and whom it may ask for more.
+//!
+//! A slot is not given back after each request: the next one uses it, as long as there is one soon.
+//! So a box with many callers asks for each slot that it needs once, and not for each request. The
+//! lender can ask for a slot back at any time. See `docs/design/rejection-limits.md`.
+
+use super::outbox::Outbox;
+use super::slot_loans::{LoanKey, SlotMessage};
+use crate::clock::Now;
+use crate::gateway::place::slots::ServiceSlots;
+use rand::Rng as _;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// How long a lender without a free slot is not asked again after a denial, and after many.
+const FIRST_DENIAL_PAUSE: Duration = Duration::from_millis(10);
+/// The longest such pause.
+const MAX_DENIAL_PAUSE: Duration = Duration::from_millis(400);
+/// How long a lender that did not answer is not asked again.
+const SILENCE_PAUSE: Duration = Duration::from_secs(1);
+/// The number of remembered pauses from which outdated ones are dropped.
+const MAX_PAUSES: usize = 512;
+/// The bounds of the time for which an unused slot is kept, which otherwise is that of a run: as long
+/// as it is used for half of the time, keeping it costs others less than asking anew.
+const MIN_IDLE: Duration = Duration::from_millis(20);
+const MAX_IDLE: Duration = Duration::from_millis(400);
+
+/// What this box has borrowed and asked for.
+#[derive(Debug)]
+pub struct LoanBook {
+    next_number: Cell<u64>,
+    held: RefCell<HashMap<LoanKey, HeldLoan>>,
+    /// Since when lenders are not asked for a slot of an upstream, or of any.
+    pauses: RefCell<HashMap<(SocketAddr, Option<u32>), Pause>>,
+    /// Messages to other boxes.
+    pub outbox: Outbox<(SocketAddr, SlotMessage)>,
+    /// Notified when a slot is unused.
+    pub became_idle: Notify,
+}
+
+#[derive(Debug)]
+struct HeldLoan {
+    lender: SocketAddr,
+    service: Rc<ServiceSlots>,
+    state: LoanState,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LoanState {
+    /// A request uses it.
+    InUse,
+    /// A request uses it, and the lender wants it back after that.
+    Recalled,
+    /// It is kept for the next request.
+    Idle(Duration),
+}
+
+/// A time for which a lender is not asked.
+#[derive(Debug, Clone, Copy)]
+struct Pause {
+    until: Duration,
+    length: Duration,
+}
+
+impl Default for LoanBook {
+    fn default() -> Self {
+        Self {
+            // Loans of an earlier process of this box must not be taken for those of this one.
+            next_number: Cell::new(rand::rng().random()),
+            held: RefCell::default(),
+            pauses: RefCell::default(),
+            outbox: Outbox::default(),
+            became_idle: Notify::default(),
+        }
+    }
+}
+
+impl LoanBook {
+    /// Returns the key of a new loan.
+    pub fn new_key(&self, upstream: u32) -> LoanKey {
+        let number = self.next_number.get();
+        self.next_number.set(number.wrapping_add(1));
+        LoanKey { upstream, number }
+    }
+
+    /// Records a slot that another box has lent, for a request.
+    pub fn record_loan(
+        self: &Rc<Self>,
+        key: LoanKey,
+        lender: SocketAddr,
+        service: Rc<ServiceSlots>,
+    ) -> Loan {
+        self.pauses
+            .borrow_mut()
+            .remove(&(lender, Some(key.upstream)));
+        let loan = HeldLoan {
+            lender,
+            service,
+            state: LoanState::InUse,
+        };
+        self.held.borrow_mut().insert(key, loan);
+        self.loan(key, lender)
+    }
+
+    fn loan(self: &Rc<Self>, key: LoanKey, lender: SocketAddr) -> Loan {
+        Loan {
+            key,
+            lender,
+            book: self.clone(),
+        }
+    }
+
+    /// Takes an unused slot of an upstream, the one that was used last, so that those that are not
+    /// needed stay unused.
+    pub fn take_idle(self: &Rc<Self>, upstream: u32) -> Option<Loan> {
+        let mut held = self.held.borrow_mut();
+        let idle = held.iter_mut().filter_map(|(key, loan)| match loan.state {
+            LoanState::Idle(since) if key.upstream == upstream => Some((since, *key, loan)),
+            LoanState::Idle(_) | LoanState::InUse | LoanState::Recalled => None,
+        });
+        let (_, key, loan) = idle.max_by_key(|(since, key, _)| (*since, key.number))?;
+        loan.state = LoanState::InUse;
+        let lender = loan.lender;
+        drop(held);
+        Some(self.loan(key, lender))
+    }
+
+    /// Returns whether a slot of an upstream is kept unused.
+    pub fn has_idle(&self, upstream: u32) -> bool {
+        let held = self.held.borrow();
+        let mut loans = held.iter();
+        loans
+            .any(|(key, loan)| key.upstream == upstream && matches!(loan.state, LoanState::Idle(_)))
+    }
+
+    /// Returns how many slots of an upstream this box has from a lender.
+    pub fn borrowed_from(&self, lender: SocketAddr, upstream: u32) -> u32 {
+        let held = self.held.borrow();
+        let from_lender = held
+            .iter()
+            .filter(|(key, loan)| key.upstream == upstream && loan.lender == lender);
+        u32::try_from(from_lender.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the loans to extend, with their lenders.
+    pub fn loans(&self) -> Vec<(LoanKey, SocketAddr)> {
+        let held = self.held.borrow();
+        held.iter().map(|(key, loan)| (*key, loan.lender)).collect()
+    }
+
+    /// Returns whether a loan is known.
+    pub fn is_held(&self, key: LoanKey) -> bool {
+        self.held.borrow().contains_key(&key)
+    }
+
+    /// Gives a slot back that the lender asks for, or once the request that uses it has ended.
+    pub fn recall(&self, key: LoanKey, lender: SocketAddr) {
+        let mut held = self.held.borrow_mut();
+        match held.get_mut(&key) {
+            Some(loan) if !matches!(loan.state, LoanState::Idle(_)) => {
+                loan.state = LoanState::Recalled;
+            }
+            Some(_) | None => {
+                held.remove(&key);
+                self.outbox.push((lender, SlotMessage::Return(key)));
+            }
+        }
+    }
+
+    /// Gives back the slots that have been unused for as long as a request runs; returns after how
+    /// long the next one is due, if any is unused.
+    pub fn return_unused(&self, now: Now) -> Option<Duration> {
+        let mut next = None;
+        self.held.borrow_mut().retain(|key, loan| {
+            let LoanState::Idle(since) = loan.state else {
+                return true;
+            };
+            let lifetime = loan.service.mean_run().clamp(MIN_IDLE, MAX_IDLE);
+            let left = (since + lifetime).saturating_sub(now.monotonic);
+            if left.is_zero() {
+                self.outbox.push((loan.lender, SlotMessage::Return(*key)));
+                return false;
+            }
+            next = Some(next.map_or(left, |next: Duration| next.min(left)));
+            true
+        });
+        next
+    }
+
+    /// Records that a lender had no free slot; each time in a row it is asked less often.
+    pub fn record_denial(&self, lender: SocketAddr, upstream: u32, now: Now) {
+        let key = (lender, Some(upstream));
+        let known = self.pauses.borrow().get(&key).copied();
+        let length = known.map_or(FIRST_DENIAL_PAUSE, |pause| {
+            (pause.length * 2).min(MAX_DENIAL_PAUSE)
+        });
+        self.pause(key, length, now);
+    }
+
+    /// Records that a lender did not answer.
+    pub fn record_silence(&self, lender: SocketAddr, now: Now) {
+        self.pause((lender, None), SILENCE_PAUSE, now);
+    }
+
+    fn pause(&self, key: (SocketAddr, Option<u32>), length: Duration, now: Now) {
+        let mut pauses = self.pauses.borrow_mut();
+        if pauses.len() >= MAX_PAUSES {
+            pauses.retain(|_, pause| pause.until > now.monotonic);
+        }
+        let until = now.monotonic + length;
+        pauses.insert(key, Pause { until, length });
+    }
+
+    /// Returns whether a lender may be asked for a slot of an upstream.
+    pub fn may_ask(&self, lender: SocketAddr, upstream: u32, now: Now) -> bool {
+        let pauses = self.pauses.borrow();
+        [Some(upstream), None].into_iter().all(|paused_for| {
+            let pause = pauses.get(&(lender, paused_for));
+            pause.is_none_or(|pause| pause.until <= now.monotonic)
+        })
+    }
+}
+
+/// A slot of another box that a request uses. It is kept for the next one when this is dropped.
+#[derive(Debug)]
+pub struct Loan {
+    key: LoanKey,
+    lender: SocketAddr,
+    book: Rc<LoanBook>,
+}
+
+impl Loan {
+    /// Leaves the slot to time out at the lender, since its run may go on.
+    pub fn let_expire(self) {
+        // Without an entry, the slot is neither kept nor given back.
+        self.book.held.borrow_mut().remove(&self.key);
+    }
+
+    /// Returns the box that lends the slot.
+    pub fn lender(&self) -> SocketAddr {
+        self.lender
+    }
+}
+
+impl Drop for Loan {
+    fn drop(&mut self) {
+        let mut held = self.book.held.borrow_mut();
+        let Some(loan) = held.get_mut(&self.key) else {
+            return;
+        };
+        match loan.state {
+            LoanState::Recalled => {
+                held.remove(&self.key);
+                let message = SlotMessage::Return(self.key);
+                self.book.outbox.push((self.lender, message));
+            }
+            LoanState::InUse | LoanState::Idle(_) => {
+                loan.state = LoanState::Idle(Now::read().monotonic);
+                self.book.became_idle.notify_one();
+            }
+        }
+    }
+}
--- a/src/gateway/peers/rejection_limits.rs
+++ b/src/gateway/peers/rejection_limits.rs
@@ -118,8 +118,8 @@
         self.return_at_rate(service, rate, left, now)
     }
 
-    /// Returns how many requests per second this box's equal share of the slots of a service
-    /// serves.
+    /// Returns how many requests per second this box serves by its slots of a service: its equal
+    /// share, or those that it uses, if others have lent it more.
     fn slot_rate(&self, service: &str, now: Now) -> f64 {
         let knowledge = self.knowledge.borrow();
         let upstreams = knowledge.available_upstreams(service, now);
@@ -127,8 +127,11 @@
             .iter()
             .map(|upstream| f64::from(upstream.known_slots()));
         let slots: f64 = slots.sum();
+        let in_use = upstreams.iter().map(|upstream| upstream.outstanding());
+        let in_use = f64::from(in_use.fold(0, u32::saturating_add));
+        let usable = in_use.max(slots / knowledge.box_count().max(1) as f64);
         let run = self.rejection_limits.slots_of(service).mean_run();
-        slots / knowledge.box_count().max(1) as f64 / run.as_secs_f64().max(f64::MIN_POSITIVE)
+        usable / run.as_secs_f64().max(f64::MIN_POSITIVE)
     }
 
     /// Takes note of what an upstream has stated in an answer about its rejection limit.
--- a/src/gateway/peers/slot_loans.rs
+++ b/src/gateway/peers/slot_loans.rs
@@ -3,19 +3,19 @@
 //! A box whose slots are all used asks another one for a slot. Without it, callers of a box with a
 //! small share, or with more callers than the others, would be refused while slots are free. A lost
 //! message costs a moment of one slot and never lets two boxes use it: the lender counts the slot
-//! as used until it is given back, or the borrower has sent nothing for a while. See
-//! `docs/design/rejection-limits.md`.
+//! as used until it is given back, or the borrower has sent nothing for a while. What a box has
+//! borrowed stands in [`super::loan_book`]. See `docs/design/rejection-limits.md`.
 
+use super::loan_book::Loan;
 use super::outbox::Outbox;
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::control::store::UpstreamLife;
 use crate::gateway::place::slots::{LOAN_TIMEOUT, LoanId};
-use rand::Rng as _;
 use rand::seq::{IndexedRandom as _, SliceRandom as _};
 use serde::{Deserialize, Serialize};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,15 +27,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(40);
 /// How many lenders one request asks, one after the other.
 const MAX_ASKED: usize = 3;
-/// How long a lender that had no free slot is not asked again, for each box of the fleet: the fewer
-/// the boxes, the fewer ask it.
-const DENIAL_MEMORY_PER_BOX: Duration = Duration::from_millis(10);
-/// How long a lender that did not answer is not asked again.
-const SILENCE_MEMORY: Duration = Duration::from_secs(1);
 /// The time between two messages that extend the loans of a box.
 const RENEWAL_INTERVAL: Duration = LOAN_TIMEOUT.checked_div(4).unwrap();
-/// The number of remembered denials from which outdated ones are dropped.
-const MAX_DENIALS: usize = 512;
 
 /// A message about slots; upstreams are given by [`Upstream::short_hash`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,99 +41,21 @@
     Denial(LoanKey),
     /// Gives a slot back.
     Return(LoanKey),
+    /// The lender asks for a slot that it has lent.
+    Recall(LoanKey),
 }
 
 /// Identifies a loan between its two boxes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LoanKey {
-    upstream: u32,
-    number: u64,
+    /// The upstream.
+    pub upstream: u32,
+    /// The number that the borrower gave the loan.
+    pub number: u64,
 }
 
-/// What this box has borrowed and asked for.
-#[derive(Debug)]
-pub struct LoanBook {
-    next_number: Cell<u64>,
-    pending: RefCell<HashMap<LoanKey, oneshot::Sender<bool>>>,
-    held: RefCell<HashMap<LoanKey, SocketAddr>>,
-    /// Until when lenders are not asked for a slot of an upstream, or of any.
-    denied_until: RefCell<HashMap<(SocketAddr, Option<u32>), Duration>>,
-    outbox: Outbox<(SocketAddr, SlotMessage)>,
-}
-
-impl Default for LoanBook {
-    fn default() -> Self {
-        Self {
-            // Loans of an earlier process of this box must not be taken for those of this one.
-            next_number: Cell::new(rand::rng().random()),
-            pending: RefCell::default(),
-            held: RefCell::default(),
-            denied_until: RefCell::default(),
-            outbox: Outbox::default(),
-        }
-    }
-}
-
-impl LoanBook {
-    fn new_key(&self, upstream: u32) -> LoanKey {
-        let number = self.next_number.get();
-        self.next_number.set(number.wrapping_add(1));
-        LoanKey { upstream, number }
-    }
-
-    fn remember_denial(
-        &self,
-        lender: SocketAddr,
-        upstream: Option<u32>,
-        until: Duration,
-        now: Now,
-    ) {
-        let mut denied = self.denied_until.borrow_mut();
-        if denied.len() >= MAX_DENIALS {
-            denied.retain(|_, until| *until > now.monotonic);
-        }
-        denied.insert((lender, upstream), until);
-    }
-
-    fn may_ask(&self, lender: SocketAddr, upstream: u32, now: Now) -> bool {
-        let denied = self.denied_until.borrow();
-        [Some(upstream), None].into_iter().all(|denied_for| {
-            let until = denied.get(&(lender, denied_for));
-            until.is_none_or(|until| *until <= now.monotonic)
-        })
-    }
-}
-
-/// A slot of another box, which is given back when this is dropped.
-#[derive(Debug)]
-pub struct Loan {
-    key: LoanKey,
-    lender: SocketAddr,
-    is_given_back: bool,
-    book: Rc<LoanBook>,
-}
-
-impl Loan {
-    /// Leaves the slot to time out at the lender, since its run may go on.
-    pub fn let_expire(mut self) {
-        self.is_given_back = false;
-    }
-
-    /// Returns the box that lends the slot.
-    pub fn lender(&self) -> SocketAddr {
-        self.lender
-    }
-}
-
-impl Drop for Loan {
-    fn drop(&mut self) {
-        self.book.held.borrow_mut().remove(&self.key);
-        if self.is_given_back {
-            let message = SlotMessage::Return(self.key);
-            self.book.outbox.push((self.lender, message));
-        }
-    }
-}
+/// The requests for slots that other boxes have not answered yet.
+pub type PendingRequests = RefCell<HashMap<LoanKey, oneshot::Sender<bool>>>;
 
 impl Gateway {
     /// Asks other boxes for a slot of an upstream of a service that a session may use and that has
@@ -153,7 +68,7 @@
     ) -> Option<(Rc<Upstream>, Loan)> {
         for _ in 0..MAX_ASKED {
             let (upstream, lender) = self.choose_lender(service, session, tried, Now::read())?;
-            if let Some(loan) = self.ask_for_slot(&upstream, lender).await {
+            if let Some(loan) = self.ask_for_slot(&upstream, service, lender).await {
                 let is_open = upstream.slots().pause_left(Now::read()).is_none();
                 return is_open.then_some((upstream, loan));
             }
@@ -161,6 +76,19 @@
         None
     }
 
+    /// Returns the upstreams of which this box keeps a borrowed slot unused, and that may be sent a
+    /// request of a session.
+    pub fn upstreams_with_kept_slots(
+        &self,
+        service: &str,
+        session: &str,
+        now: Now,
+    ) -> Vec<Rc<Upstream>> {
+        let mut upstreams = self.upstreams_without_own_slot(service, session, now);
+        upstreams.retain(|upstream| self.loans.has_idle(upstream.short_hash()));
+        upstreams
+    }
+
     fn choose_lender(
         &self,
         service: &str,
@@ -176,40 +104,41 @@
         let boxes = self.box_addresses();
         let fleet = self.fleet_view(&boxes, now);
         upstreams.into_iter().find_map(|upstream| {
+            let hash = upstream.short_hash();
             let mut lenders = upstream.slots().lenders(upstream.known_slots(), fleet, now);
-            lenders.retain(|lender| self.loans.may_ask(*lender, upstream.short_hash(), now));
-            let lender = lenders.choose(&mut rand::rng()).copied()?;
+            lenders.retain(|(lender, share)| {
+                self.loans.borrowed_from(*lender, hash) < *share
+                    && self.loans.may_ask(*lender, hash, now)
+            });
+            let (lender, _) = lenders.choose(&mut rand::rng()).copied()?;
             Some((upstream, lender))
         })
     }
 
-    async fn ask_for_slot(&self, upstream: &Upstream, lender: SocketAddr) -> Option<Loan> {
+    async fn ask_for_slot(
+        &self,
+        upstream: &Upstream,
+        service: &str,
+        lender: SocketAddr,
+    ) -> Option<Loan> {
         let book = &self.loans;
         let key = book.new_key(upstream.short_hash());
         let (tx, rx) = oneshot::channel();
-        book.pending.borrow_mut().insert(key, tx);
+        self.loan_requests.borrow_mut().insert(key, tx);
         book.outbox.push((lender, SlotMessage::Request(key)));
         let answer = self.saturation.timeout(ASK_TIMEOUT, rx).await;
-        book.pending.borrow_mut().remove(&key);
+        self.loan_requests.borrow_mut().remove(&key);
         let now = Now::read();
         match answer {
             Some(Ok(true)) => {
-                book.held.borrow_mut().insert(key, lender);
-                return Some(Loan {
-                    key,
-                    lender,
-                    is_given_back: true,
-                    book: book.clone(),
-                });
+                let slots = self.rejection_limits.slots_of(service);
+                return Some(book.record_loan(key, lender, slots));
             }
             Some(Ok(false)) => {
-                let boxes = u32::try_from(self.box_addresses().len()).unwrap_or(u32::MAX);
-                let until = now.monotonic + DENIAL_MEMORY_PER_BOX * boxes;
-                book.remember_denial(lender, Some(key.upstream), until, now);
+                book.record_denial(lender, key.upstream, now);
             }
             Some(Err(_)) | None => {
-                let until = now.monotonic + SILENCE_MEMORY;
-                book.remember_denial(lender, None, until, now);
+                book.record_silence(lender, now);
                 // It may have lent a slot although its answer did not arrive.
                 book.outbox.push((lender, SlotMessage::Return(key)));
             }
@@ -223,35 +152,45 @@
             match *message {
                 SlotMessage::Request(key) => self.answer_slot_request(key, from, now),
                 SlotMessage::Grant(key) => {
-                    let pending = self.loans.pending.borrow_mut().remove(&key);
-                    if pending.is_none_or(|tx| tx.send(true).is_err()) {
+                    let is_wanted = self.finish_request(key, true) || self.loans.is_held(key);
+                    if !is_wanted {
                         self.loans.outbox.push((from, SlotMessage::Return(key)));
                     }
                 }
                 SlotMessage::Denial(key) => {
-                    if let Some(tx) = self.loans.pending.borrow_mut().remove(&key) {
-                        // The request may have been abandoned, and then needs no slot.
-                        let _ = tx.send(false);
+                    // A lender that has started again knows nothing of its loans.
+                    if !self.finish_request(key, false) && self.loans.is_held(key) {
+                        self.loans.recall(key, from);
                     }
                 }
                 SlotMessage::Return(key) => self.take_slot_back(key, from),
+                SlotMessage::Recall(key) => self.loans.recall(key, from),
             }
         }
     }
 
+    /// Passes an answer on to the request that waits for it; returns whether one did.
+    fn finish_request(&self, key: LoanKey, is_granted: bool) -> bool {
+        let waiting = self.loan_requests.borrow_mut().remove(&key);
+        waiting.is_some_and(|tx| tx.send(is_granted).is_ok())
+    }
+
     fn answer_slot_request(&self, key: LoanKey, from: SocketAddr, now: Now) {
         let id = LoanId {
             borrower: from,
             number: key.number,
         };
         let upstream = self.upstream_by_hash(key.upstream);
-        let known = upstream
-            .filter(|upstream| upstream.slots().has_lent(id) || self.may_lend_slot(upstream, now));
-        let Some(upstream) = known else {
+        let Some(upstream) = upstream else {
             self.loans.outbox.push((from, SlotMessage::Denial(key)));
             return;
         };
         let is_extended = upstream.slots().has_lent(id);
+        if !is_extended && !self.may_lend_slot(&upstream, now) {
+            self.loans.outbox.push((from, SlotMessage::Denial(key)));
+            self.recall_slot(&upstream, now);
+            return;
+        }
         upstream.slots().lend(id, now);
         if !is_extended {
             self.loans.outbox.push((from, SlotMessage::Grant(key)));
@@ -268,6 +207,29 @@
             && self.slot_delay(upstream, fleet, now).is_none()
     }
 
+    /// Asks for one of this box's slots of a service back, for a request that found none.
+    pub fn recall_slot_of(&self, service: &str, session: &str, now: Now) {
+        let upstreams = self.upstreams_without_own_slot(service, session, now);
+        let _is_recalled = upstreams
+            .iter()
+            .any(|upstream| self.recall_slot(upstream, now));
+    }
+
+    /// Asks for the slot of an upstream that was lent first; returns whether one is lent.
+    fn recall_slot(&self, upstream: &Upstream, now: Now) -> bool {
+        let Some(id) = upstream.slots().recall_oldest(now) else {
+            return false;
+        };
+        let key = LoanKey {
+            upstream: upstream.short_hash(),
+            number: id.number,
+        };
+        self.loans
+            .outbox
+            .push((id.borrower, SlotMessage::Recall(key)));
+        true
+    }
+
     fn take_slot_back(&self, key: LoanKey, from: SocketAddr) {
         let id = LoanId {
             borrower: from,
@@ -291,25 +253,42 @@
 
 /// Sends messages about slots to other boxes, for as long as the process runs.
 pub async fn exchange_slots(gw: &Gateway, send: impl AsyncFn(&[SocketAddr], Vec<SlotMessage>)) {
-    let send_queued = async {
-        loop {
-            let mut by_box: BTreeMap<SocketAddr, Vec<SlotMessage>> = BTreeMap::new();
-            for (to, message) in gw.loans.outbox.next().await {
-                by_box.entry(to).or_default().push(message);
-            }
-            for (to, messages) in by_box {
-                send(&[to], messages).await;
-            }
+    tokio::join!(
+        send_queued(&gw.loans.outbox, send),
+        extend_loans(gw),
+        return_unused_slots(gw)
+    );
+}
+
+async fn send_queued(
+    outbox: &Outbox<(SocketAddr, SlotMessage)>,
+    send: impl AsyncFn(&[SocketAddr], Vec<SlotMessage>),
+) {
+    loop {
+        let mut by_box: BTreeMap<SocketAddr, Vec<SlotMessage>> = BTreeMap::new();
+        for (to, message) in outbox.next().await {
+            by_box.entry(to).or_default().push(message);
         }
-    };
-    tokio::join!(send_queued, extend_loans(gw));
+        for (to, messages) in by_box {
+            send(&[to], messages).await;
+        }
+    }
 }
 
 async fn extend_loans(gw: &Gateway) {
     loop {
         sleep(RENEWAL_INTERVAL).await;
-        for (key, lender) in gw.loans.held.borrow().iter() {
-            gw.loans.outbox.push((*lender, SlotMessage::Request(*key)));
+        for (key, lender) in gw.loans.loans() {
+            gw.loans.outbox.push((lender, SlotMessage::Request(key)));
+        }
+    }
+}
+
+async fn return_unused_slots(gw: &Gateway) {
+    loop {
+        match gw.loans.return_unused(Now::read()) {
+            Some(next) => sleep(next).await,
+            None => gw.loans.became_idle.notified().await,
         }
     }
 }
--- a/src/gateway/place/fleet_view.rs
+++ b/src/gateway/place/fleet_view.rs
@@ -72,7 +72,7 @@
         self.other_boxes().count() + 1
     }
 
-    /// Returns the other boxes among the `count` that rank highest for an upstream.
+    /// Returns the `count` other boxes that rank highest for an upstream.
     pub fn highest_ranked_others(self, upstream: u32, count: usize) -> Vec<SocketAddr> {
         let mut ranked: Vec<SocketAddr> = self.other_boxes().collect();
         ranked.sort_by_key(|address| Reverse(rank_weight(upstream, *address)));
@@ -80,6 +80,18 @@
         ranked
     }
 
+    /// Returns the other boxes in the order in which they rank for an upstream, each with the number
+    /// of boxes above it.
+    pub fn ranked_others(self, upstream: u32) -> Vec<(usize, SocketAddr)> {
+        let own_rank = self.own_rank(upstream);
+        let others = self.highest_ranked_others(upstream, usize::MAX);
+        let with_rank = |(position, address): (usize, SocketAddr)| {
+            let is_below = position >= own_rank;
+            (position + usize::from(is_below), address)
+        };
+        others.into_iter().enumerate().map(with_rank).collect()
+    }
+
     fn other_boxes(self) -> impl Iterator<Item = SocketAddr> {
         let others = self.box_addresses.iter().copied();
         others.filter(move |address| *address != self.own_address)
--- a/src/gateway/place/slots.rs
+++ b/src/gateway/place/slots.rs
@@ -7,7 +7,7 @@
 use super::fleet_view::{FleetView, PositionCache};
 use crate::clock::Now;
 use crate::gateway::attempt::upstream::Upstream;
-use crate::gateway::peers::slot_loans::Loan;
+use crate::gateway::peers::loan_book::Loan;
 use crate::routing::rate_limit::LimitStatement;
 use crate::routing::rejection_limit::{RejectionHistory, RejectionLimit, slot_share};
 use std::cell::{Cell, RefCell};
@@ -19,6 +19,8 @@
 /// How long a lent slot counts as used after the last message of its borrower, which sends some in
 /// this time.
 pub const LOAN_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How soon a slot that was recalled is recalled again, as a message may be lost.
+const RECALL_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a limit is in force after it was stated last. All answers state it, so that an upstream
 /// of which this box has heard nothing for so long has no requests to reject.
 const STATEMENT_LIFETIME: Duration = Duration::from_secs(30);
@@ -61,6 +63,8 @@
 struct LentSlot {
     id: LoanId,
     until: Duration,
+    /// When the borrower was asked to give it back.
+    recalled_at: Option<Duration>,
 }
 
 impl UpstreamSlots {
@@ -139,10 +143,15 @@
         slot_share(usable, position.rank, position.boxes)
     }
 
-    /// Returns the other boxes that have a share of the upstream's slots.
-    pub fn lenders(&self, slots: u32, fleet: FleetView<'_>, now: Now) -> Vec<SocketAddr> {
+    /// Returns the other boxes that have a share of the upstream's slots, and their shares.
+    pub fn lenders(&self, slots: u32, fleet: FleetView<'_>, now: Now) -> Vec<(SocketAddr, u32)> {
         let usable = self.rejections.get().usable_slots(slots, now);
-        fleet.highest_ranked_others(self.upstream, usable as usize)
+        let boxes = fleet.box_count();
+        let others = fleet.ranked_others(self.upstream).into_iter();
+        others
+            .map(|(rank, address)| (address, slot_share(usable, rank, boxes)))
+            .take_while(|(_, share)| *share > 0)
+            .collect()
     }
 
     /// Returns how many slots of the share are used, given this box's requests in flight.
@@ -162,10 +171,27 @@
         let mut lent = self.lent.borrow_mut();
         match lent.iter_mut().find(|slot| slot.id == id) {
             Some(slot) => slot.until = until,
-            None => lent.push(LentSlot { id, until }),
+            None => lent.push(LentSlot {
+                id,
+                until,
+                recalled_at: None,
+            }),
         }
     }
 
+    /// Returns the slot that was lent first of those that were not recalled just before; its
+    /// borrower is to be asked to give it back.
+    pub fn recall_oldest(&self, now: Now) -> Option<LoanId> {
+        let mut lent = self.lent.borrow_mut();
+        let was_recalled = |slot: &LentSlot| {
+            slot.recalled_at
+                .is_some_and(|at| now.monotonic.saturating_sub(at) < RECALL_INTERVAL)
+        };
+        let oldest = lent.iter_mut().find(|slot| !was_recalled(slot))?;
+        oldest.recalled_at = Some(now.monotonic);
+        Some(oldest.id)
+    }
+
     /// Returns whether a loan is known.
     pub fn has_lent(&self, id: LoanId) -> bool {
         self.lent.borrow().iter().any(|slot| slot.id == id)
--- /dev/null
+++ b/tests/gateway/loan_book.rs
@@ -0,0 +1,157 @@
+//! What a box does with the slots that it has borrowed: it keeps them while its callers need them, and
+//! gives them back when they do not, or when their lender asks.
+
+use super::{at, cases};
+use gatepier::clock::Now;
+use gatepier::gateway::peers::loan_book::{Loan, LoanBook};
+use gatepier::gateway::peers::slot_loans::{LoanKey, SlotMessage};
+use gatepier::gateway::place::fleet_view::FleetView;
+use gatepier::gateway::place::slots::{LoanId, ServiceSlots, UpstreamSlots};
+use googletest::prelude::*;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const UPSTREAM: u32 = 7;
+const SLOTS: u32 = 6;
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7000))
+}
+
+fn lender() -> SocketAddr {
+    address(1)
+}
+
+/// Borrows a slot for a request.
+fn borrow(book: &Rc<LoanBook>) -> (LoanKey, Loan) {
+    let key = book.new_key(UPSTREAM);
+    (key, book.record_loan(key, lender(), Rc::default()))
+}
+
+/// Returns the messages to other boxes that wait to be sent.
+fn sent(book: &LoanBook) -> Vec<(SocketAddr, SlotMessage)> {
+    let next = futures::FutureExt::now_or_never(book.outbox.next());
+    next.unwrap_or_default()
+}
+
+fn later(now: Now, by: Duration) -> Now {
+    Now {
+        monotonic: now.monotonic + by,
+        ..now
+    }
+}
+
+cases! {
+    slot_is_kept_for_the_next_request => {
+        let book = Rc::<LoanBook>::default();
+        let (key, loan) = borrow(&book);
+        expect_that!(book.take_idle(UPSTREAM).is_none(), eq(true), "it is in use");
+        drop(loan);
+        expect_that!(sent(&book), is_empty());
+        expect_that!(book.has_idle(UPSTREAM), eq(true));
+        let again = book.take_idle(UPSTREAM);
+        expect_that!(again.is_some(), eq(true));
+        expect_that!(book.has_idle(UPSTREAM), eq(false));
+        expect_that!(book.loans(), elements_are![eq(&(key, lender()))]);
+    }
+
+    unused_slot_is_given_back_after_the_time_of_a_run => {
+        let book = Rc::<LoanBook>::default();
+        let (key, loan) = borrow(&book);
+        drop(loan);
+        let now = Now::read();
+        let left = book.return_unused(now).unwrap();
+        expect_that!(left, le(ServiceSlots::default().mean_run()));
+        expect_that!(sent(&book), is_empty());
+        expect_that!(book.return_unused(later(now, left)), none());
+        expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::Return(key)))]);
+        expect_that!(book.is_held(key), eq(false));
+    }
+
+    recalled_slot_is_given_back_at_once_if_it_is_unused => {
+        let book = Rc::<LoanBook>::default();
+        let (key, loan) = borrow(&book);
+        drop(loan);
+        book.recall(key, lender());
+        expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::Return(key)))]);
+        expect_that!(book.take_idle(UPSTREAM).is_none(), eq(true));
+    }
+
+    recalled_slot_is_given_back_after_the_request_that_uses_it => {
+        let book = Rc::<LoanBook>::default();
+        let (key, loan) = borrow(&book);
+        book.recall(key, lender());
+        expect_that!(sent(&book), is_empty());
+        drop(loan);
+        expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::Return(key)))]);
+        expect_that!(book.has_idle(UPSTREAM), eq(false));
+    }
+
+    // Guards against a slot that its lender counts as lent for as long as the borrower extends it.
+    recall_of_an_unknown_slot_gives_it_back => {
+        let book = Rc::<LoanBook>::default();
+        let key = book.new_key(UPSTREAM);
+        book.recall(key, lender());
+        expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::Return(key)))]);
+    }
+
+    slot_whose_run_may_go_on_is_neither_kept_nor_given_back => {
+        let book = Rc::<LoanBook>::default();
+        let (key, loan) = borrow(&book);
+        loan.let_expire();
+        expect_that!(sent(&book), is_empty());
+        expect_that!(book.has_idle(UPSTREAM), eq(false));
+        expect_that!(book.is_held(key), eq(false), "it is not extended");
+    }
+
+    // Guards against loans whose messages grow with the callers that are refused.
+    lender_without_free_slots_is_asked_less_and_less_often => {
+        let book = LoanBook::default();
+        let mut asked = 0;
+        for millis in 0..10_000 {
+            if book.may_ask(lender(), UPSTREAM, at(millis)) {
+                asked += 1;
+                book.record_denial(lender(), UPSTREAM, at(millis));
+            }
+        }
+        expect_that!(asked, le(32));
+        expect_that!(book.may_ask(lender(), UPSTREAM + 1, at(10_000)), eq(true));
+    }
+
+    lender_is_asked_at_once_after_it_has_lent => {
+        let book = Rc::<LoanBook>::default();
+        for _ in 0..10 {
+            book.record_denial(lender(), UPSTREAM, at(0));
+        }
+        expect_that!(book.may_ask(lender(), UPSTREAM, at(1)), eq(false));
+        let (_key, _loan) = borrow(&book);
+        expect_that!(book.may_ask(lender(), UPSTREAM, at(1)), eq(true));
+    }
+
+    lenders_are_the_other_boxes_with_a_share_of_the_slots => {
+        let boxes: Vec<SocketAddr> = (0..48).map(address).collect();
+        for own in &boxes {
+            let fleet = FleetView {
+                own_address: *own,
+                box_addresses: &boxes,
+                uptime: Duration::from_secs(60),
+            };
+            let slots = UpstreamSlots::new(UPSTREAM);
+            let own_share = slots.share(SLOTS, fleet, at(0));
+            let lent: u32 = slots.lenders(SLOTS, fleet, at(0)).iter().map(|(_, share)| share).sum();
+            expect_that!(own_share + lent, eq(SLOTS));
+        }
+    }
+
+    lent_slots_are_recalled_oldest_first_and_not_twice_at_once => {
+        let slots = UpstreamSlots::new(UPSTREAM);
+        let loan = |number| LoanId { borrower: address(2), number };
+        slots.lend(loan(1), at(0));
+        slots.lend(loan(2), at(1));
+        expect_that!(slots.recall_oldest(at(10)), some(eq(loan(1))));
+        expect_that!(slots.recall_oldest(at(10)), some(eq(loan(2))));
+        expect_that!(slots.recall_oldest(at(10)), none());
+        expect_that!(slots.recall_oldest(at(1000)), some(eq(loan(1))), "the message may be lost");
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod load_decision;
 mod load_patterns;
 mod load_reports;
+mod loan_book;
 mod model_choice;
 mod own_delay;
 mod packing;
