A router takes on no more than it can serve, and blames nobody for its own delay

Cause: nothing bounded what a thread took on, and a time-out in a late router counted as a failure of the upstream.

Change: each thread measures how late it gets to its work, closes new connections unread while that exceeds what callers bear, and asks callers on open HTTP/1 connections to leave. A connect or response that timed out while the thread was late does not count against the upstream. Routers do not leave the rotation by themselves, since they do not know how many others are full.

The throttle of the tests moved to the lab, where both test suites use it.

--- a/src/gateway/admit/own_limit.rs
+++ b/src/gateway/admit/own_limit.rs
@@ -4,11 +4,8 @@
 use crate::clock::{Now, millis};
 use crate::gateway::Gateway;
 use crate::http_server::load_shedding::{Lateness, UnreadConnection};
-use crate::metrics::Metrics;
 use crate::saturation::OwnDelay;
 use crate::saturation::sampler::sample_scheduling;
-use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,8 +16,6 @@
 /// The bounds of the tolerated delay. Each event of a stream meets it too, whatever the objective.
 const MIN_TOLERATED_DELAY: Duration = Duration::from_millis(5);
 const MAX_TOLERATED_DELAY: Duration = Duration::from_millis(25);
-/// The delay with which requests miss their objectives, as a multiple of the tolerated one.
-const CRITICAL_FACTOR: u32 = 4;
 /// The time between two log lines about a box that is late.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -31,15 +26,6 @@
         self.shedder.admit(self.in_flight(), has_memory, now)
     }
 
-    fn lateness(&self, delay: OwnDelay) -> Lateness {
-        let tolerated = self.tolerated_delay();
-        match delay.longest() {
-            delay if delay > tolerated * CRITICAL_FACTOR => Lateness::Critical,
-            delay if delay > tolerated => Lateness::Noticeable,
-            _ => Lateness::Tolerated,
-        }
-    }
-
     /// Returns the delay of this box that its callers bear.
     fn tolerated_delay(&self) -> Duration {
         let knowledge = self.knowledge.borrow();
@@ -73,10 +59,15 @@
 pub async fn watch_own_limit(gw: Rc<Gateway>) {
     let next_line = Cell::new(Duration::ZERO);
     let shed_before = Cell::new(0);
+    let was_withdrawn = Cell::new(false);
     sample_scheduling(&gw.saturation, |now| {
         let delay = gw.saturation.current(now);
-        let lateness = gw.lateness(delay);
+        let lateness = Lateness::of(delay, gw.tolerated_delay());
         gw.shedder.adjust(gw.in_flight(), lateness, now);
+        let is_withdrawn = gw.shedder.is_withdrawn(now);
+        if !was_withdrawn.replace(is_withdrawn) && is_withdrawn {
+            log::warn!("full for a while: not ready, so that new callers are sent elsewhere");
+        }
         let shed = gw.shedder.shed_count();
         let is_at_limit = lateness != Lateness::Tolerated || shed > shed_before.get();
         if is_at_limit && now.monotonic >= next_line.get() {
@@ -88,35 +79,3 @@
     })
     .await;
 }
-
-/// The instruments of the box's own limit.
-#[derive(Debug)]
-pub struct OwnLimitMetrics {
-    delay: Gauge<u64>,
-    shed: Counter<u64>,
-}
-
-impl OwnLimitMetrics {
-    /// Creates the instruments.
-    pub fn new(metrics: &Metrics) -> Self {
-        let meter = metrics.meter();
-        Self {
-            delay: meter
-                .u64_gauge("gatepier_own_delay_ms")
-                .with_description("Latest delay that this box caused by itself, by where it arose.")
-                .build(),
-            shed: meter
-                .u64_counter("gatepier_connections_closed_unread")
-                .with_description("Connections of callers closed unread at the box's own limit.")
-                .build(),
-        }
-    }
-
-    fn record(&self, delay: OwnDelay, shed: u64) {
-        self.shed.add(shed, &[]);
-        for (source, delay) in [("scheduling", delay.scheduling), ("network", delay.network)] {
-            self.delay
-                .record(millis(delay), &[KeyValue::new("source", source)]);
-        }
-    }
-}
--- a/src/http_server/connection_close.rs
+++ b/src/http_server/connection_close.rs
@@ -25,6 +25,12 @@
         self.is_sent.get()
     }
 
+    /// Adds `Connection: close` to a response.
+    pub fn add<B>(&self, response: &mut Response<B>) {
+        add_close_header(response);
+        self.is_sent.set(true);
+    }
+
     /// Adds `Connection: close` to a response if the server is stopping.
     pub fn add_if_stopping<B>(&self, connections: &Connections, response: &mut Response<B>) {
         if connections.add_close_header_if_stopping(response) {
--- a/src/http_server/load_shedding.rs
+++ b/src/http_server/load_shedding.rs
@@ -5,6 +5,7 @@
 //! callers to leave. See `docs/design/saturation.md`.
 
 use crate::clock::Now;
+use crate::saturation::OwnDelay;
 use crate::saturation::concurrency_limit::{ConcurrencyLimit, MIN_LIMIT};
 use crate::saturation::withdrawal::Withdrawal;
 use std::cell::{Cell, RefCell};
@@ -14,6 +15,8 @@
 /// The longest time without an admitted connection while callers connect: a server that accepts
 /// none would look dead, and would not find out that it has room again.
 const MAX_ADMISSION_INTERVAL: Duration = Duration::from_millis(250);
+/// The delay with which requests miss their objectives, as a multiple of the tolerated one.
+const CRITICAL_FACTOR: u32 = 4;
 /// How long callers on open connections are asked to leave after the process was full.
 const FULL_LIFETIME: Duration = Duration::from_secs(1);
 
@@ -43,6 +46,17 @@
 #[derive(Debug)]
 pub struct UnreadConnection(Rc<Cell<u32>>);
 
+impl Lateness {
+    /// Classifies a delay by the one that callers bear.
+    pub fn of(delay: OwnDelay, tolerated: Duration) -> Self {
+        match delay.longest() {
+            delay if delay > tolerated * CRITICAL_FACTOR => Self::Critical,
+            delay if delay > tolerated => Self::Noticeable,
+            _ => Self::Tolerated,
+        }
+    }
+}
+
 impl Drop for UnreadConnection {
     fn drop(&mut self) {
         self.0.set(self.0.get().saturating_sub(1));
@@ -111,8 +125,6 @@
 
     fn record_full(&self, now: Now) {
         self.full_at.set(Some(now.monotonic));
-        if self.withdrawal.borrow_mut().record_full(now) {
-            log::warn!("full for a while: not ready, so that new callers are sent elsewhere");
-        }
+        self.withdrawal.borrow_mut().record_full(now);
     }
 }
--- a/src/lab.rs
+++ b/src/lab.rs
@@ -11,3 +11,4 @@
 pub mod server;
 pub mod service;
 pub mod store;
+pub mod throttle;
--- a/src/router.rs
+++ b/src/router.rs
@@ -15,6 +15,7 @@
 pub mod crash_guard;
 mod dispatch;
 mod headers;
+mod own_limit;
 mod plain_service;
 mod rating;
 mod recent_finishes;
--- a/src/router/cascade_step.rs
+++ b/src/router/cascade_step.rs
@@ -255,10 +255,12 @@
         .shared
         .evidence_subject(version, &caller.organisation);
     let request = upstream_request(worker, caller, step, version, upstream);
-    let response = match dispatch(&Method::POST, request, caller, upstream, dispatch_log).await {
+    let method = &Method::POST;
+    let sending = dispatch(worker, method, request, caller, upstream, dispatch_log);
+    let response = match sending.await {
         Ok(response) => response,
         Err(failure) => {
-            if failure.refused.reason == Reason::UpstreamFailed {
+            if failure.refused.reason == Reason::UpstreamFailed && !failure.may_be_own {
                 upstream.load.record_failure(started, Now::read());
                 if !failure.is_unsent {
                     count_failure(worker, &subject);
--- a/src/router/claimed_request.rs
+++ b/src/router/claimed_request.rs
@@ -145,7 +145,8 @@
                 self.head
                     .build_request(&self.worker.unpooled_client, &self.caller, &upstream);
             let request = request_builder.send_body(self.body.clone());
-            let refused = match dispatch(
+            let failure = match dispatch(
+                &self.worker,
                 self.head.method(),
                 request,
                 &self.caller,
@@ -168,11 +169,14 @@
                         let (name, address) = (&upstream.name, upstream.address);
                         self.crash_guard.check_for_crash(name, address).await;
                     }
-                    failure.refused
+                    failure
                 }
             };
+            let refused = failure.refused;
             attempts.push(attempt_record(&self.service, &upstream, &refused.message));
-            upstream.load.record_failure(started, Now::read());
+            if !failure.may_be_own {
+                upstream.load.record_failure(started, Now::read());
+            }
             tried.push(upstream.name);
             if refused.outcome != Outcome::NotRun || tried.len() >= MAX_ATTEMPTS {
                 return Err(refused);
--- a/src/router/connection_stats.rs
+++ b/src/router/connection_stats.rs
@@ -19,6 +19,8 @@
     UnreadReported,
     /// The caller closed the connection, or it was idle for too long.
     Idle,
+    /// The router closed it unread, since it had more to do than it can.
+    AtOwnLimit,
     /// An HTTP/2 connection, which has its own ways to end.
     Http2,
 }
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -2,6 +2,7 @@
 
 use super::agent_client::AgentClient;
 use super::crash_guard::CrashSuspects;
+use super::own_limit::OwnLimit;
 use super::recent_finishes::RecentFinishes;
 use super::telemetry::RouterMetrics;
 use crate::claim::{AttemptId, ClaimKey, ClaimReply, Finish};
@@ -120,6 +121,8 @@
     pub unpooled_client: Client,
     /// The client for the agents of the fleet.
     pub agents: AgentClient,
+    /// The limit of what this thread takes on.
+    pub own_limit: OwnLimit,
 }
 
 impl std::fmt::Debug for Worker {
@@ -137,6 +140,7 @@
             pooled_client: pooled_client(),
             unpooled_client: unpooled_client(),
             agents: AgentClient::new(shared.clone()),
+            own_limit: OwnLimit::default(),
             shared,
         })
     }
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -4,7 +4,7 @@
 //! proves that a request was not sent, and for which request a response belongs to.
 
 use super::body::UpstreamResponse;
-use super::context::{Caller, refuse};
+use super::context::{Caller, Worker, refuse};
 use super::headers::{
     LEAVING_HEADER, RATE_LIMIT_HEADER, REJECTION_LIMIT_HEADER, SLOTS_HEADER, UPSTREAM_ID_HEADER,
 };
@@ -15,6 +15,7 @@
 use actix_http::header::{CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
 use actix_http::{Method, StatusCode};
 use awc::SendClientRequest;
+use awc::error::{ConnectError, SendRequestError};
 use tokio::time::timeout;
 
 /// Why no response started.
@@ -24,10 +25,14 @@
     pub refused: Refused,
     /// Whether it is proved that this attempt wrote no byte.
     pub is_unsent: bool,
+    /// Whether the failure may have arisen in this thread, which was late by itself, so that it
+    /// proves nothing about the upstream.
+    pub may_be_own: bool,
 }
 
 /// Sends a request with a method and waits for the head of the response until the caller's deadline.
 pub async fn dispatch(
+    worker: &Worker,
     method: &Method,
     request: SendClientRequest,
     caller: &Caller,
@@ -37,6 +42,11 @@
     let attempt = dispatch_log.begin_try();
     let sent = Now::read();
     let result = timeout(caller.remaining_time(Now::read()), request).await;
+    let is_timeout = match &result {
+        Ok(Err(err)) => matches!(err, SendRequestError::Connect(ConnectError::Timeout)),
+        Err(_elapsed) => true,
+        Ok(Ok(_)) => false,
+    };
     let (reason, message, proof) = match result {
         Ok(Ok(response)) if !has_known_end(method, &response) => (
             Reason::UpstreamFailed,
@@ -66,7 +76,12 @@
         None => dispatch_log.record_maybe_sent(attempt),
     }
     let refused = refuse(dispatch_log.refusal_outcome(), reason, message);
-    Err(DispatchFailure { refused, is_unsent })
+    let saturation = &worker.own_limit.saturation;
+    Err(DispatchFailure {
+        refused,
+        is_unsent,
+        may_be_own: is_timeout && saturation.was_late_since(sent.monotonic, Now::read()),
+    })
 }
 
 /// Returns whether the client reads the body of a response to its end: it takes a body that ends with
--- a/src/router/plain_service.rs
+++ b/src/router/plain_service.rs
@@ -272,7 +272,9 @@
             .record
             .tries
             .push(attempt_record(service, &upstream, &refused.message));
-        upstream.load.record_failure(started, Now::read());
+        if !failure.may_be_own {
+            upstream.load.record_failure(started, Now::read());
+        }
         tried.push(upstream.name);
         let may_retry =
             !is_body_single_use && refused.reason != Reason::Deadline && tried.len() < MAX_ATTEMPTS;
@@ -303,7 +305,8 @@
     } else {
         request_builder.send()
     };
-    dispatch(req.method(), sending, caller, upstream, dispatch_log).await
+    let method = req.method();
+    dispatch(worker, method, sending, caller, upstream, dispatch_log).await
 }
 
 /// Forwards a body in chunks as they are received, and fails once it exceeds the limit.
--- a/src/router/request_handler.rs
+++ b/src/router/request_handler.rs
@@ -26,6 +26,12 @@
 
 /// Serves one request.
 pub async fn handle_request(worker: Rc<Worker>, req: Request) -> Response<BoxBody> {
+    let in_progress = worker.own_limit.count_request();
+    let response = respond(worker, req).await;
+    response.map_body(|_head, body| in_progress.until_end_of(body))
+}
+
+async fn respond(worker: Rc<Worker>, req: Request) -> Response<BoxBody> {
     let received = Now::read();
     worker.shared.wait_until_ready().await;
     let caller = match read_caller(&worker, &req, received) {
--- a/src/router/telemetry.rs
+++ b/src/router/telemetry.rs
@@ -2,6 +2,7 @@
 
 use crate::decision_record::DecisionRecord;
 use crate::metrics::Metrics;
+use crate::saturation::instruments::OwnLimitMetrics;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use std::time::Duration;
@@ -19,6 +20,8 @@
     cost: Counter<u64>,
     generation: Gauge<u64>,
     agent_age: Gauge<u64>,
+    /// The instruments of the threads' own limits.
+    pub own_limit: OwnLimitMetrics,
 }
 
 impl RouterMetrics {
@@ -51,6 +54,7 @@
                 .u64_gauge("gatepier_agent_age_ms")
                 .with_description("Milliseconds since the agent was heard from.")
                 .build(),
+            own_limit: OwnLimitMetrics::new(metrics),
         }
     }
 
--- a/src/router/worker_threads.rs
+++ b/src/router/worker_threads.rs
@@ -2,13 +2,16 @@
 
 use super::connection_stats::{ConnectionEnd, ServedConnection, ThreadCounts};
 use super::context::{RouterShared, Worker};
+use super::own_limit::watch_own_limit;
 use super::request_handler::handle_request;
 use super::responses::connection_closing_response;
+use crate::clock::Now;
 use crate::error::{Error, Result};
 use crate::http_server::Connections;
 use crate::http_server::accept::AcceptedConnection;
 use crate::http_server::connection_close::close_connection;
 use crate::http_server::h2;
+use crate::http_server::load_shedding::UnreadConnection;
 use crate::http_server::reclaimable_stream::{ReclaimableStream, StreamReclaimer};
 use actix_http::error::DispatchError;
 use actix_http::{Extensions, HttpService, Protocol, Request};
@@ -100,7 +103,7 @@
 ) -> Result<WorkerThread> {
     let (queue, rx) = unbounded_channel();
     let is_started = Arbiter::new().spawn_fn(move || {
-        actix_rt::spawn(serve_assigned(Worker::new(shared), connections, rx));
+        actix_rt::spawn(serve_assigned(index, Worker::new(shared), connections, rx));
     });
     match is_started {
         true => Ok(WorkerThread {
@@ -115,6 +118,7 @@
 
 /// Serves the connections that are assigned to a thread.
 async fn serve_assigned(
+    thread: usize,
     worker: Rc<Worker>,
     connections: Connections,
     mut queue: UnboundedReceiver<AssignedConnection>,
@@ -124,11 +128,16 @@
         return log::error!("a worker thread cannot create its HTTP service");
     };
     let service = Rc::new(service);
+    actix_rt::spawn(watch_own_limit(worker.clone(), thread));
     while let Some(AssignedConnection { stream, served }) = queue.recv().await {
+        let Some(unread) = worker.own_limit.admit_connection(Now::read()) else {
+            served.record_end(&Ok(ConnectionEnd::AtOwnLimit));
+            continue;
+        };
         let (service, worker) = (service.clone(), worker.clone());
         let connections = connections.clone();
         actix_rt::spawn(async move {
-            let end = serve_connection(stream, &*service, worker, &connections).await;
+            let end = serve_connection(stream, unread, &*service, worker, &connections).await;
             served.record_end(&end);
         });
     }
@@ -154,8 +163,11 @@
             // Boxed, so that its memory is freed once the body of the response starts; a connection
             // keeps the memory of the largest unboxed future until it ends.
             Box::pin(async move {
-                let mut response = handle_request(worker, req).await;
+                let mut response = handle_request(worker.clone(), req).await;
                 if let Some(reclaimer) = reclaimer {
+                    if worker.own_limit.is_full(Now::read()) {
+                        reclaimer.close_header.add(&mut response);
+                    }
                     reclaimer
                         .close_header
                         .add_if_stopping(&connections, &mut response);
@@ -167,6 +179,7 @@
 
 async fn serve_connection(
     stream: std::net::TcpStream,
+    unread: UnreadConnection,
     service: &impl Service<Http1Connection, Response = (), Error = DispatchError>,
     worker: Rc<Worker>,
     connections: &Connections,
@@ -181,6 +194,8 @@
         }
     };
     let peer = stream.peer_addr()?;
+    // From now on its requests count as in progress.
+    drop(unread);
     match detected {
         Ok(Ok(Protocol::Http2)) => {
             let handler = Rc::new(move |req| handle_request(worker.clone(), req));
--- a/src/saturation.rs
+++ b/src/saturation.rs
@@ -7,6 +7,7 @@
 pub mod concurrency_limit;
 pub mod connect_times;
 pub mod delay_window;
+pub mod instruments;
 pub mod sampler;
 pub mod withdrawal;
 
--- a/tests/common/callers.rs
+++ b/tests/common/callers.rs
@@ -123,10 +123,19 @@
 impl Bench {
     /// Returns a view of the bench for concurrent callers.
     pub fn caller_view(&self) -> CallerView {
+        self.caller_view_with(gatepier::http_client::pooled_client())
+    }
+
+    /// Returns a view of the bench for concurrent callers who open a connection for each request.
+    pub fn new_caller_view(&self) -> CallerView {
+        self.caller_view_with(gatepier::http_client::unpooled_client())
+    }
+
+    fn caller_view_with(&self, client: Client) -> CallerView {
         let router = |(name, running): (&String, &RunningBox)| (name.clone(), running.files.router);
         CallerView {
             routers: self.boxes.iter().map(router).collect(),
-            client: gatepier::http_client::pooled_client(),
+            client,
         }
     }
 
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -28,9 +28,14 @@
         Self { child }
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> i32 {
+        i32::try_from(self.child.id()).unwrap()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: i32) {
-        let id = i32::try_from(self.child.id()).unwrap();
+        let id = self.id();
         // SAFETY: The call has no memory effects, and the child has not been reaped, so its
         // process id has not been reused.
         unsafe { libc::kill(id, signal) };
