Report a process at its limit by one rule for boxes and routers

Both loops that watch a thread kept the same counts of reported connections and the time of the next line. The load shedder keeps them now. Unread connections are counted by the references to one value, as other requests in progress are.

--- a/src/gateway/admit/own_limit.rs
+++ b/src/gateway/admit/own_limit.rs
@@ -16,8 +16,6 @@
 /// The bounds of the tolerated delay. Each event of a stream meets it too, whatever the objective.
 const MIN_TOLERATED_DELAY: Duration = Duration::from_millis(5);
 const MAX_TOLERATED_DELAY: Duration = Duration::from_millis(25);
-/// The time between two log lines about a box that is late.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Gateway {
     /// Admits a new connection of a caller, or returns `None` if it has to be closed unread.
@@ -37,13 +35,13 @@
             .clamp(MIN_TOLERATED_DELAY, MAX_TOLERATED_DELAY)
     }
 
-    fn log_own_delay(&self, delay: OwnDelay, shed: u64, now: Now) {
+    fn log_own_delay(&self, delay: OwnDelay, closed_unread: u64, now: Now) {
         log::warn!(
             scheduling_ms = millis(delay.scheduling),
             network_ms = millis(delay.network),
             in_flight = self.in_flight(),
             limit = self.shedder.limit().map_or(-1, i64::from),
-            closed_unread = shed,
+            closed_unread,
             connections = self.caller_connections.count(),
             held_bytes = self.held_memory.total(),
             budget_bytes = self.held_memory.budget(),
@@ -57,8 +55,6 @@
 /// Watches how late the box is by itself, and adjusts what it takes on, for as long as the process
 /// runs.
 pub async fn watch_own_limit(gw: Rc<Gateway>) {
-    let next_line = Cell::new(Duration::ZERO);
-    let shed_before = Cell::new(0);
     let was_withdrawn = Cell::new(false);
     sample_scheduling(&gw.saturation, |now| {
         let delay = gw.saturation.current(now);
@@ -68,13 +64,9 @@
         if !was_withdrawn.replace(is_withdrawn) && is_withdrawn {
             log::warn!("full for a while: not ready, so that new callers are sent elsewhere");
         }
-        let shed = gw.shedder.shed_count();
-        let is_at_limit = lateness != Lateness::Tolerated || shed > shed_before.get();
-        if is_at_limit && now.monotonic >= next_line.get() {
-            let shed_since = shed - shed_before.replace(shed);
-            gw.log_own_delay(delay, shed_since, now);
-            gw.own_limit_metrics.record(delay, shed_since);
-            next_line.set(now.monotonic + LOG_INTERVAL);
+        if let Some(closed_unread) = gw.shedder.take_report(lateness, now) {
+            gw.log_own_delay(delay, closed_unread, now);
+            gw.own_limit_metrics.record(delay, closed_unread);
         }
     })
     .await;
--- a/src/http_server/load_shedding.rs
+++ b/src/http_server/load_shedding.rs
@@ -19,16 +19,21 @@
 const CRITICAL_FACTOR: u32 = 4;
 /// How long callers on open connections are asked to leave after the process was full.
 const FULL_LIFETIME: Duration = Duration::from_secs(1);
+/// The time between two reports of a process that is at its limit.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Decides which new connections are served.
 #[derive(Debug, Default)]
 pub struct LoadShedder {
     limit: RefCell<ConcurrencyLimit>,
     withdrawal: RefCell<Withdrawal>,
-    unread: Rc<Cell<u32>>,
+    /// Held once by each admitted connection of which no request has been read.
+    unread: Rc<()>,
     admitted_at: Cell<Duration>,
     full_at: Cell<Option<Duration>>,
     shed: Cell<u64>,
+    reported_shed: Cell<u64>,
+    next_report: Cell<Duration>,
 }
 
 /// How late a process is by itself.
@@ -44,7 +49,7 @@
 
 /// An admitted connection of which no request has been read, until this is dropped.
 #[derive(Debug)]
-pub struct UnreadConnection(Rc<Cell<u32>>);
+pub struct UnreadConnection(#[expect(dead_code, reason = "counted")] Rc<()>);
 
 impl Lateness {
     /// Classifies a delay by the one that callers bear.
@@ -57,12 +62,6 @@
     }
 }
 
-impl Drop for UnreadConnection {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
 impl LoadShedder {
     /// Adjusts what is admitted to how late the process is by itself; `in_flight` is the number of
     /// requests that were read and not answered yet.
@@ -78,7 +77,8 @@
 
     /// Admits a new connection, or returns `None` if it has to be closed unread.
     ///
-    /// `has_memory` tells whether there is memory for its request.
+    /// `has_memory` returns whether there is memory for its request; it is called only if the limit
+    /// leaves room.
     pub fn admit(
         &self,
         in_flight: u32,
@@ -94,7 +94,6 @@
             return None;
         }
         self.admitted_at.set(now.monotonic);
-        self.unread.set(self.unread.get() + 1);
         Some(UnreadConnection(self.unread.clone()))
     }
 
@@ -114,13 +113,27 @@
         self.shed.get()
     }
 
+    /// Returns how many connections were closed unread since the last report if one is due: while the
+    /// process is late or closes connections, once in each interval.
+    pub fn take_report(&self, lateness: Lateness, now: Now) -> Option<u64> {
+        let closed = self.shed.get() - self.reported_shed.get();
+        let is_at_limit = lateness != Lateness::Tolerated || closed > 0;
+        if !is_at_limit || now.monotonic < self.next_report.get() {
+            return None;
+        }
+        self.reported_shed.set(self.shed.get());
+        self.next_report.set(now.monotonic + REPORT_INTERVAL);
+        Some(closed)
+    }
+
     /// Returns how many requests may be in progress, if that is limited.
     pub fn limit(&self) -> Option<u32> {
         self.limit.borrow().get()
     }
 
     fn in_progress(&self, in_flight: u32) -> u32 {
-        in_flight.saturating_add(self.unread.get())
+        let unread = Rc::strong_count(&self.unread) - 1;
+        in_flight.saturating_add(u32::try_from(unread).unwrap_or(u32::MAX))
     }
 
     fn record_full(&self, now: Now) {
--- a/src/router/own_limit.rs
+++ b/src/router/own_limit.rs
@@ -10,7 +10,6 @@
 use crate::saturation::sampler::sample_scheduling;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use bytes::Bytes;
-use std::cell::Cell;
 use std::error::Error;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -19,8 +18,6 @@
 
 /// The delay of a thread that callers bear; a request meets it about ten times on its way.
 const TOLERATED_DELAY: Duration = Duration::from_millis(10);
-/// The time between two log lines about a thread that is late.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What a thread knows of its own limit.
 #[derive(Debug, Default)]
@@ -99,28 +96,22 @@
 /// Watches how late a thread is by itself, and adjusts what it takes on, for as long as it runs.
 pub async fn watch_own_limit(worker: Rc<Worker>, thread: usize) {
     let own_limit = &worker.own_limit;
-    let next_line = Cell::new(Duration::ZERO);
-    let shed_before = Cell::new(0);
     sample_scheduling(&own_limit.saturation, |now| {
         let delay = own_limit.saturation.current(now);
         let lateness = Lateness::of(delay, TOLERATED_DELAY);
         own_limit
             .shedder
             .adjust(own_limit.in_progress(), lateness, now);
-        let shed = own_limit.shedder.shed_count();
-        let is_at_limit = lateness != Lateness::Tolerated || shed > shed_before.get();
-        if is_at_limit && now.monotonic >= next_line.get() {
-            let shed_since = shed - shed_before.replace(shed);
+        if let Some(closed_unread) = own_limit.shedder.take_report(lateness, now) {
             log::warn!(
                 thread,
                 scheduling_ms = millis(delay.scheduling),
                 in_progress = own_limit.in_progress(),
                 limit = own_limit.shedder.limit().map_or(-1, i64::from),
-                closed_unread = shed_since;
+                closed_unread;
                 "this thread is at its own limit"
             );
-            worker.shared.metrics.own_limit.record(delay, shed_since);
-            next_line.set(now.monotonic + LOG_INTERVAL);
+            worker.shared.metrics.own_limit.record(delay, closed_unread);
         }
     })
     .await;
