--- a/src/router/cascade_step.rs
+++ b/src/router/cascade_step.rs
@@ -260,8 +260,8 @@
     let response = match sending.await {
         Ok(response) => response,
         Err(failure) => {
-            if failure.refused.reason == Reason::UpstreamFailed && !failure.may_be_own {
-                upstream.load.record_failure(started, Now::read());
+            if failure.refused.reason == Reason::UpstreamFailed {
+                failure.record(upstream, started, Now::read());
                 if !failure.is_unsent {
                     count_failure(worker, &subject);
                     step.crash_guard
--- a/src/router/claimed_request.rs
+++ b/src/router/claimed_request.rs
@@ -172,11 +172,9 @@
                     failure
                 }
             };
+            failure.record(&upstream, started, Now::read());
             let refused = failure.refused;
             attempts.push(attempt_record(&self.service, &upstream, &refused.message));
-            if !failure.may_be_own {
-                upstream.load.record_failure(started, Now::read());
-            }
             tried.push(upstream.name);
             if refused.outcome != Outcome::NotRun || tried.len() >= MAX_ATTEMPTS {
                 return Err(refused);
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -16,6 +16,7 @@
 use actix_http::{Method, StatusCode};
 use awc::SendClientRequest;
 use awc::error::{ConnectError, SendRequestError};
+use std::time::Duration;
 use tokio::time::timeout;
 
 /// Why no response started.
@@ -27,7 +28,17 @@
     pub is_unsent: bool,
     /// Whether the failure may have arisen in this thread, which was late by itself, so that it
     /// proves nothing about the upstream.
-    pub may_be_own: bool,
+    may_be_own: bool,
+}
+
+impl DispatchFailure {
+    /// Records that the upstream failed a request that started at `started`, on the monotonic
+    /// clock, unless the failure may have arisen in this thread.
+    pub fn record(&self, upstream: &Upstream, started: Duration, now: Now) {
+        if !self.may_be_own {
+            upstream.load.record_failure(started, now);
+        }
+    }
 }
 
 /// Sends a request with a method and waits for the head of the response until the caller's deadline.
--- a/src/router/plain_service.rs
+++ b/src/router/plain_service.rs
@@ -267,14 +267,12 @@
                 .check_for_crash(&upstream.name, upstream.address)
                 .await;
         }
+        failure.record(&upstream, started, Now::read());
         let refused = failure.refused;
         trace
             .record
             .tries
             .push(attempt_record(service, &upstream, &refused.message));
-        if !failure.may_be_own {
-            upstream.load.record_failure(started, Now::read());
-        }
         tried.push(upstream.name);
         let may_retry =
             !is_body_single_use && refused.reason != Reason::Deadline && tried.len() < MAX_ATTEMPTS;
