--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -309,13 +309,14 @@
         model: Option<&str>,
     ) -> Option<(PlacementChoice, Option<Loan>)> {
         let now = Now::read();
-        let kept = gw.upstreams_with_kept_slots(&self.service, &self.session_id, now);
+        let full = gw.upstreams_without_own_slot(&self.service, &self.session_id, now);
+        let kept = gw.with_kept_slots(&full);
         if let Some(choice) = self.choose_upstream(gw, &kept, tried, model, now)
             && let Some(loan) = gw.loans.take_idle(choice.upstream.short_hash())
         {
             return Some((choice, Some(loan)));
         }
-        gw.recall_slot_of(&self.service, &self.session_id, now);
+        gw.recall_any_slot(&full, now);
         let borrowing = gw.borrow_slot(&self.service, &self.session_id, tried);
         let (upstream, loan) = borrowing.await?;
         let choice = self.choose_upstream(gw, &[upstream], tried, model, Now::read())?;
--- a/src/gateway/peers/slot_loans.rs
+++ b/src/gateway/peers/slot_loans.rs
@@ -76,17 +76,10 @@
         None
     }
 
-    /// Returns the upstreams of which this box keeps a borrowed slot unused, and that may be sent a
-    /// request of a session.
-    pub fn upstreams_with_kept_slots(
-        &self,
-        service: &str,
-        session: &str,
-        now: Now,
-    ) -> Vec<Rc<Upstream>> {
-        let mut upstreams = self.upstreams_without_own_slot(service, session, now);
-        upstreams.retain(|upstream| self.loans.has_idle(upstream.short_hash()));
-        upstreams
+    /// Returns the upstreams of which this box keeps a borrowed slot unused.
+    pub fn with_kept_slots(&self, upstreams: &[Rc<Upstream>]) -> Vec<Rc<Upstream>> {
+        let has_kept = |upstream: &&Rc<Upstream>| self.loans.has_idle(upstream.short_hash());
+        upstreams.iter().filter(has_kept).cloned().collect()
     }
 
     fn choose_lender(
@@ -207,12 +200,13 @@
             && self.slot_delay(upstream, fleet, now).is_none()
     }
 
-    /// Asks for one of this box's slots of a service back, for a request that found none.
-    pub fn recall_slot_of(&self, service: &str, session: &str, now: Now) {
-        let upstreams = self.upstreams_without_own_slot(service, session, now);
-        let _is_recalled = upstreams
-            .iter()
-            .any(|upstream| self.recall_slot(upstream, now));
+    /// Asks for one of this box's slots of some upstreams back, for a request that found none.
+    pub fn recall_any_slot(&self, upstreams: &[Rc<Upstream>], now: Now) {
+        for upstream in upstreams {
+            if self.recall_slot(upstream, now) {
+                return;
+            }
+        }
     }
 
     /// Asks for the slot of an upstream that was lent first; returns whether one is lent.
