--- a/src/gateway/answer/held_bytes.rs
+++ b/src/gateway/answer/held_bytes.rs
@@ -322,12 +322,11 @@
     /// Returns whether this many more bytes would fit if all stalled requests yielded.
     pub fn could_fit(&self, bytes: u64, now: Now) -> bool {
         let excess = self.excess(bytes, BudgetShare::Whole);
-        let stalled = || {
-            self.stalled(now)
-                .into_iter()
-                .map(|(_, request)| request.held)
-        };
-        excess == 0 || stalled().sum::<u64>() >= excess
+        if excess == 0 {
+            return true;
+        }
+        let stalled = self.stalled(now).into_iter();
+        stalled.map(|(_, request)| request.held).sum::<u64>() >= excess
     }
 
     /// Returns how far this many more bytes would exceed a share of the budget once all requests that
--- a/src/gateway/answer/held_memory.rs
+++ b/src/gateway/answer/held_memory.rs
@@ -11,7 +11,7 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::telemetry::Telemetry;
 use crate::saturation::Saturation;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, RefCell, RefMut};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -119,15 +119,17 @@
     /// Returns whether there is memory to serve another request, once those that are stalled have
     /// yielded.
     pub fn has_room_for_request(&self, now: Now) -> bool {
-        let mut held = self.held.borrow_mut();
-        held.set_own_delay(self.own_delay(now));
+        let held = self.held_at(now);
         held.could_fit(CONNECTION_BUFFERS + RELAYED_PIECE, now)
     }
 
-    /// Returns how late the box was by itself while callers may have stalled.
-    fn own_delay(&self, now: Now) -> Duration {
+    /// Returns the accounts, which know how late the box was by itself while callers may have
+    /// stalled.
+    fn held_at(&self, now: Now) -> RefMut<'_, HeldBytes> {
         let since = now.monotonic.saturating_sub(MIN_STALL);
-        self.saturation.longest_since(since, now)
+        let mut held = self.held.borrow_mut();
+        held.set_own_delay(self.saturation.longest_since(since, now));
+        held
     }
 
     /// Returns the bytes held in all.
@@ -270,8 +272,7 @@
     fn make_room(&self, more: u64, share: BudgetShare) -> bool {
         let needed = more.saturating_add(self.memory.waiting.get());
         let now = Now::read();
-        let mut held = self.memory.held.borrow_mut();
-        held.set_own_delay(self.memory.own_delay(now));
+        let mut held = self.memory.held_at(now);
         for request in held.make_room(needed, share, now) {
             self.telemetry.record_let_go(&request, held.budget());
             self.memory.let_go(&request);
--- a/src/gateway/peers/tunnel_client.rs
+++ b/src/gateway/peers/tunnel_client.rs
@@ -154,8 +154,9 @@
 }
 
 /// The connection to one box, over which its tunnels lead.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Session {
+    saturation: Rc<Saturation>,
     open_tunnels: Rc<Cell<usize>>,
     /// Held while the connection is being opened, so that requests wait for it together.
     connection: tokio::sync::Mutex<Option<SessionConnection>>,
@@ -218,7 +219,7 @@
         target: TunnelTarget<'_>,
     ) -> Result<TunnelStream, TunnelError> {
         let session = self.session(peer);
-        let opening = session.open(peer, target.upstream, &self.saturation);
+        let opening = session.open(peer, target.upstream);
         let opened = self.saturation.timeout(OPEN_TIMEOUT, opening).await;
         let opened = opened.unwrap_or(Err(TunnelError::NoPeer(Some(PeerFailure::Unreachable))));
         if let Err(TunnelError::NoPeer(Some(failure))) = opened {
@@ -229,7 +230,8 @@
 
     fn session(&self, peer: SocketAddr) -> Rc<Session> {
         let mut sessions = self.sessions.borrow_mut();
-        sessions.entry(peer).or_default().clone()
+        let new_session = || Rc::new(Session::new(self.saturation.clone()));
+        sessions.entry(peer).or_insert_with(new_session).clone()
     }
 
     fn pause(&self, peer: SocketAddr, service: &str, failure: PeerFailure, now: Now) {
@@ -324,18 +326,21 @@
 }
 
 impl Session {
+    fn new(saturation: Rc<Saturation>) -> Self {
+        Self {
+            saturation,
+            open_tunnels: Rc::default(),
+            connection: Default::default(),
+        }
+    }
+
     /// Opens a tunnel, and the connection to the box if there is none.
-    async fn open(
-        &self,
-        peer: SocketAddr,
-        upstream: u32,
-        saturation: &Rc<Saturation>,
-    ) -> Result<TunnelStream, TunnelError> {
+    async fn open(&self, peer: SocketAddr, upstream: u32) -> Result<TunnelStream, TunnelError> {
         let unreachable = |err: String| {
             log::debug!("no tunnel through {peer}: {err}");
             TunnelError::NoPeer(Some(PeerFailure::Unreachable))
         };
-        let sender = self.sender(peer, saturation).await.map_err(unreachable)?;
+        let sender = self.sender(peer).await.map_err(unreachable)?;
         let mut sender = sender
             .ready()
             .await
@@ -353,11 +358,7 @@
     }
 
     /// Returns the connection's sender; opens the connection if it is not open.
-    async fn sender(
-        &self,
-        peer: SocketAddr,
-        saturation: &Rc<Saturation>,
-    ) -> Result<SendRequest<Bytes>, String> {
+    async fn sender(&self, peer: SocketAddr) -> Result<SendRequest<Bytes>, String> {
         let mut connection = self.connection.lock().await;
         if let Some(open) = connection
             .as_ref()
@@ -365,7 +366,8 @@
         {
             return Ok(open.sender.clone());
         }
-        let opened = SessionConnection::open(peer, self.open_tunnels.clone(), saturation).await?;
+        let open_tunnels = self.open_tunnels.clone();
+        let opened = SessionConnection::open(peer, open_tunnels, &self.saturation).await?;
         let sender = opened.sender.clone();
         *connection = Some(opened);
         Ok(sender)
