--- a/src/gateway/attempt/connection.rs
+++ b/src/gateway/attempt/connection.rs
@@ -210,8 +210,8 @@
 
 type PendingConnect = Pin<Box<dyn Future<Output = io::Result<TcpStream>>>>;
 
-/// Waits longer for a connection that nobody waits for any more: if it is opened after all, the
-/// network is slow and not cut.
+/// Records the connect time of an attempt that has timed out, if it succeeds late: then the network
+/// is slow and not cut.
 async fn measure_late_connect(
     connecting: PendingConnect,
     hall: &str,
--- a/src/gateway/peers/loan_book.rs
+++ b/src/gateway/peers/loan_book.rs
@@ -24,8 +24,8 @@
 const SILENCE_PAUSE: Duration = Duration::from_secs(1);
 /// The number of remembered pauses from which outdated ones are dropped.
 const MAX_PAUSES: usize = 512;
-/// The bounds of the time for which an unused slot is kept, which otherwise is that of a run: as long
-/// as it is used for half of the time, keeping it costs others less than asking anew.
+/// The bounds of the time for which an unused slot is kept, which otherwise is the mean time of a
+/// run.
 const MIN_IDLE: Duration = Duration::from_millis(20);
 const MAX_IDLE: Duration = Duration::from_millis(400);
 
@@ -34,7 +34,7 @@
 pub struct LoanBook {
     next_number: Cell<u64>,
     held: RefCell<HashMap<LoanKey, HeldLoan>>,
-    /// Since when lenders are not asked for a slot of an upstream, or of any.
+    /// The pauses of lenders, for one upstream or for all of them.
     pauses: RefCell<HashMap<(SocketAddr, Option<u32>), Pause>>,
     /// Messages to other boxes.
     pub outbox: Outbox<(SocketAddr, SlotMessage)>,
--- a/src/saturation.rs
+++ b/src/saturation.rs
@@ -92,7 +92,7 @@
 
     /// Waits for something that others have to do within `limit`; `None` if they did not.
     ///
-    /// What the process causes by itself is added to the limit, since nobody else can help it.
+    /// The limit is extended by the process's own delay, which the others do not cause.
     pub async fn timeout<T>(&self, limit: Duration, future: impl Future<Output = T>) -> Option<T> {
         let began = Now::read().monotonic;
         let mut future = std::pin::pin!(future);
