--- a/src/lab.rs
+++ b/src/lab.rs
@@ -10,5 +10,6 @@
 pub mod proxy;
 pub mod server;
 pub mod service;
+pub mod skewed_load;
 pub mod store;
 pub mod throttle;
