--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -33,7 +33,7 @@
 use crate::gateway::place::engine_cost::{PrefixSource, SharedPrompt};
 use crate::gateway::place::escalation::ExpectedFirstEvent;
 use crate::gateway::place::prefill_rate;
-use crate::gateway::place::slots::HeldSlot;
+use crate::gateway::place::slots::{HeldSlot, SlotOrigin};
 use crate::gateway::versions::local_statistics::ResponseTimer;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
@@ -130,6 +130,15 @@
     pub retry_kind: RetryReason,
 }
 
+/// What an attempt used.
+#[derive(Debug, Clone, Copy)]
+pub struct UsedByAttempt {
+    /// Its connection, if there was one.
+    pub connection: Option<UsedConnection>,
+    /// Whose slot it held.
+    pub slot: SlotOrigin,
+}
+
 /// What an attempt costs of the retry budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum BudgetCharge {
@@ -241,6 +250,7 @@
             .push_if_long(&gw.incarnation, upstream, limits.prefill);
         let outgoing = self.build_outgoing(gw, &choice, plan, now);
         let timing = gw.start_response_timer(self, &choice, now);
+        let slot_origin = slot.as_ref().map_or(SlotOrigin::None, HeldSlot::origin);
         self.answer_began.set(None);
         self.parts_cleared.set(false);
         let (tried, connection) = try_upstream(
@@ -259,7 +269,11 @@
             Some(_) => gw.record_head(&tried, timing, Now::read()),
             None => *self.timing.borrow_mut() = timing,
         }
-        self.record_attempt(gw, &choice, &tried, connection, plan);
+        let used = UsedByAttempt {
+            connection,
+            slot: slot_origin,
+        };
+        self.record_attempt(gw, &choice, &tried, used, plan);
         Ok(tried)
     }
 
@@ -618,7 +632,7 @@
         gw: &Gateway,
         choice: &PlacementChoice,
         tried: &TryOutcome,
-        connection: Option<UsedConnection>,
+        used: UsedByAttempt,
         plan: AttemptPlan<'_>,
     ) {
         self.tries.record(tried);
@@ -642,8 +656,7 @@
             TryOutcome::Answered(_) | TryOutcome::NotRun(_) => {}
         }
         gw.learn_from_attempt(&self.service, choice, tried, Now::read());
-        gw.telemetry
-            .record_attempt(self, choice, tried, connection, plan);
+        gw.telemetry.record_attempt(self, choice, tried, used, plan);
     }
 
     /// Takes note of what an attempt has shown about the rejection limit and the room of an upstream.
--- a/src/gateway/peers/loan_book.rs
+++ b/src/gateway/peers/loan_book.rs
@@ -244,6 +244,11 @@
     pub fn lender(&self) -> SocketAddr {
         self.lender
     }
+
+    /// Returns the number that this box gave the loan.
+    pub fn number(&self) -> u64 {
+        self.key.number
+    }
 }
 
 impl Drop for Loan {
--- a/src/gateway/peers/slot_loans.rs
+++ b/src/gateway/peers/slot_loans.rs
@@ -184,6 +184,11 @@
             self.recall_slot(&upstream, now);
             return;
         }
+        if !is_extended {
+            let boxes = self.box_addresses();
+            let fleet = self.fleet_view(&boxes, now);
+            self.telemetry.record_slot_lent(&upstream, id, fleet, now);
+        }
         upstream.slots().lend(id, now);
         if !is_extended {
             self.loans.outbox.push((from, SlotMessage::Grant(key)));
@@ -230,7 +235,9 @@
             number: key.number,
         };
         if let Some(upstream) = self.upstream_by_hash(key.upstream) {
-            upstream.slots().end_loan(id);
+            if upstream.slots().end_loan(id) {
+                self.telemetry.record_loan_end(&upstream, id, "returned");
+            }
             let service = upstream.with_listed(|listed| listed.service.clone());
             self.rejection_limits.slots_of(&service).freed.notify_one();
         }
--- a/src/gateway/place/slots.rs
+++ b/src/gateway/place/slots.rs
@@ -11,6 +11,7 @@
 use crate::routing::rate_limit::LimitStatement;
 use crate::routing::rejection_limit::{RejectionHistory, RejectionLimit, slot_share};
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -157,7 +158,15 @@
     /// Returns how many slots of the share are used, given this box's requests in flight.
     pub fn in_use(&self, outstanding: u32, now: Now) -> u32 {
         let mut lent = self.lent.borrow_mut();
-        lent.retain(|slot| slot.until > now.monotonic);
+        lent.retain(|slot| {
+            let is_extended = slot.until > now.monotonic;
+            if !is_extended {
+                let (upstream, loan) = (self.upstream, slot.id.number);
+                let borrower = slot.id.borrower.to_string();
+                log::info!(upstream, borrower = borrower.as_str(), loan; "a lent slot was not extended");
+            }
+            is_extended
+        });
         let mut abandoned = self.abandoned.borrow_mut();
         abandoned.retain(|until| *until > now.monotonic);
         let others = u32::try_from(lent.len() + abandoned.len()).unwrap_or(u32::MAX);
@@ -197,9 +206,14 @@
         self.lent.borrow().iter().any(|slot| slot.id == id)
     }
 
-    /// Takes a lent slot back.
-    pub fn end_loan(&self, id: LoanId) {
-        self.lent.borrow_mut().retain(|slot| slot.id != id);
+    /// Takes a lent slot back; returns whether it was lent.
+    pub fn end_loan(&self, id: LoanId) -> bool {
+        let mut lent = self.lent.borrow_mut();
+        let known = lent.iter().position(|slot| slot.id == id);
+        if let Some(index) = known {
+            lent.remove(index);
+        }
+        known.is_some()
     }
 }
 
@@ -233,6 +247,32 @@
     }
 }
 
+/// Whose slot a request holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotOrigin {
+    /// It needs none.
+    None,
+    /// One of this box's share.
+    Own,
+    /// One that another box has lent.
+    Lent {
+        /// The other box.
+        lender: SocketAddr,
+        /// The number of the loan.
+        number: u64,
+    },
+}
+
+impl fmt::Display for SlotOrigin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::None => f.write_str("none"),
+            Self::Own => f.write_str("own"),
+            Self::Lent { lender, number } => write!(f, "{lender} {number}"),
+        }
+    }
+}
+
 /// A slot that one request holds until this is dropped, or longer if its run may go on.
 #[derive(Debug)]
 pub struct HeldSlot {
@@ -264,6 +304,16 @@
         }
     }
 
+    /// Returns whose slot it is.
+    pub fn origin(&self) -> SlotOrigin {
+        self.loan
+            .as_ref()
+            .map_or(SlotOrigin::Own, |loan| SlotOrigin::Lent {
+                lender: loan.lender(),
+                number: loan.number(),
+            })
+    }
+
     /// Records that the request is written, so that the upstream may run it.
     pub fn record_sent(&self) {
         self.may_run.set(true);
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -2,13 +2,15 @@
 //!
 //! `docs/OPERATIONS.md` shows how to find the cause of a failure from a request's id.
 
+mod slots;
+
 use super::admit::load_decision::{CallerHistory, LoadDecision, LoadInputs};
-use super::admit::request::{AdmittedRequest, AttemptPlan};
+use super::admit::request::{AdmittedRequest, AttemptPlan, UsedByAttempt};
 use super::answer::held_bytes::{HeldKind, YieldingRequest};
 use super::answer::held_memory::HeldMemory;
 use super::answer::refusal::{Execution, RefusalReason};
 use super::attempt::crash_detection::InterruptedRun;
-use super::attempt::exchange::{NotRunReason, TryOutcome, UsedConnection};
+use super::attempt::exchange::{NotRunReason, TryOutcome};
 use super::attempt::reachability::{LossEvidence, ReachChange};
 use super::attempt::upstream::Upstream;
 use super::attempt::upstream_connections::ConnectionMetrics;
@@ -192,7 +194,7 @@
         request: &AdmittedRequest,
         choice: &PlacementChoice,
         tried: &TryOutcome,
-        connection: Option<UsedConnection>,
+        used: UsedByAttempt,
         plan: AttemptPlan<'_>,
     ) {
         let outcome = match tried {
@@ -214,6 +216,7 @@
                 .record(expected.queue.as_secs_f64(), &[label]);
         }
         let report_age = expected.and_then(|expected| expected.report_age);
+        let UsedByAttempt { connection, slot } = used;
         let through = connection.and_then(|used| used.through);
         let through = through.map(|peer| peer.to_string());
         self.record_engine_speed(&listed.instance, choice.speed);
@@ -244,6 +247,7 @@
             outstanding = upstream.outstanding(),
             connection = connection.map_or("none", |used| used.origin.name()),
             through = through.as_deref().unwrap_or(""),
+            slot = slot.to_string().as_str(),
             rest_ms = upstream.retry_after_left(Now::read()).map_or(0, millis),
             warm_up_ms = millis(upstream.warm_up_left(Now::read())),
             limit = upstream.rate_limit().limit().map_or(String::new(), |limit| limit.to_string()).as_str();
