A loan of a slot ends by a message of its borrower, not by its silence

What callers may see: requests that upstreams without room reject, and upstreams that fall over by that. Cause: a lender took a slot back after 1.5 s without a message, while a late, frozen or partitioned borrower still held it, and its request left when it went on; and a lender that started again knew none of its loans.

Change: the lender counts a slot as lent until the borrower returns it. Only after 30 s of silence does it take the slot back, and the write gate of the borrower's connection refuses a request whose loan was confirmed 15 s ago or longer. A slot of an abandoned run is held by the borrower until the run has probably ended; a health check that may have been left behind counts as such a run. A box that is not in the list of boxes has no own share.

slot_whose_run_may_go_on_is_neither_kept_nor_given_back stated that the lender is left to wait for its time-out; it is replaced by slot_of_an_abandoned_run_is_given_back_after_the_time_of_a_run, which checks that the slot is neither used nor returned before, and is returned then.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -53,6 +53,7 @@
 use peers::liveness::PeerLiveness;
 use peers::load_reports::SharedLoadReport;
 use peers::loan_book::LoanBook;
+use peers::loan_inquiry::LoanInquiry;
 use peers::messages;
 use peers::outbox::Outbox;
 use peers::rejection_limits::RejectionLimits;
@@ -124,6 +125,8 @@
     pub rejection_limits: RejectionLimits,
     /// The slots that are borrowed from other boxes.
     pub loans: Rc<LoanBook>,
+    /// Which boxes have stated what they hold of this box's slots.
+    pub loan_inquiry: LoanInquiry,
     /// Load reports of plain upstreams, to be sent to other boxes.
     pub load_reports: Outbox<SharedLoadReport>,
     /// Connections from callers.
@@ -211,6 +214,7 @@
             limited_sends: Outbox::default(),
             rejection_limits: RejectionLimits::default(),
             loans: Rc::default(),
+            loan_inquiry: LoanInquiry::default(),
             load_reports: Outbox::default(),
             caller_connections: Default::default(),
             deliveries: Deliveries::default(),
--- a/src/gateway/attempt/acquire.rs
+++ b/src/gateway/attempt/acquire.rs
@@ -57,6 +57,18 @@
     TooLate,
 }
 
+impl NoConnection {
+    /// Returns whether a health check may have reached the upstream and wait for a slot there.
+    pub fn may_leave_health_check(&self) -> bool {
+        match self {
+            Self::Unconfirmed | Self::Unproven | Self::TooLate => true,
+            Self::Unreachable(_) | Self::ShareInUse | Self::ResetBeforeUse | Self::JustReset => {
+                false
+            }
+        }
+    }
+}
+
 impl fmt::Display for NoConnection {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/src/gateway/attempt/connection_write.rs
+++ b/src/gateway/attempt/connection_write.rs
@@ -58,9 +58,10 @@
     }
 
     /// Requires that the next write begins by a time on the monotonic clock, while the kernel knows
-    /// of no end of the connection.
+    /// of no end of the connection. The earliest such time holds.
     pub fn require(&self, write_by: Duration) {
-        self.write_by.set(Some(write_by));
+        let earliest = self.write_by.get().map_or(write_by, |by| by.min(write_by));
+        self.write_by.set(Some(earliest));
     }
 
     /// Returns how many bytes the kernel has taken.
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -180,7 +180,12 @@
                 .await;
             (tried, Some(used))
         }
-        Err(no_connection) => (not_connected(upstream, no_connection), None),
+        Err(no_connection) => {
+            if let (Some(slot), true) = (&started.slot, no_connection.may_leave_health_check()) {
+                slot.record_sent();
+            }
+            (not_connected(upstream, no_connection), None)
+        }
     }
 }
 
@@ -247,6 +252,7 @@
             let rest = connection.rest(sent_at);
             let path = connection.path().clone();
             if let Some(slot) = &self.slot {
+                connection.require_write_by(slot.write_by());
                 slot.record_sent();
             }
             let sent = connection.send(req.clone(), awaiting, headers);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,6 +13,7 @@
 pub mod liveness;
 pub mod load_reports;
 pub mod loan_book;
+pub mod loan_inquiry;
 pub mod messages;
 pub mod outbox;
 pub mod packing;
--- a/src/gateway/peers/loan_book.rs
+++ b/src/gateway/peers/loan_book.rs
@@ -3,12 +3,13 @@
 //! A slot is not given back after each request: the next one uses it, as long as there is one soon.
 //! So a box with many callers asks for each slot that it needs once, and not for each request. The
 //! lender can ask for a slot back at any time. What it is told must be true when it acts on it, so all
-//! messages about a loan are applied to its one entry here, as they arrive. See `docs/design/rejection-limits.md`.
+//! messages about a loan are applied to its one entry here, as they arrive. A loan ends by a message
+//! of the borrower; only if that is silent for long does the lender take the slot back. See `docs/design/rejection-limits.md`.
 
 use super::outbox::Outbox;
 use super::slot_loans::{LoanKey, SlotMessage};
 use crate::clock::Now;
-use crate::gateway::place::slots::ServiceSlots;
+use crate::gateway::place::slots::{SLOT_VALIDITY, ServiceSlots, is_numbered_from};
 use rand::Rng as _;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -33,6 +34,8 @@
 /// What this box has borrowed and asked for.
 #[derive(Debug)]
 pub struct LoanBook {
+    /// The number of the first loan of this process.
+    first_number: u64,
     next_number: Cell<u64>,
     held: RefCell<HashMap<LoanKey, HeldLoan>>,
     /// The pauses of lenders, for one upstream or for all of them.
@@ -50,6 +53,32 @@
     state: LoanState,
     /// Dropped once the lender has answered.
     answer: Option<oneshot::Sender<()>>,
+    confirmation: Confirmation,
+}
+
+/// Until when a loan certainly holds, whatever the lender does: it counts the slot as lent for
+/// [`LOAN_TIMEOUT`] after it has received a message, so after that was sent.
+#[derive(Debug, Clone, Copy)]
+struct Confirmation {
+    /// When the newest message was sent that the lender has certainly answered.
+    confirmed: Option<Duration>,
+    /// When the oldest message was sent that it has not answered.
+    asked: Option<Duration>,
+}
+
+impl Confirmation {
+    fn record_asked(&mut self, now: Now) {
+        self.asked.get_or_insert(now.monotonic);
+    }
+
+    fn record_answer(&mut self) {
+        self.confirmed = self.asked.take().or(self.confirmed);
+    }
+
+    fn write_by(self) -> Duration {
+        self.confirmed
+            .map_or(Duration::ZERO, |sent| sent + SLOT_VALIDITY)
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,6 +91,8 @@
     Recalled,
     /// It is kept for the next request.
     Idle(Duration),
+    /// A run that was abandoned may use it until then.
+    Abandoned(Duration),
 }
 
 /// A time for which a lender is not asked.
@@ -73,9 +104,11 @@
 
 impl Default for LoanBook {
     fn default() -> Self {
+        // Loans of an earlier process of this box must not be taken for those of this one.
+        let first_number = rand::rng().random();
         Self {
-            // Loans of an earlier process of this box must not be taken for those of this one.
-            next_number: Cell::new(rand::rng().random()),
+            first_number,
+            next_number: Cell::new(first_number),
             held: RefCell::default(),
             pauses: RefCell::default(),
             outbox: Outbox::default(),
@@ -91,6 +124,7 @@
         lender: SocketAddr,
         upstream: u32,
         service: Rc<ServiceSlots>,
+        now: Now,
     ) -> PendingLoan {
         let number = self.next_number.get();
         self.next_number.set(number.wrapping_add(1));
@@ -101,6 +135,10 @@
             service,
             state: LoanState::Asked,
             answer: Some(tx),
+            confirmation: Confirmation {
+                confirmed: None,
+                asked: Some(now.monotonic),
+            },
         };
         self.held.borrow_mut().insert(key, asked);
         self.outbox.push((lender, SlotMessage::Request(key)));
@@ -112,13 +150,14 @@
         }
     }
 
-    /// Records that a lender has lent a slot. It is given back if it was not asked for, or no longer.
+    /// Records that a lender has lent a slot, or counts it as lent for longer. It is given back if it was not asked for, or no longer.
     pub fn record_grant(&self, key: LoanKey, lender: SocketAddr, now: Now) {
         let mut held = self.held.borrow_mut();
         let Some(loan) = held.get_mut(&key) else {
             self.outbox.push((lender, SlotMessage::Return(key)));
             return;
         };
+        loan.confirmation.record_answer();
         if loan.state == LoanState::Asked {
             loan.state = LoanState::Idle(now.monotonic);
             loan.answer = None;
@@ -158,7 +197,7 @@
         let mut held = self.held.borrow_mut();
         let idle = held.iter_mut().filter_map(|(key, loan)| match loan.state {
             LoanState::Idle(since) if key.upstream == upstream => Some((since, *key, loan)),
-            LoanState::Idle(_) | LoanState::Asked | LoanState::InUse | LoanState::Recalled => None,
+            _ => None,
         });
         let (_, key, loan) = idle.max_by_key(|(since, key, _)| (*since, key.number))?;
         loan.state = LoanState::InUse;
@@ -167,6 +206,13 @@
         Some(self.loan(key, lender))
     }
 
+    /// Returns until when a request may be written that uses a slot.
+    fn write_by(&self, key: LoanKey) -> Duration {
+        let held = self.held.borrow();
+        held.get(&key)
+            .map_or(Duration::ZERO, |loan| loan.confirmation.write_by())
+    }
+
     /// Returns whether a slot of an upstream is kept unused.
     pub fn has_idle(&self, upstream: u32) -> bool {
         let held = self.held.borrow();
@@ -184,18 +230,36 @@
         u32::try_from(from_lender.count()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the loans to extend, with their lenders.
-    pub fn loans(&self) -> Vec<(LoanKey, SocketAddr)> {
-        let held = self.held.borrow();
-        let lent = held
-            .iter()
-            .filter(|(_, loan)| loan.state != LoanState::Asked);
-        lent.map(|(key, loan)| (*key, loan.lender)).collect()
+    /// Lets another box know that this process has no loans of earlier ones.
+    pub fn announce_start(&self, to: SocketAddr) {
+        self.outbox
+            .push((to, SlotMessage::Started(self.first_number)));
+    }
+
+    /// Lets the lenders know which slots this box still holds.
+    pub fn extend_loans(&self, now: Now) {
+        self.extend_loans_if(|_| true, now);
     }
 
-    /// Returns whether a loan is known.
-    pub fn is_held(&self, key: LoanKey) -> bool {
-        self.held.borrow().contains_key(&key)
+    /// Lets a lender that has started know which slots this box still holds. What its former process
+    /// may have lent meanwhile is not used.
+    pub fn restate_loans(&self, lender: SocketAddr, now: Now) {
+        let is_asked = |loan: &HeldLoan| loan.lender == lender && loan.state == LoanState::Asked;
+        self.held.borrow_mut().retain(|_, loan| !is_asked(loan));
+        self.extend_loans_if(|loan| loan.lender == lender, now);
+        self.outbox.push((lender, SlotMessage::AllStated));
+    }
+
+    fn extend_loans_if(&self, is_due: impl Fn(&HeldLoan) -> bool, now: Now) {
+        let mut held = self.held.borrow_mut();
+        let lent = held
+            .iter_mut()
+            .filter(|(_, loan)| loan.state != LoanState::Asked && is_due(loan));
+        for (key, loan) in lent {
+            loan.confirmation.record_asked(now);
+            self.outbox
+                .push((loan.lender, SlotMessage::Extension(*key)));
+        }
     }
 
     /// Gives a slot back that the lender asks for, or once the request that uses it has ended.
@@ -205,24 +269,30 @@
             Some(loan) if matches!(loan.state, LoanState::InUse | LoanState::Recalled) => {
                 loan.state = LoanState::Recalled;
             }
+            Some(loan) if matches!(loan.state, LoanState::Abandoned(_)) => {}
             // If the lender has lent it before, its message is given back when it arrives.
             Some(_) | None => {
                 held.remove(&key);
-                self.outbox.push((lender, SlotMessage::Return(key)));
+                let message = match is_numbered_from(self.first_number, key.number) {
+                    true => SlotMessage::Return(key),
+                    false => SlotMessage::Lost(key),
+                };
+                self.outbox.push((lender, message));
             }
         }
     }
 
-    /// Gives back the slots that have been unused for as long as a request runs; returns after how
-    /// long the next one is due, if any is unused.
+    /// Gives back the slots that have been unused for as long as a request runs, and those of abandoned
+    /// runs that have probably ended; returns after how long the next one is due, if there is one.
     pub fn return_unused(&self, now: Now) -> Option<Duration> {
         let mut next = None;
         self.held.borrow_mut().retain(|key, loan| {
-            let LoanState::Idle(since) = loan.state else {
-                return true;
+            let until = match loan.state {
+                LoanState::Idle(since) => since + loan.service.mean_run().clamp(MIN_IDLE, MAX_IDLE),
+                LoanState::Abandoned(until) => until,
+                LoanState::Asked | LoanState::InUse | LoanState::Recalled => return true,
             };
-            let lifetime = loan.service.mean_run().clamp(MIN_IDLE, MAX_IDLE);
-            let left = (since + lifetime).saturating_sub(now.monotonic);
+            let left = until.saturating_sub(now.monotonic);
             if left.is_zero() {
                 self.outbox.push((loan.lender, SlotMessage::Return(*key)));
                 return false;
@@ -323,10 +393,18 @@
 }
 
 impl Loan {
-    /// Leaves the slot to time out at the lender, since its run may go on.
-    pub fn let_expire(self) {
-        // Without an entry, the slot is neither kept nor given back.
-        self.book.held.borrow_mut().remove(&self.key);
+    /// Gives the slot back once its run, which may go on, has probably ended.
+    pub fn abandon_run(self, now: Now) {
+        let mut held = self.book.held.borrow_mut();
+        if let Some(loan) = held.get_mut(&self.key) {
+            loan.state = LoanState::Abandoned(now.monotonic + loan.service.mean_run());
+            self.book.became_idle.notify_one();
+        }
+    }
+
+    /// Returns until when a request may be written that uses the slot.
+    pub fn write_by(&self) -> Duration {
+        self.book.write_by(self.key)
     }
 
     /// Returns the box that lends the slot.
@@ -352,6 +430,7 @@
                 let message = SlotMessage::Return(self.key);
                 self.book.outbox.push((self.lender, message));
             }
+            LoanState::Abandoned(_) => {}
             LoanState::Asked | LoanState::InUse | LoanState::Idle(_) => {
                 loan.state = LoanState::Idle(Now::read().monotonic);
                 self.book.became_idle.notify_one();
--- a/src/gateway/peers/rejection_limits.rs
+++ b/src/gateway/peers/rejection_limits.rs
@@ -84,6 +84,13 @@
             || self.rejection_limits.is_remembered(service, now)
     }
 
+    /// Returns whether any service is known whose upstreams bear few rejections.
+    pub fn has_rejection_limits(&self, now: Now) -> bool {
+        let knowledge = self.knowledge.borrow();
+        let mut upstreams = knowledge.upstreams();
+        upstreams.any(|upstream| upstream.slots().is_limited(now))
+    }
+
     /// Returns how long this box has no slot of an upstream; none if it has one now.
     pub fn slot_delay(
         &self,
@@ -95,6 +102,9 @@
         if let Some(pause) = slots.pause_left(now) {
             return Some(pause);
         }
+        if !self.knows_former_loans(now) {
+            return Some(SLOT_RECHECK);
+        }
         let in_use = slots.in_use(upstream.outstanding(), now);
         let share = slots.share(upstream.known_slots(), fleet, now);
         (in_use >= share).then_some(SLOT_RECHECK)
--- a/src/gateway/peers/slot_loans.rs
+++ b/src/gateway/peers/slot_loans.rs
@@ -1,18 +1,19 @@
 //! Lends slots of upstreams with rejection limits between boxes.
 //!
 //! A box whose slots are all used asks another one for a slot. Without it, callers of a box with a
-//! small share, or with more callers than the others, would be refused while slots are free. A lost
-//! message costs a moment of one slot and never lets two boxes use it: the lender counts the slot
-//! as used until it is given back, or the borrower has sent nothing for a while. What a box has
+//! small share, or with more callers than the others, would be refused while slots are free. The
+//! lender counts a slot as used until it is given back, so that a lost or late message never lets two
+//! boxes use it; one that is lost is made good by the next recall. What a box has
 //! borrowed stands in [`super::loan_book`]. See `docs/design/rejection-limits.md`.
 
 use super::loan_book::Loan;
+use super::loan_inquiry::inquire_loans;
 use super::outbox::Outbox;
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::attempt::upstream::Upstream;
 use crate::gateway::control::store::UpstreamLife;
-use crate::gateway::place::slots::{LOAN_TIMEOUT, LoanId};
+use crate::gateway::place::slots::{LoanId, SLOT_VALIDITY};
 use rand::seq::{IndexedRandom as _, SliceRandom as _};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -26,14 +27,14 @@
 /// How many lenders one request asks, one after the other.
 const MAX_ASKED: usize = 3;
 /// The time between two messages that extend the loans of a box.
-const RENEWAL_INTERVAL: Duration = LOAN_TIMEOUT.checked_div(4).unwrap();
+const EXTENSION_INTERVAL: Duration = SLOT_VALIDITY.checked_div(8).unwrap();
 
 /// A message about slots; upstreams are given by [`Upstream::short_hash`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SlotMessage {
-    /// Asks for a slot, or extends the loan of one.
+    /// Asks for a slot.
     Request(LoanKey),
-    /// Lends a slot.
+    /// Lends a slot, or counts it as lent for longer.
     Grant(LoanKey),
     /// The lender has no free slot.
     Denial(LoanKey),
@@ -41,6 +42,14 @@
     Return(LoanKey),
     /// The lender asks for a slot that it has lent.
     Recall(LoanKey),
+    /// The borrower still holds a slot.
+    Extension(LoanKey),
+    /// The sender has started, and numbers its loans from here on.
+    Started(u64),
+    /// The sender has extended all its loans of the receiver, which has started.
+    AllStated,
+    /// A former process of the sender held a slot; its run may go on.
+    Lost(LoanKey),
 }
 
 /// Identifies a loan between its two boxes.
@@ -110,7 +119,8 @@
         lender: SocketAddr,
     ) -> Option<Loan> {
         let slots = self.rejection_limits.slots_of(service);
-        let mut pending = self.loans.ask(lender, upstream.short_hash(), slots);
+        let hash = upstream.short_hash();
+        let mut pending = self.loans.ask(lender, hash, slots, Now::read());
         let answered = self.saturation.timeout(ASK_TIMEOUT, pending.answered());
         if answered.await.is_none() {
             self.loans.record_silence(lender, Now::read());
@@ -126,7 +136,11 @@
                 SlotMessage::Grant(key) => self.loans.record_grant(key, from, now),
                 SlotMessage::Denial(key) => self.loans.record_denial(key, from, now),
                 SlotMessage::Return(key) => self.take_slot_back(key, from),
+                SlotMessage::Lost(key) => self.abandon_loan(key, from, now),
                 SlotMessage::Recall(key) => self.loans.recall(key, from),
+                SlotMessage::Extension(key) => self.extend_loan(key, from, now),
+                SlotMessage::Started(first_loan) => self.answer_started_box(first_loan, from, now),
+                SlotMessage::AllStated => self.loan_inquiry.record_answer(from),
             }
         }
     }
@@ -141,19 +155,26 @@
             self.loans.outbox.push((from, SlotMessage::Denial(key)));
             return;
         };
-        let is_extended = upstream.slots().has_lent(id);
-        if !is_extended && !self.may_lend_slot(&upstream, now) {
+        if !self.may_lend_slot(&upstream, now) {
             self.loans.outbox.push((from, SlotMessage::Denial(key)));
             self.recall_slot(&upstream, now);
             return;
         }
-        if !is_extended {
-            let boxes = self.box_addresses();
-            let fleet = self.fleet_view(&boxes, now);
-            self.telemetry.record_slot_lent(&upstream, id, fleet, now);
-        }
+        let boxes = self.box_addresses();
+        let fleet = self.fleet_view(&boxes, now);
+        self.telemetry.record_slot_lent(&upstream, id, fleet, now);
         upstream.slots().lend(id, now);
-        if !is_extended {
+        self.loans.outbox.push((from, SlotMessage::Grant(key)));
+    }
+
+    /// Counts a slot as lent for longer.
+    fn extend_loan(&self, key: LoanKey, from: SocketAddr, now: Now) {
+        let id = LoanId {
+            borrower: from,
+            number: key.number,
+        };
+        if let Some(upstream) = self.upstream_by_hash(key.upstream) {
+            upstream.slots().lend(id, now);
             self.loans.outbox.push((from, SlotMessage::Grant(key)));
         }
     }
@@ -206,6 +227,21 @@
         }
     }
 
+    /// Takes a slot back once a run of the borrower's former process has probably ended.
+    fn abandon_loan(&self, key: LoanKey, from: SocketAddr, now: Now) {
+        let id = LoanId {
+            borrower: from,
+            number: key.number,
+        };
+        if let Some(upstream) = self.upstream_by_hash(key.upstream) {
+            let service = upstream.with_listed(|listed| listed.service.clone());
+            let run = self.rejection_limits.slots_of(&service).mean_run();
+            upstream.slots().abandon_loan(id, now.monotonic + run);
+            self.telemetry
+                .record_loan_end(&upstream, id, "its borrower has started again");
+        }
+    }
+
     fn upstream_by_hash(&self, hash: u32) -> Option<Rc<Upstream>> {
         let knowledge = self.knowledge.borrow();
         let mut upstreams = knowledge.upstreams();
@@ -220,7 +256,8 @@
     tokio::join!(
         send_queued(&gw.loans.outbox, send),
         extend_loans(gw),
-        return_unused_slots(gw)
+        return_unused_slots(gw),
+        inquire_loans(gw)
     );
 }
 
@@ -241,10 +278,8 @@
 
 async fn extend_loans(gw: &Gateway) {
     loop {
-        sleep(RENEWAL_INTERVAL).await;
-        for (key, lender) in gw.loans.loans() {
-            gw.loans.outbox.push((lender, SlotMessage::Request(key)));
-        }
+        sleep(EXTENSION_INTERVAL).await;
+        gw.loans.extend_loans(Now::read());
     }
 }
 
--- a/src/gateway/place/fleet_view.rs
+++ b/src/gateway/place/fleet_view.rs
@@ -67,6 +67,11 @@
         self.box_addresses.iter().filter(is_above).count()
     }
 
+    /// Returns whether the other boxes leave a rank to this one: they know it, or it knows no other.
+    pub fn has_own_rank(self) -> bool {
+        self.box_addresses.is_empty() || self.box_addresses.contains(&self.own_address)
+    }
+
     /// Returns the number of boxes, including this one if it is not registered.
     pub fn box_count(self) -> usize {
         self.other_boxes().count() + 1
--- a/src/gateway/place/slots.rs
+++ b/src/gateway/place/slots.rs
@@ -17,18 +17,23 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// How long a lent slot counts as used after the last message of its borrower, which sends some in
-/// this time.
-pub const LOAN_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long a lent slot counts as used after the last message of its borrower. A box that is silent
+/// for as long has ended: one that is late, or stood still, still holds its slots.
+pub const LOAN_TIMEOUT: Duration = Duration::from_secs(30);
+/// For how long a request may be written after its slot was certainly this box's. The rest of
+/// [`LOAN_TIMEOUT`] is left for its run.
+pub const SLOT_VALIDITY: Duration = LOAN_TIMEOUT.checked_div(2).unwrap();
 /// How soon a slot that was recalled is recalled again, as a message may be lost.
 const RECALL_INTERVAL: Duration = Duration::from_millis(200);
+/// More loans than a process ever numbers, so that those of others are told apart.
+const MAX_LOANS: u64 = 1 << 40;
 /// How long a limit is in force after it was stated last. All answers state it, so that an upstream
 /// of which this box has heard nothing for so long has no requests to reject.
 const STATEMENT_LIFETIME: Duration = Duration::from_secs(30);
 /// How soon a request that found no free slot looks for one again, if none is freed before.
 pub const SLOT_RECHECK: Duration = Duration::from_millis(20);
 /// How long after its start a box uses no slots of its own: runs of its former process may go on.
-const STARTUP_HOLD: Duration = Duration::from_millis(500);
+pub const STARTUP_HOLD: Duration = Duration::from_millis(500);
 /// The time of a run that is assumed before one has been measured.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(200);
 /// The newest run contributes one part in this many to the mean.
@@ -136,7 +141,7 @@
 
     /// Returns how many of the upstream's slots are this box's.
     pub fn share(&self, slots: u32, fleet: FleetView<'_>, now: Now) -> u32 {
-        if fleet.uptime < STARTUP_HOLD {
+        if fleet.uptime < STARTUP_HOLD || !fleet.has_own_rank() {
             return 0;
         }
         let position = self.position.position(self.upstream, fleet, now);
@@ -174,7 +179,8 @@
         own.saturating_add(others)
     }
 
-    /// Lends a slot, or extends the loan.
+    /// Lends a slot, or extends the loan. A loan that this box does not know is one of its former
+    /// process.
     pub fn lend(&self, id: LoanId, now: Now) {
         let until = now.monotonic + LOAN_TIMEOUT;
         let mut lent = self.lent.borrow_mut();
@@ -201,9 +207,21 @@
         Some(oldest.id)
     }
 
-    /// Returns whether a loan is known.
-    pub fn has_lent(&self, id: LoanId) -> bool {
-        self.lent.borrow().iter().any(|slot| slot.id == id)
+    /// Returns the loans of a box, given the number of the first loan of its present process, that
+    /// belong to former ones.
+    pub fn former_loans(&self, borrower: SocketAddr, first_loan: u64) -> Vec<LoanId> {
+        let lent = self.lent.borrow();
+        let ids = lent.iter().map(|slot| slot.id);
+        ids.filter(|id| id.borrower == borrower && !is_numbered_from(first_loan, id.number))
+            .collect()
+    }
+
+    /// Takes a slot back that a former process of its borrower held, whose run may go on until
+    /// `run_end`.
+    pub fn abandon_loan(&self, id: LoanId, run_end: Duration) {
+        if self.end_loan(id) {
+            self.abandoned.borrow_mut().push(run_end);
+        }
     }
 
     /// Takes a lent slot back; returns whether it was lent.
@@ -217,6 +235,11 @@
     }
 }
 
+/// Returns whether a process that numbers its loans from `first` on has given this number.
+pub fn is_numbered_from(first: u64, number: u64) -> bool {
+    number.wrapping_sub(first) < MAX_LOANS
+}
+
 /// What the boxes know of a service while its upstreams state rejection limits.
 #[derive(Debug)]
 pub struct ServiceSlots {
@@ -314,6 +337,13 @@
             })
     }
 
+    /// Returns until when the request may be written. After that, other boxes may use the slot.
+    pub fn write_by(&self) -> Duration {
+        self.loan
+            .as_ref()
+            .map_or(self.began + SLOT_VALIDITY, Loan::write_by)
+    }
+
     /// Records that the request is written, so that the upstream may run it.
     pub fn record_sent(&self) {
         self.may_run.set(true);
@@ -337,9 +367,8 @@
         let slots = self.upstream.slots();
         if let Some(loan) = self.loan.take() {
             slots.borrowed.set(slots.borrowed.get().saturating_sub(1));
-            // Without a message, the lender takes the slot for used a while longer.
             match self.may_run.get() {
-                true => loan.let_expire(),
+                true => loan.abandon_run(Now::read()),
                 false => drop(loan),
             }
         } else if self.may_run.get() {
--- a/tests/gateway/loan_book.rs
+++ b/tests/gateway/loan_book.rs
@@ -6,7 +6,9 @@
 use gatepier::gateway::peers::loan_book::{Loan, LoanBook, PendingLoan};
 use gatepier::gateway::peers::slot_loans::{LoanKey, SlotMessage};
 use gatepier::gateway::place::fleet_view::FleetView;
-use gatepier::gateway::place::slots::{LoanId, ServiceSlots, UpstreamSlots};
+use gatepier::gateway::place::slots::{
+    LOAN_TIMEOUT, LoanId, SLOT_VALIDITY, ServiceSlots, UpstreamSlots,
+};
 use googletest::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,7 +26,7 @@
 }
 
 fn ask(book: &Rc<LoanBook>) -> PendingLoan {
-    let pending = book.ask(lender(), UPSTREAM, Rc::default());
+    let pending = book.ask(lender(), UPSTREAM, Rc::default(), Now::read());
     sent(book);
     pending
 }
@@ -61,7 +63,8 @@
         let again = book.take_idle(UPSTREAM);
         expect_that!(again.is_some(), eq(true));
         expect_that!(book.has_idle(UPSTREAM), eq(false));
-        expect_that!(book.loans(), elements_are![eq(&(key, lender()))]);
+        book.extend_loans(Now::read());
+        expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::Extension(key)))]);
     }
 
     unused_slot_is_given_back_after_the_time_of_a_run => {
@@ -74,7 +77,8 @@
         expect_that!(sent(&book), is_empty());
         expect_that!(book.return_unused(later(now, left)), none());
         expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::Return(key)))]);
-        expect_that!(book.is_held(key), eq(false));
+        book.extend_loans(now);
+        expect_that!(sent(&book), is_empty(), "it is not held any more");
     }
 
     recalled_slot_is_given_back_at_once_if_it_is_unused => {
@@ -140,18 +144,68 @@
     // Guards against a slot that its lender counts as lent for as long as the borrower extends it.
     recall_of_an_unknown_slot_gives_it_back => {
         let book = Rc::<LoanBook>::default();
-        let key = LoanKey { upstream: UPSTREAM, number: 1 };
+        let key = ask(&book).key();
+        expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::Return(key)))]);
         book.recall(key, lender());
         expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::Return(key)))]);
     }
 
-    slot_whose_run_may_go_on_is_neither_kept_nor_given_back => {
+    // Guards against a slot that is free while the upstream still runs a request of a former process.
+    recall_of_a_slot_of_a_former_process_states_that_its_run_may_go_on => {
+        let former = Rc::<LoanBook>::default();
+        let key = ask(&former).key();
+        let book = Rc::<LoanBook>::default();
+        book.recall(key, lender());
+        expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::Lost(key)))]);
+        let slots = UpstreamSlots::new(UPSTREAM);
+        let id = LoanId { borrower: address(2), number: key.number };
+        slots.lend(id, at(0));
+        slots.abandon_loan(id, Duration::from_millis(200));
+        expect_that!(slots.in_use(0, at(100)), eq(1));
+        expect_that!(slots.in_use(0, at(200)), eq(0));
+    }
+
+    // Guards against a grant of a lender's former process, which the present one knows nothing of.
+    slot_that_a_former_process_has_lent_is_not_used => {
+        let book = Rc::<LoanBook>::default();
+        let pending = ask(&book);
+        book.restate_loans(lender(), Now::read());
+        expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::AllStated))]);
+        book.record_grant(pending.key(), lender(), Now::read());
+        expect_that!(pending.take().is_none(), eq(true));
+    }
+
+    // Guards against a slot that another box uses while an abandoned run still has it.
+    slot_of_an_abandoned_run_is_given_back_after_the_time_of_a_run => {
         let book = Rc::<LoanBook>::default();
         let (key, loan) = borrow(&book);
-        loan.let_expire();
-        expect_that!(sent(&book), is_empty());
+        let now = Now::read();
+        loan.abandon_run(now);
+        book.recall(key, lender());
         expect_that!(book.has_idle(UPSTREAM), eq(false));
-        expect_that!(book.is_held(key), eq(false), "it is not extended");
+        expect_that!(sent(&book), is_empty());
+        let run = ServiceSlots::default().mean_run();
+        expect_that!(book.return_unused(later(now, run / 2)), some(eq(run / 2)));
+        book.extend_loans(now);
+        expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::Extension(key)))]);
+        expect_that!(book.return_unused(later(now, run)), none());
+        expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::Return(key)))]);
+    }
+
+    // Guards against a request that a frozen box writes after its lender took the slot back.
+    request_is_not_written_long_after_the_lender_last_confirmed_the_loan => {
+        let book = Rc::<LoanBook>::default();
+        let pending = book.ask(lender(), UPSTREAM, Rc::default(), at(1000));
+        let key = pending.key();
+        book.record_grant(key, lender(), at(9000));
+        let loan = pending.take().unwrap();
+        expect_that!(loan.write_by(), eq(Duration::from_secs(1) + SLOT_VALIDITY));
+        book.extend_loans(at(10_000));
+        book.extend_loans(at(12_000));
+        expect_that!(loan.write_by(), eq(Duration::from_secs(1) + SLOT_VALIDITY), "no answer yet");
+        book.record_grant(key, lender(), at(13_000));
+        expect_that!(loan.write_by(), eq(Duration::from_secs(10) + SLOT_VALIDITY));
+        expect_that!(SLOT_VALIDITY * 2, le(LOAN_TIMEOUT));
     }
 
     // Guards against loans whose messages grow with the callers that are refused.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -40,6 +40,7 @@
 mod rollouts;
 mod routes;
 mod shared_rates;
+mod slot_exchange;
 mod stated_speed;
 mod steady_demand;
 mod streams;
