--- a/src/gateway/peers/loan_inquiry.rs
+++ b/src/gateway/peers/loan_inquiry.rs
@@ -5,7 +5,7 @@
 //! `docs/design/rejection-limits.md`.
 
 use super::slot_loans::{LoanKey, SlotMessage};
-use crate::clock::Now;
+use crate::clock::{Now, millis};
 use crate::gateway::Gateway;
 use crate::gateway::place::slots::{LOAN_TIMEOUT, SLOT_RECHECK, STARTUP_HOLD};
 use std::cell::{Cell, RefCell};
@@ -52,6 +52,7 @@
                 },
                 false => InquiryState::Finished,
             });
+            log::info!(uptime_ms = millis(uptime), is_asking = self.is_asking(); "learned of the first rejection limit");
         }
     }
 
@@ -71,7 +72,11 @@
         if asked_for < STARTUP_HOLD || !is_due {
             return false;
         }
-        let is_finished = asked_for >= LOAN_TIMEOUT || self.unanswered(others()).is_empty();
+        let unanswered = self.unanswered(others()).len();
+        let is_finished = asked_for >= LOAN_TIMEOUT || unanswered == 0;
+        if is_finished {
+            log::info!(asked_ms = millis(asked_for), unanswered; "using the own share of slots");
+        }
         self.state.set(match is_finished {
             true => InquiryState::Finished,
             false => InquiryState::Asking {
@@ -105,11 +110,8 @@
     pub fn answer_started_box(&self, first_loan: u64, from: SocketAddr, now: Now) {
         for upstream in self.knowledge.borrow().upstreams() {
             for id in upstream.slots().former_loans(from, first_loan) {
-                let key = LoanKey {
-                    upstream: upstream.short_hash(),
-                    number: id.number,
-                };
-                self.loans.outbox.push((from, SlotMessage::Recall(key)));
+                let message = SlotMessage::Recall(LoanKey::new(upstream, id));
+                self.loans.outbox.push((from, message));
             }
         }
         self.loans.restate_loans(from, now);
--- a/src/gateway/peers/slot_loans.rs
+++ b/src/gateway/peers/slot_loans.rs
@@ -61,6 +61,24 @@
     pub number: u64,
 }
 
+impl LoanKey {
+    /// Identifies a loan that a lender has made.
+    pub fn new(upstream: &Upstream, id: LoanId) -> Self {
+        Self {
+            upstream: upstream.short_hash(),
+            number: id.number,
+        }
+    }
+
+    /// Identifies the loan for its lender.
+    pub fn of(self, borrower: SocketAddr) -> LoanId {
+        LoanId {
+            borrower,
+            number: self.number,
+        }
+    }
+}
+
 impl Gateway {
     /// Asks other boxes for a slot of an upstream of a service that a session may use and that has
     /// not been tried.
@@ -146,10 +164,7 @@
     }
 
     fn answer_slot_request(&self, key: LoanKey, from: SocketAddr, now: Now) {
-        let id = LoanId {
-            borrower: from,
-            number: key.number,
-        };
+        let id = key.of(from);
         let upstream = self.upstream_by_hash(key.upstream);
         let Some(upstream) = upstream else {
             self.loans.outbox.push((from, SlotMessage::Denial(key)));
@@ -169,10 +184,7 @@
 
     /// Counts a slot as lent for longer.
     fn extend_loan(&self, key: LoanKey, from: SocketAddr, now: Now) {
-        let id = LoanId {
-            borrower: from,
-            number: key.number,
-        };
+        let id = key.of(from);
         if let Some(upstream) = self.upstream_by_hash(key.upstream) {
             upstream.slots().lend(id, now);
             self.loans.outbox.push((from, SlotMessage::Grant(key)));
@@ -203,21 +215,13 @@
         let Some(id) = upstream.slots().recall_oldest(now) else {
             return false;
         };
-        let key = LoanKey {
-            upstream: upstream.short_hash(),
-            number: id.number,
-        };
-        self.loans
-            .outbox
-            .push((id.borrower, SlotMessage::Recall(key)));
+        let message = SlotMessage::Recall(LoanKey::new(upstream, id));
+        self.loans.outbox.push((id.borrower, message));
         true
     }
 
     fn take_slot_back(&self, key: LoanKey, from: SocketAddr) {
-        let id = LoanId {
-            borrower: from,
-            number: key.number,
-        };
+        let id = key.of(from);
         if let Some(upstream) = self.upstream_by_hash(key.upstream) {
             if upstream.slots().end_loan(id) {
                 self.telemetry.record_loan_end(&upstream, id, "returned");
@@ -229,10 +233,7 @@
 
     /// Takes a slot back once a run of the borrower's former process has probably ended.
     fn abandon_loan(&self, key: LoanKey, from: SocketAddr, now: Now) {
-        let id = LoanId {
-            borrower: from,
-            number: key.number,
-        };
+        let id = key.of(from);
         if let Some(upstream) = self.upstream_by_hash(key.upstream) {
             let service = upstream.with_listed(|listed| listed.service.clone());
             let run = self.rejection_limits.slots_of(&service).mean_run();
--- a/src/gateway/place/slots.rs
+++ b/src/gateway/place/slots.rs
@@ -166,9 +166,9 @@
         lent.retain(|slot| {
             let is_extended = slot.until > now.monotonic;
             if !is_extended {
-                let (upstream, loan) = (self.upstream, slot.id.number);
+                let (upstream_hash, loan) = (self.upstream, slot.id.number);
                 let borrower = slot.id.borrower.to_string();
-                log::info!(upstream, borrower = borrower.as_str(), loan; "a lent slot was not extended");
+                log::info!(upstream_hash, borrower = borrower.as_str(), loan; "a lent slot was not extended");
             }
             is_extended
         });
--- a/tests/gateway/slot_exchange.rs
+++ b/tests/gateway/slot_exchange.rs
@@ -11,7 +11,7 @@
 use gatepier::gateway::peers::loan_inquiry::LoanInquiry;
 use gatepier::gateway::peers::slot_loans::{LoanKey, SlotMessage};
 use gatepier::gateway::place::fleet_view::FleetView;
-use gatepier::gateway::place::slots::{HeldSlot, LoanId, SLOT_VALIDITY, ServiceSlots};
+use gatepier::gateway::place::slots::{HeldSlot, SLOT_VALIDITY, ServiceSlots};
 use gatepier::routing::placement::LoadGuard;
 use googletest::prelude::*;
 use rand::rngs::StdRng;
@@ -245,10 +245,7 @@
         let may_lend = self.has_free_slot(number);
         let found = &self.boxes[number];
         let slots = found.upstream.slots();
-        let id = |key: LoanKey| LoanId {
-            borrower: from,
-            number: key.number,
-        };
+        let id = |key: LoanKey| key.of(from);
         let reply = |message| found.book.outbox.push((from, message));
         match message {
             SlotMessage::Request(key) if may_lend => {
@@ -258,14 +255,8 @@
             SlotMessage::Request(key) => {
                 reply(SlotMessage::Denial(key));
                 if let Some(id) = slots.recall_oldest(now) {
-                    let key = LoanKey {
-                        number: id.number,
-                        ..key
-                    };
-                    found
-                        .book
-                        .outbox
-                        .push((id.borrower, SlotMessage::Recall(key)));
+                    let message = SlotMessage::Recall(LoanKey::new(&found.upstream, id));
+                    found.book.outbox.push((id.borrower, message));
                 }
             }
             SlotMessage::Extension(key) => {
@@ -280,10 +271,7 @@
             SlotMessage::Recall(key) => found.book.recall(key, from),
             SlotMessage::Started(first) => {
                 for id in slots.former_loans(from, first) {
-                    reply(SlotMessage::Recall(LoanKey {
-                        upstream: found.upstream.short_hash(),
-                        number: id.number,
-                    }));
+                    reply(SlotMessage::Recall(LoanKey::new(&found.upstream, id)));
                 }
                 found.book.restate_loans(from, now);
             }
@@ -342,14 +330,14 @@
         }
         let found = &self.boxes[number];
         let since_start = self.ms - found.started_ms;
-        if since_start % EXTENSION_MS == 0 {
+        if since_start.is_multiple_of(EXTENSION_MS) {
             found.book.extend_loans(now);
         }
-        if since_start % 10 == 0 {
+        if since_start.is_multiple_of(10) {
             found.book.return_unused(now);
         }
         let is_asking = !found.inquiry.is_finished(|| self.others(number), now);
-        if since_start % 100 == 0 && is_asking {
+        if since_start.is_multiple_of(100) && is_asking {
             for address in found.inquiry.unanswered(self.others(number)) {
                 found.book.announce_start(address);
             }
