Record in the store which services state rejection limits, for boxes that start

Cause: boxes that all start at once know no limit and nobody can tell them, so their first requests hold no slot (slot "none" in the try lines of the rejected ones). The class: state that has to last was kept by the processes only.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -45,7 +45,7 @@
 use control::mirror::Mirror;
 use control::state::{ConfigFreshness, ControlPlaneState};
 use control::store::ControlStore;
-use control::{rollout_leader, store_sync};
+use control::{limit_leader, rollout_leader, store_sync};
 use peers::full_boxes::FullBoxes;
 use peers::hub_poller::HubPoller;
 use peers::hubs::{HubState, choose_hubs};
@@ -604,6 +604,10 @@
     actix_rt::spawn(spare_connections::keep_spare_connections(gw.clone()));
     actix_rt::spawn(crash_detection::check_interrupted_upstreams(gw.clone()));
     actix_rt::spawn(rollout_leader::lead_rollouts(gw.clone(), store.clone()));
+    actix_rt::spawn(limit_leader::record_limited_services(
+        gw.clone(),
+        store.clone(),
+    ));
     actix_rt::spawn(store_sync::expire_old_state(gw.clone()));
     actix_rt::spawn(own_limit::watch_own_limit(gw.clone()));
     let exchange = messages::exchange(gw.clone(), store.clone());
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -662,6 +662,9 @@
     /// Takes note of what an attempt has shown about the rejection limit and the room of an upstream.
     fn record_room(&self, gw: &Gateway, upstream: &Upstream, tried: &TryOutcome, now: Now) {
         gw.note_rejection_limit(upstream, now);
+        if matches!(tried, TryOutcome::Answered(_)) {
+            gw.rejection_limits.record_answer(&self.service);
+        }
         if let TryOutcome::NotRun(NotRunReason::Refused(refusal)) = tried
             && !refusal.is_misdirected()
             && gw.limits_rejections(&self.service, now)
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -4,6 +4,7 @@
 pub mod change;
 pub mod initial_sync;
 pub mod lag;
+pub mod limit_leader;
 pub mod membership;
 pub mod mirror;
 pub mod restoration;
--- a/src/gateway/control/change.rs
+++ b/src/gateway/control/change.rs
@@ -25,6 +25,8 @@
     HallReturned(String),
     /// A roll-out of this service was ordered, advanced or cancelled.
     Rollout(String),
+    /// The leader has recorded the limits of this service.
+    Limits(String),
     /// A box has registered.
     BoxAdded(String),
     /// A box is no longer registered.
--- a/src/gateway/control/restoration.rs
+++ b/src/gateway/control/restoration.rs
@@ -113,6 +113,8 @@
         Update::Routes(_)
         | Update::RolloutRecorded(..)
         | Update::RolloutRecordGone(_)
+        | Update::LimitRecorded(..)
+        | Update::LimitRecordGone(_)
         | Update::Faulty { .. } => None,
     }
 }
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -41,6 +41,8 @@
     /// Why entries of upstreams could not be decoded, by id.
     faulty: HashMap<String, String>,
     rollouts: HashMap<String, Rollout>,
+    /// Whether each service was recorded to be limited, and the revision of the record.
+    limit_records: HashMap<String, (bool, u64)>,
     boxes: BTreeMap<String, BoxEntry>,
     /// The addresses of boxes that are no longer registered, and since when.
     former_boxes: HashMap<SocketAddr, Duration>,
@@ -154,6 +156,18 @@
                 self.rollouts.entry(service.clone()).or_default().order = None;
                 Change::Rollout(service)
             }
+            Update::LimitRecorded(record, revision) => {
+                let service = record.service;
+                let recorded = (record.is_limited, revision);
+                match self.limit_records.insert(service.clone(), recorded) == Some(recorded) {
+                    true => Change::Nothing,
+                    false => Change::Limits(service),
+                }
+            }
+            Update::LimitRecordGone(service) => match self.limit_records.remove(&service) {
+                Some(_) => Change::Limits(service),
+                None => Change::Nothing,
+            },
             Update::RolloutRecorded(record, revision) => self.apply_record(record, revision, now),
             Update::RolloutRecordGone(service) => {
                 let rollout = self.rollouts.entry(service.clone()).or_default();
@@ -569,6 +583,18 @@
         self.rollouts.get(service)
     }
 
+    /// Returns whether a service was recorded to state rejection limits, and the revision of the record;
+    /// 0 if there is none.
+    pub fn limit_record(&self, service: &str) -> (bool, u64) {
+        let recorded = self.limit_records.get(service).copied();
+        recorded.unwrap_or_default()
+    }
+
+    /// Returns the services with a record of their limits.
+    pub fn services_with_limit_records(&self) -> impl Iterator<Item = &str> {
+        self.limit_records.keys().map(String::as_str)
+    }
+
     /// Returns the roll-outs by service.
     pub fn rollouts(&self) -> &HashMap<String, Rollout> {
         &self.rollouts
--- a/src/gateway/control/store.rs
+++ b/src/gateway/control/store.rs
@@ -71,6 +71,10 @@
     /// The record of the roll-out of this service is missing: the store was restored from a copy
     /// that is older than the record.
     RolloutRecordGone(String),
+    /// The leader's record of a service's limits, and its revision.
+    LimitRecorded(LimitRecord, u64),
+    /// The record of this service's limits is missing.
+    LimitRecordGone(String),
     /// Operators have evacuated this hall: its upstreams get no more requests.
     HallEvacuated(String),
     /// The upstreams of this hall may be used again.
@@ -248,6 +252,15 @@
     pub registered: u64,
 }
 
+/// Whether the upstreams of a service bear few rejections, for boxes that start.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitRecord {
+    /// The service.
+    pub service: String,
+    /// Whether its upstreams state rejection limits.
+    pub is_limited: bool,
+}
+
 /// A box's registration entry and the lease that keeps it alive.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RegisteredBox {
@@ -329,4 +342,12 @@
         record: &'a RolloutRecord,
         expected: u64,
     ) -> LocalBoxFuture<'a, StoreResult<RecordWriteResult>>;
+
+    /// Writes the record of a service's limits if the last one is at revision `expected` (0: there is
+    /// none).
+    fn write_limit<'a>(
+        &'a self,
+        record: &'a LimitRecord,
+        expected: u64,
+    ) -> LocalBoxFuture<'a, StoreResult<RecordWriteResult>>;
 }
--- a/src/gateway/peers/rejection_limits.rs
+++ b/src/gateway/peers/rejection_limits.rs
@@ -8,12 +8,13 @@
 use crate::clock::Now;
 use crate::gateway::Gateway;
 use crate::gateway::attempt::upstream::Upstream;
+use crate::gateway::control::store::LimitRecord;
 use crate::gateway::place::fleet_view::FleetView;
 use crate::gateway::place::slots::{SLOT_RECHECK, ServiceSlots};
 use crate::gateway::place::turn_queue::{TurnQueue, WaitingTurn};
 use crate::routing::rate_limit::LimitStatement;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,6 +36,8 @@
     /// The newest statement of any upstream, by service.
     newest: RefCell<HashMap<String, LimitStatement>>,
     services: RefCell<HashMap<String, Rc<ServiceSlots>>>,
+    /// The services that have answered a request of this process, with or without a statement.
+    answered: RefCell<HashSet<String>>,
     /// The requests that wait for a slot.
     pub queue: TurnQueue,
     changed: Outbox<LimitReport>,
@@ -52,6 +55,13 @@
         services.entry(service.to_owned()).or_default().clone()
     }
 
+    /// Records that an upstream of a service has answered a request.
+    pub fn record_answer(&self, service: &str) {
+        if !self.answered.borrow().contains(service) {
+            self.answered.borrow_mut().insert(service.to_owned());
+        }
+    }
+
     fn record_statement(&self, upstream: &Upstream) {
         let Some(statement) = upstream.slots().statement() else {
             return;
@@ -82,13 +92,46 @@
             .filter(|upstream| upstream.slots().is_limited(now));
         stating.any(|upstream| upstream.with_listed(|listed| listed.service == service))
             || self.rejection_limits.is_remembered(service, now)
+            || self.is_recorded_limited(service, now)
+    }
+
+    /// Returns whether a service was recorded to state rejection limits before this box started, and
+    /// nothing newer is known.
+    fn is_recorded_limited(&self, service: &str, now: Now) -> bool {
+        let has_started = self.uptime(now) < STATEMENT_MEMORY;
+        has_started
+            && self.knowledge.borrow().limit_record(service).0
+            && !self.rejection_limits.answered.borrow().contains(service)
+    }
+
+    /// Returns the records of limits that have to be written, and the revisions of those to replace.
+    pub fn outdated_limit_records(&self, now: Now) -> Vec<(LimitRecord, u64)> {
+        let knowledge = self.knowledge.borrow();
+        let stating = knowledge
+            .upstreams()
+            .filter(|upstream| upstream.slots().is_limited(now))
+            .map(|upstream| upstream.with_listed(|listed| listed.service.clone()));
+        let recorded = knowledge.services_with_limit_records().map(str::to_owned);
+        let services: BTreeSet<String> = stating.chain(recorded).collect();
+        let outdated = services.into_iter().filter_map(|service| {
+            let is_limited = self.limits_rejections(&service, now);
+            let (was_limited, revision) = knowledge.limit_record(&service);
+            let record = LimitRecord {
+                service,
+                is_limited,
+            };
+            (is_limited != was_limited).then_some((record, revision))
+        });
+        outdated.collect()
     }
 
     /// Returns whether any service is known whose upstreams bear few rejections.
     pub fn has_rejection_limits(&self, now: Now) -> bool {
         let knowledge = self.knowledge.borrow();
         let mut upstreams = knowledge.upstreams();
+        let mut recorded = knowledge.services_with_limit_records();
         upstreams.any(|upstream| upstream.slots().is_limited(now))
+            || recorded.any(|service| self.is_recorded_limited(service, now))
     }
 
     /// Returns how long this box has no slot of an upstream; none if it has one now.
--- a/tests/gateway/rejection_limits.rs
+++ b/tests/gateway/rejection_limits.rs
@@ -6,6 +6,9 @@
 use super::{at, cases, listed};
 use gatepier::clock::WallTime;
 use gatepier::gateway::attempt::upstream::Upstream;
+use gatepier::gateway::control::change::Change;
+use gatepier::gateway::control::state::ControlPlaneState;
+use gatepier::gateway::control::store::{LimitRecord, Update};
 use gatepier::gateway::place::fleet_view::FleetView;
 use gatepier::gateway::place::slots::{
     HeldSlot, LOAN_TIMEOUT, LoanId, ServiceSlots, UpstreamSlots,
@@ -196,6 +199,32 @@
         expect_that!(slots.is_limited(at(31_000)), eq(false));
     }
 
+    // Guards against boxes that all start at once and know of no limit.
+    recorded_limit_is_known_until_the_record_is_gone => {
+        let mut knowledge = ControlPlaneState::default();
+        let record = |is_limited| LimitRecord { service: "reader-api".to_owned(), is_limited };
+        expect_that!(knowledge.limit_record("reader-api"), eq((false, 0)));
+        let change = knowledge.apply(Update::LimitRecorded(record(true), 11), at(0));
+        expect_that!(change, eq(&Change::Limits("reader-api".to_owned())));
+        let change = knowledge.apply(Update::LimitRecorded(record(true), 11), at(0));
+        expect_that!(change, eq(&Change::Nothing));
+        expect_that!(knowledge.limit_record("reader-api"), eq((true, 11)));
+        expect_that!(knowledge.limit_record("inkmind"), eq((false, 0)));
+        knowledge.apply(Update::LimitRecorded(record(false), 12), at(0));
+        expect_that!(knowledge.limit_record("reader-api"), eq((false, 12)));
+        knowledge.apply(Update::LimitRecordGone("reader-api".to_owned()), at(0));
+        expect_that!(knowledge.limit_record("reader-api"), eq((false, 0)));
+    }
+
+    // Guards against a box that uses slots which the others, who do not list it, use as well.
+    box_that_is_not_listed_has_no_share => {
+        let boxes = addresses(6);
+        let slots = UpstreamSlots::new(1);
+        expect_that!(slots.share(SLOTS, fleet(boxes[5], &boxes[..5], LONG_UPTIME), at(0)), eq(0));
+        expect_that!(slots.share(SLOTS, fleet(boxes[5], &boxes, LONG_UPTIME), at(0)), eq(1));
+        expect_that!(slots.share(SLOTS, fleet(boxes[5], &[], LONG_UPTIME), at(0)), eq(SLOTS));
+    }
+
     invalid_limit_is_the_strictest => {
         expect_that!(stated("4"), some(eq(4)));
         expect_that!(stated("many"), some(eq(0)));
--- a/tests/spreading.rs
+++ b/tests/spreading.rs
@@ -21,8 +21,8 @@
 use gatepier::gateway::attempt::retries::RetryBound;
 use gatepier::gateway::control::mirror::Changes;
 use gatepier::gateway::control::store::{
-    BoxEntry, ControlStore, Item, Page, RecordWriteResult, RegisteredBox, RolloutRecord, Update,
-    WatchResult,
+    BoxEntry, ControlStore, Item, LimitRecord, Page, RecordWriteResult, RegisteredBox,
+    RolloutRecord, Update, WatchResult,
 };
 use gatepier::gateway::control::store_sync::apply_changes;
 use gatepier::gateway::peers::messages;
@@ -120,6 +120,14 @@
     ) -> LocalBoxFuture<'a, StoreResult<RecordWriteResult>> {
         unreachable()
     }
+
+    fn write_limit<'a>(
+        &'a self,
+        _: &'a LimitRecord,
+        _: u64,
+    ) -> LocalBoxFuture<'a, StoreResult<RecordWriteResult>> {
+        unreachable()
+    }
 }
 
 fn headers() -> HeaderNames {
