Do not reuse a loan whose lender has confirmed nothing for long

A borrower that keeps a slot in use extended its loan, but a lender that had ended could not confirm it, so that after 15 s the write gate refused each request of that slot. A loan that holds for less than a second more is not used for another request, and is given back.

With it, found while reading the change: an answer to the start of a former process is not taken for one to the present one, and the messages about all loans of a box fit its queue and several datagrams.

--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -326,7 +326,7 @@
         let full = gw.upstreams_without_own_slot(&self.service, &self.session_id, now);
         let kept = gw.with_kept_slots(&full);
         if let Some(choice) = self.choose_upstream(gw, &kept, tried, model, now)
-            && let Some(loan) = gw.loans.take_idle(choice.upstream.short_hash())
+            && let Some(loan) = gw.loans.take_idle(choice.upstream.short_hash(), now)
         {
             return Some((choice, Some(loan)));
         }
--- a/src/gateway/peers/loan_book.rs
+++ b/src/gateway/peers/loan_book.rs
@@ -4,7 +4,8 @@
 //! So a box with many callers asks for each slot that it needs once, and not for each request. The
 //! lender can ask for a slot back at any time. What it is told must be true when it acts on it, so all
 //! messages about a loan are applied to its one entry here, as they arrive. A loan ends by a message
-//! of the borrower; only if that is silent for long does the lender take the slot back. See `docs/design/rejection-limits.md`.
+//! of the borrower; only if that is silent for long does the lender take the slot back. See
+//! `docs/design/rejection-limits.md`.
 
 use super::outbox::Outbox;
 use super::slot_loans::{LoanKey, SlotMessage};
@@ -26,6 +27,11 @@
 const SILENCE_PAUSE: Duration = Duration::from_secs(1);
 /// The number of remembered pauses from which outdated ones are dropped.
 const MAX_PAUSES: usize = 512;
+/// The most messages that wait to be sent: those about all loans of a box with most callers of a
+/// large fleet.
+const MAX_MESSAGES: usize = 8192;
+/// How much longer a loan has to hold to be used for another request.
+const MIN_VALIDITY: Duration = Duration::from_secs(1);
 /// The bounds of the time for which an unused slot is kept, which otherwise is the mean time of a
 /// run.
 const MIN_IDLE: Duration = Duration::from_millis(20);
@@ -75,6 +81,11 @@
         self.confirmed = self.asked.take().or(self.confirmed);
     }
 
+    /// Returns whether the loan holds for long enough to be used for another request.
+    fn holds(self, now: Now) -> bool {
+        self.write_by() >= now.monotonic + MIN_VALIDITY
+    }
+
     fn write_by(self) -> Duration {
         self.confirmed
             .map_or(Duration::ZERO, |sent| sent + SLOT_VALIDITY)
@@ -111,7 +122,7 @@
             next_number: Cell::new(first_number),
             held: RefCell::default(),
             pauses: RefCell::default(),
-            outbox: Outbox::default(),
+            outbox: Outbox::with_limit(MAX_MESSAGES),
             became_idle: Notify::default(),
         }
     }
@@ -150,7 +161,8 @@
         }
     }
 
-    /// Records that a lender has lent a slot, or counts it as lent for longer. It is given back if it was not asked for, or no longer.
+    /// Records that a lender has lent a slot, or counts it as lent for longer. The slot is given back
+    /// if it was not asked for, or no longer.
     pub fn record_grant(&self, key: LoanKey, lender: SocketAddr, now: Now) {
         let mut held = self.held.borrow_mut();
         let Some(loan) = held.get_mut(&key) else {
@@ -193,10 +205,12 @@
 
     /// Takes an unused slot of an upstream, the one that was used last, so that those that are not
     /// needed stay unused.
-    pub fn take_idle(self: &Rc<Self>, upstream: u32) -> Option<Loan> {
+    pub fn take_idle(self: &Rc<Self>, upstream: u32, now: Now) -> Option<Loan> {
         let mut held = self.held.borrow_mut();
         let idle = held.iter_mut().filter_map(|(key, loan)| match loan.state {
-            LoanState::Idle(since) if key.upstream == upstream => Some((since, *key, loan)),
+            LoanState::Idle(since) if key.upstream == upstream && loan.confirmation.holds(now) => {
+                Some((since, *key, loan))
+            }
             _ => None,
         });
         let (_, key, loan) = idle.max_by_key(|(since, key, _)| (*since, key.number))?;
@@ -230,6 +244,11 @@
         u32::try_from(from_lender.count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns whether another box answers the start of this process, and not of an earlier one.
+    pub fn is_first_loan(&self, number: u64) -> bool {
+        number == self.first_number
+    }
+
     /// Lets another box know that this process has no loans of earlier ones.
     pub fn announce_start(&self, to: SocketAddr) {
         self.outbox
@@ -243,11 +262,12 @@
 
     /// Lets a lender that has started know which slots this box still holds. What its former process
     /// may have lent meanwhile is not used.
-    pub fn restate_loans(&self, lender: SocketAddr, now: Now) {
+    pub fn restate_loans(&self, lender: SocketAddr, first_loan: u64, now: Now) {
         let is_asked = |loan: &HeldLoan| loan.lender == lender && loan.state == LoanState::Asked;
         self.held.borrow_mut().retain(|_, loan| !is_asked(loan));
         self.extend_loans_if(|loan| loan.lender == lender, now);
-        self.outbox.push((lender, SlotMessage::AllStated));
+        self.outbox
+            .push((lender, SlotMessage::AllStated(first_loan)));
     }
 
     fn extend_loans_if(&self, is_due: impl Fn(&HeldLoan) -> bool, now: Now) {
@@ -288,6 +308,8 @@
         let mut next = None;
         self.held.borrow_mut().retain(|key, loan| {
             let until = match loan.state {
+                // A lender that confirms nothing may have ended.
+                LoanState::Idle(_) if !loan.confirmation.holds(now) => now.monotonic,
                 LoanState::Idle(since) => since + loan.service.mean_run().clamp(MIN_IDLE, MAX_IDLE),
                 LoanState::Abandoned(until) => until,
                 LoanState::Asked | LoanState::InUse | LoanState::Recalled => return true,
--- a/src/gateway/peers/loan_inquiry.rs
+++ b/src/gateway/peers/loan_inquiry.rs
@@ -114,7 +114,7 @@
                 self.loans.outbox.push((from, message));
             }
         }
-        self.loans.restate_loans(from, now);
+        self.loans.restate_loans(from, first_loan, now);
     }
 }
 
--- a/src/gateway/peers/outbox.rs
+++ b/src/gateway/peers/outbox.rs
@@ -4,31 +4,38 @@
 use std::collections::VecDeque;
 use tokio::sync::Notify;
 
-/// The most updates queued. They are normally sent within milliseconds; without a connection to
-/// other boxes they would pile up, and only the newest still matter.
-const MAX_PENDING: usize = 256;
+/// The most updates queued by default. They are normally sent within milliseconds; without a
+/// connection to other boxes they would pile up, and only the newest still matter.
+const DEFAULT_LIMIT: usize = 256;
 
 /// The updates still to be sent, oldest first.
 #[derive(Debug)]
 pub struct Outbox<T> {
     pending: RefCell<VecDeque<T>>,
     added: Notify,
+    limit: usize,
 }
 
 impl<T> Default for Outbox<T> {
     fn default() -> Self {
+        Self::with_limit(DEFAULT_LIMIT)
+    }
+}
+
+impl<T> Outbox<T> {
+    /// Creates an empty queue of at most `limit` updates.
+    pub fn with_limit(limit: usize) -> Self {
         Self {
             pending: RefCell::default(),
             added: Notify::new(),
+            limit,
         }
     }
-}
 
-impl<T> Outbox<T> {
     /// Queues an update; drops the oldest one if the queue is full.
     pub fn push(&self, item: T) {
         let mut pending = self.pending.borrow_mut();
-        if pending.len() == MAX_PENDING {
+        if pending.len() == self.limit {
             pending.pop_front();
         }
         pending.push_back(item);
--- a/src/gateway/peers/slot_loans.rs
+++ b/src/gateway/peers/slot_loans.rs
@@ -26,6 +26,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(40);
 /// How many lenders one request asks, one after the other.
 const MAX_ASKED: usize = 3;
+/// The most messages about slots in one datagram.
+const MAX_MESSAGES_PER_DATAGRAM: usize = 1000;
 /// The time between two messages that extend the loans of a box.
 const EXTENSION_INTERVAL: Duration = SLOT_VALIDITY.checked_div(8).unwrap();
 
@@ -46,8 +48,9 @@
     Extension(LoanKey),
     /// The sender has started, and numbers its loans from here on.
     Started(u64),
-    /// The sender has extended all its loans of the receiver, which has started.
-    AllStated,
+    /// The sender has extended all its loans of the receiver, which has started and stated this number
+    /// of its first loan.
+    AllStated(u64),
     /// A former process of the sender held a slot; its run may go on.
     Lost(LoanKey),
 }
@@ -158,7 +161,10 @@
                 SlotMessage::Recall(key) => self.loans.recall(key, from),
                 SlotMessage::Extension(key) => self.extend_loan(key, from, now),
                 SlotMessage::Started(first_loan) => self.answer_started_box(first_loan, from, now),
-                SlotMessage::AllStated => self.loan_inquiry.record_answer(from),
+                SlotMessage::AllStated(first_loan) if self.loans.is_first_loan(first_loan) => {
+                    self.loan_inquiry.record_answer(from);
+                }
+                SlotMessage::AllStated(_) => {}
             }
         }
     }
@@ -272,7 +278,9 @@
             by_box.entry(to).or_default().push(message);
         }
         for (to, messages) in by_box {
-            send(&[to], messages).await;
+            for part in messages.chunks(MAX_MESSAGES_PER_DATAGRAM) {
+                send(&[to], part.to_vec()).await;
+            }
         }
     }
 }
--- a/tests/gateway/loan_book.rs
+++ b/tests/gateway/loan_book.rs
@@ -56,11 +56,11 @@
     slot_is_kept_for_the_next_request => {
         let book = Rc::<LoanBook>::default();
         let (key, loan) = borrow(&book);
-        expect_that!(book.take_idle(UPSTREAM).is_none(), eq(true), "it is in use");
+        expect_that!(book.take_idle(UPSTREAM, Now::read()).is_none(), eq(true), "it is in use");
         drop(loan);
         expect_that!(sent(&book), is_empty());
         expect_that!(book.has_idle(UPSTREAM), eq(true));
-        let again = book.take_idle(UPSTREAM);
+        let again = book.take_idle(UPSTREAM, Now::read());
         expect_that!(again.is_some(), eq(true));
         expect_that!(book.has_idle(UPSTREAM), eq(false));
         book.extend_loans(Now::read());
@@ -87,7 +87,7 @@
         drop(loan);
         book.recall(key, lender());
         expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::Return(key)))]);
-        expect_that!(book.take_idle(UPSTREAM).is_none(), eq(true));
+        expect_that!(book.take_idle(UPSTREAM, Now::read()).is_none(), eq(true));
     }
 
     recalled_slot_is_given_back_after_the_request_that_uses_it => {
@@ -138,7 +138,7 @@
         book.record_grant(pending.key(), lender(), Now::read());
         drop(pending);
         expect_that!(sent(&book), is_empty());
-        expect_that!(book.take_idle(UPSTREAM).is_some(), eq(true));
+        expect_that!(book.take_idle(UPSTREAM, Now::read()).is_some(), eq(true));
     }
 
     // Guards against a slot that its lender counts as lent for as long as the borrower extends it.
@@ -169,8 +169,8 @@
     slot_that_a_former_process_has_lent_is_not_used => {
         let book = Rc::<LoanBook>::default();
         let pending = ask(&book);
-        book.restate_loans(lender(), Now::read());
-        expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::AllStated))]);
+        book.restate_loans(lender(), 5, Now::read());
+        expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::AllStated(5)))]);
         book.record_grant(pending.key(), lender(), Now::read());
         expect_that!(pending.take().is_none(), eq(true));
     }
@@ -208,6 +208,30 @@
         expect_that!(SLOT_VALIDITY * 2, le(LOAN_TIMEOUT));
     }
 
+    // Guards against a kept slot whose lender has ended, so that its requests cannot be written.
+    slot_is_not_used_again_long_after_its_lender_last_confirmed_it => {
+        let book = Rc::<LoanBook>::default();
+        let (key, loan) = borrow(&book);
+        drop(loan);
+        let now = Now::read();
+        let late = later(now, SLOT_VALIDITY);
+        expect_that!(book.take_idle(UPSTREAM, late).is_none(), eq(true));
+        expect_that!(book.return_unused(late), none());
+        expect_that!(sent(&book), elements_are![eq(&(lender(), SlotMessage::Return(key)))]);
+    }
+
+    // Guards against an answer to a former process's start that is taken for one to the present one.
+    answer_to_another_process_is_told_from_the_own_one => {
+        let book = Rc::<LoanBook>::default();
+        book.announce_start(lender());
+        let stated = sent(&book);
+        let Some((_, SlotMessage::Started(first))) = stated.first() else {
+            panic!("{stated:?}");
+        };
+        expect_that!(book.is_first_loan(*first), eq(true));
+        expect_that!(book.is_first_loan(first.wrapping_add(1)), eq(false));
+    }
+
     // Guards against loans whose messages grow with the callers that are refused.
     lender_without_free_slots_is_asked_less_and_less_often => {
         let book = Rc::<LoanBook>::default();
--- a/tests/gateway/slot_exchange.rs
+++ b/tests/gateway/slot_exchange.rs
@@ -273,13 +273,16 @@
                 for id in slots.former_loans(from, first) {
                     reply(SlotMessage::Recall(LoanKey::new(&found.upstream, id)));
                 }
-                found.book.restate_loans(from, now);
+                found.book.restate_loans(from, first, now);
             }
             SlotMessage::Lost(key) => {
                 let run_end = now.monotonic + found.service.mean_run();
                 slots.abandon_loan(id(key), run_end);
             }
-            SlotMessage::AllStated => found.inquiry.record_answer(from),
+            SlotMessage::AllStated(first) if found.book.is_first_loan(first) => {
+                found.inquiry.record_answer(from);
+            }
+            SlotMessage::AllStated(_) => {}
         }
     }
 
@@ -350,13 +353,13 @@
             self.begin_request(number, None);
             return;
         }
+        let now = self.now();
         let found = &self.boxes[number];
         let hash = found.upstream.short_hash();
-        if let Some(loan) = found.book.take_idle(hash) {
+        if let Some(loan) = found.book.take_idle(hash, now) {
             self.begin_request(number, Some(loan));
             return;
         }
-        let now = self.now();
         let mut lenders = found
             .upstream
             .slots()
