--- a/src/gateway/control/limit_leader.rs
+++ b/src/gateway/control/limit_leader.rs
@@ -1,7 +1,7 @@
 //! Records in the store which services have upstreams that bear few rejections.
 //!
-//! Boxes that all start at once know of no limit, and nobody can tell them, before an upstream has
-//! answered. Until then the record decides. See `docs/design/rejection-limits.md`.
+//! Boxes that all start at once know of no limit before an upstream has answered. Until then the
+//! record decides. See `docs/design/rejection-limits.md`.
 
 use super::membership::is_leader;
 use super::store::{ControlStore, LimitRecord, RecordWriteResult, Update};
--- a/src/gateway/peers/loan_book.rs
+++ b/src/gateway/peers/loan_book.rs
@@ -2,8 +2,8 @@
 //!
 //! A slot is not given back after each request: the next one uses it, as long as there is one soon.
 //! So a box with many callers asks for each slot that it needs once, and not for each request. The
-//! lender can ask for a slot back at any time. What it is told must be true when it acts on it, so all
-//! messages about a loan are applied to its one entry here, as they arrive. A loan ends by a message
+//! lender can ask for a slot back at any time. All messages about a loan change its one entry here
+//! as they arrive, so that no request uses a slot that was given back. A loan ends by a message
 //! of the borrower; only if that is silent for long does the lender take the slot back. See
 //! `docs/design/rejection-limits.md`.
 
