--- a/src/gateway/place/slots.rs
+++ b/src/gateway/place/slots.rs
@@ -25,7 +25,7 @@
 pub const SLOT_VALIDITY: Duration = LOAN_TIMEOUT.checked_div(2).unwrap();
 /// How soon a slot that was recalled is recalled again, as a message may be lost.
 const RECALL_INTERVAL: Duration = Duration::from_millis(200);
-/// More loans than a process ever numbers, so that those of others are told apart.
+/// Upper bound on the number of loans that one process asks for.
 const MAX_LOANS: u64 = 1 << 40;
 /// How long a limit is in force after it was stated last. All answers state it, so that an upstream
 /// of which this box has heard nothing for so long has no requests to reject.
