--- a/review/common-2/budget.rs
+++ b/review/common-2/budget.rs
@@ -42,7 +42,8 @@
     };
     let start = |number: usize| {
         let id = format!("i-{number}");
-        Server::start(&id, HALLS[number % HALLS.len()], &kind, &shared).map_err(|err| err.to_string())
+        Server::start(&id, HALLS[number % HALLS.len()], &kind, &shared)
+            .map_err(|err| err.to_string())
     };
     let servers = (0..SERVERS).map(start).collect::<Result<Vec<_>, _>>()?;
     let fleet = Arc::new(Fleet::start(&HALLS, store.address, log)?);
@@ -95,8 +96,14 @@
     let mut margin = f64::NEG_INFINITY;
     for at in &repeats {
         let found = count(&repeats, *at, *at + WINDOW);
-        let begins = [*at, at.saturating_sub(WINDOW / 2), at.saturating_sub(WINDOW)];
-        let requests = begins.into_iter().map(|begin| count(sent, begin, begin + WINDOW));
+        let begins = [
+            *at,
+            at.saturating_sub(WINDOW / 2),
+            at.saturating_sub(WINDOW),
+        ];
+        let requests = begins
+            .into_iter()
+            .map(|begin| count(sent, begin, begin + WINDOW));
         let requests = requests.max().unwrap_or(0);
         let allowed = RATIO * requests as f64 + SLACK;
         if found as f64 - allowed > margin {
@@ -114,7 +121,9 @@
         let at = Duration::from_secs_f64(number as f64 / REQUESTS_PER_S);
         std::thread::sleep(at.saturating_sub(began.elapsed()));
         let (fleet, sent, log) = (fleet.clone(), sent.clone(), log.clone());
-        clients.push(std::thread::spawn(move || request(&fleet, &sent, &log, number)));
+        clients.push(std::thread::spawn(move || {
+            request(&fleet, &sent, &log, number)
+        }));
     }
     for client in clients {
         let _ = client.join();
--- a/review/common-2/denied.rs
+++ b/review/common-2/denied.rs
@@ -50,9 +50,12 @@
     };
     let start = |number: usize, life: u32| {
         let id = format!("i-{number}-{life}");
-        Server::start(&id, HALLS[number % HALLS.len()], &kind, &shared).map_err(|err| err.to_string())
+        Server::start(&id, HALLS[number % HALLS.len()], &kind, &shared)
+            .map_err(|err| err.to_string())
     };
-    let mut servers = (0..SERVERS).map(|number| start(number, 1)).collect::<Result<Vec<_>, _>>()?;
+    let mut servers = (0..SERVERS)
+        .map(|number| start(number, 1))
+        .collect::<Result<Vec<_>, _>>()?;
     let fleet = Arc::new(Fleet::start(&HALLS, store.address, log)?);
     let counts = Arc::new(Mutex::new(Counts::default()));
     let began = Instant::now();
@@ -106,7 +109,9 @@
         let at = Duration::from_secs_f64(number as f64 / REQUESTS_PER_S);
         std::thread::sleep(at.saturating_sub(began.elapsed()));
         let (fleet, counts, log) = (fleet.clone(), counts.clone(), log.clone());
-        clients.push(std::thread::spawn(move || request(&fleet, &counts, &log, number)));
+        clients.push(std::thread::spawn(move || {
+            request(&fleet, &counts, &log, number)
+        }));
     }
     for client in clients {
         let _ = client.join();
--- a/review/common-2/fleet.rs
+++ b/review/common-2/fleet.rs
@@ -42,11 +42,13 @@
     }
 
     fn is_ready(&self) -> bool {
-        let asked = TcpStream::connect_timeout(&self.ready(), CONNECT_TIMEOUT).and_then(|mut stream| {
-            stream.set_read_timeout(Some(CONNECT_TIMEOUT))?;
-            stream.write_all(b"GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
-            Reader::new(stream).head()
-        });
+        let asked =
+            TcpStream::connect_timeout(&self.ready(), CONNECT_TIMEOUT).and_then(|mut stream| {
+                stream.set_read_timeout(Some(CONNECT_TIMEOUT))?;
+                stream
+                    .write_all(b"GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
+                Reader::new(stream).head()
+            });
         asked.is_ok_and(|head| head.word(1) == "200")
     }
 }
@@ -55,8 +57,12 @@
     /// Starts a box in each hall and waits until all are ready.
     pub fn start(halls: &[&str], store: SocketAddr, log: &Record) -> Result<Self, String> {
         let deploy = std::fs::read_to_string(DEPLOY_FILE).map_err(|err| err.to_string())?;
-        let run = deploy.lines().find_map(|line| line.strip_prefix("run = \""));
-        let run = run.and_then(|rest| rest.strip_suffix('"')).ok_or("no command")?;
+        let run = deploy
+            .lines()
+            .find_map(|line| line.strip_prefix("run = \""));
+        let run = run
+            .and_then(|rest| rest.strip_suffix('"'))
+            .ok_or("no command")?;
         let directory =
             std::env::temp_dir().join(format!("gatepier-review-{}", std::process::id()));
         std::fs::create_dir_all(&directory).map_err(|err| err.to_string())?;
@@ -145,7 +151,9 @@
     pub fn has_exited(&self) -> bool {
         self.boxes.iter().any(|found| {
             let mut child = found.child.lock().unwrap();
-            child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+            child
+                .as_mut()
+                .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
         })
     }
 }
@@ -163,7 +171,8 @@
                 let _ = std::fs::create_dir_all(&target);
                 for found in &self.boxes {
                     let name = format!("{}.log", found.name);
-                    let _ = std::fs::copy(self.directory.join(&name), Path::new(&target).join(&name));
+                    let _ =
+                        std::fs::copy(self.directory.join(&name), Path::new(&target).join(&name));
                 }
             }
             None => {}
@@ -313,7 +322,9 @@
     let head = reader.head()?;
     seen.status = head.word(1).parse().ok();
     seen.is_sealed = head.header("gatepier-server-seal").is_some();
-    let retry_after = head.header("retry-after").and_then(|text| text.parse().ok());
+    let retry_after = head
+        .header("retry-after")
+        .and_then(|text| text.parse().ok());
     seen.retry_after = retry_after.map(Duration::from_secs_f64);
     if !head.is_chunked() {
         reader.body(&head)?;
@@ -330,7 +341,9 @@
         }
         text.push_str(&String::from_utf8_lossy(&chunk));
         while let Some(end) = text.find("\n\n") {
-            let id = text[..end].lines().find_map(|line| line.strip_prefix("id: "));
+            let id = text[..end]
+                .lines()
+                .find_map(|line| line.strip_prefix("id: "));
             seen.last_event = id.and_then(|id| id.parse().ok()).or(seen.last_event);
             text.drain(..end + 2);
         }
--- a/review/common-2/http.rs
+++ b/review/common-2/http.rs
@@ -58,7 +58,9 @@
     }
 
     fn find(&self, wanted: &[u8]) -> Option<usize> {
-        self.buf.windows(wanted.len()).position(|part| part == wanted)
+        self.buf
+            .windows(wanted.len())
+            .position(|part| part == wanted)
     }
 
     pub fn head(&mut self) -> Result<Head> {
--- a/review/common-2/json.rs
+++ b/review/common-2/json.rs
@@ -173,7 +173,11 @@
         let all = at(0) << 16 | at(1) << 8 | at(2);
         for place in 0..4 {
             let sign = SIGNS[(all >> (18 - 6 * place) & 63) as usize];
-            out.push(if place <= chunk.len() { sign as char } else { '=' });
+            out.push(if place <= chunk.len() {
+                sign as char
+            } else {
+                '='
+            });
         }
     }
     out
--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod denied;
 mod fleet;
+mod hot;
 mod http;
 mod json;
 mod record;
@@ -26,6 +27,7 @@
     let log = record::Record::new();
     let outcome = match name.as_str() {
         "denied" => denied::play(&log, trouble),
+        "hot" => hot::play(&log, trouble),
         "budget" => budget::play(&log, trouble),
         _ => Err(format!("there is no case {name}")),
     };
--- a/review/common-2/server.rs
+++ b/review/common-2/server.rs
@@ -133,7 +133,10 @@
             std::thread::sleep(serves_on);
             leaving.end();
             leaving.shared.store.remove(&leaving.key());
-            leaving.shared.log.note(&format!("server {} has left", leaving.id));
+            leaving
+                .shared
+                .log
+                .note(&format!("server {} has left", leaving.id));
         });
     }
 
@@ -169,7 +172,10 @@
 
     /// Answers a request; returns whether the connection stays open.
     fn answer(&self, reader: &mut Reader, head: &Head) -> bool {
-        let attempt = head.header("gatepier-attempt-id").unwrap_or_default().to_owned();
+        let attempt = head
+            .header("gatepier-attempt-id")
+            .unwrap_or_default()
+            .to_owned();
         let expected = head.header("gatepier-expect-instance");
         if head.word(1) == "/health" {
             let load = self.load();
@@ -188,21 +194,29 @@
         };
         self.shared.arrivals.lock().unwrap().push(arrival);
         if !self.enter(reader) {
-            self.shared.log.note(&format!("server {} refuses {attempt} with 503", self.id));
+            self.shared
+                .log
+                .note(&format!("server {} refuses {attempt} with 503", self.id));
             return self.refuse(reader, &attempt, "503 Service Unavailable");
         }
-        self.shared.log.note(&format!("server {} runs {attempt}", self.id));
+        self.shared
+            .log
+            .note(&format!("server {} runs {attempt}", self.id));
         let is_open = match self.kind.work {
             Work::Plain(time) => self.run_plain(reader, &attempt, time),
             Work::Stream(events, read, pause) => {
-                let after = head.header("last-event-id").and_then(|text| text.parse().ok());
+                let after = head
+                    .header("last-event-id")
+                    .and_then(|text| text.parse().ok());
                 let after: u32 = after.unwrap_or(0);
                 self.run_stream(reader, &attempt, after..events, read, pause)
             }
         };
         self.running.fetch_sub(1, Ordering::SeqCst);
         let end = if is_open { "ends" } else { "breaks off" };
-        self.shared.log.note(&format!("server {}: the run of {attempt} {end}", self.id));
+        self.shared
+            .log
+            .note(&format!("server {}: the run of {attempt} {end}", self.id));
         is_open
     }
 
--- a/review/common-2/store.rs
+++ b/review/common-2/store.rs
@@ -118,7 +118,12 @@
             let found = pairs.find(|(key, _)| *key == name);
             found.map_or(String::new(), |(_, value)| value.replace("%2F", "/"))
         };
-        let id = || path.rsplit('/').next().and_then(|text| text.parse().ok()).unwrap_or(0);
+        let id = || {
+            path.rsplit('/')
+                .next()
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(0)
+        };
         let name = path.strip_prefix("/-/").unwrap_or_default();
         match name.split('/').next().unwrap_or_default() {
             "kv-range" => self.range(&field("PathPrefix"), &field("SinceRev")),
@@ -135,7 +140,9 @@
                 contents.next_lease += 1;
                 let lease = contents.next_lease;
                 let ttl_time = Duration::from_millis(ttl);
-                contents.leases.insert(lease, (ttl_time, Instant::now() + ttl_time));
+                contents
+                    .leases
+                    .insert(lease, (ttl_time, Instant::now() + ttl_time));
                 (200, format!("{{\"Lease\":{lease},\"TtlMs\":{ttl}}}"))
             }
             "kv-keep" => match self.contents.lock().unwrap().leases.get_mut(&id()) {
@@ -182,15 +189,20 @@
         let mut contents = self.contents.lock().unwrap();
         loop {
             let newer = contents.items.iter();
-            let newer = newer.filter(|(key, item)| key.starts_with(prefix) && item.revision > since);
-            let mut events: Vec<(u64, String)> =
-                newer.map(|(key, item)| (item.revision, item.describe(key))).collect();
+            let newer =
+                newer.filter(|(key, item)| key.starts_with(prefix) && item.revision > since);
+            let mut events: Vec<(u64, String)> = newer
+                .map(|(key, item)| (item.revision, item.describe(key)))
+                .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 events.sort();
                 let texts: Vec<String> = events.into_iter().map(|(_, text)| text).collect();
                 let (texts, revision) = (texts.join(","), contents.revision);
-                return (200, format!("{{\"events\":[{texts}],\"CurrentRev\":{revision}}}"));
+                return (
+                    200,
+                    format!("{{\"events\":[{texts}],\"CurrentRev\":{revision}}}"),
+                );
             }
             contents = self.changed.wait_timeout(contents, left).unwrap().0;
         }
