--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -12,7 +12,7 @@
 use super::revision::{EpochRevision, epoch_of};
 use super::staleness_check::check_staleness;
 use super::store::{ControlStore, Item, WatchResult};
-use crate::clock::Now;
+use crate::clock::{Now, millis};
 use crate::gateway::Gateway;
 use crate::store::StoreResult;
 use std::pin::pin;
@@ -295,10 +295,18 @@
     /// Reads the next page; returns false if the store did not answer.
     async fn read_page(&mut self, gw: &Gateway, store: &dyn ControlStore) -> bool {
         gw.telemetry.count_store_call("list");
+        let sent = Now::read();
         let read = store.read_page(self.next_page.as_deref());
-        let Ok(page) = call_store(gw, store, read).await else {
-            return false;
+        let after = self.next_page.as_deref().unwrap_or_default();
+        let page = match call_store(gw, store, read).await {
+            Ok(page) => page,
+            Err(err) => {
+                log::warn!(after; "a page of the store's contents cannot be read: {err}");
+                return false;
+            }
         };
+        let took = Now::read().monotonic.saturating_sub(sent.monotonic);
+        log::info!(after, items = page.items.len(), took_ms = millis(took); "read a page of the store's contents");
         let first = *self.revision.get_or_insert(page.revision);
         if epoch_of(first) != epoch_of(page.revision) {
             log::info!("the store was restored during a full read, starting again");
