--- a/src/gateway/attempt/headers.rs
+++ b/src/gateway/attempt/headers.rs
@@ -3,7 +3,7 @@
 //! Their names differ between deployments and are provided by an adapter; the rest of the gateway
 //! refers to their meaning only. See `docs/design/platform.md`.
 
-use http::HeaderName;
+use http::{HeaderName, HeaderValue};
 use std::time::Duration;
 
 /// The name of each header that the gateway reads or sets.
@@ -64,6 +64,12 @@
 /// by one step.
 const SHORT_PREFILL: Duration = Duration::from_millis(16);
 
+/// Returns whether a text reaches the receiver of a header as it is. Names that other programs choose
+/// may hold characters that no header can, and blanks at the ends of a value are dropped.
+pub fn is_header_text(text: &str) -> bool {
+    !text.is_empty() && text.trim() == text && HeaderValue::from_str(text).is_ok()
+}
+
 /// Returns the urgency of a request, where 0 is the most urgent.
 ///
 /// Requests are ordered by the organisation's rank, then by the route's, then by prefill time,
