End a full read whose pages do not advance, and use what it has read

A page that starts at a key from which a page was read already would be read again without end: 16,570 calls of one box in 20 s where keys were not escaped, a load on the store that all boxes share, and the box never ready. Escaped keys do not lead there, but a store that passes over the start of a page does, and so does a page without an item that can be decoded, which was taken for the last one, unseen.

The read keeps the starts of its pages. At the second time it ends with an error in the log, and what it has read comes into force; what was not read is not taken for deleted.

--- a/src/gateway/control/store.rs
+++ b/src/gateway/control/store.rs
@@ -277,7 +277,8 @@
     pub items: Vec<Item>,
     /// The store revision at which the page was read.
     pub revision: u64,
-    /// The start of the next page; `None` on the last page.
+    /// The start of the next page; `None` on the last page. If it is the start of a page that was read
+    /// before, the read does not advance.
     pub next: Option<String>,
 }
 
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -15,6 +15,7 @@
 use crate::clock::{Now, millis};
 use crate::gateway::Gateway;
 use crate::store::StoreResult;
+use std::collections::HashSet;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -211,7 +212,7 @@
     let mut snapshot = SnapshotRead::start(Now::read());
     let mut backoff = Backoff::default();
     let mut failures = 0;
-    while !snapshot.is_complete {
+    while snapshot.state == ReadState::Reading {
         if snapshot.read_page(gw, store).await {
             continue;
         }
@@ -278,7 +279,20 @@
     /// page's revision misses nothing.
     revision: Option<u64>,
     next_page: Option<String>,
-    is_complete: bool,
+    /// The starts of the pages that were read.
+    page_starts: HashSet<String>,
+    state: ReadState,
+}
+
+/// How far a full read has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadState {
+    /// More pages follow.
+    Reading,
+    /// All pages were read.
+    Complete,
+    /// The next page would be one that was read before. What follows stays unknown.
+    Stuck,
 }
 
 impl SnapshotRead {
@@ -288,7 +302,8 @@
             items: Vec::new(),
             revision: None,
             next_page: None,
-            is_complete: false,
+            page_starts: HashSet::from([String::new()]),
+            state: ReadState::Reading,
         }
     }
 
@@ -314,7 +329,14 @@
             return false;
         }
         self.items.extend(page.items);
-        self.is_complete = page.next.is_none();
+        self.state = match &page.next {
+            None => ReadState::Complete,
+            Some(next) if self.page_starts.insert(next.clone()) => ReadState::Reading,
+            Some(next) => {
+                log::error!(after = next.as_str(), items = self.items.len(); "the pages of the store's contents do not advance, using what was read");
+                ReadState::Stuck
+            }
+        };
         self.next_page = page.next;
         true
     }
@@ -323,7 +345,8 @@
         let changes = Changes {
             after: 0,
             revision: self.revision.unwrap_or_default(),
-            is_snapshot: true,
+            // An item that was not read may exist.
+            is_snapshot: self.state == ReadState::Complete,
             items: self.items,
         };
         apply_changes(gw, store, changes, "list");
