Pass on one request of a connection at a time

Clients that send many requests ahead and read no answer took 2 to 7 MB a connection, so that a few of them ended a process for lack of memory.

Cause: the HTTP library reads 128 kB ahead and parses all requests in it before the answers in front of them are taken. None of that was counted against the memory limit, which knows requests only once they are served.

A gate between the connection and the library passes on the bytes of one request, and those of the next only after the answer has been written; up to 4 kB wait as bytes, the rest stays with the caller. It is the same for callers of boxes and of routers, readiness checks and metrics.

`request_gate` sends 1,800 requests of all forms in random pieces: all are read whole and in order.

--- a/src/gateway/admit/listen.rs
+++ b/src/gateway/admit/listen.rs
@@ -16,6 +16,7 @@
 use crate::http_server::accept::{AcceptedConnection, accept};
 use crate::http_server::delivery::DeliveringStream;
 use crate::http_server::load_shedding::UnreadConnection;
+use crate::http_server::request_gate::{GatedStream, serve_status};
 use crate::http_server::{Accepting, HttpServer};
 use crate::metrics::Metrics;
 use actix_http::{HttpService, Request, Response, StatusCode};
@@ -116,15 +117,19 @@
     bound_socket_buffers(&stream);
     let stream = EofErrorStream::new(stream, ErrorKind::ConnectionAborted);
     let stopping = gw.caller_connections.shutdown_token();
-    let stream = DeliveringStream::new(stream, &gw.deliveries, stopping);
+    let stream = GatedStream::new(DeliveringStream::new(stream, &gw.deliveries, stopping));
+    let gate = stream.gate().clone();
     let cut = Rc::new(ConnectionCut::default());
     let handler_cut = cut.clone();
     let unread = Rc::new(Cell::new(Some(unread)));
     let handler = move |req: Request| {
-        let (gw, cut) = (gw.clone(), handler_cut.clone());
+        let (gw, cut, gate) = (gw.clone(), handler_cut.clone(), gate.clone());
         drop(unread.take());
         // Boxed, so that an idle connection does not reserve memory for the largest future.
-        Box::pin(async move { Ok::<_, Infallible>(serve(gw, &cut, req).await) })
+        Box::pin(async move {
+            let answer = gate.answer(req, async |req| serve(gw, &cut, req).await);
+            Ok::<_, Infallible>(answer.await)
+        })
     };
     let builder = HttpService::build()
         .keep_alive(limits.idle_timeout)
@@ -182,17 +187,14 @@
 }
 
 async fn answer_readiness_checks(gw: Rc<Gateway>, stream: TcpStream, peer: SocketAddr) {
-    let handler = move |_req: Request| {
+    let respond = move |_path: &str| {
         let status = match gw.is_ready(Now::read()) {
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
         };
-        async move { Ok::<_, Infallible>(Response::build(status).finish()) }
+        Response::build(status).finish().map_into_boxed_body()
     };
-    let service = HttpService::build().h1(handler);
-    if let Ok(service) = service.new_service(()).await
-        && let Err(err) = service.call((stream, Some(peer))).await
-    {
+    if let Err(err) = serve_status(stream, respond).await {
         log::debug!("the readiness connection from {peer} ended: {err}");
     }
 }
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -11,6 +11,7 @@
 pub mod handover;
 pub mod load_shedding;
 pub mod reclaimable_stream;
+pub mod request_gate;
 
 use crate::error::{Error, Result};
 use accept::{AcceptedConnection, ListenerRelease, accept_until_stopped};
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,12 +1,15 @@
 //! OpenTelemetry metrics, and the HTTP endpoints for Prometheus and health checks.
 
 use crate::error::{Error, Result};
-use actix_http::{HttpService, Request, Response, StatusCode};
+use crate::http_server::request_gate::serve_status;
+use actix_http::body::BoxBody;
+use actix_http::{Response, StatusCode};
+use actix_rt::net::TcpStream;
 use actix_server::{Server, ServerHandle};
+use actix_service::fn_service;
 use opentelemetry::metrics::{Meter, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder as _, Registry, TextEncoder};
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -55,14 +58,15 @@
         buf
     }
 
-    fn respond(&self, path: &str) -> (StatusCode, Vec<u8>) {
-        match path {
+    fn respond(&self, path: &str) -> Response<BoxBody> {
+        let (status, body) = match path {
             "/metrics" => (StatusCode::OK, self.encode_text()),
             "/live" => (StatusCode::OK, b"live\n".to_vec()),
             "/ready" if self.ready.load(Ordering::Relaxed) => (StatusCode::OK, b"ready\n".to_vec()),
             "/ready" => (StatusCode::SERVICE_UNAVAILABLE, b"not ready\n".to_vec()),
             _ => (StatusCode::NOT_FOUND, b"not found\n".to_vec()),
-        }
+        };
+        Response::build(status).body(body).map_into_boxed_body()
     }
 
     /// Starts a server for `/metrics`, `/ready` and `/live`.
@@ -76,15 +80,17 @@
                 crate::daemon::listen_reuse_port(address)?,
                 move || {
                     let metrics = metrics.clone();
-                    HttpService::build()
-                        .h1(move |req: Request| {
-                            let (status, body) = metrics.respond(req.path());
-                            async move {
-                                let res = Response::build(status).body(body);
-                                Ok::<_, Infallible>(res)
+                    fn_service(move |stream: TcpStream| {
+                        let metrics = metrics.clone();
+                        async move {
+                            let served =
+                                serve_status(stream, move |path| metrics.respond(path)).await;
+                            if let Err(err) = &served {
+                                log::debug!("a connection to the metrics ended: {err}");
                             }
-                        })
-                        .tcp()
+                            served
+                        }
+                    })
                 },
             )
             .map_err(|err| Error::Unreachable(format!("cannot listen on {address}: {err}")))?
--- a/src/router/worker_threads.rs
+++ b/src/router/worker_threads.rs
@@ -13,6 +13,7 @@
 use crate::http_server::h2;
 use crate::http_server::load_shedding::UnreadConnection;
 use crate::http_server::reclaimable_stream::{ReclaimableStream, StreamReclaimer};
+use crate::http_server::request_gate::{GatedStream, RequestGate};
 use actix_http::error::DispatchError;
 use actix_http::{Extensions, HttpService, Protocol, Request};
 use actix_rt::Arbiter;
@@ -39,7 +40,7 @@
 const MAX_TCP_PROBES: u32 = 3;
 
 /// A connection in the form that the HTTP library takes.
-type Http1Connection = (ReclaimableStream, Option<SocketAddr>);
+type Http1Connection = (GatedStream<ReclaimableStream>, Option<SocketAddr>);
 
 /// A connection that is queued for its thread.
 struct AssignedConnection {
@@ -154,16 +155,24 @@
         .client_request_timeout(REQUEST_HEAD_TIMEOUT)
         .h1_allow_half_closed(false)
         .graceful_shutdown_signal(move || closing.closing())
-        .on_connect_ext(|stream: &ReclaimableStream, extensions: &mut Extensions| {
-            extensions.insert(stream.reclaimer().clone());
-        })
+        .on_connect_ext(
+            |stream: &GatedStream<ReclaimableStream>, extensions: &mut Extensions| {
+                extensions.insert(stream.get_ref().reclaimer().clone());
+                extensions.insert(stream.gate().clone());
+            },
+        )
         .h1(move |req: Request| {
             let reclaimer = req.conn_data::<Rc<StreamReclaimer>>().cloned();
+            let gate = req
+                .conn_data::<Rc<RequestGate>>()
+                .cloned()
+                .unwrap_or_default();
             let (worker, connections) = (worker.clone(), connections.clone());
             // Boxed, so that its memory is freed once the body of the response starts; a connection
             // keeps the memory of the largest unboxed future until it ends.
             Box::pin(async move {
-                let mut response = handle_request(worker.clone(), req).await;
+                let answer = gate.answer(req, |req| handle_request(worker.clone(), req));
+                let mut response = answer.await;
                 if let Some(reclaimer) = reclaimer {
                     if worker.own_limit.is_full(Now::read()) {
                         reclaimer.close_header.add(&mut response);
@@ -228,8 +237,8 @@
     service: &impl Service<Http1Connection, Response = (), Error = DispatchError>,
     connections: &Connections,
 ) -> eyre::Result<ConnectionEnd> {
-    let stream = ReclaimableStream::new(stream);
-    let reclaimer = stream.reclaimer().clone();
+    let stream = GatedStream::new(ReclaimableStream::new(stream));
+    let reclaimer = stream.get_ref().reclaimer().clone();
     let served = service.call((stream, Some(peer))).await;
     served.map_err(|err| eyre::eyre!("{err}"))?;
     let end = match reclaimer.close_header.is_sent() {
