Bound the concurrent requests of a caller over h2

A client that opened streams without end and read nothing took all memory of a router: 48 connections took 3.3 GB. Nothing bounded the streams of a connection, each of which has a task, a request and an answer that waits for the client's window.

A router now states and enforces 128 concurrent streams and 64 kB of headers; a stream counts until its answer was sent.

--- a/src/http_server/h2.rs
+++ b/src/http_server/h2.rs
@@ -21,6 +21,12 @@
 use std::rc::Rc;
 use tokio::net::TcpStream;
 
+/// The most requests of a connection that are served at the same time. A client may not exceed it,
+/// and each takes memory until its answer was sent.
+const MAX_CONCURRENT_STREAMS: u32 = 128;
+/// The limit on the size of a request's headers, in bytes.
+const MAX_HEADER_LIST_BYTES: u32 = 64 * 1024;
+
 /// Serves the requests of a connection, each in a task of its own, until the last one has been
 /// answered.
 pub async fn serve<A>(
@@ -32,7 +38,11 @@
 where
     A: Future<Output = Response<BoxBody>> + 'static,
 {
-    let mut connection = h2::server::handshake(stream).await?;
+    let mut builder = h2::server::Builder::new();
+    builder
+        .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
+        .max_header_list_size(MAX_HEADER_LIST_BYTES);
+    let mut connection = builder.handshake(stream).await?;
     let mut is_goaway_sent = false;
     loop {
         let accepted = tokio::select! {
--- a/src/lab/silent_clients.rs
+++ b/src/lab/silent_clients.rs
@@ -6,8 +6,8 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
-/// The requests that a client sends at most, and how many of them at once.
-const MAX_REQUESTS: usize = 20_000;
+/// The batches of requests that a client sends at most, and the requests in each.
+const MAX_BATCHES: usize = 200;
 const BATCH: usize = 100;
 /// A client whose next batch is not taken for this long sends no more.
 const STALL: Duration = Duration::from_millis(500);
@@ -21,6 +21,7 @@
     first: Vec<u8>,
     request: Vec<u8>,
     batch: fn(&[u8], usize) -> Vec<u8>,
+    batches: usize,
 }
 
 impl SilentClients {
@@ -35,6 +36,7 @@
             first,
             request,
             batch: |request, _number| request.repeat(BATCH),
+            batches: MAX_BATCHES,
         }
     }
 
@@ -50,9 +52,15 @@
                     .flat_map(|stream| h2_request(stream, headers))
                     .collect()
             },
+            batches: MAX_BATCHES,
         }
     }
 
+    /// Lets each client send only 100 requests, which servers usually allow over h2.
+    pub fn with_one_batch(self) -> Self {
+        Self { batches: 1, ..self }
+    }
+
     /// Connects this many clients, lets each send until the server takes no more, and returns the
     /// connections that the server has not closed.
     pub async fn run(&self, server: SocketAddr, count: usize) -> Vec<TcpStream> {
@@ -74,7 +82,7 @@
         socket.set_send_buffer_size(CLIENT_BUFFER_BYTES).ok()?;
         let mut stream = socket.connect(server).await.ok()?;
         stream.write_all(&self.first).await.ok()?;
-        for number in 0..MAX_REQUESTS / BATCH {
+        for number in 0..self.batches {
             let batch = (self.batch)(&self.request, number);
             match timeout(STALL, stream.write_all(&batch)).await {
                 Ok(Ok(())) => {}
--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -99,6 +99,12 @@
         expect_to_bear(Address::Callers, clients).await;
     };
 
+    router_bears_unread_answers_over_h2_within_its_limit => async {
+        let path = "/reader-api/manifest";
+        let clients = SilentClients::over_h2("app.example", path).with_one_batch();
+        expect_to_bear(Address::Callers, clients).await;
+    };
+
     router_bears_unread_metrics => async {
         let request = request("GET", "/metrics", "");
         expect_to_bear(Address::Metrics, SilentClients::repeating(request)).await;
