Bound the size and the time of every head on a connection

The library bounds a head by 128 kB, and by time only the first one of a connection.

The two cases of `request_gate` for it fail without the limits.

--- a/src/gateway/admit/listen.rs
+++ b/src/gateway/admit/listen.rs
@@ -117,7 +117,8 @@
     bound_socket_buffers(&stream);
     let stream = EofErrorStream::new(stream, ErrorKind::ConnectionAborted);
     let stopping = gw.caller_connections.shutdown_token();
-    let stream = GatedStream::new(DeliveringStream::new(stream, &gw.deliveries, stopping));
+    let stream = DeliveringStream::new(stream, &gw.deliveries, stopping);
+    let stream = GatedStream::new(stream, limits.head());
     let gate = stream.gate().clone();
     let cut = Rc::new(ConnectionCut::default());
     let handler_cut = cut.clone();
--- a/src/gateway/admit/routes.rs
+++ b/src/gateway/admit/routes.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::attempt::connection_proof::HealthCheck;
 use crate::gateway::place::warm_up::WarmUp;
+use crate::http_server::request_gate::HeadLimits;
 use std::collections::HashMap;
 use std::num::NonZeroU32;
 use std::sync::Arc;
@@ -137,6 +138,8 @@
 /// Limits on callers' requests and connections.
 #[derive(Debug, Clone, Copy)]
 pub struct CallerLimits {
+    /// The size limit of the headers of a request.
+    pub max_header_bytes: usize,
     /// The size limit of a request body.
     pub max_body_bytes: usize,
     /// How long a caller may take to send the head of a request.
@@ -149,6 +152,7 @@
     /// Generous limits for the time before a configuration is known.
     fn default() -> Self {
         Self {
+            max_header_bytes: 64 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
@@ -156,6 +160,19 @@
     }
 }
 
+/// The bytes of a request's first line, beside its headers.
+const REQUEST_LINE_BYTES: usize = 8 * 1024;
+
+impl CallerLimits {
+    /// Returns the limits on the head of a request.
+    pub fn head(self) -> HeadLimits {
+        HeadLimits {
+            max_bytes: self.max_header_bytes.saturating_add(REQUEST_LINE_BYTES),
+            timeout: self.header_timeout,
+        }
+    }
+}
+
 /// An organisation that sends requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Organisation {
--- a/src/http_server/request_gate.rs
+++ b/src/http_server/request_gate.rs
@@ -17,14 +17,35 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
 
 /// The most bytes that are read at once where the end of a head is looked for, and the most that a
 /// connection holds of requests that are not passed on yet. Callers that do not pipeline send
 /// nothing ahead.
 const AHEAD_BYTES: usize = 4 * 1024;
 
+/// Limits on the head of a request. The library bounds it by 128 kB, and by time only for the first
+/// request of a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct HeadLimits {
+    /// The limit on its size in bytes.
+    pub max_bytes: usize,
+    /// How long it may take from its first bytes on.
+    pub timeout: Duration,
+}
+
+impl Default for HeadLimits {
+    fn default() -> Self {
+        Self {
+            max_bytes: 64 * 1024,
+            timeout: Duration::from_secs(10),
+        }
+    }
+}
+
 /// What the library may read next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Permit {
@@ -32,8 +53,10 @@
     Nothing,
     /// This many bytes of a body.
     Bytes(usize),
-    /// Bytes up to the next empty line, which may end a head or a body.
-    ToEmptyLine,
+    /// Bytes of a head up to the next empty line, which may end it.
+    Head,
+    /// Bytes of chunks up to the next empty line, which may end them.
+    Chunks,
 }
 
 /// What is left of the body of the request that was passed on last.
@@ -70,6 +93,8 @@
     body: BodyRest,
     /// Whether the kernel takes no more of an answer.
     is_write_blocked: bool,
+    /// How many requests were passed on.
+    begun: u64,
     /// The task that waits to read bytes which have arrived already.
     reader: Option<Waker>,
 }
@@ -81,12 +106,11 @@
         }
         match self.body {
             BodyRest::Sized(len) => Permit::Bytes(usize::try_from(len).unwrap_or(usize::MAX)),
-            BodyRest::Chunked { is_awaited: true } => Permit::ToEmptyLine,
+            BodyRest::Chunked { is_awaited: true } => Permit::Chunks,
             BodyRest::Chunked { is_awaited: false } => Permit::Nothing,
-            BodyRest::None | BodyRest::Discarded => match self.is_answering {
-                true => Permit::Nothing,
-                false => Permit::ToEmptyLine,
-            },
+            BodyRest::None | BodyRest::Discarded if self.is_answering => Permit::Nothing,
+            BodyRest::Discarded => Permit::Chunks,
+            BodyRest::None => Permit::Head,
         }
     }
 
@@ -128,6 +152,7 @@
         let mut state = self.0.borrow_mut();
         state.is_answering = true;
         state.body = body;
+        state.begun += 1;
     }
 
     fn finish_answer(&self) {
@@ -219,7 +244,7 @@
     respond: impl Fn(&str) -> Response<BoxBody> + 'static,
 ) -> Result<(), DispatchError> {
     let peer = stream.peer_addr().ok();
-    let stream = GatedStream::new(stream);
+    let stream = GatedStream::new(stream, HeadLimits::default());
     let (gate, respond) = (stream.gate().clone(), Rc::new(respond));
     let handler = move |req: Request| {
         let (gate, respond) = (gate.clone(), respond.clone());
@@ -276,14 +301,46 @@
     /// before it gets more.
     is_at_empty_line: bool,
     is_at_eof: bool,
+    head: ReadHead,
+    limits: HeadLimits,
+}
+
+/// The head that is passed on.
+#[derive(Debug, Default)]
+struct ReadHead {
+    /// The requests that were begun before it.
+    begun: u64,
+    bytes: usize,
+    /// Whether it has a line. Empty lines may precede it.
+    has_line: bool,
+    /// Running while more of a head is awaited.
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl ReadHead {
+    /// Returns an error once a head that has begun takes longer than this.
+    fn poll_timeout(&mut self, limit: Duration, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if !self.has_line {
+            return Poll::Pending;
+        }
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(limit)));
+        ready!(timer.as_mut().poll(cx));
+        Poll::Ready(Err(rejected("the head of a request takes too long")))
+    }
+}
+
+fn rejected(reason: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, reason)
 }
 
 impl<S> GatedStream<S> {
     /// Wraps a connection.
-    pub fn new(stream: S) -> Self {
+    pub fn new(stream: S, limits: HeadLimits) -> Self {
         Self {
             stream,
             gate: Rc::default(),
+            limits,
+            head: ReadHead::default(),
             ahead: BytesMut::new(),
             line_end: LineEnd::default(),
             is_at_empty_line: false,
@@ -368,6 +425,29 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Passes on bytes of a head, within its limits.
+    fn poll_head(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let begun = self.gate.0.borrow().begun;
+        if self.head.begun != begun {
+            self.head = ReadHead {
+                begun,
+                ..ReadHead::default()
+            };
+        }
+        let before = buf.filled().len();
+        let Poll::Ready(read) = self.poll_to_empty_line(cx, buf) else {
+            return self.head.poll_timeout(self.limits.timeout, cx);
+        };
+        read?;
+        let passed = &buf.filled()[before..];
+        self.head.bytes += passed.len();
+        self.head.has_line |= passed.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
+        match self.head.bytes > self.limits.max_bytes {
+            true => Poll::Ready(Err(rejected("the head of a request is too large"))),
+            false => Poll::Ready(Ok(())),
+        }
+    }
+
     /// Passes on nothing, but looks whether the caller has left.
     fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         while self.ahead.len() < AHEAD_BYTES && !self.is_at_eof {
@@ -412,7 +492,8 @@
         let permit = this.gate.0.borrow().permit();
         match permit {
             Permit::Nothing => this.poll_closed(cx),
-            Permit::ToEmptyLine => this.poll_to_empty_line(cx, buf),
+            Permit::Head => this.poll_head(cx, buf),
+            Permit::Chunks => this.poll_to_empty_line(cx, buf),
             Permit::Bytes(max) => {
                 let len = ready!(this.poll_bytes(cx, buf, max))?;
                 this.record_body_bytes(len);
--- a/src/router/worker_threads.rs
+++ b/src/router/worker_threads.rs
@@ -13,7 +13,7 @@
 use crate::http_server::h2;
 use crate::http_server::load_shedding::UnreadConnection;
 use crate::http_server::reclaimable_stream::{ReclaimableStream, StreamReclaimer};
-use crate::http_server::request_gate::{GatedStream, RequestGate};
+use crate::http_server::request_gate::{GatedStream, HeadLimits, RequestGate};
 use actix_http::error::DispatchError;
 use actix_http::{Extensions, HttpService, Protocol, Request};
 use actix_rt::Arbiter;
@@ -31,6 +31,10 @@
 
 /// How long a caller may take to send a request's head.
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+const HEAD_LIMITS: HeadLimits = HeadLimits {
+    max_bytes: 64 * 1024,
+    timeout: REQUEST_HEAD_TIMEOUT,
+};
 /// How long a connection may be idle between two requests.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(75);
 
@@ -237,7 +241,7 @@
     service: &impl Service<Http1Connection, Response = (), Error = DispatchError>,
     connections: &Connections,
 ) -> eyre::Result<ConnectionEnd> {
-    let stream = GatedStream::new(ReclaimableStream::new(stream));
+    let stream = GatedStream::new(ReclaimableStream::new(stream), HEAD_LIMITS);
     let reclaimer = stream.get_ref().reclaimer().clone();
     let served = service.call((stream, Some(peer))).await;
     served.map_err(|err| eyre::eyre!("{err}"))?;
--- a/tests/request_gate.rs
+++ b/tests/request_gate.rs
@@ -7,7 +7,7 @@
 use actix_service::{Service as _, ServiceFactory as _};
 use futures::StreamExt as _;
 use gatepier::eof_error_stream::EofErrorStream;
-use gatepier::http_server::request_gate::{GatedStream, RequestGate};
+use gatepier::http_server::request_gate::{GatedStream, HeadLimits, RequestGate};
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom as _;
@@ -47,20 +47,25 @@
 
 /// Starts a server that answers each request with its path and its body.
 async fn start_server() -> (SocketAddr, Rc<Seen>) {
+    start_server_with(HeadLimits::default()).await
+}
+
+async fn start_server_with(limits: HeadLimits) -> (SocketAddr, Rc<Seen>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let seen = Rc::new(Seen::default());
     let server = seen.clone();
     actix_rt::spawn(async move {
         while let Ok((stream, peer)) = listener.accept().await {
-            actix_rt::spawn(serve(stream, peer, server.clone()));
+            actix_rt::spawn(serve(stream, peer, server.clone(), limits));
         }
     });
     (address, seen)
 }
 
-async fn serve(stream: TcpStream, peer: SocketAddr, seen: Rc<Seen>) {
-    let stream = GatedStream::new(EofErrorStream::new(stream, ErrorKind::ConnectionAborted));
+async fn serve(stream: TcpStream, peer: SocketAddr, seen: Rc<Seen>, limits: HeadLimits) {
+    let stream = EofErrorStream::new(stream, ErrorKind::ConnectionAborted);
+    let stream = GatedStream::new(stream, limits);
     let gate: Rc<RequestGate> = stream.gate().clone();
     let handler = move |req: Request| {
         let (gate, seen) = (gate.clone(), seen.clone());
@@ -214,6 +219,21 @@
     (sent.collect(), seen.requests.take())
 }
 
+/// Expects that a connection is closed on which a request was answered, and another one begins so.
+async fn expect_closed(limits: HeadLimits, padding: &[u8]) {
+    let (address, seen) = start_server_with(limits).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n";
+    stream.write_all(request).await.unwrap();
+    wait_until("it is answered", || seen.requests.borrow().len() == 1).await;
+    let begin = [b"GET /b HTTP/1.1\r\npadding: ".as_slice(), padding].concat();
+    stream.write_all(&begin).await.unwrap();
+    let mut sink = Vec::new();
+    let read = timeout(CONDITION_TIMEOUT, stream.read_to_end(&mut sink)).await;
+    assert!(read.is_ok(), "the connection stays open");
+    expect_that!(seen.requests.borrow().len(), eq(1));
+}
+
 cases! {
     /// Guards against requests that are lost, changed or never read because the gate stays closed.
     pipelined_requests_are_read_whole_and_in_order => async {
@@ -233,4 +253,30 @@
         wait_until("the handler is dropped", || seen.dropped.get() == 1).await;
         expect_that!(seen.requests.borrow().len(), eq(1));
     };
+
+    /// Guards against heads that take memory without bound on a connection that has had an answer.
+    connection_with_too_large_a_head_is_closed => async {
+        let limits = HeadLimits { max_bytes: 2_000, ..HeadLimits::default() };
+        expect_closed(limits, &[b'x'; 3_000]).await;
+    };
+
+    /// Guards against heads that hold a connection for ever.
+    connection_with_a_head_that_takes_too_long_is_closed => async {
+        let timeout = Duration::from_millis(100);
+        let limits = HeadLimits { timeout, ..HeadLimits::default() };
+        expect_closed(limits, b"x").await;
+    };
+
+    /// Guards against taking empty lines between two requests for the begin of a head.
+    connection_with_empty_lines_stays_open => async {
+        let timeout = Duration::from_millis(20);
+        let limits = HeadLimits { timeout, ..HeadLimits::default() };
+        let (address, seen) = start_server_with(limits).await;
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        for requests in 1..=3 {
+            stream.write_all(b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n\r\n\r\n").await.unwrap();
+            wait_until("it is answered", || seen.requests.borrow().len() == requests).await;
+            sleep(3 * timeout).await;
+        }
+    };
 }
