Bound the connections of callers by memory and by descriptors

At the limit, the connections that have waited longest for their caller are closed, and a new one is closed unread if there is none.

`open_connections` tests the choice.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::http_server;
 use crate::http_server::delivery::Deliveries;
 use crate::http_server::load_shedding::LoadShedder;
+use crate::http_server::open_connections::OpenConnections;
 use crate::metrics::Metrics;
 use crate::saturation::Saturation;
 use crate::saturation::instruments::OwnLimitMetrics;
@@ -133,6 +134,8 @@
     pub caller_connections: http_server::Connections,
     /// What callers have still to take of their answers.
     pub deliveries: Deliveries,
+    /// The open connections of callers, within their limit.
+    pub open_connections: Rc<OpenConnections>,
     /// The requests that wait for their turn at upstreams with rate limits.
     turn_queue: TurnQueue,
     /// When callers that were refused because of rate limits should come back.
@@ -218,6 +221,7 @@
             load_reports: Outbox::default(),
             caller_connections: Default::default(),
             deliveries: Deliveries::default(),
+            open_connections: Rc::default(),
             turn_queue: TurnQueue::default(),
             return_schedule: RefCell::default(),
             room: RoomState::default(),
@@ -244,7 +248,7 @@
             served_tunnels: Rc::default(),
             store_lost_since: Cell::new(None),
         });
-        gw.held_memory.apply(&gw.settings());
+        gw.apply_limits();
         gw
     }
 
@@ -256,7 +260,17 @@
     /// Applies changed settings; addresses take effect at the next start.
     pub fn reload(&self, settings: GatewaySettings) {
         *self.settings.borrow_mut() = Rc::new(settings);
-        self.held_memory.apply(&self.settings());
+        self.apply_limits();
+    }
+
+    /// Applies the limits of the settings on memory and on connections.
+    fn apply_limits(&self) {
+        let settings = self.settings();
+        self.held_memory.apply(&settings);
+        let by_memory = self.held_memory.max_connections();
+        let by_descriptors = settings.max_caller_connections();
+        self.open_connections
+            .set_limit(by_memory.min(by_descriptors));
     }
 
     /// Returns a route's relative rank in the routing table in force, from 0 (most urgent) to 1.
--- a/src/gateway/admit/listen.rs
+++ b/src/gateway/admit/listen.rs
@@ -8,14 +8,13 @@
 use crate::eof_error_stream::EofErrorStream;
 use crate::error::{Error, Result};
 use crate::gateway::Gateway;
-use crate::gateway::answer::held_memory::{
-    CALLER_BUFFER_BYTES, CALLER_SOCKET_BYTES, ConnectionCut,
-};
+use crate::gateway::answer::held_memory::{CALLER_BUFFER_BYTES, CALLER_SOCKET_BYTES};
 use crate::gateway::control::store::ControlStore;
 use crate::gateway::settings::GatewaySettings;
 use crate::http_server::accept::{AcceptedConnection, accept};
 use crate::http_server::delivery::DeliveringStream;
 use crate::http_server::load_shedding::UnreadConnection;
+use crate::http_server::open_connections::ConnectionCut;
 use crate::http_server::request_gate::{GatedStream, serve_status};
 use crate::http_server::{Accepting, HttpServer};
 use crate::metrics::Metrics;
@@ -121,6 +120,7 @@
     let stream = GatedStream::new(stream, limits.head());
     let gate = stream.gate().clone();
     let cut = Rc::new(ConnectionCut::default());
+    let counted = gw.open_connections.add(&gate, &cut);
     let handler_cut = cut.clone();
     let unread = Rc::new(Cell::new(Some(unread)));
     let handler = move |req: Request| {
@@ -147,7 +147,7 @@
         },
         Err(()) => log::error!("cannot serve the connection from {peer}"),
     }
-    drop(open);
+    drop((open, counted));
 }
 
 fn set_socket_options(stream: &TcpStream) {
--- a/src/gateway/admit/own_limit.rs
+++ b/src/gateway/admit/own_limit.rs
@@ -20,6 +20,10 @@
 impl Gateway {
     /// Admits a new connection of a caller, or returns `None` if it has to be closed unread.
     pub fn admit_connection(&self, now: Now) -> Option<UnreadConnection> {
+        if !self.open_connections.make_room(now) {
+            self.shedder.record_shed(now);
+            return None;
+        }
         let has_memory = || self.held_memory.has_room_for_request(now);
         self.shedder.admit(self.in_flight(), has_memory, now)
     }
--- a/src/gateway/answer/held_memory.rs
+++ b/src/gateway/answer/held_memory.rs
@@ -10,6 +10,7 @@
 use crate::clock::Now;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::telemetry::Telemetry;
+use crate::http_server::open_connections::ConnectionCut;
 use crate::saturation::Saturation;
 use std::cell::{Cell, RefCell, RefMut};
 use std::collections::HashMap;
@@ -33,6 +34,8 @@
 pub const UPSTREAM_SOCKET_BYTES: usize = 64 * 1024;
 /// What the connections of a request hold at most while it is served: two buffers each.
 const CONNECTION_BUFFERS: u64 = 32 * 1024;
+/// What an open connection holds beside that: the buffers of the HTTP library.
+const CONNECTION_BYTES: u64 = 16 * 1024;
 /// What a relayed answer holds beside them: a piece for the caller, and what was read ahead.
 const RELAYED_PIECE: u64 = (PIECE_BYTES + UPSTREAM_BUFFER_BYTES) as u64;
 /// How often room is looked for again: requests become stalled as time passes.
@@ -42,17 +45,6 @@
 /// How long a relay is paused at most: upstreams cut off an answer that sits unread for seconds.
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 
-/// Ends a caller's connection.
-#[derive(Debug, Default)]
-pub struct ConnectionCut(Notify);
-
-impl ConnectionCut {
-    /// Waits until the connection has to end.
-    pub async fn wait(&self) {
-        self.0.notified().await;
-    }
-}
-
 /// The memory that a box holds for its requests.
 #[derive(Debug)]
 pub struct HeldMemory {
@@ -111,6 +103,12 @@
         self.held.borrow_mut().set_budget(budget(limit));
     }
 
+    /// Returns how many connections of callers may be open: they share the half of the memory that is
+    /// not for requests.
+    pub fn max_connections(&self) -> usize {
+        usize::try_from(self.budget() / CONNECTION_BYTES).unwrap_or(usize::MAX)
+    }
+
     /// Returns the bytes held of a kind.
     pub fn held(&self, kind: HeldKind) -> u64 {
         self.held.borrow().held(kind)
@@ -166,7 +164,7 @@
 
     fn let_go(&self, request: &YieldingRequest) {
         if let Some(cut) = self.cuts.borrow().get(&request.account) {
-            cut.0.notify_one();
+            cut.cut();
         }
     }
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -25,6 +25,9 @@
     /// The memory limit of the box's process in bytes; `None` if the platform states none, so that
     /// a default holds.
     pub memory_limit: Option<u64>,
+    /// The most descriptors that the process may have open; `None` if the platform states none, so that
+    /// the limit of the process holds.
+    pub descriptor_limit: Option<u64>,
     /// Whether the whole system starts for the first time, so that no box is registered yet.
     pub is_first_start: bool,
     /// Whether connections are expected to run short, so that boxes control their connections to
@@ -34,6 +37,25 @@
     pub bounds: Bounds,
 }
 
+/// The descriptors that are not for connections: files, listening sockets and the log.
+const OWN_DESCRIPTORS: u64 = 200;
+
+impl GatewaySettings {
+    /// Returns how many connections of callers the limit on descriptors allows. As many are left for
+    /// connections to upstreams and other boxes.
+    pub fn max_caller_connections(&self) -> usize {
+        let limit = self.descriptor_limit.or_else(descriptor_limit_of_process);
+        let connections = limit.map(|limit| limit.saturating_sub(OWN_DESCRIPTORS).max(2) / 2);
+        connections.map_or(usize::MAX, |most| {
+            usize::try_from(most).unwrap_or(usize::MAX)
+        })
+    }
+}
+
+fn descriptor_limit_of_process() -> Option<u64> {
+    rustix::process::getrlimit(rustix::process::Resource::Nofile).current
+}
+
 /// The bounds that operators set for all boxes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -10,6 +10,7 @@
 pub mod h2;
 pub mod handover;
 pub mod load_shedding;
+pub mod open_connections;
 pub mod reclaimable_stream;
 pub mod request_gate;
 
--- a/src/http_server/load_shedding.rs
+++ b/src/http_server/load_shedding.rs
@@ -89,14 +89,19 @@
         let has_room = || self.limit.borrow().has_room(self.in_progress(in_flight));
         let is_admitted = is_due || has_room() && has_memory();
         if !is_admitted {
-            self.shed.set(self.shed.get() + 1);
-            self.record_full(now);
+            self.record_shed(now);
             return None;
         }
         self.admitted_at.set(now.monotonic);
         Some(UnreadConnection(self.unread.clone()))
     }
 
+    /// Records that a new connection was closed unread.
+    pub fn record_shed(&self, now: Now) {
+        self.shed.set(self.shed.get() + 1);
+        self.record_full(now);
+    }
+
     /// Returns whether the process had more to do than it can within the last second.
     pub fn is_full(&self, now: Now) -> bool {
         let full_at = self.full_at.get();
--- a/src/http_server/request_gate.rs
+++ b/src/http_server/request_gate.rs
@@ -5,6 +5,7 @@
 //! A [`GatedStream`] passes the bytes of a request on only after the answer to the one before was
 //! written. See `docs/design/slow-readers.md`.
 
+use crate::clock::Now;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::error::{DispatchError, PayloadError};
 use actix_http::{HttpMessage as _, HttpService, Payload, Request, Response};
@@ -83,16 +84,27 @@
 }
 
 /// The state of a connection's requests, shared by its stream and its handler.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RequestGate(RefCell<GateState>);
 
+impl Default for RequestGate {
+    fn default() -> Self {
+        Self(RefCell::new(GateState {
+            answered_at: Now::read().monotonic,
+            ..GateState::default()
+        }))
+    }
+}
+
 #[derive(Debug, Default)]
 struct GateState {
     /// Whether a request was passed on whose answer is not complete.
     is_answering: bool,
     body: BodyRest,
-    /// Whether the kernel takes no more of an answer.
-    is_write_blocked: bool,
+    /// Since when the kernel takes no more of an answer.
+    write_blocked_since: Option<Duration>,
+    /// When the last answer was complete, or the connection was opened.
+    answered_at: Duration,
     /// How many requests were passed on.
     begun: u64,
     /// The task that waits to read bytes which have arrived already.
@@ -101,7 +113,7 @@
 
 impl GateState {
     fn permit(&self) -> Permit {
-        if self.is_write_blocked {
+        if self.write_blocked_since.is_some() {
             return Permit::Nothing;
         }
         match self.body {
@@ -155,12 +167,33 @@
         state.begun += 1;
     }
 
-    fn finish_answer(&self) {
+    /// Returns since when the connection waits for its caller, to send a request or to read an answer, in
+    /// the time of [`Now::monotonic`]; `None` while a request is served.
+    pub fn idle_since(&self) -> Option<Duration> {
+        let state = self.0.borrow();
+        let answered_at = (!state.is_answering).then_some(state.answered_at);
+        state.write_blocked_since.or(answered_at)
+    }
+
+    fn finish_answer(&self, now: Now) {
         let mut state = self.0.borrow_mut();
         state.is_answering = false;
+        state.answered_at = now.monotonic;
         state.wake_reader();
     }
 
+    fn record_write(&self, is_blocked: bool) {
+        let mut state = self.0.borrow_mut();
+        match (state.write_blocked_since, is_blocked) {
+            (None, true) => state.write_blocked_since = Some(Now::read().monotonic),
+            (Some(_), false) => {
+                state.write_blocked_since = None;
+                state.wake_reader();
+            }
+            (None, false) | (Some(_), true) => {}
+        }
+    }
+
     fn set_body(&self, body: BodyRest) {
         let mut state = self.0.borrow_mut();
         state.body = body;
@@ -234,7 +267,7 @@
 
 impl Drop for GatedBody {
     fn drop(&mut self) {
-        self.gate.finish_answer();
+        self.gate.finish_answer(Now::read());
     }
 }
 
@@ -511,11 +544,7 @@
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         let written = Pin::new(&mut this.stream).poll_write(cx, buf);
-        let mut state = this.gate.0.borrow_mut();
-        let was_blocked = std::mem::replace(&mut state.is_write_blocked, written.is_pending());
-        if was_blocked && !state.is_write_blocked {
-            state.wake_reader();
-        }
+        this.gate.record_write(written.is_pending());
         written
     }
 
--- a/tests/spreading.rs
+++ b/tests/spreading.rs
@@ -166,6 +166,7 @@
         metrics_addr: peers,
         link_mbps: 10,
         memory_limit: None,
+        descriptor_limit: None,
         expects_contention: false,
         is_first_start: false,
         bounds: Bounds {
