Pass on what comes during a stop only if it can end before the exit

In a planned stop, requests that came late on kept connections were passed on and then cut without an answer at the end of the grace period, among them ones that may not be repeated: with an upstream that takes 4.5 s, those sent 3.2 to 4.8 s after the signal, and with one that takes 3 s those sent at 4.8 s.

Cause: plain requests were admitted until 1.2 s before the exit, whatever they take; the constant stands for requests of a tenth of a second.

A box remembers for each route the longest time of the last 30 to 60 s. While it stops, a request that could outlast the process by that, or by its deadline where too little is known, is refused as not run with a time to come back, and its connection is closed.

Evidence: `planned_stop`, one request each 0.2 s after the signal. `run_times` tests the expectation.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -33,7 +33,8 @@
 use admit::listen;
 use admit::own_limit;
 use admit::room::RoomState;
-use admit::routes::{NEUTRAL_RELATIVE_RANK, Route, RouteKind};
+use admit::routes::{NEUTRAL_RELATIVE_RANK, Route};
+use admit::run_times::RunTimes;
 use answer::held_memory::HeldMemory;
 use answer::return_schedule::ReturnSchedule;
 use attempt::connect::ConnectionPool;
@@ -84,6 +85,9 @@
 /// How long before the process exits nothing is admitted any more: a plain request takes a tenth of
 /// this, and several times as long at a slow upstream.
 const NO_ADMISSION_BEFORE_EXIT: Duration = Duration::from_millis(1200);
+/// How long before the process exits requests in progress are answered, so that their callers get the
+/// answer.
+const ANSWER_BEFORE_EXIT: Duration = Duration::from_millis(200);
 /// How long after its start a box holds requests until it has the configuration; long enough even
 /// if each of many boxes has to read the store itself. A refusal would cost the caller its only
 /// retry, and the boxes that it would retry at have no configuration either.
@@ -158,6 +162,8 @@
     pub model_trials: ModelTrials,
     /// How long requests run at plain upstreams, by service.
     pub service_times: ServiceTimes,
+    /// How long the requests of each route took lately.
+    pub run_times: RefCell<RunTimes>,
     /// The usual time between events of streams, by model.
     pub event_paces: EventPaces,
     /// The load that the other boxes put on upstreams.
@@ -233,6 +239,7 @@
             rate_samples: RateSamples::default(),
             model_trials: ModelTrials::default(),
             service_times: ServiceTimes::default(),
+            run_times: RefCell::default(),
             event_paces: EventPaces::default(),
             held_memory: Rc::new(HeldMemory::new(saturation.clone())),
             saturation,
@@ -532,12 +539,22 @@
         self.stopping_since.get().is_some()
     }
 
-    /// Returns whether a request might outlast the process.
-    pub fn is_too_late_to_admit(&self, kind: RouteKind, now: Now) -> bool {
-        match kind.stream_gap() {
-            Some(_) => self.is_too_late_for_streams(now),
-            None => self.has_stopped_for(self.admission_after_stop(), now),
+    /// Returns whether a request might outlast the process, given when its caller or its route gives
+    /// it up.
+    ///
+    /// A plain request is expected to take as long as the longest of its route lately, and where
+    /// that is unknown until it is given up.
+    pub fn is_too_late_to_admit(&self, route: &Route, deadline: Duration, now: Now) -> bool {
+        if route.kind.stream_gap().is_some() {
+            return self.is_too_late_for_streams(now);
         }
+        let Some(exit) = self.exit_at() else {
+            return false;
+        };
+        let expected = self.run_times.borrow().expected(&route.name, now);
+        let expected_end =
+            expected.map_or(deadline, |expected| deadline.min(now.monotonic + expected));
+        self.has_stopped_for(self.admission_after_stop(), now) || expected_end > exit
     }
 
     /// Returns whether a stream, also one of another box, might outlast the process.
@@ -552,6 +569,14 @@
         stop_duration.saturating_sub(NO_ADMISSION_BEFORE_EXIT)
     }
 
+    /// Returns when requests in progress have to end, in the time of [`Now::monotonic`]; `None` unless
+    /// the process is stopping.
+    pub fn exit_at(&self) -> Option<Duration> {
+        let stop_duration = self.settings().bounds.max_stop_duration();
+        let to_answer = stop_duration.saturating_sub(ANSWER_BEFORE_EXIT);
+        self.stopping_since.get().map(|since| since + to_answer)
+    }
+
     fn has_stopped_for(&self, time: Duration, now: Now) -> bool {
         let since = self.stopping_since.get();
         since.is_some_and(|since| now.monotonic.saturating_sub(since) > time)
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -8,6 +8,7 @@
 pub mod request;
 pub mod room;
 pub mod routes;
+pub mod run_times;
 pub mod serve;
 pub mod service_demand;
 pub mod wait_queue;
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -434,6 +434,9 @@
     /// Records a whole answer of any kind, which clears the request.
     pub fn record_answered(&self, gw: &Gateway, now: Now) {
         gw.quarantine.record_answer(self.fingerprints.own, now);
+        let took = now.monotonic.saturating_sub(self.received);
+        let mut run_times = gw.run_times.borrow_mut();
+        run_times.record(&self.route.name, took, now);
     }
 
     fn clear_parts(&self, gw: &Gateway, now: Now) {
--- a/src/gateway/admit/room.rs
+++ b/src/gateway/admit/room.rs
@@ -238,7 +238,7 @@
             if left.is_zero() {
                 return Ok(WaitEnd::TimeOut);
             }
-            if gw.is_too_late_to_admit(self.route.kind, now) {
+            if gw.is_too_late_to_admit(&self.route, self.deadline, now) {
                 return Err(RefusalReason::Stopping);
             }
             let longest = match gw.is_stopping() {
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -98,10 +98,11 @@
     if !route.models.is_empty() && model.is_some() && !router_chooses_model {
         return Err(RefusalReason::ModelNamed);
     }
-    if gw.is_too_late_to_admit(route.kind, now) {
+    let timeout = caller_timeout.unwrap_or(route.timeout);
+    let deadline = received.monotonic + timeout.min(route.timeout);
+    if gw.is_too_late_to_admit(&route, deadline, now) {
         return Err(RefusalReason::Stopping);
     }
-    let timeout = caller_timeout.unwrap_or(route.timeout);
     let prompt = Prompt::parse(header(req, &gw.headers.prompt_parts));
     let session_id = header(req, &gw.headers.session).unwrap_or(request_id);
     let service = route
@@ -146,7 +147,7 @@
         account: Rc::new(account),
         accepts_chunks: req.version() >= Version::HTTP_11,
         received: received.monotonic,
-        deadline: received.monotonic + timeout.min(route.timeout),
+        deadline,
         prompt,
         session_id: session_id.to_owned(),
         caller,
--- a/src/gateway/control/store_sync.rs
+++ b/src/gateway/control/store_sync.rs
@@ -116,6 +116,7 @@
         gw.connections.close_stale(now);
         gw.connections.expire_reach(now);
         gw.sessions.borrow_mut().remove_expired(now);
+        gw.run_times.borrow_mut().remove_expired(now);
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -39,6 +39,7 @@
 mod rollout_simulation;
 mod rollouts;
 mod routes;
+mod run_times;
 mod shared_rates;
 mod slot_exchange;
 mod stated_speed;
