Answer the requests that still run before a stopping box exits

A request that takes longer than expected, or that came before the signal, was cut without an answer when a stopping box exited: its caller saw a connection that ends, and could not tell why.

A try counts as one that may have run from its begin on, not only when its outcome is known.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -70,11 +70,13 @@
 use settings::GatewaySettings;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
+use tokio::time::sleep;
 use versions::monitor::VersionMonitor;
 use versions::session_versions::SessionVersions;
 
@@ -577,6 +579,15 @@
         self.stopping_since.get().map(|since| since + to_answer)
     }
 
+    /// Waits until requests in progress have to end, which is never unless the process is stopping.
+    pub async fn await_exit(&self) {
+        self.caller_connections.shutdown_announced().await;
+        match self.exit_at() {
+            Some(exit) => sleep(exit.saturating_sub(Now::read().monotonic)).await,
+            None => pending().await,
+        }
+    }
+
     fn has_stopped_for(&self, time: Duration, now: Now) -> bool {
         let since = self.stopping_since.get();
         since.is_some_and(|since| now.monotonic.saturating_sub(since) > time)
--- a/src/gateway/admit/request.rs
+++ b/src/gateway/admit/request.rs
@@ -253,6 +253,7 @@
         let slot_origin = slot.as_ref().map_or(SlotOrigin::None, HeldSlot::origin);
         self.answer_began.set(None);
         self.parts_cleared.set(false);
+        self.tries.begin();
         let (tried, connection) = try_upstream(
             &gw.connections,
             &gw.headers,
--- a/src/gateway/admit/serve.rs
+++ b/src/gateway/admit/serve.rs
@@ -50,7 +50,7 @@
         .to_owned();
     let account = gw.held_memory.open(&request_id, cut, &gw.telemetry);
     let mut response = match admit(&gw, &mut req, &request_id, account, received).await {
-        Ok(request) => serve_admitted(&gw, Rc::new(request)).await,
+        Ok(request) => serve_until_exit(&gw, Rc::new(request)).await,
         Err(reason) => refuse(&gw, &request_id, None, reason, Execution::Never, received),
     };
     gw.caller_connections
@@ -293,6 +293,14 @@
     RefusalReason::NoMemory
 }
 
+/// Serves a request, or answers it before the process exits.
+async fn serve_until_exit(gw: &Rc<Gateway>, request: Rc<AdmittedRequest>) -> Response<BoxBody> {
+    tokio::select! {
+        response = serve_admitted(gw, request.clone()) => response,
+        () = gw.await_exit() => refuse_admitted(gw, &request, RefusalReason::Stopping),
+    }
+}
+
 async fn serve_admitted(gw: &Rc<Gateway>, request: Rc<AdmittedRequest>) -> Response<BoxBody> {
     let result = match request.route.kind.stream_gap() {
         Some(_) => stream::start(gw, &request).await,
@@ -313,25 +321,32 @@
                 .record_answer(&request, answer.status, Now::read());
             relayed_response(gw, answer)
         }
-        Err(reason) => {
-            request.release_trial(gw, Now::read());
-            let received = Now {
-                monotonic: request.received,
-                ..Now::read()
-            };
-            let fingerprint = Some(request.fingerprints.own);
-            refuse(
-                gw,
-                &request.request_id,
-                fingerprint,
-                reason,
-                request.tries.ran(),
-                received,
-            )
-        }
+        Err(reason) => refuse_admitted(gw, &request, reason),
     }
 }
 
+fn refuse_admitted(
+    gw: &Gateway,
+    request: &AdmittedRequest,
+    reason: RefusalReason,
+) -> Response<BoxBody> {
+    request.release_trial(gw, Now::read());
+    let received = Now {
+        monotonic: request.received,
+        ..Now::read()
+    };
+    let fingerprint = Some(request.fingerprints.own);
+    let execution = request.tries.ran();
+    refuse(
+        gw,
+        &request.request_id,
+        fingerprint,
+        reason,
+        execution,
+        received,
+    )
+}
+
 fn refuse(
     gw: &Gateway,
     request: &str,
--- a/src/gateway/attempt/tries.rs
+++ b/src/gateway/attempt/tries.rs
@@ -12,14 +12,21 @@
     tried_upstreams: RefCell<Vec<UpstreamLife>>,
     possible_runs: Cell<u32>,
     may_have_run: Cell<bool>,
+    is_trying: Cell<bool>,
     refused: Cell<bool>,
     sent_count: Cell<u32>,
     counted_as_first: Cell<bool>,
 }
 
 impl TryHistory {
+    /// Records that a try begins. Until its outcome is known, the request may have run.
+    pub fn begin(&self) {
+        self.is_trying.set(true);
+    }
+
     /// Records the outcome of a try.
     pub fn record(&self, outcome: &TryOutcome) {
+        self.is_trying.set(false);
         if outcome.was_sent() {
             self.sent_count.set(self.sent_count.get() + 1);
         }
@@ -60,7 +67,7 @@
 
     /// Returns whether the request may have run anywhere.
     pub fn ran(&self) -> Execution {
-        match self.may_have_run.get() {
+        match self.may_have_run.get() || self.is_trying.get() {
             true => Execution::Possible,
             false => Execution::Never,
         }
