Pass on no answer whose status is none of a response

A faulty upstream's answers with status 101, which nobody had asked for, 600 or 999 reached callers as they were; behind the own interface 199 did as well. The HTTP clients take any number of three digits for a status. 000, 001, 099, 100 alone and text ended in 502 already.

An answer whose status is not one of 200 to 599 is treated as one that does not belong to the request: it may have run, its connection is closed, and it is sent on where it may be repeated, on both data paths.

--- a/src/gateway/attempt/answer_ownership.rs
+++ b/src/gateway/attempt/answer_ownership.rs
@@ -9,6 +9,7 @@
 use super::connection::http1_types::HeaderMap;
 use super::headers::HeaderNames;
 use crate::gateway::place::choose::stable_hash;
+use crate::http_client::is_final_status;
 use hyper::http::response::Parts;
 use std::fmt;
 
@@ -145,6 +146,9 @@
 
     /// Returns why an answer that is no refusal cannot be forwarded, if it cannot.
     pub fn invalid_reason(&self, names: &HeaderNames) -> Option<&'static str> {
+        if !is_final_status(self.status()) {
+            return Some("its status is none of a response");
+        }
         if self.0.headers.contains_key(hyper::header::CONTENT_ENCODING) {
             return Some("its body has a content encoding that was not requested");
         }
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -44,6 +44,12 @@
         .finish()
 }
 
+/// Returns whether a status is one of a final response (RFC 9110). Clients pass on all numbers of three
+/// digits, and take 101 for the end of HTTP on the connection, whether or not it was asked for.
+pub fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 /// Limits on reading a response body.
 #[derive(Debug, Clone, Copy)]
 pub struct ReadLimits {
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -9,6 +9,7 @@
     LEAVING_HEADER, RATE_LIMIT_HEADER, REJECTION_LIMIT_HEADER, SLOTS_HEADER, UPSTREAM_ID_HEADER,
 };
 use crate::clock::{Now, millis};
+use crate::http_client::is_final_status;
 use crate::outcome::{ConnectFailed, DispatchLog, Reason, Refused};
 use crate::routing::placement::Upstream;
 use crate::routing::signals::{ResponseSignals, SignalHeaders};
@@ -59,6 +60,11 @@
         Ok(Ok(_)) => false,
     };
     let (reason, message, proof) = match result {
+        Ok(Ok(response)) if !is_final_status(response.status().as_u16()) => (
+            Reason::UpstreamFailed,
+            "the status is none of a response".to_owned(),
+            None,
+        ),
         Ok(Ok(response)) if !has_known_end(method, &response) => (
             Reason::UpstreamFailed,
             "the answer has neither a length nor chunks".to_owned(),
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -62,6 +62,30 @@
         }
     };
 
+    answer_with_a_status_that_none_may_have_is_not_forwarded => async {
+        // Guards against passing on an answer of a faulty upstream that is none in the protocol.
+        for status in [0, 101, 199, 600, 999] {
+            let bench = Bench::start_without_upstreams().await;
+            let upstream = ScriptedUpstream::start(move |_| {
+                let text = format!("HTTP/1.1 {status:03} x\r\ncontent-length: 2\r\n\r\nok");
+                Reaction::Answer(text)
+            })
+            .await;
+            bench.list_scripted("reader-api", &[], &[&upstream]);
+            let mut answers = Vec::new();
+            bench.wait_for("the upstream is known", async || {
+                let request = bench.request("ikeja-1", "comics", "GET", "/reader-api/manifest");
+                answers.push(read_answer(request.send().await).await);
+                upstream.received() > 0
+            })
+            .await;
+            answers.push(bench.bookmark("ikeja-1", "mark-1").await);
+            for answer in answers {
+                expect_that!(answer.status, any!(eq(502), eq(503)), "{status}: {}", answer.body);
+            }
+        }
+    };
+
     request_to_failing_upstream_is_retried_on_another => async {
         let bench = Bench::start(BenchPlan::default()).await;
         let failing = ModelBehaviour { failing: 1.0, ..ModelBehaviour::default() };
