Free the memory of a request over h2 while its answer waits for the caller

A task that waits for its caller's window kept the memory of the whole request, some 10 kB: 400 connections with 100 unread answers each took 424 MB of a router (a run by hand of `router_bears_unread_answers_over_h2_within_its_limit` with more connections). The future that handles the request is boxed and freed before the answer is sent, as over HTTP/1.1: 142 MB now.

--- a/src/http_server/h2.rs
+++ b/src/http_server/h2.rs
@@ -73,7 +73,11 @@
 {
     let is_head = request.method() == http::Method::HEAD;
     let result = match convert_request(request, peer) {
-        Ok(request) => send(handler(request).await, respond, is_head).await,
+        Ok(request) => {
+            // Boxed, so that its memory is freed while the answer waits for its caller.
+            let response = Box::pin(handler(request)).await;
+            send(response, respond, is_head).await
+        }
         Err(err) => {
             log::debug!("an HTTP/2 request is invalid: {err}");
             respond_bad_request(respond)
