--- a/src/gateway/admit/listen.rs
+++ b/src/gateway/admit/listen.rs
@@ -15,7 +15,8 @@
 use crate::http_server::delivery::DeliveringStream;
 use crate::http_server::load_shedding::UnreadConnection;
 use crate::http_server::open_connections::ConnectionCut;
-use crate::http_server::request_gate::{GatedStream, serve_status};
+use crate::http_server::request_gate::GatedStream;
+use crate::http_server::status::StatusConnections;
 use crate::http_server::{Accepting, HttpServer};
 use crate::metrics::Metrics;
 use actix_http::{HttpService, Request, Response, StatusCode};
@@ -175,9 +176,11 @@
 pub fn serve_readiness(gw: &Rc<Gateway>, metrics: &Metrics) -> Result<()> {
     let listener = listen(gw.settings().readiness_addr)?;
     let readiness_gw = gw.clone();
+    let connections = Rc::<StatusConnections>::default();
     actix_rt::spawn(async move {
         accept(&listener, |stream, peer| {
-            actix_rt::spawn(answer_readiness_checks(readiness_gw.clone(), stream, peer));
+            let (gw, connections) = (readiness_gw.clone(), connections.clone());
+            actix_rt::spawn(answer_readiness_checks(gw, connections, stream, peer));
         })
         .await;
     });
@@ -187,7 +190,12 @@
     Ok(())
 }
 
-async fn answer_readiness_checks(gw: Rc<Gateway>, stream: TcpStream, peer: SocketAddr) {
+async fn answer_readiness_checks(
+    gw: Rc<Gateway>,
+    connections: Rc<StatusConnections>,
+    stream: TcpStream,
+    peer: SocketAddr,
+) {
     let respond = move |_path: &str| {
         let status = match gw.is_ready(Now::read()) {
             true => StatusCode::OK,
@@ -195,7 +203,7 @@
         };
         Response::build(status).finish().map_into_boxed_body()
     };
-    if let Err(err) = serve_status(stream, respond).await {
+    if let Err(err) = connections.serve(stream, respond).await {
         log::debug!("the readiness connection from {peer} ended: {err}");
     }
 }
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -13,6 +13,7 @@
 pub mod open_connections;
 pub mod reclaimable_stream;
 pub mod request_gate;
+pub mod status;
 
 use crate::error::{Error, Result};
 use accept::{AcceptedConnection, ListenerRelease, accept_until_stopped};
--- a/src/http_server/request_gate.rs
+++ b/src/http_server/request_gate.rs
@@ -7,20 +7,17 @@
 
 use crate::clock::Now;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
-use actix_http::error::{DispatchError, PayloadError};
-use actix_http::{HttpMessage as _, HttpService, Payload, Request, Response};
-use actix_service::{Service as _, ServiceFactory as _};
+use actix_http::error::PayloadError;
+use actix_http::{HttpMessage as _, Payload, Request, Response};
 use bytes::{Buf as _, Bytes, BytesMut};
 use futures::{Stream, StreamExt as _};
 use std::cell::RefCell;
-use std::convert::Infallible;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
 /// The most bytes that are read at once where the end of a head is looked for, and the most that a
@@ -271,27 +268,6 @@
     }
 }
 
-/// Serves a connection whose requests are answered by their path alone.
-pub async fn serve_status(
-    stream: TcpStream,
-    respond: impl Fn(&str) -> Response<BoxBody> + 'static,
-) -> Result<(), DispatchError> {
-    let peer = stream.peer_addr().ok();
-    let stream = GatedStream::new(stream, HeadLimits::default());
-    let (gate, respond) = (stream.gate().clone(), Rc::new(respond));
-    let handler = move |req: Request| {
-        let (gate, respond) = (gate.clone(), respond.clone());
-        async move {
-            let answer = gate.answer(req, async |req| respond(req.path()));
-            Ok::<_, Infallible>(answer.await)
-        }
-    };
-    match HttpService::build().h1(handler).new_service(()).await {
-        Ok(service) => service.call((stream, peer)).await,
-        Err(()) => Err(DispatchError::InternalError),
-    }
-}
-
 /// Where the bytes that were passed on last end.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 enum LineEnd {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,7 +1,7 @@
 //! OpenTelemetry metrics, and the HTTP endpoints for Prometheus and health checks.
 
 use crate::error::{Error, Result};
-use crate::http_server::request_gate::serve_status;
+use crate::http_server::status::StatusConnections;
 use actix_http::body::BoxBody;
 use actix_http::{Response, StatusCode};
 use actix_rt::net::TcpStream;
@@ -11,6 +11,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder as _, Registry, TextEncoder};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -80,11 +81,12 @@
                 crate::daemon::listen_reuse_port(address)?,
                 move || {
                     let metrics = metrics.clone();
+                    let connections = Rc::<StatusConnections>::default();
                     fn_service(move |stream: TcpStream| {
-                        let metrics = metrics.clone();
+                        let (metrics, connections) = (metrics.clone(), connections.clone());
                         async move {
-                            let served =
-                                serve_status(stream, move |path| metrics.respond(path)).await;
+                            let respond = move |path: &str| metrics.respond(path);
+                            let served = connections.serve(stream, respond).await;
                             if let Err(err) = &served {
                                 log::debug!("a connection to the metrics ended: {err}");
                             }
