--- a/src/gateway/admit/routes.rs
+++ b/src/gateway/admit/routes.rs
@@ -6,7 +6,7 @@
 
 use crate::gateway::attempt::connection_proof::HealthCheck;
 use crate::gateway::place::warm_up::WarmUp;
-use crate::http_server::request_gate::HeadLimits;
+use crate::http_server::gated_stream::HeadLimits;
 use std::collections::HashMap;
 use std::num::NonZeroU32;
 use std::sync::Arc;
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -7,6 +7,7 @@
 pub mod accept;
 pub mod connection_close;
 pub mod delivery;
+pub mod gated_stream;
 pub mod h2;
 pub mod handover;
 pub mod load_shedding;
--- a/src/http_server/status.rs
+++ b/src/http_server/status.rs
@@ -1,7 +1,7 @@
 //! Serves connections whose requests are answered by their path alone: readiness checks and metrics.
 
+use super::gated_stream::{GatedStream, HeadLimits};
 use super::open_connections::{ConnectionCut, OpenConnections};
-use super::request_gate::{GatedStream, HeadLimits};
 use crate::clock::Now;
 use actix_http::body::BoxBody;
 use actix_http::error::DispatchError;
